--- /dev/null
+++ b/classifier/answer.go
@@ -0,0 +1,61 @@
+package classifier
+
+import "net/http"
+
+// Outcome says whether the request that got an error was run.
+type Outcome string
+
+// The outcomes.
+const (
+	// NotRun promises that no backend server ran the request.
+	NotRun Outcome = "NotRun"
+	// Run says that a backend server ran the request and answered.
+	Run Outcome = "Run"
+	// Unknown says that the request may have been run.
+	Unknown Outcome = "Unknown"
+)
+
+// Answer is what a caller or operator is told about an error kind.
+type Answer struct {
+	Name    string
+	Status  int
+	Outcome Outcome
+	// RetryMayHelp is true when the same request may succeed later.
+	RetryMayHelp bool
+	// ExitCode is the exit code of the operators' client.
+	ExitCode int
+}
+
+var answers = [kindCount]Answer{
+	Internal:         {"Internal", http.StatusInternalServerError, Unknown, false, 1},
+	BadRequest:       {"BadRequest", http.StatusBadRequest, NotRun, false, 2},
+	RequestTooLarge:  {"RequestTooLarge", http.StatusRequestEntityTooLarge, NotRun, false, 2},
+	UnknownService:   {"UnknownService", http.StatusNotFound, NotRun, false, 3},
+	BadDeadline:      {"BadDeadline", http.StatusBadRequest, NotRun, false, 2},
+	DeadlineExceeded: {"DeadlineExceeded", http.StatusGatewayTimeout, NotRun, true, 4},
+	Overloaded:       {"Overloaded", http.StatusServiceUnavailable, NotRun, true, 4},
+	QueueFull:        {"QueueFull", http.StatusServiceUnavailable, NotRun, true, 4},
+	LimitReached:     {"LimitReached", http.StatusTooManyRequests, NotRun, true, 4},
+	NoBackendServer:  {"NoBackendServer", http.StatusServiceUnavailable, NotRun, true, 4},
+	BackendFailed:    {"BackendFailed", http.StatusBadGateway, Run, true, 1},
+	BackendTruncated: {"BackendTruncated", http.StatusBadGateway, Unknown, true, 1},
+	OutcomeUnknown:   {"OutcomeUnknown", http.StatusBadGateway, Unknown, false, 5},
+	KeyInUse:         {"KeyInUse", http.StatusConflict, Unknown, true, 5},
+	KeyExpired:       {"KeyExpired", http.StatusConflict, Unknown, false, 5},
+	Draining:         {"Draining", http.StatusServiceUnavailable, NotRun, true, 4},
+	NotReady:         {"NotReady", http.StatusServiceUnavailable, NotRun, true, 4},
+	Cancelled:        {"Cancelled", 499, Unknown, false, 1},
+	BadTicket:        {"BadTicket", http.StatusUnprocessableEntity, NotRun, false, 2},
+	Conflict:         {"Conflict", http.StatusConflict, NotRun, false, 6},
+	NotFound:         {"NotFound", http.StatusNotFound, NotRun, false, 3},
+	StoreUnavailable: {"StoreUnavailable", http.StatusServiceUnavailable, Unknown, true, 4},
+	Forbidden:        {"Forbidden", http.StatusForbidden, NotRun, false, 7},
+}
+
+// AnswerOf returns the answer of an error kind.
+func AnswerOf(kind Kind) Answer {
+	if kind < 0 || kind >= kindCount {
+		return answers[Internal]
+	}
+	return answers[kind]
+}
--- /dev/null
+++ b/describer/evidence.go
@@ -0,0 +1,37 @@
+package describer
+
+// Evidence is what was observed about one attempt to run a request on a backend server.
+type Evidence int
+
+// The evidence of an attempt.
+const (
+	// Answered means that a complete answer was delivered.
+	Answered Evidence = iota
+	// NotSent means that no byte of the request was sent.
+	NotSent
+	// Refused means that the backend server reported that it did not run the request.
+	Refused
+	// Failed means that a complete error answer arrived.
+	Failed
+	// Truncated means that the answer ended before it was complete.
+	Truncated
+	// Broken means that the connection was lost after the first byte of the request was sent.
+	Broken
+	// Aborted means that the attempt was ended on request of the caller or at its deadline.
+	Aborted
+)
+
+var evidenceNames = [...]string{"Answered", "NotSent", "Refused", "Failed", "Truncated", "Broken", "Aborted"}
+
+// String returns the name of the evidence.
+func (e Evidence) String() string {
+	if e < 0 || int(e) >= len(evidenceNames) {
+		return "Unknown"
+	}
+	return evidenceNames[e]
+}
+
+// ProvesNotRun reports whether the evidence proves that the request was not run.
+func (e Evidence) ProvesNotRun() bool {
+	return e == NotSent || e == Refused
+}
--- /dev/null
+++ b/describer/instance.go
@@ -0,0 +1,10 @@
+package describer
+
+// Instance describes one entry instance.
+type Instance struct {
+	ID               InstanceID
+	AvailabilityZone AvailabilityZoneID
+	Incarnation      Incarnation
+	PeerAddress      string
+	OperatorAddress  string
+}
--- /dev/null
+++ b/describer/job.go
@@ -0,0 +1,56 @@
+package describer
+
+import "fmt"
+
+// JobID names a job: a service's tasks, a batch job or a gang job.
+type JobID string
+
+// JobPolicy says how the tasks of a job are placed.
+type JobPolicy string
+
+// The job policies.
+const (
+	// ServiceJob keeps its tasks running, spread over racks and availability zones.
+	ServiceJob JobPolicy = "Service"
+	// BatchJob runs each task once to its end, packed tightly.
+	BatchJob JobPolicy = "Batch"
+	// GangJob starts all its tasks together or none.
+	GangJob JobPolicy = "Gang"
+)
+
+// Job is the declared state of a job.
+type Job struct {
+	ID     JobID
+	Team   TeamID
+	Class  Class
+	Policy JobPolicy
+	// Tasks is the number of tasks.
+	Tasks int
+	// PerTask is the declared size of a task.
+	PerTask Resources
+	// ExpectedSeconds is the declared run time of a task; zero means unknown or without end.
+	ExpectedSeconds int64
+	// AvailabilityZones restricts the job to these zones; empty means any.
+	AvailabilityZones []AvailabilityZoneID
+	// MaxAttempts bounds the starts of one task; zero means the default.
+	MaxAttempts int
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   JobID
+	Index int
+}
+
+// String returns the task as job and index.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s/%d", t.Job, t.Index)
+}
+
+// Quota is what the jobs of a team may use together.
+type Quota struct {
+	Team  TeamID
+	Limit Resources
+	// MayBorrow allows the team to use what other teams leave idle, until they reclaim it.
+	MayBorrow bool
+}
--- /dev/null
+++ b/dispatcher/event.go
@@ -0,0 +1,85 @@
+package dispatcher
+
+import (
+	"egretring.example/egretring/describer"
+)
+
+// Event is something that happened to the request path.
+type Event interface {
+	isEvent()
+}
+
+// RequestArrived reports a new request of a caller or a peer.
+type RequestArrived struct {
+	Request describer.Request
+}
+
+// RequestCancelled reports that the caller gave up a request.
+type RequestCancelled struct {
+	ID describer.RequestID
+}
+
+// AttemptEnded reports the end of an attempt.
+type AttemptEnded struct {
+	ID       describer.RequestID
+	Attempt  int
+	Evidence describer.Evidence
+	// AnswerBegun is true when a byte of an answer has been sent to the caller.
+	AnswerBegun bool
+}
+
+// RelayEnded reports the end of a relay to a peer.
+type RelayEnded struct {
+	ID          describer.RequestID
+	Evidence    describer.Evidence
+	AnswerBegun bool
+}
+
+// Share is what this instance may use of one backend server.
+type Share struct {
+	BackendServer describer.BackendServerID
+	Slots         int
+	Connections   int
+}
+
+// SharesChanged replaces the shares of this instance. An instance without the right to start work has no shares.
+type SharesChanged struct {
+	Shares []Share
+}
+
+// BackendServersChanged replaces the known backend servers of the zone.
+type BackendServersChanged struct {
+	Servers []describer.BackendServer
+}
+
+// PeerLoad is the load that a peer reported.
+type PeerLoad struct {
+	Instance         describer.InstanceID
+	AvailabilityZone describer.AvailabilityZoneID
+	SameZone         bool
+	FreeSlots        int
+	Queued           [describer.ClassCount]int
+}
+
+// PeersReported replaces the known loads of the peers.
+type PeersReported struct {
+	Loads []PeerLoad
+}
+
+// ServicesChanged replaces the configured services.
+type ServicesChanged struct {
+	Services []describer.Service
+}
+
+// Ticked reports that the time given by NextDeadline has come.
+type Ticked struct{}
+
+func (RequestArrived) isEvent()        {}
+func (RequestCancelled) isEvent()      {}
+func (AttemptEnded) isEvent()          {}
+func (RelayEnded) isEvent()            {}
+func (SharesChanged) isEvent()         {}
+func (BackendServersChanged) isEvent() {}
+func (PeersReported) isEvent()         {}
+func (ServicesChanged) isEvent()       {}
+func (Ticked) isEvent()                {}
--- /dev/null
+++ b/keeper/doc.go
@@ -0,0 +1,2 @@
+// Package keeper is the client side of the platform's configuration store.
+package keeper
--- /dev/null
+++ b/lister/client.go
@@ -0,0 +1,69 @@
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+)
+
+// PathList is the path of the instance list.
+const PathList = "/v1/instances"
+
+// listTimeout bounds one read of the list.
+const listTimeout = 2 * time.Second
+
+// Listing is the answer of the instance list.
+type Listing struct {
+	BackendServers []describer.BackendServer
+	Instances      []describer.Instance
+}
+
+// Client is a List that is reached over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the instance list at a base URL.
+func NewClient(base string, client *http.Client) *Client {
+	return &Client{base: base, http: client}
+}
+
+// BackendServers implements List.
+func (c *Client) BackendServers(ctx context.Context) ([]describer.BackendServer, error) {
+	listing, err := c.get(ctx)
+	return listing.BackendServers, err
+}
+
+// Instances implements List.
+func (c *Client) Instances(ctx context.Context) ([]describer.Instance, error) {
+	listing, err := c.get(ctx)
+	return listing.Instances, err
+}
+
+func (c *Client) get(ctx context.Context) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathList, nil)
+	if err != nil {
+		return Listing{}, errors.Wrap(err, "build instance list request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Listing{}, errors.Wrap(err, "read instance list")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Listing{}, errors.Errorf("instance list answered status %d", response.StatusCode)
+	}
+	var listing Listing
+	if err := json.NewDecoder(response.Body).Decode(&listing); err != nil {
+		return Listing{}, errors.Wrap(err, "decode instance list")
+	}
+	return listing, nil
+}
