Add a stand-in for backend servers

Cause: the daemon, the forwarder and the measurements need backend servers whose faults and counters a test controls.

Change: fakebackend has a pure State, a Server over loopback HTTP, a Ledger that counts runs per request ID and per idempotency key over all servers, request modes, the usage report with a lag, and the task calls with epochs and leases.

--- /dev/null
+++ b/fakebackend/handler.go
@@ -0,0 +1,213 @@
+package fakebackend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+)
+
+// HeaderRunTime overrides the run time of one request with a Go duration.
+const HeaderRunTime = "Fake-Run-Time"
+
+// HeaderAnswerBytes sets the length of the answer to one request.
+const HeaderAnswerBytes = "Fake-Answer-Bytes"
+
+// maxAnswerBytes bounds the length that a request can ask for.
+const maxAnswerBytes = 64 << 20
+
+// Handler serves the task calls, the usage report and, on all other paths, requests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	s.addTaskCalls(mux)
+	mux.HandleFunc("/", s.serveRequest)
+	return mux
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	request := requestOf(r)
+	decision := s.begin(request)
+	defer s.end(decision.Run)
+	if decision.Leaving {
+		w.Header().Set(forwarder.HeaderLeaving, "true")
+	}
+	if decision.Run == 0 {
+		refuse(w, decision.Mode)
+		return
+	}
+	if !wait(r.Context(), decision.RunTime) {
+		s.count(func(c *Counters) { c.Cancelled++ })
+		return
+	}
+	s.answer(w, r, request, decision)
+}
+
+// refuse ends a request that is not run.
+func refuse(w http.ResponseWriter, mode Mode) {
+	if mode == BreaksBeforeRun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(forwarder.HeaderNotRun, "true")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answer frees the slot before the last byte of the answer is sent, so that a caller which has the complete answer
+// can use the slot again.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, request Request, decision Decision) {
+	if s.isLeaving() {
+		w.Header().Set(forwarder.HeaderLeaving, "true")
+	}
+	body := AnswerBody(request.ID, answerBytes(r))
+	switch decision.Mode {
+	case FailsFast:
+		s.end(decision.Run)
+		http.Error(w, "the backend server failed", http.StatusInternalServerError)
+		return
+	case BreaksAfterRun:
+		s.end(decision.Run)
+		panic(http.ErrAbortHandler)
+	case AnswersLate:
+		s.end(decision.Run)
+		if !wait(r.Context(), decision.AnswerDelay) {
+			return
+		}
+	case TruncatesLength, TruncatesChunked:
+		s.truncate(w, body, decision)
+	}
+	w.Header().Set(forwarder.HeaderRequest, request.ID)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	last := len(body) - 1
+	if !write(w, body[:last]) {
+		return
+	}
+	s.end(decision.Run)
+	s.count(func(c *Counters) { c.Answered++ })
+	write(w, body[last:])
+}
+
+// truncate sends the first half of an answer and breaks the connection.
+func (s *Server) truncate(w http.ResponseWriter, body []byte, decision Decision) {
+	if decision.Mode == TruncatesLength {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(http.StatusOK)
+	write(w, body[:len(body)/2])
+	s.end(decision.Run)
+	panic(http.ErrAbortHandler)
+}
+
+func write(w http.ResponseWriter, data []byte) bool {
+	if _, err := w.Write(data); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
+
+// AnswerBody returns the answer to a request ID: its ID, repeated up to the length, and a line end.
+func AnswerBody(id string, length int) []byte {
+	pattern := id + " "
+	repeated := strings.Repeat(pattern, length/len(pattern)+1)
+	return append([]byte(repeated[:length-1]), '\n')
+}
+
+func requestOf(r *http.Request) Request {
+	request := Request{
+		ID:  r.Header.Get(forwarder.HeaderRequest),
+		Key: r.Header.Get(forwarder.HeaderIdempotencyKey),
+	}
+	if parts := strings.Split(r.URL.Path, "/"); len(parts) > 2 {
+		request.Kind = describer.KindID(parts[2])
+	}
+	if runTime, err := time.ParseDuration(r.Header.Get(HeaderRunTime)); err == nil {
+		request.RunTime = runTime
+	}
+	return request
+}
+
+func answerBytes(r *http.Request) int {
+	length, err := strconv.Atoi(r.Header.Get(HeaderAnswerBytes))
+	if err != nil || length < 1 || length > maxAnswerBytes {
+		return defaultAnswerBytes
+	}
+	return length
+}
+
+// defaultAnswerBytes is the length of an answer to a request that asks for none.
+const defaultAnswerBytes = 64
+
+func wait(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) addTaskCalls(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+forwarder.PathUsage, func(w http.ResponseWriter, r *http.Request) {
+		report, err := s.Usage(r.Context())
+		s.reply(w, report, err)
+	})
+	handle(s, mux, forwarder.PathStart, func(ctx context.Context, call forwarder.StartCall) (struct{}, error) {
+		return struct{}{}, s.Start(ctx, call)
+	})
+	handle(s, mux, forwarder.PathRenew, s.Renew)
+	taskCalls := map[string]func(context.Context, forwarder.TaskCall) error{
+		forwarder.PathStop:       s.Stop,
+		forwarder.PathCheckpoint: s.Checkpoint,
+		forwarder.PathThrottle:   s.Throttle,
+	}
+	for path, run := range taskCalls {
+		handle(s, mux, path, func(ctx context.Context, call forwarder.TaskCall) (struct{}, error) {
+			return struct{}{}, run(ctx, call)
+		})
+	}
+}
+
+// handle serves one call with a JSON body.
+func handle[Call, Reply any](
+	s *Server, mux *http.ServeMux, path string, run func(context.Context, Call) (Reply, error),
+) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var call Call
+		if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		reply, err := run(r.Context(), call)
+		s.reply(w, reply, err)
+	})
+}
+
+func (s *Server) reply(w http.ResponseWriter, reply any, err error) {
+	if s.isLeaving() {
+		w.Header().Set(forwarder.HeaderLeaving, "true")
+	}
+	switch {
+	case forwarder.IsErrStaleEpoch(err):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case forwarder.IsErrUnknownTask(err):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	default:
+		if err := json.NewEncoder(w).Encode(reply); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/fakebackend/listener.go
@@ -0,0 +1,84 @@
+package fakebackend
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Running is a backend server that listens on a loopback port.
+type Running struct {
+	*Server
+	http    *http.Server
+	address string
+	served  chan struct{}
+}
+
+// Listen serves the backend server on an address such as 127.0.0.1:0 until Close is called.
+func (s *Server) Listen(address string) (*Running, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	running := &Running{
+		Server:  s,
+		http:    &http.Server{Handler: s.Handler()},
+		address: listener.Addr().String(),
+		served:  make(chan struct{}),
+	}
+	go func() {
+		defer close(running.served)
+		_ = running.http.Serve(countingListener{Listener: listener, server: s})
+	}()
+	return running, nil
+}
+
+// Address returns the address on which the server listens.
+func (r *Running) Address() string {
+	return r.address
+}
+
+// Close breaks all connections and stops listening.
+func (r *Running) Close() error {
+	err := r.http.Close()
+	<-r.served
+	return errors.Wrap(err, "close backend server")
+}
+
+// countingListener counts the open connections. A connection counts as closed before its peer can see that, so that a
+// caller which replaces a closed connection is not counted twice.
+type countingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.state.Connected(time.Now())
+	return &countedConn{Conn: conn, server: l.server}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	server *Server
+	once   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() {
+		c.server.mu.Lock()
+		defer c.server.mu.Unlock()
+		c.server.state.Disconnected(time.Now())
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/fakebackend/state.go
@@ -0,0 +1,192 @@
+package fakebackend
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/generator"
+)
+
+// streamOfServer separates the random values of backend servers from those of other users of a seed.
+const streamOfServer = 0x6261636b
+
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+	defaultUsageLag    = 2 * time.Second
+)
+
+var defaultRunTime = generator.RunTime{Median: 20 * time.Millisecond, Spread: 0.3}
+
+// Request is what a backend server is told about a request.
+type Request struct {
+	ID   string
+	Key  string
+	Kind describer.KindID
+	// RunTime overrides the run time of the kind when it is above zero.
+	RunTime time.Duration
+}
+
+// RunID names a run at one backend server; zero names none.
+type RunID int64
+
+// Decision is what a backend server does with a request.
+type Decision struct {
+	// Run is zero when the request is not run.
+	Run     RunID
+	RunTime time.Duration
+	// Mode is the mode that applies to this request.
+	Mode Mode
+	// AnswerDelay is how long after the end of the run the answer is sent.
+	AnswerDelay time.Duration
+	Leaving     bool
+}
+
+// State is the state of one backend server. It is not safe for concurrent use.
+type State struct {
+	id          describer.BackendServerID
+	slots       int
+	connections int
+	capacity    describer.Resources
+	runTimes    map[describer.KindID]generator.RunTime
+	taskRunTime generator.RunTime
+	lowestUse   float64
+	highestUse  float64
+	lag         time.Duration
+	random      *rand.Rand
+	ledger      *Ledger
+	faults      Faults
+	counters    Counters
+
+	lastRun RunID
+	runs    map[RunID]struct{}
+	tasks   map[describer.TaskID]*task
+	epoch   describer.Epoch
+	samples []forwarder.UsageReport
+	// changedAt is when the state last changed.
+	changedAt time.Time
+}
+
+// NewState returns an idle backend server.
+func NewState(id describer.BackendServerID, options ...Option) *State {
+	s := &State{
+		id:          id,
+		slots:       defaultSlots,
+		connections: defaultConnections,
+		runTimes:    make(map[describer.KindID]generator.RunTime),
+		lowestUse:   1,
+		highestUse:  1,
+		lag:         defaultUsageLag,
+		random:      rand.New(rand.NewPCG(1, streamOfServer)),
+		ledger:      NewLedger(),
+		runs:        make(map[RunID]struct{}),
+		tasks:       make(map[describer.TaskID]*task),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// SetFaults replaces the faults.
+func (s *State) SetFaults(faults Faults) {
+	s.faults = faults
+}
+
+// Counters returns the counters.
+func (s *State) Counters() Counters {
+	return s.counters
+}
+
+// Begin decides on a request and occupies a slot when it is run.
+func (s *State) Begin(now time.Time, request Request) Decision {
+	s.advance(now)
+	decision := Decision{Mode: s.modeOfNext(), Leaving: s.faults.Mode == Leaving}
+	if !decision.Mode.runs() {
+		s.countNotRun(decision.Mode)
+		return decision
+	}
+	s.lastRun++
+	decision.Run = s.lastRun
+	decision.RunTime = s.runTime(request, decision.Mode)
+	if decision.Mode == AnswersLate {
+		decision.AnswerDelay = s.faults.Delay
+	}
+	s.occupy(now, decision.Run)
+	s.ledger.ran(s.id, request)
+	return decision
+}
+
+// End frees the slot of a run.
+func (s *State) End(now time.Time, run RunID) {
+	s.advance(now)
+	if _, ok := s.runs[run]; !ok {
+		return
+	}
+	s.sample(now)
+	delete(s.runs, run)
+	s.counters.BusySlots = len(s.runs)
+}
+
+// Connected counts a new connection.
+func (s *State) Connected(now time.Time) {
+	s.sample(now)
+	s.counters.Connections++
+	if s.counters.Connections > s.connections {
+		s.counters.ConnectionsExceeded++
+	}
+	s.counters.HighestConnections = max(s.counters.HighestConnections, s.counters.Connections)
+}
+
+// Disconnected counts the end of a connection.
+func (s *State) Disconnected(now time.Time) {
+	s.sample(now)
+	s.counters.Connections--
+}
+
+func (s *State) occupy(now time.Time, run RunID) {
+	s.sample(now)
+	if len(s.runs) >= s.slots {
+		s.counters.SlotsExceeded++
+	}
+	s.runs[run] = struct{}{}
+	s.counters.Runs++
+	s.counters.BusySlots = len(s.runs)
+	s.counters.HighestBusySlots = max(s.counters.HighestBusySlots, len(s.runs))
+}
+
+// modeOfNext draws whether the faults apply to the next request.
+func (s *State) modeOfNext() Mode {
+	drawn := s.random.Float64()
+	if s.faults.Mode == Leaving || s.faults.Share == 0 || drawn < s.faults.Share {
+		return s.faults.Mode
+	}
+	return Healthy
+}
+
+func (s *State) countNotRun(mode Mode) {
+	if mode == Leaving || mode == Refuses {
+		s.counters.Refused++
+	}
+}
+
+func (s *State) runTime(request Request, mode Mode) time.Duration {
+	distribution, ok := s.runTimes[request.Kind]
+	if !ok {
+		distribution = defaultRunTime
+	}
+	runTime := distribution.Draw(s.random)
+	if request.RunTime > 0 {
+		runTime = request.RunTime
+	}
+	switch mode {
+	case FailsFast:
+		return 0
+	case Slow:
+		return time.Duration(float64(runTime) * s.faults.Factor)
+	default:
+		return runTime
+	}
+}
--- /dev/null
+++ b/generator/run_time.go
@@ -0,0 +1,28 @@
+package generator
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// RunTime is a log-normal distribution of run times with a share of stragglers.
+type RunTime struct {
+	Median time.Duration
+	// Spread is the standard deviation of the logarithm of the run time.
+	Spread float64
+	// StragglerShare is the share of runs that take StragglerFactor times as long.
+	StragglerShare  float64
+	StragglerFactor float64
+}
+
+// Draw returns one run time. It always takes the same number of values from the source.
+func (r RunTime) Draw(random *rand.Rand) time.Duration {
+	normal := random.NormFloat64()
+	straggles := random.Float64() < r.StragglerShare
+	seconds := r.Median.Seconds() * math.Exp(normal*r.Spread)
+	if straggles {
+		seconds *= r.StragglerFactor
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
