Add the HTTP exchange with backend servers and peers

Cause: the request path needs exact evidence of each attempt; http.Transport alone repeats requests silently and reports a cancelled request as ended before the server has noticed.

TaskClient is the HTTP client of the task calls. fakebackend refuses task starts while leaving, keeps an exact history for lagged reports and has a mode that ignores cancellation.

--- a/fakebackend/mode.go
+++ b/fakebackend/mode.go
@@ -26,6 +26,8 @@
 	Slow
 	// AnswersLate runs the request and sends the answer Faults.Delay later, when the slot is free again.
 	AnswersLate
+	// IgnoresCancel runs the request to its end although the connection was closed.
+	IgnoresCancel
 )
 
 // Faults say how a backend server misbehaves.
--- a/fakebackend/state.go
+++ b/fakebackend/state.go
@@ -64,9 +64,8 @@
 	runs    map[RunID]struct{}
 	tasks   map[describer.TaskID]*task
 	epoch   describer.Epoch
-	samples []forwarder.UsageReport
-	// changedAt is when the state last changed.
-	changedAt time.Time
+	// history holds the state after each change, for reports with a lag.
+	history []forwarder.UsageReport
 }
 
 // NewState returns an idle backend server.
@@ -125,29 +124,30 @@
 	if _, ok := s.runs[run]; !ok {
 		return
 	}
-	s.sample(now)
 	delete(s.runs, run)
 	s.counters.BusySlots = len(s.runs)
+	s.record(now, false)
 }
 
 // Connected counts a new connection.
 func (s *State) Connected(now time.Time) {
-	s.sample(now)
+	s.advance(now)
 	s.counters.Connections++
 	if s.counters.Connections > s.connections {
 		s.counters.ConnectionsExceeded++
 	}
 	s.counters.HighestConnections = max(s.counters.HighestConnections, s.counters.Connections)
+	s.record(now, false)
 }
 
 // Disconnected counts the end of a connection.
 func (s *State) Disconnected(now time.Time) {
-	s.sample(now)
+	s.advance(now)
 	s.counters.Connections--
+	s.record(now, false)
 }
 
 func (s *State) occupy(now time.Time, run RunID) {
-	s.sample(now)
 	if len(s.runs) >= s.slots {
 		s.counters.SlotsExceeded++
 	}
@@ -155,6 +155,7 @@
 	s.counters.Runs++
 	s.counters.BusySlots = len(s.runs)
 	s.counters.HighestBusySlots = max(s.counters.HighestBusySlots, len(s.runs))
+	s.record(now, false)
 }
 
 // modeOfNext draws whether the faults apply to the next request.
--- a/fakebackend/task.go
+++ b/fakebackend/task.go
@@ -1,6 +1,7 @@
 package fakebackend
 
 import (
+	"sort"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -11,6 +12,9 @@
 // throttledShare is the share of its use that a throttled task still uses.
 const throttledShare = 0.5
 
+// finishedRetention is how long a finished task stays in the usage report.
+const finishedRetention = 10 * time.Minute
+
 // task is one task that a backend server runs or ran.
 type task struct {
 	report        forwarder.TaskReport
@@ -18,6 +22,8 @@
 	leaseDeadline time.Time
 	// endsAt is zero for a task without an end.
 	endsAt time.Time
+	// finishedAt is when the task ended, failed or was stopped.
+	finishedAt time.Time
 }
 
 // StartTask starts a task; a task that already runs with the same attempt only gets its lease renewed.
@@ -34,10 +40,14 @@
 	if known != nil && known.report.Attempt > call.Attempt {
 		return forwarder.ErrUnknownTask
 	}
-	s.sample(now)
+	if s.faults.Mode == Leaving || s.faults.Mode == Refuses {
+		s.counters.Refused++
+		return forwarder.ErrNotStarted
+	}
 	s.countStart(call)
 	started := s.newTask(now, call, deadline)
 	s.tasks[call.Task] = started
+	s.record(now, true)
 	s.counters.HighestTasks = max(s.counters.HighestTasks, s.activeTasks())
 	if started.report.State.IsActive() {
 		s.ledger.taskRuns(now, call.Task, s.id, started.runsUntil())
@@ -82,9 +92,9 @@
 		if known.report.State == forwarder.TaskThrottled {
 			return
 		}
-		s.sample(now)
 		known.report.State = forwarder.TaskThrottled
 		known.report.Used = scaled(known.report.Used, throttledShare)
+		s.record(now, true)
 	})
 }
 
@@ -111,12 +121,9 @@
 	return nil
 }
 
-// advance ends the tasks whose lease or run time has ended.
+// advance ends the tasks whose lease or run time has ended, in the order of their ends.
 func (s *State) advance(now time.Time) {
-	for _, known := range s.tasks {
-		if !known.report.State.IsActive() || now.Before(known.runsUntil()) {
-			continue
-		}
+	for _, known := range s.due(now) {
 		end := known.runsUntil()
 		if end.Equal(known.leaseDeadline) {
 			s.counters.TasksExpired++
@@ -128,6 +135,21 @@
 	}
 }
 
+// due returns the tasks that have ended until now, and forgets those that finished long ago.
+func (s *State) due(now time.Time) []*task {
+	var due []*task
+	for id, known := range s.tasks {
+		switch {
+		case known.report.State.IsActive() && !now.Before(known.runsUntil()):
+			due = append(due, known)
+		case !known.report.State.IsActive() && now.Sub(known.finishedAt) > finishedRetention:
+			delete(s.tasks, id)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i].runsUntil().Before(due[j].runsUntil()) })
+	return due
+}
+
 func (s *State) find(id describer.TaskID, attempt int) *task {
 	known := s.tasks[id]
 	if known == nil || known.report.Attempt != attempt || !known.report.State.IsActive() {
@@ -147,9 +169,10 @@
 }
 
 func (s *State) finish(now time.Time, known *task, state forwarder.TaskState) {
-	s.sample(now)
 	known.report.State = state
 	known.report.Used = describer.Resources{}
+	known.finishedAt = now
+	s.record(now, true)
 	s.ledger.taskEnded(known.report.Task, s.id)
 }
 
@@ -165,6 +188,7 @@
 	}
 	if s.faults.Mode == FailsFast {
 		started.report.State = forwarder.TaskFailed
+		started.finishedAt = now
 		started.report.Used = describer.Resources{}
 	}
 	return started
--- a/fakebackend/usage.go
+++ b/fakebackend/usage.go
@@ -8,55 +8,50 @@
 	"egretring.example/egretring/forwarder"
 )
 
-// sampleInterval is the shortest time between two samples, so that a busy server does not sample at each request.
-const sampleInterval = 50 * time.Millisecond
-
 // UsageReport returns the state of the server as it was before the lag.
 func (s *State) UsageReport(now time.Time) forwarder.UsageReport {
 	s.advance(now)
-	oldest := now.Add(-s.lag)
-	if len(s.samples) == 0 || !s.changedAt.After(oldest) {
-		return s.current(oldest)
-	}
-	report := s.samples[0]
-	for _, sample := range s.samples {
-		if !sample.SampledAt.After(oldest) {
-			report = sample
+	sampledAt := now.Add(-s.lag)
+	var report forwarder.UsageReport
+	for _, past := range s.history {
+		if past.SampledAt.After(sampledAt) {
+			break
 		}
+		report = past
 	}
+	report.SampledAt = sampledAt
+	report.Leaving = s.faults.Mode == Leaving
 	return report
 }
 
-// sample is called before each change. It records the state that has held until now, and drops samples that no report
-// needs any more.
-func (s *State) sample(now time.Time) {
-	s.changedAt = now
-	last := len(s.samples) - 1
-	if last >= 0 && now.Before(s.samples[last].SampledAt.Add(sampleInterval)) {
-		return
+// record appends the state from now on to the history, and drops what no report needs any more. The tasks are shared
+// with the entry before, unless they have changed.
+func (s *State) record(now time.Time, tasksChanged bool) {
+	entry := forwarder.UsageReport{SampledAt: now, BusySlots: len(s.runs), Connections: s.counters.Connections}
+	last := len(s.history) - 1
+	if last >= 0 {
+		entry.Tasks, entry.Used = s.history[last].Tasks, s.history[last].Used
 	}
-	s.samples = append(s.samples, s.current(now))
+	if tasksChanged {
+		entry.Tasks, entry.Used = s.taskReports()
+	}
+	s.history = append(s.history, entry)
 	oldest := now.Add(-s.lag)
-	for len(s.samples) > 1 && !s.samples[1].SampledAt.After(oldest) {
-		s.samples = s.samples[1:]
+	for len(s.history) > 1 && !s.history[1].SampledAt.After(oldest) {
+		s.history = s.history[1:]
 	}
 }
 
-func (s *State) current(now time.Time) forwarder.UsageReport {
-	report := forwarder.UsageReport{
-		SampledAt:   now,
-		BusySlots:   len(s.runs),
-		Connections: s.counters.Connections,
-	}
+func (s *State) taskReports() ([]forwarder.TaskReport, describer.Resources) {
 	var used describer.Resources
+	reports := make([]forwarder.TaskReport, 0, len(s.tasks))
 	for _, known := range s.tasks {
-		report.Tasks = append(report.Tasks, known.report)
+		reports = append(reports, known.report)
 		used = used.Plus(known.report.Used)
 	}
-	report.Used = used
-	sort.Slice(report.Tasks, func(i, j int) bool {
-		a, b := report.Tasks[i].Task, report.Tasks[j].Task
+	sort.Slice(reports, func(i, j int) bool {
+		a, b := reports[i].Task, reports[j].Task
 		return a.Job < b.Job || a.Job == b.Job && a.Index < b.Index
 	})
-	return report
+	return reports, used
 }
--- /dev/null
+++ b/forwarder/exchange.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+)
+
+// exchange is one exchange in progress.
+type exchange struct {
+	forwarder *Forwarder
+	options   ExchangeOptions
+	// use is nil until a connection was obtained.
+	use *connUse
+	// complete is true when the server's answer has arrived completely.
+	complete bool
+	result   Result
+}
+
+// Exchange sends a request to a server and streams the answer to the caller. It writes nothing to the caller before
+// the header of an answer that is passed on has arrived.
+func (f *Forwarder) Exchange(ctx context.Context, options ExchangeOptions) Result {
+	ctx, cancel := deadlineContext(ctx, options)
+	defer cancel()
+	x := &exchange{forwarder: f, options: options, result: Result{Evidence: describer.Broken}}
+	x.run(ctx)
+	return x.result
+}
+
+func deadlineContext(ctx context.Context, options ExchangeOptions) (context.Context, context.CancelFunc) {
+	if options.Deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, options.Deadline)
+}
+
+func (x *exchange) run(ctx context.Context) {
+	response, err := x.send(ctx)
+	if err == nil {
+		x.receive(ctx, response)
+		_ = response.Body.Close()
+	}
+	x.end(ctx, err)
+}
+
+func (x *exchange) send(ctx context.Context) (*http.Response, error) {
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
+	request, err := x.forwarder.outgoing(traced, x.options)
+	if err != nil {
+		return nil, err
+	}
+	return x.forwarder.transport(x.options.Server.Address).RoundTrip(request)
+}
+
+// gotConn is called by RoundTrip, on the goroutine that called it, before the request is written.
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*trackedConn); ok {
+		x.use = conn.use()
+	}
+}
+
+// end settles the evidence of an exchange without an answer, and releases the connection.
+func (x *exchange) end(ctx context.Context, err error) {
+	if x.complete {
+		x.use.done()
+		x.notify()
+		return
+	}
+	sent := x.use != nil && x.use.seal()
+	if err != nil {
+		x.result.Err = errors.Wrapf(err, "exchange with %s", x.options.Server.Address)
+		x.result.Evidence = evidenceOf(ctx, sent)
+	}
+	x.notify()
+	if x.use != nil {
+		mayRun := sent && x.result.Evidence != describer.Refused
+		x.result.MayStillRun = !x.use.release(mayRun, x.forwarder.abortWait)
+	}
+}
+
+func (x *exchange) notify() {
+	if x.options.OnEnded != nil {
+		x.options.OnEnded(x.result)
+	}
+}
+
+// evidenceOf returns the evidence of an exchange that ended without an answer. That nothing was sent is reported even
+// when the exchange was ended by the caller, since it proves that the request was not run.
+func evidenceOf(ctx context.Context, sent bool) describer.Evidence {
+	if !sent {
+		return describer.NotSent
+	}
+	if ctx.Err() != nil {
+		return describer.Aborted
+	}
+	return describer.Broken
+}
+
+// incomplete records that an answer did not arrive or was not delivered completely.
+func (x *exchange) incomplete(ctx context.Context, err error) {
+	x.result.Evidence = describer.Truncated
+	if ctx.Err() != nil {
+		x.result.Evidence = describer.Aborted
+	}
+	x.result.Err = errors.Wrapf(err, "answer of %s", x.options.Server.Address)
+	if x.result.AnswerBegun {
+		x.result.CallerAborted = abortCaller(x.options.Writer)
+	}
+}
+
+// discard reads the rest of an answer that is not passed on.
+func (x *exchange) discard(body io.Reader) error {
+	_, err := io.Copy(io.Discard, body)
+	x.complete = err == nil
+	return err
+}
--- /dev/null
+++ b/forwarder/fleet_test.go
@@ -0,0 +1,121 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/fakebackend"
+	"egretring.example/egretring/forwarder"
+)
+
+const (
+	fleetSeed     = 20261204
+	fleetWorkers  = 4
+	fleetRequests = 120
+)
+
+var fleetModes = []fakebackend.Mode{
+	fakebackend.Healthy, fakebackend.FailsFast, fakebackend.Leaving, fakebackend.Refuses,
+	fakebackend.TruncatesLength, fakebackend.TruncatesChunked, fakebackend.BreaksBeforeRun,
+	fakebackend.BreaksAfterRun, fakebackend.AnswersLate, fakebackend.IgnoresCancel,
+}
+
+// fleetRun is one exchange of TestEvidenceAgreesWithRuns.
+type fleetRun struct {
+	id     string
+	result forwarder.Result
+	body   []byte
+	want   []byte
+}
+
+// exchangeOnce makes one exchange with a random method, length and time of cancellation.
+func exchangeOnce(f *forwarder.Forwarder, address, id string, random *rand.Rand) fleetRun {
+	length := 1 + random.IntN(48<<10)
+	options := optionsFor(address)
+	options.Request.Method = []string{http.MethodGet, http.MethodPost}[random.IntN(2)]
+	options.Request.Body = make([]byte, random.IntN(3)*50_000)
+	options.Request.Header = http.Header{
+		forwarder.HeaderRequest:        {id},
+		forwarder.HeaderIdempotencyKey: {"k-" + id},
+		fakebackend.HeaderRunTime:      {"300us"},
+		fakebackend.HeaderAnswerBytes:  {fmt.Sprint(length)},
+	}
+	recorder := httptest.NewRecorder()
+	options.Writer = recorder
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if random.IntN(4) == 0 {
+		yields := random.IntN(200)
+		go func() {
+			for range yields {
+				runtime.Gosched()
+			}
+			cancel()
+		}()
+	}
+	result := f.Exchange(ctx, options)
+	return fleetRun{id: id, result: result, body: recorder.Body.Bytes(), want: fakebackend.AnswerBody(id, length)}
+}
+
+// TestEvidenceAgreesWithRuns guards against evidence that contradicts what the backend server ran, under faults,
+// cancellations and reused connections, and against more concurrent work than the server has slots.
+func TestEvidenceAgreesWithRuns(t *testing.T) {
+	t.Logf("seed %d", fleetSeed)
+	for i, mode := range fleetModes {
+		t.Run(fmt.Sprintf("mode %d", mode), func(t *testing.T) {
+			server, err := fakebackend.New("s1", fakebackend.WithSeed(fleetSeed), fakebackend.WithSlots(fleetWorkers)).Listen("127.0.0.1:0")
+			require.NoError(t, err)
+			server.SetFaults(fakebackend.Faults{Mode: mode, Share: 0.3, Delay: 1})
+			f := forwarder.New(forwarder.WithConnections(fleetWorkers))
+			runs := make([][]fleetRun, fleetWorkers)
+			var workers sync.WaitGroup
+			for w := range fleetWorkers {
+				workers.Go(func() {
+					random := rand.New(rand.NewPCG(fleetSeed, uint64(i*fleetWorkers+w)))
+					for n := range fleetRequests {
+						runs[w] = append(runs[w], exchangeOnce(f, server.Address(), fmt.Sprintf("%d-%d", w, n), random))
+					}
+				})
+			}
+			workers.Wait()
+			f.CloseIdle()
+			require.NoError(t, server.Close())
+			for _, worker := range runs {
+				for _, run := range worker {
+					requireAgreement(t, server.Ledger(), run)
+				}
+			}
+			require.Zero(t, server.Ledger().Verdict().DoubledKeys)
+			counters := server.Counters()
+			require.Zero(t, counters.SlotsExceeded, "%+v", counters)
+			require.LessOrEqual(t, counters.HighestConnections, 2*fleetWorkers)
+			t.Logf("%+v", counters)
+		})
+	}
+}
+
+func requireAgreement(t *testing.T, ledger *fakebackend.Ledger, run fleetRun) {
+	t.Helper()
+	evidence, ran := run.result.Evidence, ledger.Runs(run.id)
+	require.LessOrEqual(t, ran, 1, "request %s", run.id)
+	require.False(t, run.result.MayStillRun, "request %s", run.id)
+	if evidence.ProvesNotRun() {
+		require.Zero(t, ran, "request %s ran after %s", run.id, evidence)
+	}
+	switch evidence {
+	case describer.Answered:
+		require.Equal(t, run.want, run.body, "request %s", run.id)
+		require.Equal(t, 1, ran, "request %s", run.id)
+	case describer.Failed, describer.Truncated:
+		require.Equal(t, 1, ran, "request %s", run.id)
+	}
+}
--- a/forwarder/protocol.go
+++ b/forwarder/protocol.go
@@ -24,6 +24,8 @@
 	ErrStaleEpoch = errors.New("backend server has seen a higher epoch")
 	// ErrUnknownTask is returned when a backend server does not run the task with this attempt.
 	ErrUnknownTask = errors.New("backend server does not run the task")
+	// ErrNotStarted is returned when a backend server refused to start a task without starting it.
+	ErrNotStarted = errors.New("backend server refused to start the task")
 	// ErrNoAnswer is returned when a backend server gave no usable answer; the call may have taken effect.
 	ErrNoAnswer = errors.New("backend server gave no answer")
 )
@@ -38,6 +40,11 @@
 	return errors.Is(err, ErrUnknownTask)
 }
 
+// IsErrNotStarted reports whether the start of a task was refused.
+func IsErrNotStarted(err error) bool {
+	return errors.Is(err, ErrNotStarted)
+}
+
 // TaskState is the state of a task at a backend server.
 type TaskState string
 
@@ -107,6 +114,8 @@
 	Connections int
 	Used        describer.Resources
 	Tasks       []TaskReport
+	// Leaving is announced in HeaderLeaving and not in the body.
+	Leaving bool `json:"-"`
 }
 
 // TaskServer is a backend server as the task lifecycle sees it.
--- /dev/null
+++ b/forwarder/task_client.go
@@ -0,0 +1,124 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// taskCallTimeout bounds a task call; it is well below the shortest useful task lease.
+	taskCallTimeout = 2 * time.Second
+	// maxReplyBytes bounds the answer to a task call or a usage report.
+	maxReplyBytes = 4 << 20
+)
+
+// TaskClient is a TaskServer that is reached over HTTP.
+type TaskClient struct {
+	base string
+	http *http.Client
+}
+
+var _ TaskServer = (*TaskClient)(nil)
+
+// NewTaskClient returns a client of the backend server at an address.
+func NewTaskClient(address string, client *http.Client) *TaskClient {
+	return &TaskClient{base: "http://" + address, http: client}
+}
+
+// Usage implements TaskServer.
+func (c *TaskClient) Usage(ctx context.Context) (UsageReport, error) {
+	var report UsageReport
+	header, err := c.call(ctx, http.MethodGet, PathUsage, nil, &report)
+	report.Leaving = isTrue(header, HeaderLeaving)
+	return report, err
+}
+
+// Start implements TaskServer.
+func (c *TaskClient) Start(ctx context.Context, call StartCall) error {
+	return c.post(ctx, PathStart, call, nil)
+}
+
+// Renew implements TaskServer.
+func (c *TaskClient) Renew(ctx context.Context, call RenewCall) (RenewReply, error) {
+	var reply RenewReply
+	err := c.post(ctx, PathRenew, call, &reply)
+	return reply, err
+}
+
+// Stop implements TaskServer.
+func (c *TaskClient) Stop(ctx context.Context, call TaskCall) error {
+	return c.post(ctx, PathStop, call, nil)
+}
+
+// Checkpoint implements TaskServer.
+func (c *TaskClient) Checkpoint(ctx context.Context, call TaskCall) error {
+	return c.post(ctx, PathCheckpoint, call, nil)
+}
+
+// Throttle implements TaskServer.
+func (c *TaskClient) Throttle(ctx context.Context, call TaskCall) error {
+	return c.post(ctx, PathThrottle, call, nil)
+}
+
+func (c *TaskClient) post(ctx context.Context, path string, call, reply any) error {
+	body, err := json.Marshal(call)
+	if err != nil {
+		return errors.Wrap(err, "encode task call")
+	}
+	_, err = c.call(ctx, http.MethodPost, path, body, reply)
+	return err
+}
+
+func (c *TaskClient) call(ctx context.Context, method, path string, body []byte, reply any) (http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, taskCallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build task call")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNoAnswer, "call %s: %v", path, err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return nil, errors.Wrapf(ErrNoAnswer, "read answer to %s: %v", path, err)
+	}
+	if err := taskError(response); err != nil {
+		return response.Header, errors.Wrapf(err, "call %s", path)
+	}
+	return response.Header, decodeReply(content, reply)
+}
+
+func decodeReply(content []byte, reply any) error {
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(content, reply); err != nil {
+		return errors.Wrapf(ErrNoAnswer, "decode answer: %v", err)
+	}
+	return nil
+}
+
+// taskError returns the error that the status of an answer stands for.
+func taskError(response *http.Response) error {
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return nil
+	case response.StatusCode == http.StatusConflict:
+		return ErrStaleEpoch
+	case response.StatusCode == http.StatusNotFound:
+		return ErrUnknownTask
+	case response.StatusCode == http.StatusServiceUnavailable && isTrue(response.Header, HeaderNotRun):
+		return ErrNotStarted
+	default:
+		return errors.Wrapf(ErrNoAnswer, "status %d", response.StatusCode)
+	}
+}
--- /dev/null
+++ b/forwarder/virtual_test.go
@@ -0,0 +1,106 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+)
+
+// pipes is a server in memory that answers each request after a delay.
+type pipes struct {
+	delay  time.Duration
+	dials  atomic.Int64
+	served sync.WaitGroup
+}
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	p.dials.Add(1)
+	near, far := net.Pipe()
+	p.served.Go(func() { p.serve(far) })
+	return near, nil
+}
+
+func (p *pipes) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		time.Sleep(p.delay)
+		if _, err := io.WriteString(conn, complete); err != nil {
+			return
+		}
+	}
+}
+
+func (p *pipes) exchange(f *forwarder.Forwarder, deadline time.Time) forwarder.Result {
+	options := optionsFor("10.0.0.1:1")
+	options.Deadline = deadline
+	options.Writer = httptest.NewRecorder()
+	return f.Exchange(context.Background(), options)
+}
+
+// TestDeadline guards against an exchange that outlives its deadline, or reports it as a fault of the server.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &pipes{delay: time.Hour}
+		f := forwarder.New(forwarder.WithDial(server.dial))
+		start := time.Now()
+		result := server.exchange(f, start.Add(3*time.Second))
+		require.Equal(t, describer.Aborted.String(), result.Evidence.String())
+		require.ErrorIs(t, result.Err, context.DeadlineExceeded)
+		require.Equal(t, 3*time.Second, time.Since(start))
+		server.served.Wait()
+	})
+}
+
+// TestDeadlineHasPassed guards against a request that is sent after its deadline.
+func TestDeadlineHasPassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &pipes{}
+		result := server.exchange(forwarder.New(forwarder.WithDial(server.dial)), time.Now())
+		require.Equal(t, describer.NotSent.String(), result.Evidence.String())
+		require.Zero(t, server.dials.Load())
+	})
+}
+
+// TestConnectionsAreBounded guards against more connections to a server than allowed, and against evidence that a
+// request which waited for a connection was sent.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &pipes{delay: 2 * time.Second}
+		f := forwarder.New(forwarder.WithDial(server.dial), forwarder.WithConnections(1))
+		results := make(chan forwarder.Result, 1)
+		go func() { results <- server.exchange(f, time.Time{}) }()
+		synctest.Wait()
+		waiting := server.exchange(f, time.Now().Add(time.Second))
+		require.Equal(t, describer.NotSent.String(), waiting.Evidence.String())
+		require.Equal(t, describer.Answered.String(), (<-results).Evidence.String())
+		require.EqualValues(t, 1, server.dials.Load())
+
+		require.Equal(t, describer.Answered, server.exchange(f, time.Time{}).Evidence)
+		require.EqualValues(t, 1, server.dials.Load(), "the connection was not reused")
+		f.SetConnections("10.0.0.1:1", 2)
+		require.Equal(t, describer.Answered, server.exchange(f, time.Time{}).Evidence)
+		require.EqualValues(t, 2, server.dials.Load(), "the old connection was not closed")
+		f.SetConnections("10.0.0.1:1", 0)
+	})
+}
