--- /dev/null
+++ b/generator/arrival.go
@@ -0,0 +1,50 @@
+package generator
+
+import (
+	"time"
+
+	"egretring.example/egretring/describer"
+)
+
+// Arrival is one request that a caller sends.
+type Arrival struct {
+	// Offset is the time of arrival after the start of the load.
+	Offset time.Duration
+	// ID identifies the request in the counters of the backend servers.
+	ID               string
+	Service          describer.ServiceID
+	Kind             describer.KindID
+	Class            describer.Class
+	Team             describer.TeamID
+	AvailabilityZone describer.AvailabilityZoneID
+	Repeatable       bool
+	// Key is set for a request that is not repeatable.
+	Key string
+	// Timeout is the time from the arrival to the deadline.
+	Timeout time.Duration
+	// RunTime is how long the request runs on a backend server.
+	RunTime time.Duration
+	// CancelAfter is the time from the arrival until the caller gives up; zero means never.
+	CancelAfter time.Duration
+	BodyBytes   int
+	AnswerBytes int
+}
+
+// Request returns the request as the request-path core sees it when the load started at a time.
+func (a Arrival) Request(id describer.RequestID, start time.Time) describer.Request {
+	return describer.Request{
+		ID:             id,
+		Service:        a.Service,
+		Kind:           a.Kind,
+		Team:           a.Team,
+		Class:          a.Class,
+		Deadline:       start.Add(a.Offset + a.Timeout),
+		Repeatable:     a.Repeatable,
+		IdempotencyKey: a.Key,
+	}
+}
+
+// Path returns the path of the request.
+func (a Arrival) Path() string {
+	return "/" + string(a.Service) + "/" + string(a.Kind)
+}
--- /dev/null
+++ b/generator/load.go
@@ -0,0 +1,163 @@
+package generator
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+)
+
+// Kind is one kind of request and its part of the load.
+type Kind struct {
+	ID    describer.KindID
+	Class describer.Class
+	// Share is the weight with which an arrival is of this kind.
+	Share      float64
+	Repeatable bool
+	RunTime    RunTime
+	Timeout    time.Duration
+}
+
+// Team is one team and the weight with which an arrival is from it.
+type Team struct {
+	ID    describer.TeamID
+	Share float64
+}
+
+// Swing is a time during which the load is a multiple of what it is otherwise. Swings that overlap multiply.
+type Swing struct {
+	// From is when the load begins to rise.
+	From   time.Duration
+	Rise   time.Duration
+	Hold   time.Duration
+	Fall   time.Duration
+	Factor float64
+}
+
+// at returns the factor at a time.
+func (s Swing) at(offset time.Duration) float64 {
+	since := offset - s.From
+	rise, hold, fall := s.Rise, s.Rise+s.Hold, s.Rise+s.Hold+s.Fall
+	switch {
+	case since < 0 || since >= fall:
+		return 1
+	case since < rise:
+		return 1 + (s.Factor-1)*float64(since)/float64(rise)
+	case since < hold:
+		return s.Factor
+	default:
+		return 1 + (s.Factor-1)*float64(fall-since)/float64(s.Fall)
+	}
+}
+
+// Cancellations is a time at which many callers give up together.
+type Cancellations struct {
+	At time.Duration
+	// Reach is how long before At a request that is given up arrived at most.
+	Reach time.Duration
+	// Share is the share of those requests that are given up.
+	Share float64
+}
+
+// Load describes a load.
+type Load struct {
+	Service           describer.ServiceID
+	AvailabilityZones []describer.AvailabilityZoneID
+	Kinds             []Kind
+	Teams             []Team
+	// PerSecond is the mean number of arrivals a second outside swings.
+	PerSecond float64
+	Duration  time.Duration
+	Swings    []Swing
+	// CancelShare is the share of requests whose callers give up at a random time before the deadline.
+	CancelShare   float64
+	Cancellations []Cancellations
+}
+
+// MeanRunTime returns the mean run time of a request.
+func (l Load) MeanRunTime() time.Duration {
+	total, shares := 0.0, 0.0
+	for _, kind := range l.Kinds {
+		total += kind.Share * float64(kind.RunTime.Mean())
+		shares += kind.Share
+	}
+	return time.Duration(total / shares)
+}
+
+// WithUtilization returns a copy whose arrivals keep a share of the slots busy outside swings.
+func (l Load) WithUtilization(share float64, slots int) Load {
+	l.PerSecond = share * float64(slots) / l.MeanRunTime().Seconds()
+	return l
+}
+
+// WithDuration returns a copy that lasts another time.
+func (l Load) WithDuration(duration time.Duration) Load {
+	l.Duration = duration
+	return l
+}
+
+// WithSwings returns a copy with other swings.
+func (l Load) WithSwings(swings ...Swing) Load {
+	l.Swings = swings
+	return l
+}
+
+// WithCancellations returns a copy with other bursts of cancellations.
+func (l Load) WithCancellations(bursts ...Cancellations) Load {
+	l.Cancellations = bursts
+	return l
+}
+
+// WithTimeScale returns a copy whose run times and timeouts are multiplied by a factor, for a demo that should not
+// last as long as the real work.
+func (l Load) WithTimeScale(factor float64) Load {
+	kinds := make([]Kind, len(l.Kinds))
+	for i, kind := range l.Kinds {
+		kind.RunTime.Median = time.Duration(float64(kind.RunTime.Median) * factor)
+		kind.Timeout = time.Duration(float64(kind.Timeout) * factor)
+		kinds[i] = kind
+	}
+	l.Kinds = kinds
+	return l
+}
+
+// factorAt returns the product of the swings at a time.
+func (l Load) factorAt(offset time.Duration) float64 {
+	factor := 1.0
+	for _, swing := range l.Swings {
+		factor *= swing.at(offset)
+	}
+	return factor
+}
+
+// highestFactor returns a bound of factorAt.
+func (l Load) highestFactor() float64 {
+	factor := 1.0
+	for _, swing := range l.Swings {
+		factor *= max(1, swing.Factor)
+	}
+	return factor
+}
+
+func (l Load) check() error {
+	switch {
+	case len(l.Kinds) == 0 || len(l.Teams) == 0 || len(l.AvailabilityZones) == 0:
+		return errors.New("load needs at least one kind, one team and one availability zone")
+	case l.PerSecond <= 0:
+		return errors.Errorf("load has %g arrivals a second; it needs more than 0", l.PerSecond)
+	case l.CancelShare < 0 || l.CancelShare > 1:
+		return errors.Errorf("share of cancelled requests is %g; 0 to 1 are allowed", l.CancelShare)
+	}
+	for _, kind := range l.Kinds {
+		if kind.Share <= 0 || kind.Timeout <= 0 || kind.RunTime.Median <= 0 {
+			return errors.Errorf("kind %q needs a share, a timeout and a run time above 0", kind.ID)
+		}
+	}
+	for _, swing := range l.Swings {
+		if swing.Factor < 0 || swing.Rise < 0 || swing.Hold < 0 || swing.Fall < 0 {
+			return errors.Errorf("swing at %s has a negative time or factor", swing.From)
+		}
+	}
+	return nil
+}
--- a/generator/run_time.go
+++ b/generator/run_time.go
@@ -26,3 +26,9 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// Mean returns the mean of the distribution.
+func (r RunTime) Mean() time.Duration {
+	stragglers := 1 + r.StragglerShare*(r.StragglerFactor-1)
+	return time.Duration(float64(r.Median) * math.Exp(r.Spread*r.Spread/2) * stragglers)
+}
