--- a/classifier/error.go
+++ b/classifier/error.go
@@ -64,6 +64,15 @@
 	return Internal
 }
 
+// RetryAtOf returns from when on a retry may succeed; it is zero when nothing is known.
+func RetryAtOf(err error) time.Time {
+	var classified *Error
+	if errors.As(err, &classified) {
+		return classified.retryAt
+	}
+	return time.Time{}
+}
+
 // IsErrKind reports whether the error has the given kind.
 func IsErrKind(err error, kind Kind) bool {
 	return err != nil && KindOf(err) == kind
--- a/describer/instance.go
+++ b/describer/instance.go
@@ -7,4 +7,5 @@
 	Incarnation      Incarnation
 	PeerAddress      string
 	OperatorAddress  string
+	RelayAddress     string
 }
--- /dev/null
+++ b/handler/caller.go
@@ -0,0 +1,129 @@
+package handler
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/router"
+)
+
+// RouteService serves the requests of callers.
+type RouteService interface {
+	// Service returns a configured service.
+	Service(id describer.ServiceID) (describer.Service, error)
+	// Route serves one request. After an error the answer may have begun; see router.IsErrAnswerBegun.
+	Route(ctx context.Context, call router.Call, w http.ResponseWriter) error
+}
+
+// CallerOptions are the limits of callers' requests.
+type CallerOptions struct {
+	MaxRequestBytes int64
+	DefaultTimeout  time.Duration
+	MaxTimeout      time.Duration
+	// Relayed is true for the listener of the other entry instances.
+	Relayed bool
+}
+
+// Caller handles the requests of callers and relayed requests.
+type Caller struct {
+	service RouteService
+	options CallerOptions
+	logger  *slog.Logger
+}
+
+// NewCaller returns a handler of callers' requests.
+func NewCaller(service RouteService, options CallerOptions, logger *slog.Logger) *Caller {
+	return &Caller{service: service, options: options, logger: logger}
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call, err := c.parse(w, r)
+	if err == nil {
+		err = c.service.Route(r.Context(), call, w)
+	}
+	if err == nil {
+		return
+	}
+	c.log(r, call, err)
+	if router.IsErrAnswerBegun(err) {
+		// Closing the connection is the only way left to tell the caller that the answer is not complete.
+		panic(http.ErrAbortHandler)
+	}
+	WriteError(w, err)
+}
+
+func (c *Caller) log(r *http.Request, call router.Call, err error) {
+	kind := classifier.KindOf(err)
+	c.logger.LogAttrs(r.Context(), slog.LevelWarn, "request ended with an error",
+		slog.String("Service", string(call.Request.Service)),
+		slog.String("RequestKind", string(call.Request.Kind)),
+		slog.String("Kind", kind.String()),
+		slog.String("Outcome", string(classifier.AnswerOf(kind).Outcome)),
+		slog.String("Error", err.Error()))
+}
+
+func (c *Caller) parse(w http.ResponseWriter, r *http.Request) (router.Call, error) {
+	service, kindID, err := c.target(r.URL.Path)
+	if err != nil {
+		return router.Call{}, err
+	}
+	kind := service.KindOf(kindID)
+	options, err := parseHeaders(r, c.options, time.Now(), kind)
+	if err != nil {
+		return router.Call{}, err
+	}
+	body, err := readBody(w, r, c.options.MaxRequestBytes)
+	if err != nil {
+		return router.Call{}, err
+	}
+	request := describer.Request{
+		Service:        service.ID,
+		Kind:           kindID,
+		Team:           options.team,
+		Class:          options.class,
+		Deadline:       options.deadline,
+		Repeatable:     options.repeatable,
+		IdempotencyKey: options.key,
+		Relayed:        c.options.Relayed,
+	}
+	return router.Call{
+		Request:      request,
+		Method:       r.Method,
+		Path:         r.URL.RequestURI(),
+		Header:       r.Header,
+		Body:         body,
+		FirstAttempt: options.firstAttempt,
+	}, nil
+}
+
+// target returns the service and the kind that a path names.
+func (c *Caller) target(path string) (describer.Service, describer.KindID, error) {
+	parts := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 3)
+	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
+		return describer.Service{}, "", classifier.New(classifier.BadRequest,
+			"path %q does not name a service and a kind of request", path)
+	}
+	service, err := c.service.Service(describer.ServiceID(parts[0]))
+	return service, describer.KindID(parts[1]), err
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, classifier.New(classifier.RequestTooLarge, "request body has more than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, classifier.Wrap(err, classifier.BadRequest, "request body is not complete")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/handler/doc.go
@@ -0,0 +1,2 @@
+// Package handler holds the thin HTTP handlers for callers and operators.
+package handler
--- /dev/null
+++ b/runner/executor.go
@@ -0,0 +1,25 @@
+package runner
+
+import (
+	"context"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+)
+
+// Outcome is how an attempt or a relay ended.
+type Outcome struct {
+	Evidence describer.Evidence
+	// AnswerBegun is true when a byte of an answer has been sent to the caller.
+	AnswerBegun bool
+	// AnswerComplete is true when the whole answer has been sent to the caller.
+	AnswerComplete bool
+}
+
+// Executor carries out the commands for one request.
+type Executor interface {
+	// Attempt runs the request on a backend server.
+	Attempt(ctx context.Context, start dispatcher.StartAttempt) Outcome
+	// Relay sends the request to a peer.
+	Relay(ctx context.Context, relay dispatcher.RelayToPeer) Outcome
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,210 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"egretring.example/egretring/buffer"
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+	"egretring.example/egretring/meter"
+)
+
+// defaultQueueLength bounds the events that wait for the core.
+const defaultQueueLength = 4096
+
+// Core is the request-path core.
+type Core interface {
+	Handle(now time.Time, event dispatcher.Event) []dispatcher.Command
+	NextDeadline() (time.Time, bool)
+}
+
+// Runner runs a core.
+type Runner struct {
+	tomb     tomb.Tomb
+	core     Core
+	mayStart func(now time.Time) bool
+	meter    *meter.Meter
+	inbox    *buffer.Queue[message]
+	calls    map[describer.RequestID]*call
+}
+
+// message is an event for the core, with the call that it opens or closes.
+type message struct {
+	event  dispatcher.Event
+	opens  *call
+	id     describer.RequestID
+	closes bool
+}
+
+// Option configures a Runner.
+type Option func(*Runner)
+
+// WithRight sets the check that is made at each start of an attempt.
+func WithRight(mayStart func(now time.Time) bool) Option {
+	return func(r *Runner) { r.mayStart = mayStart }
+}
+
+// WithMeter sets where the runner counts what it does.
+func WithMeter(m *meter.Meter) Option {
+	return func(r *Runner) { r.meter = m }
+}
+
+// WithQueueLength sets how many events may wait for the core.
+func WithQueueLength(length int) Option {
+	return func(r *Runner) { r.inbox = buffer.NewQueue[message](length) }
+}
+
+// New returns a runner of a core.
+func New(core Core, options ...Option) *Runner {
+	r := &Runner{
+		core:     core,
+		mayStart: func(time.Time) bool { return true },
+		meter:    meter.New(),
+		inbox:    buffer.NewQueue[message](defaultQueueLength),
+		calls:    make(map[describer.RequestID]*call),
+	}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
+
+// Start starts the goroutine that owns the core.
+func (r *Runner) Start() {
+	r.tomb.Go(r.loop)
+}
+
+// Stop ends the goroutine that owns the core and waits for it.
+func (r *Runner) Stop() error {
+	r.tomb.Kill(nil)
+	return r.tomb.Wait()
+}
+
+// Notify gives the core an event that belongs to no request.
+func (r *Runner) Notify(event dispatcher.Event) {
+	r.post(message{event: event})
+}
+
+// Run serves one request and returns nil when its whole answer has been sent.
+func (r *Runner) Run(ctx context.Context, request describer.Request, executor Executor) error {
+	c := newCall()
+	arrival := message{event: dispatcher.RequestArrived{Request: request}, opens: c, id: request.ID}
+	if err := r.inbox.Offer(arrival); err != nil {
+		return classifier.New(classifier.Overloaded, "too many events wait for the dispatcher")
+	}
+	s := serving{runner: r, call: c, request: request, executor: executor, arrivedAt: time.Now()}
+	return s.serve(ctx)
+}
+
+// post hands a message to the core and waits for room; it is dropped only when the runner stops.
+func (r *Runner) post(m message) {
+	if err := r.inbox.Put(r.tomb.Context(context.Background()), m); err != nil {
+		return
+	}
+}
+
+func (r *Runner) loop() error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		r.setTimer(timer)
+		select {
+		case m := <-r.inbox.Items():
+			r.handle(m)
+		case <-timer.C:
+			r.apply(dispatcher.Ticked{})
+		case <-r.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (r *Runner) setTimer(timer *time.Timer) {
+	deadline, ok := r.core.NextDeadline()
+	if !ok {
+		timer.Stop()
+		return
+	}
+	timer.Reset(time.Until(deadline))
+}
+
+func (r *Runner) handle(m message) {
+	if m.opens != nil {
+		r.calls[m.id] = m.opens
+	}
+	if m.event != nil {
+		r.apply(m.event)
+	}
+	if m.closes {
+		r.close(m.id)
+	}
+}
+
+// close forgets a call and returns to the core the starts that its goroutine did not take.
+func (r *Runner) close(id describer.RequestID) {
+	c := r.calls[id]
+	if c == nil {
+		return
+	}
+	delete(r.calls, id)
+	for {
+		select {
+		case command := <-c.commands:
+			r.giveBack(command)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Runner) apply(event dispatcher.Event) {
+	for _, command := range r.core.Handle(time.Now(), event) {
+		r.deliver(command)
+	}
+}
+
+func (r *Runner) deliver(command dispatcher.Command) {
+	id := requestOf(command)
+	c := r.calls[id]
+	if c == nil {
+		r.giveBack(command)
+		return
+	}
+	if abort, ok := command.(dispatcher.AbortAttempt); ok {
+		c.abortUntil(abort.Attempt)
+		return
+	}
+	select {
+	case c.commands <- command:
+	default:
+		r.giveBack(command)
+	}
+}
+
+// giveBack tells the core that a start was not carried out.
+func (r *Runner) giveBack(command dispatcher.Command) {
+	switch command := command.(type) {
+	case dispatcher.StartAttempt:
+		r.apply(dispatcher.AttemptEnded{ID: command.ID, Attempt: command.Attempt, Evidence: describer.NotSent})
+	case dispatcher.RelayToPeer:
+		r.apply(dispatcher.RelayEnded{ID: command.ID, Evidence: describer.NotSent})
+	}
+}
+
+func requestOf(command dispatcher.Command) describer.RequestID {
+	switch command := command.(type) {
+	case dispatcher.StartAttempt:
+		return command.ID
+	case dispatcher.RelayToPeer:
+		return command.ID
+	case dispatcher.AnswerRequest:
+		return command.ID
+	case dispatcher.AbortAttempt:
+		return command.ID
+	}
+	return 0
+}
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,141 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+	"egretring.example/egretring/runner"
+)
+
+// scriptedCore answers each event with the commands that a test lists for it.
+type scriptedCore struct {
+	events  []dispatcher.Event
+	respond func(dispatcher.Event) []dispatcher.Command
+}
+
+func (c *scriptedCore) Handle(_ time.Time, event dispatcher.Event) []dispatcher.Command {
+	c.events = append(c.events, event)
+	return c.respond(event)
+}
+
+func (c *scriptedCore) NextDeadline() (time.Time, bool) {
+	return time.Time{}, false
+}
+
+type scriptedExecutor struct {
+	outcomes []runner.Outcome
+	attempts int
+	block    bool
+}
+
+func (e *scriptedExecutor) Attempt(ctx context.Context, _ dispatcher.StartAttempt) runner.Outcome {
+	e.attempts++
+	if e.block {
+		<-ctx.Done()
+		return runner.Outcome{Evidence: describer.Aborted}
+	}
+	return e.outcomes[e.attempts-1]
+}
+
+func (e *scriptedExecutor) Relay(context.Context, dispatcher.RelayToPeer) runner.Outcome {
+	return runner.Outcome{Evidence: describer.NotSent}
+}
+
+func startFirst(event dispatcher.Event) []dispatcher.Command {
+	arrived, ok := event.(dispatcher.RequestArrived)
+	if !ok {
+		return nil
+	}
+	return []dispatcher.Command{dispatcher.StartAttempt{
+		ID: arrived.Request.ID, Attempt: 1, Deadline: time.Now().Add(time.Minute),
+	}}
+}
+
+// TestStartIsWithheldWithoutRight guards against an instance that resumes after a pause and starts work on an expired lease.
+func TestStartIsWithheldWithoutRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := &scriptedCore{respond: func(event dispatcher.Event) []dispatcher.Command {
+			if ended, ok := event.(dispatcher.AttemptEnded); ok {
+				return []dispatcher.Command{dispatcher.AnswerRequest{ID: ended.ID, Kind: classifier.NoBackendServer}}
+			}
+			return startFirst(event)
+		}}
+		executor := &scriptedExecutor{}
+		subject := runner.New(core, runner.WithRight(func(time.Time) bool { return false }))
+		subject.Start()
+		err := subject.Run(t.Context(), describer.Request{ID: 1}, executor)
+		require.True(t, classifier.IsErrKind(err, classifier.NoBackendServer))
+		require.Zero(t, executor.attempts)
+		require.NoError(t, subject.Stop())
+		require.Equal(t, describer.NotSent, core.events[1].(dispatcher.AttemptEnded).Evidence)
+	})
+}
+
+// TestCancelledRequestReturnsItsStart guards against a slot that stays in use after its caller gave up.
+func TestCancelledRequestReturnsItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := &scriptedCore{respond: func(event dispatcher.Event) []dispatcher.Command {
+			if cancelled, ok := event.(dispatcher.RequestCancelled); ok {
+				return []dispatcher.Command{dispatcher.StartAttempt{ID: cancelled.ID, Attempt: 1}}
+			}
+			return nil
+		}}
+		subject := runner.New(core)
+		subject.Start()
+		ctx, cancel := context.WithCancel(t.Context())
+		go cancel()
+		err := subject.Run(ctx, describer.Request{ID: 1}, &scriptedExecutor{})
+		require.True(t, classifier.IsErrKind(err, classifier.Cancelled))
+		synctest.Wait()
+		require.NoError(t, subject.Stop())
+		last := core.events[len(core.events)-1]
+		require.Equal(t, dispatcher.AttemptEnded{ID: 1, Attempt: 1, Evidence: describer.NotSent}, last)
+	})
+}
+
+// TestAbortEndsRunningAttempt guards against an aborted attempt that keeps running.
+func TestAbortEndsRunningAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := &scriptedCore{respond: func(event dispatcher.Event) []dispatcher.Command {
+			switch event := event.(type) {
+			case dispatcher.Ticked:
+				return []dispatcher.Command{dispatcher.AbortAttempt{ID: 1, Attempt: 1}}
+			case dispatcher.AttemptEnded:
+				return []dispatcher.Command{dispatcher.AnswerRequest{ID: event.ID, Kind: classifier.OutcomeUnknown}}
+			}
+			return startFirst(event)
+		}}
+		subject := runner.New(core)
+		subject.Start()
+		result := make(chan error, 1)
+		go func() {
+			result <- subject.Run(t.Context(), describer.Request{ID: 1}, &scriptedExecutor{block: true})
+		}()
+		synctest.Wait()
+		subject.Notify(dispatcher.Ticked{})
+		require.True(t, classifier.IsErrKind(<-result, classifier.OutcomeUnknown))
+		require.NoError(t, subject.Stop())
+	})
+}
+
+// TestStopAfterSendIsNotCalledNotRun guards against the promise "not run" for a request that may have run.
+func TestStopAfterSendIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := &scriptedCore{respond: startFirst}
+		executor := &scriptedExecutor{outcomes: []runner.Outcome{{Evidence: describer.Broken}}}
+		subject := runner.New(core)
+		subject.Start()
+		result := make(chan error, 1)
+		go func() { result <- subject.Run(t.Context(), describer.Request{ID: 1}, executor) }()
+		synctest.Wait()
+		require.NoError(t, subject.Stop())
+		require.True(t, classifier.IsErrKind(<-result, classifier.OutcomeUnknown))
+	})
+}
