queuer: queues per class, service and kind with weighted order

Cause: one queue per class lets long work hold up short work and gives a less urgent class nothing or too much. Change: a lane per service, kind and class; within a class the lane whose head has the earliest arrival plus eight expected run times; between classes shares of slot time by weight; aged work gets at most 5% of slot time ahead of its turn. Items are linked, so a removal does not depend on the queue's length. Conclusion: ageing is counted in slot time; counted in turns, one long request in eight turns displaced most urgent work.

--- /dev/null
+++ b/queuer/doc.go
@@ -0,0 +1,2 @@
+// Package queuer holds waiting work in a queue per class, service and kind, and decides what is served next.
+package queuer
--- /dev/null
+++ b/queuer/item.go
@@ -0,0 +1,69 @@
+package queuer
+
+import (
+	"time"
+
+	"egretring.example/egretring/describer"
+)
+
+// Group tells work apart by how long it may hold a slot.
+type Group int
+
+// The groups.
+const (
+	// Short work is expected to end soon.
+	Short Group = iota
+	// Uncertain work is expected to end soon, but its kind has a notable share of stragglers.
+	Uncertain
+	// Long work is expected to hold its slot much longer than short work.
+	Long
+	// GroupCount is the number of groups.
+	GroupCount
+)
+
+// Flow names work of the same kind, which is served in order of arrival.
+type Flow struct {
+	Service describer.ServiceID
+	Kind    describer.KindID
+	Class   describer.Class
+}
+
+// Item is one piece of waiting work. The queuer links items to each other, so an item is in at most one queuer.
+type Item[V any] struct {
+	Value   V
+	Flow    Flow
+	Group   Group
+	Arrived time.Time
+	// Expected is the median run time; it orders the flows of a class.
+	Expected time.Duration
+	// Work is the mean run time; it is charged to the class when the item is served.
+	Work time.Duration
+
+	lane     *lane[V]
+	previous *Item[V]
+	next     *Item[V]
+}
+
+// Queued reports whether the item is in a queuer.
+func (i *Item[V]) Queued() bool {
+	return i.lane != nil
+}
+
+// Permit says which work may be served now.
+type Permit [describer.ClassCount][GroupCount]bool
+
+// PermitAll permits all work.
+func PermitAll() Permit {
+	var permit Permit
+	for class := range permit {
+		for group := range permit[class] {
+			permit[class][group] = true
+		}
+	}
+	return permit
+}
+
+// None reports whether nothing may be served.
+func (p Permit) None() bool {
+	return p == Permit{}
+}
--- /dev/null
+++ b/queuer/queuer_test.go
@@ -0,0 +1,126 @@
+package queuer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/queuer"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+type item = queuer.Item[int]
+
+func newItem(kind string, class describer.Class, arrived time.Time, run time.Duration) *item {
+	return &item{
+		Flow: queuer.Flow{Service: "tally", Kind: describer.KindID(kind), Class: class}, Arrived: arrived,
+		Expected: run, Work: run,
+	}
+}
+
+func serve(q *queuer.Queuer[int], now time.Time) *item {
+	next := q.Next(now, queuer.PermitAll())
+	if next != nil {
+		q.Serve(next)
+	}
+	return next
+}
+
+// TestShortWorkPassesLongWork guards against head-of-line blocking, and against long work that short work starves.
+func TestShortWorkPassesLongWork(t *testing.T) {
+	q := queuer.New[int]()
+	long := newItem("merge", describer.Standard, start, time.Second)
+	q.Push(long)
+	short := newItem("audit", describer.Standard, start.Add(time.Millisecond), 10*time.Millisecond)
+	q.Push(short)
+	require.Same(t, short, serve(q, start))
+	q.Push(newItem("audit", describer.Standard, start.Add(9*time.Second), 10*time.Millisecond))
+	require.Same(t, long, serve(q, start.Add(9*time.Second)))
+}
+
+// TestClassShares guards against a class that gets less than its share, or nothing, while all classes wait.
+func TestClassShares(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		opts []queuer.Option
+		want [describer.ClassCount]int
+	}{
+		{"weights", []queuer.Option{queuer.WithoutAgeing()}, [describer.ClassCount]int{1600, 400, 100}},
+		{"strict", []queuer.Option{queuer.WithoutWeights(), queuer.WithoutAgeing()}, [describer.ClassCount]int{2100, 0, 0}},
+		{"strict with ageing", []queuer.Option{queuer.WithoutWeights()}, [describer.ClassCount]int{1995, 52, 52}},
+		{"single", []queuer.Option{queuer.WithSingleQueue()}, [describer.ClassCount]int{700, 700, 700}},
+	} {
+		q := queuer.New[int](test.opts...)
+		var served [describer.ClassCount]int
+		for i := range 3000 {
+			for _, class := range describer.Classes() {
+				q.Push(newItem("kind", class, start.Add(time.Duration(i)*time.Millisecond), 10*time.Millisecond))
+			}
+		}
+		for range 2100 {
+			served[serve(q, start.Add(5*time.Second)).Flow.Class]++
+		}
+		for class := range served {
+			require.InDelta(t, test.want[class], served[class], 40, "%s %v", test.name, served)
+		}
+	}
+}
+
+// TestPermitSkipsBlockedWork guards against work that may not run and holds up work that may.
+func TestPermitSkipsBlockedWork(t *testing.T) {
+	q := queuer.New[int]()
+	long := newItem("merge", describer.Urgent, start, time.Second)
+	long.Group = queuer.Long
+	q.Push(long)
+	short := newItem("layout", describer.Deferrable, start, 10*time.Millisecond)
+	q.Push(short)
+	permit := queuer.PermitAll()
+	permit[describer.Urgent][queuer.Long] = false
+	require.Same(t, short, q.Next(start, permit))
+	require.Nil(t, q.Next(start, queuer.Permit{}))
+}
+
+// TestRemoveKeepsOrderAndSums guards against a cancellation that leaves a trace in the queue.
+func TestRemoveKeepsOrderAndSums(t *testing.T) {
+	q := queuer.New[int]()
+	items := make([]*item, 5)
+	for i := range items {
+		items[i] = newItem("audit", describer.Standard, start.Add(time.Duration(i)), time.Millisecond)
+		q.Push(items[i])
+	}
+	for _, i := range []int{0, 2, 4, 4} {
+		q.Remove(items[i])
+		require.False(t, items[i].Queued())
+	}
+	q.PushFront(items[4])
+	require.Equal(t, 3*time.Millisecond, q.WorkOf(describer.Standard, queuer.Short))
+	for _, i := range []int{4, 1, 3} {
+		require.Same(t, items[i], serve(q, start))
+	}
+	require.Zero(t, q.Len())
+	require.Zero(t, q.WorkOf(describer.Standard, queuer.Short))
+	require.Nil(t, q.Next(start, queuer.PermitAll()))
+}
+
+// BenchmarkRemove guards against a cancellation whose cost grows with the queue.
+func BenchmarkRemove(b *testing.B) {
+	for _, length := range []int{1000, 100_000} {
+		b.Run(fmt.Sprint(length), func(b *testing.B) {
+			q := queuer.New[int]()
+			items := make([]*item, length)
+			for i := range items {
+				items[i] = newItem("audit", describer.Standard, start, time.Millisecond)
+				q.Push(items[i])
+			}
+			for i := 0; b.Loop(); i++ {
+				next := items[i*7919%length]
+				q.Remove(next)
+				q.Push(next)
+			}
+		})
+	}
+}
