--- /dev/null
+++ b/retrier/retrier.go
@@ -0,0 +1,148 @@
+package retrier
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"egretring.example/egretring/describer"
+)
+
+const (
+	// defaultAttempts bounds the attempts of one request, so that a request that breaks servers does not tour them.
+	defaultAttempts = 4
+
+	firstBackoff = 5 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+)
+
+// Attempt describes an attempt that has ended without a complete answer.
+type Attempt struct {
+	Service    describer.ServiceID
+	Deadline   time.Time
+	Repeatable bool
+	Evidence   describer.Evidence
+	// AnswerBegun is true when a byte of an answer has been sent to the caller.
+	AnswerBegun bool
+	// MayHaveRun is true when an earlier attempt may have run.
+	MayHaveRun bool
+	// Attempts is the number of attempts so far.
+	Attempts int
+	// LeastRun is the time that a run takes at least.
+	LeastRun time.Duration
+}
+
+// Decision says whether and when the request is tried again.
+type Decision struct {
+	Retry bool
+	At    time.Time
+}
+
+// Retrier applies the evidence rules, the budget and the backoff. It is not safe for concurrent use.
+type Retrier struct {
+	seed      uint64
+	random    *rand.Rand
+	attempts  int
+	budgeting bool
+	budgets   map[describer.ServiceID]*budget
+}
+
+// Option changes how a Retrier is built.
+type Option func(*Retrier)
+
+// WithSeed sets the seed of the jitter.
+func WithSeed(seed uint64) Option {
+	return func(r *Retrier) { r.seed = seed }
+}
+
+// WithAttempts sets the largest number of attempts of a request; one means no retries.
+func WithAttempts(attempts int) Option {
+	return func(r *Retrier) { r.attempts = attempts }
+}
+
+// WithoutBudget allows retries whatever their share of the load.
+func WithoutBudget() Option {
+	return func(r *Retrier) { r.budgeting = false }
+}
+
+// New returns a retrier without recorded successes.
+func New(opts ...Option) *Retrier {
+	r := &Retrier{
+		seed:      1,
+		attempts:  defaultAttempts,
+		budgeting: true,
+		budgets:   make(map[describer.ServiceID]*budget),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	r.random = rand.New(rand.NewPCG(r.seed, 0))
+	return r
+}
+
+// SetServices forgets the budgets of services that are no longer configured.
+func (r *Retrier) SetServices(services []describer.Service) {
+	kept := make(map[describer.ServiceID]*budget, len(services))
+	for _, service := range services {
+		kept[service.ID] = r.budgetOf(service.ID)
+	}
+	r.budgets = kept
+}
+
+// Succeed records an attempt that was answered.
+func (r *Retrier) Succeed(now time.Time, service describer.ServiceID) {
+	r.budgetOf(service).succeed(now)
+}
+
+// Decide says whether the request of a failed attempt is tried again.
+func (r *Retrier) Decide(now time.Time, attempt Attempt) Decision {
+	at := now.Add(r.backoff(attempt.Attempts))
+	if !Permitted(attempt) || attempt.Attempts >= r.attempts {
+		return Decision{At: at}
+	}
+	if !at.Add(attempt.LeastRun).Before(attempt.Deadline) {
+		return Decision{At: at}
+	}
+	if r.budgeting && !r.budgetOf(attempt.Service).spend(now, costOf(attempt.Evidence)) {
+		return Decision{At: at}
+	}
+	return Decision{Retry: true, At: at}
+}
+
+// Permitted applies the rules on evidence: a request that may have run is repeated only when it is repeatable, and
+// none is repeated after its answer has begun or after egretring itself ended the attempt.
+func Permitted(attempt Attempt) bool {
+	if attempt.AnswerBegun {
+		return false
+	}
+	switch attempt.Evidence {
+	case describer.NotSent, describer.Refused:
+		return attempt.Repeatable || !attempt.MayHaveRun
+	case describer.Failed, describer.Truncated, describer.Broken:
+		return attempt.Repeatable
+	default:
+		return false
+	}
+}
+
+func costOf(evidence describer.Evidence) float64 {
+	if evidence.ProvesNotRun() {
+		return provenCost
+	}
+	return 1
+}
+
+// backoff doubles with each attempt; half of it is random, so that requests that failed together do not return
+// together.
+func (r *Retrier) backoff(attempts int) time.Duration {
+	limit := min(firstBackoff<<min(max(attempts-1, 0), 10), maxBackoff)
+	return limit/2 + time.Duration(r.random.Int64N(int64(limit/2)))
+}
+
+func (r *Retrier) budgetOf(service describer.ServiceID) *budget {
+	b, known := r.budgets[service]
+	if !known {
+		b = &budget{}
+		r.budgets[service] = b
+	}
+	return b
+}
