admitter: limits per service, team and class, and the expected wait

Cause: a request that cannot be answered before its deadline must be refused at once, and the limits must follow swings of the load within a second. Retry times are jittered.

--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,131 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+)
+
+// Verdict is the result of a check.
+type Verdict struct {
+	Admitted bool
+	// Kind and RetryAt belong to the answer of a request that is not admitted.
+	Kind    classifier.Kind
+	RetryAt time.Time
+	// Wait is the expected time in the queue.
+	Wait time.Duration
+}
+
+// Load is what a request would meet in the queue.
+type Load struct {
+	// Work is the sum of the run times that are served before the request.
+	Work time.Duration
+	// Slots is the number of slots that this work gets.
+	Slots float64
+	// Run is the expected run time of the request.
+	Run time.Duration
+	// Sample is true when nothing of the same kind is in progress. Such a request is admitted whatever its estimate,
+	// because a kind whose requests are all refused would never correct a wrong estimate.
+	Sample bool
+}
+
+type teamKey struct {
+	service describer.ServiceID
+	team    describer.TeamID
+}
+
+type classKey struct {
+	service describer.ServiceID
+	class   describer.Class
+}
+
+// Admitter counts the requests in progress and checks new ones. It is not safe for concurrent use.
+type Admitter struct {
+	seed        uint64
+	random      *rand.Rand
+	bound       int
+	adaptive    bool
+	classLimits [describer.ClassCount]int
+
+	ready    bool
+	services map[describer.ServiceID]describer.Service
+	teams    map[teamKey]int
+	classes  [describer.ClassCount]int
+	queues   map[classKey]int
+	queued   int
+	waits    [describer.ClassCount]correction
+	rivals   rivalry
+}
+
+// New returns an admitter without services.
+func New(opts ...Option) *Admitter {
+	a := &Admitter{
+		seed:     1,
+		bound:    defaultQueueBound,
+		adaptive: true,
+		services: make(map[describer.ServiceID]describer.Service),
+		teams:    make(map[teamKey]int),
+		queues:   make(map[classKey]int),
+		rivals:   newRivalry(),
+	}
+	for class := range a.waits {
+		a.waits[class] = newCorrection()
+	}
+	for _, opt := range opts {
+		opt(a)
+	}
+	a.random = rand.New(rand.NewPCG(a.seed, 0))
+	return a
+}
+
+// SetServices replaces the configured services.
+func (a *Admitter) SetServices(services []describer.Service) {
+	a.ready = true
+	a.services = make(map[describer.ServiceID]describer.Service, len(services))
+	for _, service := range services {
+		a.services[service.ID] = service
+	}
+}
+
+// Begin counts an admitted request as in progress.
+func (a *Admitter) Begin(request describer.Request) {
+	a.teams[teamKey{request.Service, request.Team}]++
+	a.classes[request.Class]++
+}
+
+// End counts a request as no longer in progress.
+func (a *Admitter) End(request describer.Request) {
+	a.classes[request.Class]--
+	decrement(a.teams, teamKey{request.Service, request.Team})
+}
+
+// Enqueue counts a request as waiting.
+func (a *Admitter) Enqueue(request describer.Request) {
+	a.queues[classKey{request.Service, request.Class}]++
+	a.queued++
+	a.rivals.add(request)
+}
+
+// Dequeue counts a request as no longer waiting.
+func (a *Admitter) Dequeue(request describer.Request) {
+	decrement(a.queues, classKey{request.Service, request.Class})
+	a.queued--
+	a.rivals.remove(request)
+}
+
+// decrement drops counters that reach zero, because callers choose the names of teams.
+func decrement[K comparable](counters map[K]int, key K) {
+	if counters[key] <= 1 {
+		delete(counters, key)
+		return
+	}
+	counters[key]--
+}
+
+// retryAfter returns a jittered time, so that refused requests do not return together.
+func (a *Admitter) retryAfter(now time.Time, delay time.Duration) time.Time {
+	delay = min(max(delay, minRetryDelay), maxRetryDelay)
+	return now.Add(delay + time.Duration(a.random.Int64N(int64(delay/2))))
+}
