queuer: report the backlog ahead of new work

Cause: admission needs the work that is served before a request and the share of slot time that it gets, which depend on the order in force. Change: BacklogOf for weighted, strict and single-queue order; counts by group. Conclusion: a table covers the three orders.

--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -11,7 +11,7 @@
 	policy policy
 	lanes  map[Flow]*lane[V]
 	heaps  [describer.ClassCount][GroupCount]laneHeap[V]
-	counts [describer.ClassCount]int
+	counts [describer.ClassCount][GroupCount]int
 	works  [describer.ClassCount][GroupCount]time.Duration
 	// passes is the slot time served to each class divided by its weight, in seconds. The class with the lowest pass
 	// is served next.
@@ -46,10 +46,10 @@
 
 func (q *Queuer[V]) insert(item *Item[V], place func(*lane[V], *Item[V])) {
 	class := item.Flow.Class
-	if q.counts[class] == 0 {
+	if q.LenOf(class) == 0 {
 		q.passes[class] = max(q.passes[class], q.clock)
 	}
-	q.counts[class]++
+	q.counts[class][item.Group]++
 	q.works[class][item.Group] += item.Work
 	l, known := q.lanes[item.Flow]
 	if !known {
@@ -70,7 +70,7 @@
 		return
 	}
 	class := item.Flow.Class
-	q.counts[class]--
+	q.counts[class][item.Group]--
 	q.works[class][item.Group] -= item.Work
 	head := l.first
 	l.unlink(item)
@@ -108,36 +108,3 @@
 		}
 	}
 }
-
-// Len returns the number of items.
-func (q *Queuer[V]) Len() int {
-	sum := 0
-	for _, count := range q.counts {
-		sum += count
-	}
-	return sum
-}
-
-// LenOf returns the number of items of a class.
-func (q *Queuer[V]) LenOf(class describer.Class) int {
-	return q.counts[class]
-}
-
-// WorkOf returns the sum of the mean run times of the items of a class and group.
-func (q *Queuer[V]) WorkOf(class describer.Class, group Group) time.Duration {
-	return q.works[class][group]
-}
-
-// ShareOf returns the share of slot time that a class gets while the classes that wait now keep waiting.
-func (q *Queuer[V]) ShareOf(class describer.Class) float64 {
-	if q.policy.single {
-		return 1
-	}
-	sum := q.policy.weights[class]
-	for other, count := range q.counts {
-		if other != int(class) && count > 0 {
-			sum += q.policy.weights[other]
-		}
-	}
-	return q.policy.weights[class] / sum
-}
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -84,6 +84,31 @@
 	require.Nil(t, q.Next(start, queuer.Permit{}))
 }
 
+// TestBacklog guards against an expected wait that counts work which is served later, or leaves out work ahead.
+func TestBacklog(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		opts  []queuer.Option
+		class describer.Class
+		group queuer.Group
+		want  queuer.Backlog
+	}{
+		{"short of a class", nil, describer.Standard, queuer.Short, queuer.Backlog{Work: time.Second, Share: 4.0 / 21}},
+		{"long of a class", nil, describer.Standard, queuer.Long, queuer.Backlog{Work: 11 * time.Second, Share: 4.0 / 21}},
+		{"strict", []queuer.Option{queuer.WithoutWeights()}, describer.Standard, queuer.Short, queuer.Backlog{Work: 12 * time.Second, Share: 1}},
+		{"single", []queuer.Option{queuer.WithSingleQueue()}, describer.Urgent, queuer.Short, queuer.Backlog{Work: 33 * time.Second, Share: 1}},
+	} {
+		q := queuer.New[int](test.opts...)
+		for _, class := range describer.Classes() {
+			q.Push(newItem("short", class, start, time.Second))
+			long := newItem("long", class, start, 10*time.Second)
+			long.Group = queuer.Long
+			q.Push(long)
+		}
+		require.Equal(t, test.want, q.BacklogOf(test.class, test.group), test.name)
+	}
+}
+
 // TestRemoveKeepsOrderAndSums guards against a cancellation that leaves a trace in the queue.
 func TestRemoveKeepsOrderAndSums(t *testing.T) {
 	q := queuer.New[int]()
