dispatcher: compose estimates, order, admission, choice of server and retries

Cause: the first core had strict class order, scanned all servers and requests, and knew no relays, estimates or limits. Change: the dispatcher composes estimator, queuer, admitter, picker and retrier; reserve for Urgent and cap on long work follow the recent demand; relays to peers, same zone first; timers in a heap with lazy removal; each part of the policy and two baselines are reachable by options. New: AttemptEnded has ServerLeaving, AbortAttempt has Relay, and the event BackendServersLeaving.

--- a/dispatcher/command.go
+++ b/dispatcher/command.go
@@ -39,6 +39,8 @@
 type AbortAttempt struct {
 	ID      describer.RequestID
 	Attempt int
+	// Relay is true when the relay of the request is to be ended; Attempt is then zero.
+	Relay bool
 }
 
 func (StartAttempt) isCommand()  {}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,63 +1,94 @@
 package dispatcher
 
 import (
-	"math/rand/v2"
+	"math"
 	"time"
 
+	"egretring.example/egretring/admitter"
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/estimator"
+	"egretring.example/egretring/picker"
+	"egretring.example/egretring/queuer"
+	"egretring.example/egretring/retrier"
 )
 
 const (
-	defaultQueueLimit = 1000
-	maxAttempts       = 3
-	retryBase         = 5 * time.Millisecond
+	// noLimit is the long limit before anything is learned.
+	noLimit = time.Duration(math.MaxInt64)
+	// permitInterval is how often a permit is made again while work waits beside free slots, because a reserve
+	// shrinks with time and without an event.
+	permitInterval = 20 * time.Millisecond
+	// capacityGrace is how long requests are queued while no server takes work, as at a change of shares.
+	capacityGrace = 500 * time.Millisecond
 )
 
-type server struct {
-	live  bool
-	slots int
-	inUse int
-}
-
-func (s *server) free() int {
-	if !s.live {
-		return 0
-	}
-	return max(0, s.slots-s.inUse)
-}
-
 // Dispatcher decides when and where each request runs. It is not safe for concurrent use.
+//
+// Each request ends exactly once: by an AnswerRequest, or by an AttemptEnded or RelayEnded with the evidence Answered.
+// A request whose attempt or relay is in flight ends only after that has ended, also when it was cancelled or its
+// deadline has passed; the dispatcher then asks for the end by AbortAttempt.
 type Dispatcher struct {
-	seed     uint64
-	random   *rand.Rand
-	services map[describer.ServiceID]describer.Service
-	ready    bool
-	requests map[describer.RequestID]*entry
-	queues   [describer.ClassCount][]*entry
-	servers  map[describer.BackendServerID]*server
-	commands []Command
+	policy    policy
+	estimator *estimator.Estimator
+	queue     *queuer.Queuer[*entry]
+	admitter  *admitter.Admitter
+	picker    *picker.Picker
+	retrier   *retrier.Retrier
+
+	services  map[describer.ServiceID]describer.Service
+	requests  map[describer.RequestID]*entry
+	samples   map[*estimator.Learner]int
+	agenda    agenda
+	occupancy occupancy
+	peers     peers
+
+	now time.Time
+	// capacity is the last capacity that was not zero, and capacityAt when it was last seen.
+	capacity   int
+	capacityAt time.Time
+	commands   []Command
 }
 
 // New returns a dispatcher without services, shares and requests.
 func New(opts ...Option) *Dispatcher {
-	d := &Dispatcher{
-		seed:     1,
-		services: make(map[describer.ServiceID]describer.Service),
-		requests: make(map[describer.RequestID]*entry),
-		servers:  make(map[describer.BackendServerID]*server),
-	}
+	p := policy{seed: 1, reserve: true, longCap: true, relays: true, dropHopeless: true}
 	for _, opt := range opts {
-		opt(d)
+		opt(&p)
+	}
+	return &Dispatcher{
+		policy:    p,
+		estimator: estimator.New(p.estimator...),
+		queue:     queuer.New[*entry](p.queuer...),
+		admitter:  admitter.New(append(p.admitter, admitter.WithSeed(p.seed))...),
+		picker:    picker.New(append(p.picker, picker.WithSeed(p.seed))...),
+		retrier:   retrier.New(append(p.retrier, retrier.WithSeed(p.seed))...),
+		services:  make(map[describer.ServiceID]describer.Service),
+		requests:  make(map[describer.RequestID]*entry),
+		samples:   make(map[*estimator.Learner]int),
 	}
-	d.random = rand.New(rand.NewPCG(d.seed, 0))
-	return d
 }
 
-// Handle applies one event at time now and returns the commands it causes.
+// Handle applies one event at time now and returns the commands it causes. A time before that of an earlier event is
+// taken as the time of the earlier event.
 func (d *Dispatcher) Handle(now time.Time, event Event) []Command {
+	if now.After(d.now) {
+		d.now = now
+	}
+	now = d.now
 	d.commands = nil
-	d.expire(now)
+	d.picker.Advance(now)
+	d.apply(now, event)
+	d.keepAppointments(now)
+	d.observeDemand(now)
+	d.startWaiting(now)
+	d.relayWaiting(now)
+	d.noteCapacity(now)
+	d.agenda.compact(len(d.requests))
+	return d.commands
+}
+
+func (d *Dispatcher) apply(now time.Time, event Event) {
 	switch e := event.(type) {
 	case RequestArrived:
 		d.arrive(now, e.Request)
@@ -65,242 +96,91 @@
 		d.cancel(e.ID)
 	case AttemptEnded:
 		d.endAttempt(now, e)
+	case RelayEnded:
+		d.endRelay(now, e)
 	case SharesChanged:
 		d.setShares(e.Shares)
 	case BackendServersChanged:
-		d.setServers(e.Servers)
+		d.picker.SetServers(now, e.Servers)
+	case BackendServersLeaving:
+		d.markLeaving(now, e.BackendServers)
+	case PeersReported:
+		d.peers.replace(e.Loads)
 	case ServicesChanged:
 		d.setServices(e.Services)
 	}
-	d.start()
-	return d.commands
 }
 
 // NextDeadline is the earliest time at which Handle must be called with Ticked.
 func (d *Dispatcher) NextDeadline() (time.Time, bool) {
-	var next time.Time
-	found := false
-	for _, e := range d.requests {
-		at := e.request.Deadline
-		if e.state == running && e.aborted {
-			continue
-		}
-		if e.state == waitingForRetry && e.retryAt.Before(at) {
-			at = e.retryAt
-		}
-		if !found || at.Before(next) {
-			next, found = at, true
-		}
-	}
-	return next, found
-}
-
-func (d *Dispatcher) emit(command Command) {
-	d.commands = append(d.commands, command)
-}
-
-func (d *Dispatcher) answer(e *entry, kind classifier.Kind, retryAt time.Time) {
-	d.emit(AnswerRequest{ID: e.request.ID, Kind: kind, RetryAt: retryAt})
-	d.end(e)
-}
-
-func (d *Dispatcher) end(e *entry) {
-	if e.state == queued {
-		d.dequeue(e)
-	}
-	e.state = ended
-	delete(d.requests, e.request.ID)
-}
-
-func (d *Dispatcher) dequeue(e *entry) {
-	queue := d.queues[e.request.Class]
-	for i := range queue {
-		if queue[i] == e {
-			d.queues[e.request.Class] = append(queue[:i:i], queue[i+1:]...)
-			return
-		}
+	a, found := d.agenda.next()
+	next := a.at
+	if d.queue.Len() == 0 {
+		return next, found
 	}
-}
-
-func (d *Dispatcher) expire(now time.Time) {
-	for _, e := range d.requests {
-		late := !now.Before(e.request.Deadline)
-		switch {
-		case e.state == running:
-			if late && !e.aborted {
-				e.aborted = true
-				d.emit(AbortAttempt{ID: e.request.ID, Attempt: e.attempts})
-			}
-		case late:
-			d.answer(e, e.kindOr(classifier.DeadlineExceeded), time.Time{})
-		case e.state == waitingForRetry && !now.Before(e.retryAt):
-			e.state = queued
-			d.queues[e.request.Class] = append([]*entry{e}, d.queues[e.request.Class]...)
-		}
+	if at, ok := d.picker.NextDeadline(); ok && (!found || at.Before(next)) {
+		next, found = at, true
 	}
-}
-
-func (d *Dispatcher) arrive(now time.Time, request describer.Request) {
-	if _, known := d.requests[request.ID]; known {
-		return
-	}
-	kind, ok := d.check(now, request)
-	if !ok {
-		d.emit(AnswerRequest{ID: request.ID, Kind: kind})
-		return
-	}
-	e := &entry{request: request}
-	d.requests[request.ID] = e
-	d.queues[request.Class] = append(d.queues[request.Class], e)
-}
-
-func (d *Dispatcher) check(now time.Time, request describer.Request) (classifier.Kind, bool) {
-	if !d.ready {
-		return classifier.NotReady, false
-	}
-	service, known := d.services[request.Service]
-	if !known {
-		return classifier.UnknownService, false
-	}
-	if !request.Deadline.After(now) {
-		return classifier.BadDeadline, false
-	}
-	limit := service.QueueLimit
-	if limit == 0 {
-		limit = defaultQueueLimit
-	}
-	if len(d.queues[request.Class]) >= limit {
-		return classifier.QueueFull, false
-	}
-	return 0, true
-}
-
-func (d *Dispatcher) cancel(id describer.RequestID) {
-	e, known := d.requests[id]
-	if !known || e.cancelled {
-		return
-	}
-	e.cancelled = true
-	if e.state != running {
-		d.answer(e, classifier.Cancelled, time.Time{})
-		return
-	}
-	if !e.aborted {
-		e.aborted = true
-		d.emit(AbortAttempt{ID: id, Attempt: e.attempts})
-	}
-}
-
-func (d *Dispatcher) endAttempt(now time.Time, ending AttemptEnded) {
-	e, known := d.requests[ending.ID]
-	if !known || e.state != running || e.attempts != ending.Attempt {
-		return
-	}
-	d.servers[e.server].inUse--
-	e.recordEvidence(ending.Evidence, ending.AnswerBegun)
-	if ending.Evidence == describer.Answered {
-		d.end(e)
-		return
-	}
-	if e.cancelled {
-		d.answer(e, classifier.Cancelled, time.Time{})
-		return
-	}
-	if !now.Before(e.request.Deadline) {
-		d.answer(e, e.kindOr(classifier.DeadlineExceeded), time.Time{})
-		return
-	}
-	retryAt := now.Add(d.backoff(e.attempts))
-	if ending.AnswerBegun || !mayRetry(e, ending.Evidence) || !retryAt.Before(e.request.Deadline) {
-		d.answer(e, e.kindOr(classifier.NoBackendServer), retryAt)
-		return
-	}
-	e.state = waitingForRetry
-	e.retryAt = retryAt
-}
-
-func mayRetry(e *entry, evidence describer.Evidence) bool {
-	if e.attempts >= maxAttempts {
-		return false
-	}
-	switch evidence {
-	case describer.NotSent, describer.Refused:
-		return true
-	case describer.Failed, describer.Truncated, describer.Broken:
-		return e.request.Repeatable
-	default:
-		return false
+	if at := d.now.Add(permitInterval); d.picker.Free() > 0 && at.Before(next) {
+		next = at
 	}
+	return next, found
 }
 
-func (d *Dispatcher) backoff(attempts int) time.Duration {
-	limit := retryBase << attempts
-	return limit/2 + time.Duration(d.random.Int64N(int64(limit/2)))
+// Load is the state of a dispatcher that peers and operators see.
+type Load struct {
+	// FreeSlots is the number of owned slots in which an attempt may start now.
+	FreeSlots int
+	// Slots is the number of owned slots of the servers that take work.
+	Slots   int
+	Running int
+	Queued  [describer.ClassCount]int
+	// Ejected is the number of servers that are ejected or being probed.
+	Ejected int
 }
 
-func (d *Dispatcher) start() {
-	for class := range d.queues {
-		for len(d.queues[class]) > 0 {
-			id, found := d.leastLoaded()
-			if !found {
-				return
-			}
-			e := d.queues[class][0]
-			d.queues[class] = d.queues[class][1:]
-			e.state = running
-			e.attempts++
-			e.server = id
-			d.servers[id].inUse++
-			d.emit(StartAttempt{ID: e.request.ID, Attempt: e.attempts, BackendServer: id, Deadline: e.request.Deadline})
-		}
+// Load returns the current load.
+func (d *Dispatcher) Load() Load {
+	load := Load{
+		FreeSlots: d.picker.Free(),
+		Slots:     d.picker.Capacity(),
+		Running:   d.occupancy.running,
+		Ejected:   d.picker.Ejected(),
 	}
-}
-
-func (d *Dispatcher) leastLoaded() (describer.BackendServerID, bool) {
-	var best describer.BackendServerID
-	found := false
-	for id, s := range d.servers {
-		if s.free() == 0 {
-			continue
-		}
-		if !found || s.free() > d.servers[best].free() || s.free() == d.servers[best].free() && id < best {
-			best, found = id, true
-		}
+	for _, class := range describer.Classes() {
+		load.Queued[class] = d.queue.LenOf(class)
 	}
-	return best, found
+	return load
 }
 
-func (d *Dispatcher) server(id describer.BackendServerID) *server {
-	s, known := d.servers[id]
-	if !known {
-		s = &server{}
-		d.servers[id] = s
-	}
-	return s
+func (d *Dispatcher) emit(command Command) {
+	d.commands = append(d.commands, command)
 }
 
-func (d *Dispatcher) setShares(shares []Share) {
-	for _, s := range d.servers {
-		s.slots = 0
-	}
-	for _, share := range shares {
-		d.server(share.BackendServer).slots = min(share.Slots, share.Connections)
+// answer ends a request with an error.
+func (d *Dispatcher) answer(e *entry, kind classifier.Kind, retryAt time.Time) {
+	if !classifier.AnswerOf(kind).RetryMayHelp {
+		retryAt = time.Time{}
 	}
+	d.emit(AnswerRequest{ID: e.request.ID, Kind: kind, RetryAt: retryAt})
+	d.finish(e)
 }
 
-func (d *Dispatcher) setServers(servers []describer.BackendServer) {
-	for _, s := range d.servers {
-		s.live = false
-	}
-	for _, described := range servers {
-		d.server(described.ID).live = described.State == describer.Live
+// finish forgets a request.
+func (d *Dispatcher) finish(e *entry) {
+	d.dequeue(e)
+	e.state = ended
+	delete(d.requests, e.request.ID)
+	d.admitter.End(e.request)
+	d.samples[e.learner]--
+	if d.samples[e.learner] == 0 {
+		delete(d.samples, e.learner)
 	}
 }
 
-func (d *Dispatcher) setServices(services []describer.Service) {
-	d.ready = true
-	d.services = make(map[describer.ServiceID]describer.Service, len(services))
-	for _, service := range services {
-		d.services[service.ID] = service
+func (d *Dispatcher) dequeue(e *entry) {
+	if e.item.Queued() {
+		d.queue.Remove(&e.item)
+		d.admitter.Dequeue(e.request)
 	}
 }
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -5,6 +5,8 @@
 
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/estimator"
+	"egretring.example/egretring/queuer"
 )
 
 type state int
@@ -19,17 +21,35 @@
 
 // entry is the state of one request.
 type entry struct {
-	request  describer.Request
-	state    state
-	attempts int
-	server   describer.BackendServerID
+	item    queuer.Item[*entry]
+	request describer.Request
+	learner *estimator.Learner
+	state   state
+
+	arrived      time.Time
+	expectedWait time.Duration
+
+	attempts  int
+	server    describer.BackendServerID
+	startedAt time.Time
+	// countsLong is true while the running attempt counts as long work.
+	countsLong bool
+	// relays is the number of relays; a request is relayed at most once.
+	relays int
+	peer   describer.InstanceID
+
 	// mayHaveRun is true after evidence that does not prove that the request was not run.
 	mayHaveRun bool
 	// failure is the answer when no further attempt follows an attempt that may have run.
 	failure   classifier.Kind
 	cancelled bool
-	aborted   bool
-	retryAt   time.Time
+	// expired is true when the deadline passed while an attempt or a relay was running.
+	expired bool
+}
+
+// inFlight reports whether an attempt or a relay is running.
+func (e *entry) inFlight() bool {
+	return e.state == running || e.state == relayed
 }
 
 // recordEvidence remembers what the evidence says about whether the request was run.
--- a/dispatcher/event.go
+++ b/dispatcher/event.go
@@ -26,6 +26,8 @@
 	Evidence describer.Evidence
 	// AnswerBegun is true when a byte of an answer has been sent to the caller.
 	AnswerBegun bool
+	// ServerLeaving is true when the backend server announced that it is leaving.
+	ServerLeaving bool
 }
 
 // RelayEnded reports the end of a relay to a peer.
@@ -52,6 +54,11 @@
 	Servers []describer.BackendServer
 }
 
+// BackendServersLeaving reports servers that leave before the instance list shows it, as peers' heartbeats do.
+type BackendServersLeaving struct {
+	BackendServers []describer.BackendServerID
+}
+
 // PeerLoad is the load that a peer reported.
 type PeerLoad struct {
 	Instance         describer.InstanceID
@@ -80,6 +87,7 @@
 func (RelayEnded) isEvent()            {}
 func (SharesChanged) isEvent()         {}
 func (BackendServersChanged) isEvent() {}
+func (BackendServersLeaving) isEvent() {}
 func (PeersReported) isEvent()         {}
 func (ServicesChanged) isEvent()       {}
 func (Ticked) isEvent()                {}
--- /dev/null
+++ b/dispatcher/partition.go
@@ -0,0 +1,128 @@
+package dispatcher
+
+import (
+	"time"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/queuer"
+)
+
+const (
+	// spareShare of the slots is kept in addition to the recent demand, so that a demand that begins finds some.
+	spareShare = 0.05
+	// mostReserved is the largest share of the slots that is kept for Urgent requests.
+	mostReserved = 0.5
+	// leastLong and mostLong bound the share of the slots that long work may occupy.
+	leastLong = 0.5
+	mostLong  = 0.9
+	// lastSlots is the share of the slots that kinds with stragglers may not take while long work is at its cap.
+	lastSlots = 0.1
+	// uncertainShare of runs above the long limit makes a kind one with stragglers.
+	uncertainShare = 0.02
+	// overdueFactor is the multiple of the median after which a running attempt counts as long.
+	overdueFactor = 4
+)
+
+// occupancy counts the running attempts and the recent demand, from which follows which work may take further slots.
+type occupancy struct {
+	running int
+	urgent  int
+	long    int
+	// urgentPeak and shortPeak are the recent largest numbers of running and waiting requests.
+	urgentPeak peak
+	shortPeak  peak
+}
+
+// reserved is the number of slots that only Urgent requests may take. It follows the recent demand, because a fixed
+// reserve is too small at the peak of a swing and idle otherwise.
+func (o *occupancy) reserved(now time.Time, slots int) int {
+	wanted := o.urgentPeak.at(now) + spareShare*float64(slots)
+	return int(min(wanted, mostReserved*float64(slots)))
+}
+
+// longLimit is the number of slots that long work may occupy. It follows the recent demand of short work, so that
+// long work may use what short work leaves.
+func (o *occupancy) longLimit(now time.Time, slots int) int {
+	total := float64(slots)
+	allowed := total - o.shortPeak.at(now) - spareShare*total
+	allowed = min(max(allowed, leastLong*total), mostLong*total)
+	return max(1, int(allowed))
+}
+
+// permit says which work may be started now.
+func (d *Dispatcher) permit(now time.Time) queuer.Permit {
+	permit := queuer.PermitAll()
+	slots := d.picker.Capacity()
+	if d.policy.reserve && d.occupancy.running-d.occupancy.urgent >= max(1, slots-d.occupancy.reserved(now, slots)) {
+		permit[describer.Standard] = [queuer.GroupCount]bool{}
+		permit[describer.Deferrable] = [queuer.GroupCount]bool{}
+	}
+	if !d.policy.longCap || d.occupancy.long < d.occupancy.longLimit(now, slots) {
+		return permit
+	}
+	protected := d.picker.Free() <= int(lastSlots*float64(slots))
+	for class := range permit {
+		permit[class][queuer.Long] = false
+		if protected {
+			permit[class][queuer.Uncertain] = false
+		}
+	}
+	return permit
+}
+
+// observeDemand must be called before a permit is made.
+func (d *Dispatcher) observeDemand(now time.Time) {
+	o := &d.occupancy
+	o.urgentPeak.observe(now, o.urgent+d.queue.LenOf(describer.Urgent))
+	waitingShort := d.queue.LenOfGroup(queuer.Short) + d.queue.LenOfGroup(queuer.Uncertain)
+	o.shortPeak.observe(now, o.running-o.long+waitingShort)
+}
+
+// groupOf says how long a request may hold a slot.
+func (d *Dispatcher) groupOf(e *entry) queuer.Group {
+	estimate := e.learner.Estimate()
+	switch {
+	case d.estimator.IsLong(estimate):
+		return queuer.Long
+	case estimate.LongShare > uncertainShare:
+		return queuer.Uncertain
+	default:
+		return queuer.Short
+	}
+}
+
+func (d *Dispatcher) countLong(e *entry) {
+	if !e.countsLong {
+		e.countsLong = true
+		d.occupancy.long++
+	}
+}
+
+// occupy counts a starting attempt.
+func (d *Dispatcher) occupy(now time.Time, e *entry) {
+	d.occupancy.running++
+	if e.request.Class == describer.Urgent {
+		d.occupancy.urgent++
+	}
+	if e.item.Group == queuer.Long {
+		d.countLong(e)
+		return
+	}
+	limit := overdueFactor * e.learner.Estimate().Median
+	if learned := d.estimator.LongLimit(); learned < noLimit {
+		limit = max(limit, learned)
+	}
+	d.agenda.add(appointment{at: now.Add(limit), purpose: attemptIsOverdue, entry: e, attempt: e.attempts})
+}
+
+// vacate counts an ended attempt.
+func (d *Dispatcher) vacate(e *entry) {
+	d.occupancy.running--
+	if e.request.Class == describer.Urgent {
+		d.occupancy.urgent--
+	}
+	if e.countsLong {
+		e.countsLong = false
+		d.occupancy.long--
+	}
+}
--- /dev/null
+++ b/dispatcher/start.go
@@ -0,0 +1,62 @@
+package dispatcher
+
+import (
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/picker"
+)
+
+// startWaiting starts queued requests while there are free slots that they may use.
+func (d *Dispatcher) startWaiting(now time.Time) {
+	for d.picker.Free() > 0 && d.queue.Len() > 0 {
+		item := d.queue.Next(now, d.permit(now))
+		if item == nil {
+			return
+		}
+		e := item.Value
+		if d.hopeless(now, e) {
+			d.observeWait(now, e)
+			d.answer(e, e.kindOr(classifier.Overloaded), now.Add(e.item.Expected))
+			continue
+		}
+		if !d.startAttempt(now, e) {
+			return
+		}
+	}
+}
+
+// hopeless reports whether a request can hardly be answered before its deadline any more. The only request of its
+// kind is run, because nothing else would correct a wrong estimate.
+func (d *Dispatcher) hopeless(now time.Time, e *entry) bool {
+	if !d.policy.dropHopeless || d.samples[e.learner] <= 1 {
+		return false
+	}
+	return now.Add(e.learner.Estimate().Low).After(e.request.Deadline)
+}
+
+// startAttempt starts a queued request, and reports whether there was a server for it.
+func (d *Dispatcher) startAttempt(now time.Time, e *entry) bool {
+	wish := picker.Wish{MayProbe: e.request.Repeatable && e.attempts == 0, Avoid: e.server}
+	id, ok := d.picker.Pick(wish)
+	if !ok {
+		return false
+	}
+	d.queue.Serve(&e.item)
+	d.admitter.Dequeue(e.request)
+	d.observeWait(now, e)
+	e.state = running
+	e.attempts++
+	e.server = id
+	e.startedAt = now
+	d.occupy(now, e)
+	d.emit(StartAttempt{ID: e.request.ID, Attempt: e.attempts, BackendServer: id, Deadline: e.request.Deadline})
+	return true
+}
+
+// observeWait compares the first wait of a request with what was expected.
+func (d *Dispatcher) observeWait(now time.Time, e *entry) {
+	if e.attempts == 0 && e.relays == 0 {
+		d.admitter.ObserveWait(e.request.Class, e.expectedWait, now.Sub(e.arrived))
+	}
+}
