Add router, daemon skeleton, TLS identities and settings page

Cause: the thin path needs a daemon around the request-path core. Change: packages router, server, authenticator and certifier, cmd/egretringd, the table of settings with a test that keeps the operators' page in step.

--- /dev/null
+++ b/authenticator/doc.go
@@ -0,0 +1,3 @@
+// Package authenticator provides the TLS configuration of listeners and connections from files that it reloads when
+// they change, and the role of a certificate.
+package authenticator
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -56,3 +56,10 @@
 		_ = err
 	})
 }
+
+// TestSettingsPageMatchesFields guards against an operators' page that describes other settings than the code has.
+func TestSettingsPageMatchesFields(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/settings.md")
+	require.NoError(t, err)
+	require.Contains(t, string(page), loader.Table())
+}
--- /dev/null
+++ b/router/executor.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/runner"
+)
+
+// executor carries out the attempts of one call.
+type executor struct {
+	router *Router
+	call   Call
+	writer http.ResponseWriter
+}
+
+// Attempt implements runner.Executor.
+func (e *executor) Attempt(ctx context.Context, start dispatcher.StartAttempt) runner.Outcome {
+	server, ok := e.router.directory.Server(start.BackendServer)
+	if !ok {
+		return runner.Outcome{Evidence: describer.NotSent}
+	}
+	ctx, span := e.router.tracer.Start(ctx, "forward to backend server",
+		attribute.String("BackendServer", string(server.ID)), attribute.Int("Attempt", start.Attempt))
+	defer span.End()
+	result := e.router.exchanger.Exchange(ctx, forwarder.ExchangeOptions{
+		Server: server, Request: e.request(), Deadline: start.Deadline, Writer: e.writer,
+	})
+	span.SetAttributes(attribute.String("Evidence", result.Evidence.String()))
+	if result.Leaving {
+		e.router.onLeaving(server.ID)
+	}
+	return outcomeOf(result)
+}
+
+// Relay implements runner.Executor.
+func (e *executor) Relay(ctx context.Context, relay dispatcher.RelayToPeer) runner.Outcome {
+	outcome, _ := e.relayTo(ctx, relay.Instance)
+	return outcome
+}
+
+// relayTo sends the request to a peer.
+func (e *executor) relayTo(ctx context.Context, instance describer.InstanceID) (runner.Outcome, forwarder.PeerAnswer) {
+	peer, ok := e.router.directory.Peer(instance)
+	if !ok {
+		return runner.Outcome{Evidence: describer.NotSent}, forwarder.PeerAnswer{}
+	}
+	ctx, span := e.router.tracer.Start(ctx, "relay to peer", attribute.String("Instance", string(instance)))
+	defer span.End()
+	result := e.router.exchanger.Exchange(ctx, forwarder.ExchangeOptions{
+		Server:    describer.BackendServer{Address: peer.RelayAddress},
+		Request:   e.request(),
+		Deadline:  e.call.Request.Deadline,
+		Writer:    e.writer,
+		RelayedBy: e.router.instance,
+	})
+	span.SetAttributes(attribute.String("Evidence", result.Evidence.String()))
+	return outcomeOf(result), result.Peer
+}
+
+func (e *executor) request() forwarder.Request {
+	return forwarder.Request{Method: e.call.Method, Path: e.call.Path, Header: e.call.Header, Body: e.call.Body}
+}
+
+func outcomeOf(result forwarder.Result) runner.Outcome {
+	return runner.Outcome{
+		Evidence:       result.Evidence,
+		AnswerBegun:    result.AnswerBegun,
+		AnswerComplete: result.Evidence == describer.Answered,
+	}
+}
+
+// errorOf returns the error of an attempt that nothing follows.
+func errorOf(outcome runner.Outcome, peer forwarder.PeerAnswer) error {
+	switch outcome.Evidence {
+	case describer.Answered:
+		return nil
+	case describer.Refused:
+		return classifier.New(peer.Kind, "peer refused the request").WithRetryAt(peer.RetryAt)
+	case describer.NotSent:
+		return classifier.New(classifier.NoBackendServer, "peer cannot be reached")
+	case describer.Failed:
+		return classifier.New(classifier.BackendFailed, "backend server answered with an error")
+	case describer.Truncated:
+		return classifier.New(classifier.BackendTruncated, "answer ended early")
+	}
+	return classifier.New(classifier.OutcomeUnknown, "connection to peer was lost after the request was sent")
+}
--- /dev/null
+++ b/router/option.go
@@ -0,0 +1,25 @@
+package router
+
+import (
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/meter"
+	"egretring.example/egretring/tracer"
+)
+
+// Option configures a Router.
+type Option func(*Router)
+
+// WithMeter sets where the router counts requests.
+func WithMeter(m *meter.Meter) Option {
+	return func(r *Router) { r.meter = m }
+}
+
+// WithTracer sets the tracer of the hops.
+func WithTracer(t *tracer.Tracer) Option {
+	return func(r *Router) { r.tracer = t }
+}
+
+// WithLeavingHook sets what is called when a backend server announces that it is leaving.
+func WithLeavingHook(hook func(describer.BackendServerID)) Option {
+	return func(r *Router) { r.onLeaving = hook }
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/meter"
+	"egretring.example/egretring/runner"
+	"egretring.example/egretring/tracer"
+)
+
+// Exchanger exchanges a request with a backend server or a peer.
+type Exchanger interface {
+	Exchange(ctx context.Context, options forwarder.ExchangeOptions) forwarder.Result
+}
+
+// Runner runs a request through the request-path core.
+type Runner interface {
+	Run(ctx context.Context, request describer.Request, executor runner.Executor) error
+}
+
+// Services gives the configured services.
+type Services interface {
+	Service(id describer.ServiceID) (describer.Service, error)
+}
+
+// Router serves requests of callers.
+type Router struct {
+	Services
+
+	instance  describer.InstanceID
+	runner    Runner
+	exchanger Exchanger
+	directory *Directory
+	meter     *meter.Meter
+	tracer    *tracer.Tracer
+	onLeaving func(describer.BackendServerID)
+	lastID    atomic.Uint64
+}
+
+// New returns a router of an instance.
+func New(
+	instance describer.InstanceID, services Services, run Runner, exchanger Exchanger, directory *Directory,
+	options ...Option,
+) *Router {
+	r := &Router{
+		Services:  services,
+		instance:  instance,
+		runner:    run,
+		exchanger: exchanger,
+		directory: directory,
+		meter:     meter.New(),
+		tracer:    tracer.New(slog.New(slog.DiscardHandler), string(instance), 0),
+		onLeaving: func(describer.BackendServerID) {},
+	}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
+
+// Route serves one request and returns nil when its whole answer has been sent.
+func (r *Router) Route(ctx context.Context, call Call, w http.ResponseWriter) error {
+	startedAt := time.Now()
+	call.Request.ID = describer.RequestID(r.lastID.Add(1))
+	ctx = r.tracer.Extract(ctx, propagation.HeaderCarrier(call.Header))
+	ctx, span := r.tracer.Start(ctx, "route request",
+		attribute.String("Instance", string(r.instance)),
+		attribute.String("Service", string(call.Request.Service)),
+		attribute.String("RequestKind", string(call.Request.Kind)))
+	defer span.End()
+	r.meter.Count(meter.RequestsReceived, 1)
+	e := &executor{router: r, call: call, writer: &answerWriter{ResponseWriter: w}}
+	err := r.runner.Run(ctx, call.Request, e)
+	r.meter.Observe(meter.RequestTime, time.Since(startedAt))
+	r.countEnd(err)
+	span.SetAttributes(attribute.Bool("Answered", err == nil))
+	if err != nil && e.writer.(*answerWriter).begun {
+		return &answerBegunError{cause: err}
+	}
+	return err
+}
+
+func (r *Router) countEnd(err error) {
+	switch {
+	case err == nil:
+		r.meter.Count(meter.RequestsAnswered, 1)
+	case classifier.IsErrNotRun(err):
+		r.meter.Count(meter.RequestsRefused, 1)
+	default:
+		r.meter.Count(meter.RequestsUnknown, 1)
+	}
+}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -52,6 +52,11 @@
 	t.propagator.Inject(ctx, carrier)
 }
 
+// Propagator returns how the trace context is written to headers.
+func (t *Tracer) Propagator() propagation.TextMapPropagator {
+	return t.propagator
+}
+
 // Shutdown exports the spans that wait and ends the tracer.
 func (t *Tracer) Shutdown(ctx context.Context) error {
 	return t.provider.Shutdown(ctx)
