--- /dev/null
+++ b/ticketer/bounds.go
@@ -0,0 +1,35 @@
+package ticketer
+
+// The bounds of ticket fields.
+const (
+	// MaxTextBytes keeps a stored ticket, in which left-out fields are written out, below the store's 1 MB per value.
+	MaxTextBytes = 256 << 10
+	// MaxRecordBytes leaves room below the store's 1 MB per value.
+	MaxRecordBytes = 1_000_000
+
+	maxCommentBytes = 4096
+	maxReasonBytes  = 1024
+	maxDepth        = 16
+	maxObjects      = 10_000
+	maxZones        = 64
+	maxKinds        = 256
+	maxTeamLimits   = 10_000
+
+	maxNumber               = 1 << 53
+	maxSlots                = 4096
+	maxConnections          = 65_536
+	maxQueueLimit           = 1_000_000
+	maxRequests             = 1_000_000
+	maxExpectedMilliseconds = 24 * 60 * 60 * 1000
+	maxExpectedSeconds      = 366 * 24 * 60 * 60
+	maxTasks                = 100_000
+	maxAttempts             = 1000
+	// A task's size is bounded well above any machine, a quota well above any cell.
+	maxTaskMilliCores    = 10_000_000
+	maxTaskMemoryBytes   = 1 << 50
+	maxTaskAccelerators  = 1024
+	maxQuotaMilliCores   = 1 << 50
+	maxQuotaMemoryBytes  = 1 << 60
+	maxQuotaAccelerators = 1 << 40
+	maxIncarnation       = 1<<63 - 1
+)
--- /dev/null
+++ b/ticketer/depth.go
@@ -0,0 +1,69 @@
+package ticketer
+
+import "bytes"
+
+// tooDeep finds the line at which objects and lists are nested too deeply. It runs before the parser, which recurses
+// once per level and would need a large stack for a text of nothing but brackets.
+func tooDeep(text []byte) (line int, deep bool) {
+	line = 1
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '\n':
+			line++
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		case '"':
+			i = endOfString(text, i)
+		case '/':
+			end := endOfComment(text, i)
+			line += newlines(text[i:end])
+			i = end - 1
+		}
+		if depth > maxDepth {
+			return line, true
+		}
+	}
+	return 0, false
+}
+
+// endOfString returns the index of the closing quote.
+func endOfString(text []byte, start int) int {
+	for i := start + 1; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++
+		case '"', '\n':
+			return i
+		}
+	}
+	return len(text)
+}
+
+// endOfComment returns the index after a comment, or after the slash when no comment begins there.
+func endOfComment(text []byte, start int) int {
+	if start+1 >= len(text) {
+		return start + 1
+	}
+	switch text[start+1] {
+	case '/':
+		return indexFrom(text, start+2, "\n")
+	case '*':
+		return min(indexFrom(text, start+2, "*/")+len("*/"), len(text))
+	}
+	return start + 1
+}
+
+func indexFrom(text []byte, start int, end string) int {
+	index := bytes.Index(text[start:], []byte(end))
+	if index < 0 {
+		return len(text)
+	}
+	return start + index
+}
+
+func newlines(text []byte) int {
+	return bytes.Count(text, []byte{'\n'})
+}
--- /dev/null
+++ b/ticketer/names.go
@@ -0,0 +1,28 @@
+package ticketer
+
+import "strings"
+
+// maxNameBytes keeps store keys and URL paths short.
+const maxNameBytes = 128
+
+const nameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
+
+// nameRule says which identifiers are allowed.
+type nameRule struct {
+	characters string
+	allowed    string
+}
+
+var (
+	// plainName excludes ':' because an idempotency key separates its zone with it.
+	plainName = nameRule{nameCharacters, "1 to 128 characters of a-z, A-Z, 0-9, '.', '_' and '-'"}
+	// serverName allows ':' because platforms name machines by address and port.
+	serverName = nameRule{nameCharacters + ":", "1 to 128 characters of a-z, A-Z, 0-9, '.', '_', '-' and ':'"}
+)
+
+func (n nameRule) matches(name string) bool {
+	if name == "" || len(name) > maxNameBytes || name == "." || name == ".." {
+		return false
+	}
+	return strings.Trim(name, n.characters) == ""
+}
--- /dev/null
+++ b/ticketer/parse.go
@@ -0,0 +1,146 @@
+package ticketer
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+
+	"egretring.example/egretring/describer"
+)
+
+// Parse reads a ticket from JSON with comments. Its error has the kind BadTicket and names the line, the field and
+// the allowed range of each fault.
+func Parse(text []byte) (Ticket, error) {
+	if failure, ok := checkText(text); !ok {
+		return Ticket{}, failuresError([]Failure{failure})
+	}
+	value, err := hujson.Parse(text)
+	if err != nil {
+		return Ticket{}, failuresError([]Failure{syntaxFailure(err)})
+	}
+	r := &reader{text: text}
+	ticket := r.ticket(value)
+	if err := failuresError(r.failures); err != nil {
+		return Ticket{}, err
+	}
+	return ticket, nil
+}
+
+func checkText(text []byte) (Failure, bool) {
+	if len(text) > MaxTextBytes {
+		return Failure{
+			Problem: fmt.Sprintf("the ticket has %d bytes", len(text)),
+			Allowed: fmt.Sprintf("at most %d bytes; split it into several tickets", MaxTextBytes),
+		}, false
+	}
+	if line, deep := tooDeep(text); deep {
+		return Failure{
+			Line:    line,
+			Problem: "the nesting is too deep",
+			Allowed: fmt.Sprintf("at most %d levels", maxDepth),
+		}, false
+	}
+	return Failure{}, true
+}
+
+var syntaxLine = regexp.MustCompile(`line (\d+)`)
+
+func syntaxFailure(err error) Failure {
+	failure := Failure{Problem: err.Error(), Allowed: "JSON with comments and trailing commas"}
+	if match := syntaxLine.FindStringSubmatch(err.Error()); match != nil {
+		failure.Line, _ = strconv.Atoi(match[1])
+	}
+	return failure
+}
+
+func (r *reader) ticket(value hujson.Value) Ticket {
+	var ticket Ticket
+	r.object("", value,
+		field{"ID", true, func(p string, v hujson.Value) { ticket.ID = r.name(p, v, plainName) }},
+		field{"Base", true, func(p string, v hujson.Value) { ticket.Base = r.whole(p, v, 0, maxNumber) }},
+		field{"Comment", false, func(p string, v hujson.Value) { ticket.Comment = r.textValue(p, v, maxCommentBytes) }},
+		field{"Services", false, section(r, &ticket.Services, plainName, readService)},
+		field{"Jobs", false, section(r, &ticket.Jobs, plainName, readJob)},
+		field{"Quotas", false, section(r, &ticket.Quotas, plainName, readQuota)},
+		field{"Limits", false, section(r, &ticket.Limits, plainName, readLimit)},
+		field{"Routes", false, section(r, &ticket.Routes, plainName, readRoute)},
+		field{"DrainedServers", false, section(r, &ticket.DrainedServers, serverName, readDrainedServer)},
+		field{"DrainedZones", false, section(r, &ticket.DrainedZones, plainName, readDrainedZone)},
+		field{"DeadInstances", false, section(r, &ticket.DeadInstances, serverName, readDeadInstance)},
+	)
+	if len(r.failures) == 0 && len(ticket.touched()) == 0 {
+		r.fail(value, "", "the ticket changes nothing", "at least one object in any section")
+	}
+	return ticket
+}
+
+// section reads one section of a ticket: objects by name, in which null deletes an object.
+func section[K ~string, V any](
+	r *reader, target *map[K]*V, rule nameRule, read func(r *reader, path, name string, value hujson.Value) V,
+) func(path string, value hujson.Value) {
+	return func(path string, value hujson.Value) {
+		r.each(path, value, maxObjects, func(name string, key, member hujson.Value) {
+			r.checkName(join(path, name), key, name, rule)
+			if *target == nil {
+				*target = make(map[K]*V)
+			}
+			if isNull(member) {
+				(*target)[K(name)] = nil
+				return
+			}
+			object := read(r, join(path, name), name, member)
+			(*target)[K(name)] = &object
+		})
+	}
+}
+
+// each visits the members of an object whose names are free; null counts as empty.
+func (r *reader) each(path string, value hujson.Value, most int, visit func(name string, key, member hujson.Value)) {
+	if isNull(value) {
+		return
+	}
+	object, ok := value.Value.(*hujson.Object)
+	allowed := fmt.Sprintf("an object with at most %d members", most)
+	if !ok {
+		r.failType(value, path, allowed)
+		return
+	}
+	if len(object.Members) > most {
+		r.fail(value, path, fmt.Sprintf("has %d members", len(object.Members)), allowed)
+		return
+	}
+	r.members(path, value, visit)
+}
+
+func (r *reader) zones(target *[]describer.AvailabilityZoneID) func(path string, value hujson.Value) {
+	return func(path string, value hujson.Value) {
+		r.list(path, value, maxZones, func(path string, element hujson.Value) {
+			*target = append(*target, describer.AvailabilityZoneID(r.name(path, element, plainName)))
+		})
+	}
+}
+
+func (r *reader) reason(target *string) func(path string, value hujson.Value) {
+	return func(path string, value hujson.Value) { *target = r.textValue(path, value, maxReasonBytes) }
+}
+
+func (r *reader) class(target *describer.Class) func(path string, value hujson.Value) {
+	return func(path string, value hujson.Value) {
+		literal, _ := value.Value.(hujson.Literal)
+		class, err := describer.ParseClass(literalText(literal))
+		if err != nil {
+			r.fail(value, path, fmt.Sprintf("%.40s is not a class", string(literal)), "Urgent, Standard or Deferrable")
+			return
+		}
+		*target = class
+	}
+}
+
+func literalText(literal hujson.Literal) string {
+	if len(literal) == 0 || literal.Kind() != '"' {
+		return ""
+	}
+	return literal.String()
+}
--- /dev/null
+++ b/ticketer/parse_cell.go
@@ -0,0 +1,60 @@
+package ticketer
+
+import (
+	"github.com/tailscale/hujson"
+
+	"egretring.example/egretring/describer"
+)
+
+func readLimit(r *reader, path, name string, value hujson.Value) Limit {
+	limit := Limit{Team: describer.TeamID(name)}
+	r.object(path, value,
+		field{"Team", false, r.key(name)},
+		field{"RequestsInProgress", true, func(p string, v hujson.Value) {
+			limit.RequestsInProgress = int(r.whole(p, v, 0, maxRequests))
+		}},
+	)
+	return limit
+}
+
+func readRoute(r *reader, path, name string, value hujson.Value) Route {
+	route := Route{ID: RouteID(name)}
+	r.object(path, value,
+		field{"ID", false, r.key(name)},
+		field{"Service", true, func(p string, v hujson.Value) {
+			route.Service = describer.ServiceID(r.name(p, v, plainName))
+		}},
+		field{"AvailabilityZones", false, r.zones(&route.AvailabilityZones)},
+	)
+	return route
+}
+
+func readDrainedServer(r *reader, path, name string, value hujson.Value) DrainedServer {
+	drained := DrainedServer{BackendServer: describer.BackendServerID(name)}
+	r.object(path, value,
+		field{"BackendServer", false, r.key(name)},
+		field{"Reason", false, r.reason(&drained.Reason)},
+	)
+	return drained
+}
+
+func readDrainedZone(r *reader, path, name string, value hujson.Value) DrainedZone {
+	drained := DrainedZone{AvailabilityZone: describer.AvailabilityZoneID(name)}
+	r.object(path, value,
+		field{"AvailabilityZone", false, r.key(name)},
+		field{"Reason", false, r.reason(&drained.Reason)},
+	)
+	return drained
+}
+
+func readDeadInstance(r *reader, path, name string, value hujson.Value) DeadInstance {
+	dead := DeadInstance{Instance: describer.InstanceID(name)}
+	r.object(path, value,
+		field{"Instance", false, r.key(name)},
+		field{"Incarnation", true, func(p string, v hujson.Value) {
+			dead.Incarnation = describer.Incarnation(r.whole(p, v, 1, maxIncarnation))
+		}},
+		field{"Reason", false, r.reason(&dead.Reason)},
+	)
+	return dead
+}
