Add distributor: accepts tickets and distributes the configuration

Cause: an accepted configuration must be in force everywhere within seconds and never revert, through outages and lost answers of the store. Change: the acceptance of a ticket is a pure state machine; one goroutine each follows the store, learns from peers, accepts tickets and compacts them. A record names the WriteID of its predecessor, so that a number that was compacted cannot be taken again unnoticed.

--- /dev/null
+++ b/distributor/accepter.go
@@ -0,0 +1,144 @@
+package distributor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/buffer"
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/ticketer"
+)
+
+// waitingCapacity bounds the tickets that wait in one instance, for example while the store is unreachable.
+const waitingCapacity = 256
+
+// errStopped is the cause when the instance stops while a ticket waits.
+var errStopped = errors.New("this instance is stopping")
+
+// Waiting is a ticket that waits to be accepted.
+type Waiting struct {
+	ID    string
+	Since time.Time
+	// Attempts counts the calls to the store for this ticket.
+	Attempts int
+}
+
+// pending is a proposal and its caller.
+type pending struct {
+	ctx      context.Context
+	proposal *proposal
+	waiting  Waiting
+	results  chan step
+}
+
+// accepter writes tickets to the store, one at a time, so that tickets of one instance do not compete.
+type accepter struct {
+	session *session
+	backoff backoff
+	queue   *buffer.Queue[*pending]
+	// stopped is closed when no ticket is accepted any more.
+	stopped chan struct{}
+
+	mu      sync.Mutex
+	waiting []*pending
+}
+
+// submit waits until a proposal has ended or its context ends.
+func (a *accepter) submit(ctx context.Context, p *proposal) (int64, error) {
+	one := &pending{
+		ctx:      ctx,
+		proposal: p,
+		waiting:  Waiting{ID: p.ticket.ID, Since: time.Now()},
+		results:  make(chan step, 1),
+	}
+	a.add(one)
+	defer a.drop(one)
+	if err := a.queue.Offer(one); err != nil {
+		return 0, classifier.Wrap(err, classifier.QueueFull, "%d tickets already wait in this instance", waitingCapacity)
+	}
+	select {
+	case result := <-one.results:
+		return result.number, result.err
+	case <-ctx.Done():
+		return 0, gaveUp(ctx.Err(), p)
+	case <-a.stopped:
+		return 0, gaveUp(errStopped, p)
+	}
+}
+
+// gaveUp is the error of a ticket whose outcome is not known here.
+func gaveUp(cause error, p *proposal) error {
+	return classifier.Wrap(cause, classifier.StoreUnavailable,
+		"ticket %q was not accepted in time and may still be; apply it again with the same ID to find out", p.ticket.ID)
+}
+
+func (a *accepter) run(ctx context.Context) error {
+	defer close(a.stopped)
+	for {
+		select {
+		case one := <-a.queue.Items():
+			a.settle(ctx, one)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// settle drives one proposal to its end, or until its caller has left.
+func (a *accepter) settle(ctx context.Context, one *pending) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(one.ctx, cancel)
+	defer stop()
+	a.backoff.reset()
+	for ctx.Err() == nil {
+		current, _ := a.session.holder.current()
+		next := one.proposal.plan(current, time.Now())
+		if next.done {
+			one.results <- next
+			return
+		}
+		a.countAttempt(one)
+		if err := a.session.execute(ctx, one.proposal, next); err != nil {
+			a.backoff.wait(ctx)
+			continue
+		}
+		a.backoff.reset()
+	}
+}
+
+func (a *accepter) add(one *pending) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting = append(a.waiting, one)
+}
+
+func (a *accepter) drop(one *pending) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting = slices.DeleteFunc(a.waiting, func(other *pending) bool { return other == one })
+}
+
+func (a *accepter) countAttempt(one *pending) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	one.waiting.Attempts++
+}
+
+func (a *accepter) list() []Waiting {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]Waiting, len(a.waiting))
+	for i, one := range a.waiting {
+		list[i] = one.waiting
+	}
+	return list
+}
+
+func (a *accepter) newProposal(ticket ticketer.Ticket, options *options) *proposal {
+	return &proposal{ticket: ticket, writeID: options.nonce(), acceptedBy: options.instance}
+}
--- /dev/null
+++ b/distributor/core_test.go
@@ -0,0 +1,284 @@
+package distributor
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/tester"
+	"egretring.example/egretring/ticketer"
+)
+
+func TestMain(m *testing.M) {
+	tester.Main(m)
+}
+
+func limitTicket(id string, base int64, value int, teams ...string) ticketer.Ticket {
+	ticket := ticketer.Ticket{ID: id, Base: base, Limits: make(map[describer.TeamID]*ticketer.Limit)}
+	for _, team := range teams {
+		name := describer.TeamID(team)
+		ticket.Limits[name] = &ticketer.Limit{Team: name, RequestsInProgress: value}
+	}
+	return ticket
+}
+
+// lateStore notes the genuine tickets and can hold a write back until after its caller has given up.
+type lateStore struct {
+	*fakekeeper.Store
+	holdNext bool
+	late     []keeper.PutOptions
+	log      []ticketer.Numbered
+}
+
+func (s *lateStore) Put(ctx context.Context, options keeper.PutOptions) (keeper.Entry, error) {
+	if s.holdNext {
+		s.holdNext = false
+		s.late = append(s.late, options)
+		return keeper.Entry{}, keeper.ErrUnavailable
+	}
+	before, _ := s.Store.Get(ctx, options.Key)
+	entry, err := s.Store.Put(ctx, options)
+	after, _ := s.Store.Get(ctx, options.Key)
+	if before.Version == 0 && after.Version == 1 {
+		s.note(options)
+	}
+	return entry, err
+}
+
+func (s *lateStore) note(options keeper.PutOptions) {
+	record, err := decodeTicket(keeper.Entry{Key: options.Key, Value: options.Value})
+	if err == nil && record.Number == int64(len(s.log))+1 {
+		s.log = append(s.log, record)
+	}
+}
+
+// member is one entry instance of the model.
+type member struct {
+	session  *session
+	proposal *proposal
+	applied  int64
+}
+
+// cell is the model: members that take single steps on one store.
+type cell struct {
+	ctx       context.Context
+	store     *lateStore
+	keep      retention
+	members   []*member
+	states    map[int64]string
+	accepted  map[string]int64
+	refused   map[string]bool
+	proposed  []ticketer.Ticket
+	proposals map[string]int
+}
+
+func newCell(members int) *cell {
+	c := &cell{
+		ctx:       context.Background(),
+		store:     &lateStore{Store: fakekeeper.New()},
+		keep:      retention{interval: 4, tickets: 6},
+		states:    make(map[int64]string),
+		accepted:  make(map[string]int64),
+		refused:   make(map[string]bool),
+		proposals: make(map[string]int),
+	}
+	for range members {
+		one := &member{}
+		c.members = append(c.members, one)
+		c.restart(one)
+	}
+	return c
+}
+
+func (c *cell) restart(m *member) {
+	*m = member{session: &session{store: newMonitor(c.store), holder: newHolder(c.keep)}}
+}
+
+func (c *cell) propose(m *member, ticket ticketer.Ticket) {
+	c.proposals[ticket.ID]++
+	writeID := fmt.Sprintf("%s-%d", ticket.ID, c.proposals[ticket.ID])
+	c.proposed = append(c.proposed, ticket)
+	m.proposal = &proposal{ticket: ticket, writeID: writeID}
+}
+
+// advance takes one step of a member's proposal.
+func (c *cell) advance(t require.TestingT, m *member) {
+	if m.proposal == nil {
+		return
+	}
+	current, _ := m.session.holder.current()
+	next := m.proposal.plan(current, time.Unix(0, 0))
+	if !next.done {
+		_ = m.session.execute(c.ctx, m.proposal, next)
+		return
+	}
+	id := m.proposal.ticket.ID
+	m.proposal = nil
+	if next.err == nil {
+		c.accept(t, id, next.number)
+		return
+	}
+	require.True(t, classifier.IsErrNotRun(next.err), "%v", next.err)
+	c.refused[id] = true
+}
+
+func (c *cell) accept(t require.TestingT, id string, number int64) {
+	require.LessOrEqual(t, number, int64(len(c.store.log)), "ticket %s was acknowledged under a free number", id)
+	require.Equal(t, id, c.store.log[number-1].Ticket.ID, "ticket %s was acknowledged and lost", id)
+	if earlier, ok := c.accepted[id]; ok {
+		require.Equal(t, earlier, number, "ticket %s has two numbers", id)
+	}
+	c.accepted[id] = number
+}
+
+func (c *cell) member(t *rapid.T) *member {
+	return c.members[rapid.IntRange(0, len(c.members)-1).Draw(t, "member")]
+}
+
+// check holds after every action.
+func (c *cell) check(t require.TestingT) {
+	for _, m := range c.members {
+		current, _ := m.session.holder.current()
+		applied := current.state.Applied()
+		require.GreaterOrEqual(t, applied, m.applied, "the state in force reverted")
+		m.applied = applied
+		encoded, err := json.Marshal(current.state.Snapshot())
+		require.NoError(t, err)
+		if known, ok := c.states[applied]; ok {
+			require.Equal(t, known, string(encoded), "two states after ticket %d", applied)
+		}
+		c.states[applied] = string(encoded)
+	}
+}
+
+// checkLog holds for the tickets that the store accepted.
+func (c *cell) checkLog(t require.TestingT) {
+	ids := make(map[string]bool)
+	for i, numbered := range c.store.log {
+		require.False(t, ids[numbered.Ticket.ID], "ticket %s was accepted twice", numbered.Ticket.ID)
+		ids[numbered.Ticket.ID] = true
+		collisions := ticketer.Conflicts(numbered.Ticket.Base, numbered.Ticket, c.store.log[:i])
+		require.Empty(t, collisions, "ticket %d was accepted despite a conflict", numbered.Number)
+	}
+	for id := range c.refused {
+		if c.proposals[id] == 1 {
+			require.False(t, ids[id], "ticket %s was refused and accepted", id)
+		}
+	}
+}
+
+func (c *cell) actions() map[string]func(*rapid.T) {
+	teams := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"red", "blue", "green", "white"}), 1, 2, rapid.ID[string])
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) { c.check(t) },
+		"propose": func(t *rapid.T) {
+			m := c.member(t)
+			if m.proposal != nil {
+				t.Skip("busy")
+			}
+			lag := rapid.Int64Range(-1, 3).Draw(t, "lag")
+			current, _ := m.session.holder.current()
+			base := max(0, current.state.Applied()-lag)
+			value := rapid.IntRange(0, 9).Draw(t, "value")
+			c.propose(m, limitTicket(fmt.Sprintf("t%d", len(c.proposed)), base, value, teams.Draw(t, "teams")...))
+		},
+		"propose again": func(t *rapid.T) {
+			m := c.member(t)
+			if m.proposal != nil || len(c.proposed) == 0 {
+				t.Skip("busy or nothing proposed")
+			}
+			c.propose(m, rapid.SampledFrom(c.proposed).Draw(t, "ticket"))
+		},
+		"step":  func(t *rapid.T) { c.advance(t, c.member(t)) },
+		"step ": func(t *rapid.T) { c.advance(t, c.member(t)) },
+		"step with fault": func(t *rapid.T) {
+			m := c.member(t)
+			fault := rapid.SampledFrom([]string{"down", "lost", "late"}).Draw(t, "fault")
+			c.store.SetFaults(fakekeeper.Faults{Down: fault == "down"})
+			if fault == "lost" {
+				c.store.SetFaults(fakekeeper.Faults{LoseWriteAnswers: 1})
+			}
+			c.store.holdNext = fault == "late"
+			c.advance(t, m)
+			c.store.SetFaults(fakekeeper.Faults{})
+			c.store.holdNext = false
+		},
+		"late write": func(t *rapid.T) {
+			if len(c.store.late) == 0 {
+				t.Skip("none")
+			}
+			options := c.store.late[0]
+			c.store.late = c.store.late[1:]
+			_, _ = c.store.Put(c.ctx, options)
+		},
+		"burst": func(t *rapid.T) {
+			m := c.member(t)
+			for range rapid.IntRange(1, 12).Draw(t, "tickets") {
+				c.settle(t, m)
+				current, _ := m.session.holder.current()
+				c.propose(m, limitTicket(fmt.Sprintf("t%d", len(c.proposed)), current.state.Applied(), 1, "burst"))
+			}
+			c.settle(t, m)
+		},
+		"sync":    func(t *rapid.T) { _, _ = c.member(t).session.resync(c.ctx) },
+		"compact": func(t *rapid.T) { c.compact(c.member(t)) },
+		"restart": func(t *rapid.T) { c.restart(c.member(t)) },
+		"learn": func(t *rapid.T) {
+			m, peer := c.member(t), c.member(t)
+			mine, _ := m.session.holder.current()
+			theirs, _ := peer.session.holder.current()
+			batch := theirs.batchAfter(mine.state.Applied())
+			_ = m.session.holder.update(func(j journal) (journal, error) { return j.learned(batch) })
+		},
+	}
+}
+
+func (c *cell) settle(t require.TestingT, m *member) {
+	for range 100 {
+		if m.proposal == nil {
+			return
+		}
+		c.advance(t, m)
+	}
+	require.Nil(t, m.proposal, "a proposal does not end although the store answers")
+}
+
+func (c *cell) compact(m *member) {
+	current, _ := m.session.holder.current()
+	if current.mark.Applied() == 0 {
+		return
+	}
+	compact := &compacter{session: m.session, nonce: func() string { return "c" }, random: rand.New(rand.NewPCG(1, 1))}
+	_ = compact.compact(c.ctx, current)
+}
+
+// TestTicketsAreNeverLostOrReverted guards against an accepted ticket that is lost, numbered twice or reverted, and
+// against instances that differ after the same number: with lost answers, late writes, outages, restarts, compaction
+// and stale peers, at every interleaving of the steps of three instances.
+func TestTicketsAreNeverLostOrReverted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCell(3)
+		t.Repeat(c.actions())
+		for _, m := range c.members {
+			c.settle(t, m)
+		}
+		c.checkLog(t)
+		for _, m := range c.members {
+			_, err := m.session.resync(c.ctx)
+			require.NoError(t, err)
+			current, _ := m.session.holder.current()
+			require.Equal(t, int64(len(c.store.log)), current.state.Applied(), "an accepted ticket is missing")
+		}
+		c.check(t)
+	})
+}
--- a/ticketer/apply.go
+++ b/ticketer/apply.go
@@ -5,13 +5,21 @@
 // ErrGap is returned when a ticket is not the next one.
 var ErrGap = errors.New("ticket is not the next one")
 
+// ErrFork is returned when a ticket does not follow the last applied ticket but another one with the same number.
+var ErrFork = errors.New("ticket follows another sequence")
+
+// IsErrFork reports whether a ticket belongs to another sequence.
+func IsErrFork(err error) bool {
+	return errors.Is(err, ErrFork)
+}
+
 // IsErrGap reports whether a ticket was not the next one.
 func IsErrGap(err error) bool {
 	return errors.Is(err, ErrGap)
 }
 
 // Apply returns the state after the next ticket. A ticket that was applied before changes nothing; a ticket whose
-// predecessor was not applied is refused with ErrGap.
+// predecessor was not applied is refused with ErrGap or ErrFork.
 func Apply(state State, numbered Numbered) (State, error) {
 	if numbered.Number <= state.applied {
 		return state, nil
@@ -19,7 +27,12 @@
 	if numbered.Number != state.applied+1 {
 		return state, errors.Wrapf(ErrGap, "ticket %d after ticket %d", numbered.Number, state.applied)
 	}
+	if numbered.Previous != state.lastWriteID {
+		return state, errors.Wrapf(ErrFork, "ticket %d follows write %q, but write %q was applied",
+			numbered.Number, numbered.Previous, state.lastWriteID)
+	}
 	next := preview(state, numbered.Ticket).WithApplied(numbered.Number)
+	next.lastWriteID = numbered.WriteID
 	next = next.withReceipt(Receipt{
 		ID:     numbered.Ticket.ID,
 		Number: numbered.Number,
--- a/ticketer/state.go
+++ b/ticketer/state.go
@@ -5,6 +5,7 @@
 // State is the configuration after a number of tickets. It is immutable; its zero value is the empty configuration.
 type State struct {
 	applied        int64
+	lastWriteID    string
 	services       table[describer.ServiceID, describer.Service]
 	jobs           table[describer.JobID, describer.Job]
 	quotas         table[describer.TeamID, describer.Quota]
@@ -19,6 +20,9 @@
 // Applied returns the number of the last applied ticket; zero means none.
 func (s State) Applied() int64 { return s.applied }
 
+// LastWriteID returns the WriteID of the last applied ticket.
+func (s State) LastWriteID() string { return s.lastWriteID }
+
 // Service returns a service.
 func (s State) Service(id describer.ServiceID) (describer.Service, bool) { return s.services.get(id) }
 
--- a/ticketer/table.go
+++ b/ticketer/table.go
@@ -102,3 +102,23 @@
 	}
 	return t.with(key, *value)
 }
+
+// tableOf returns a table of the values, each under its key.
+func tableOf[K ~string, V any](values []V, keyOf func(V) K) table[K, V] {
+	if len(values) == 0 {
+		return table[K, V]{}
+	}
+	result := table[K, V]{shards: new([shardCount]map[K]V)}
+	for _, value := range values {
+		key := keyOf(value)
+		index := shardOf(key)
+		if result.shards[index] == nil {
+			result.shards[index] = make(map[K]V)
+		}
+		if _, exists := result.shards[index][key]; !exists {
+			result.count++
+		}
+		result.shards[index][key] = value
+	}
+	return result
+}
--- a/ticketer/ticket.go
+++ b/ticketer/ticket.go
@@ -32,7 +32,10 @@
 type Numbered struct {
 	Number int64
 	// WriteID is the nonce of the write; the writer recognises its own write by it when the answer was lost.
-	WriteID    string
+	WriteID string
+	// Previous is the WriteID of the ticket before; it is empty for the first ticket. It tells a ticket of the
+	// sequence from one that was written under the number of a ticket that had been compacted.
+	Previous   string
 	AcceptedAt time.Time
 	AcceptedBy describer.InstanceID
 	Ticket     Ticket
