Serve a request from end to end over loopback sockets

Cause: the parts of the request path stood alone. Conclusion: the thin path stands; a ticket must be applied only once an instance has read the configuration.

--- /dev/null
+++ b/demonstrator/cell.go
@@ -0,0 +1,213 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/fakebackend"
+	"egretring.example/egretring/lister"
+	"egretring.example/egretring/loader"
+	"egretring.example/egretring/partitioner"
+	"egretring.example/egretring/server"
+)
+
+// Entry is one entry instance of a cell.
+type Entry struct {
+	Instance describer.InstanceID
+	Zone     describer.AvailabilityZoneID
+	Daemon   *server.Daemon
+	Callers  string
+}
+
+// Cell is a whole cell on loopback sockets. It is safe for concurrent use.
+type Cell struct {
+	topology Topology
+	network  *partitioner.Network
+	platform *platform
+	ledger   *fakebackend.Ledger
+	backends []*fakebackend.Running
+	servers  []describer.BackendServer
+	logger   *slog.Logger
+	seed     uint64
+
+	mu      sync.Mutex
+	entries []*Entry
+}
+
+// CellOptions are the options of a cell.
+type CellOptions struct {
+	Topology Topology
+	Seed     uint64
+	// Logs receives the log lines of the daemons; nil drops them.
+	Logs io.Writer
+	// Backend returns further options of the backend servers.
+	Backend []fakebackend.Option
+}
+
+// NewCell starts the stand-ins and the entry instances of a cell.
+func NewCell(options CellOptions) (*Cell, error) {
+	network := partitioner.New()
+	running, err := newPlatform(options.Topology, network)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cell{
+		topology: options.Topology, network: network, platform: running,
+		ledger: fakebackend.NewLedger(), seed: options.Seed, logger: slog.New(slog.DiscardHandler),
+	}
+	if options.Logs != nil {
+		c.logger = slog.New(slog.NewJSONHandler(options.Logs, nil))
+	}
+	if err := c.startBackends(options.Backend); err != nil {
+		c.Close()
+		return nil, err
+	}
+	if err := c.startEntries(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cell) startBackends(options []fakebackend.Option) error {
+	for _, zone := range c.topology.Zones {
+		for i := range zone.BackendServers {
+			if err := c.startBackend(zone, i, options); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cell) startBackend(zone ZoneTopology, number int, options []fakebackend.Option) error {
+	id := describer.BackendServerID(fmt.Sprintf("%s-server-%02d", zone.ID, number+1))
+	all := append([]fakebackend.Option{
+		fakebackend.WithSeed(c.seed + uint64(len(c.backends))),
+		fakebackend.WithSlots(c.topology.Slots),
+		fakebackend.WithConnections(c.topology.Conns),
+		fakebackend.WithCapacity(c.topology.Capacity),
+		fakebackend.WithLedger(c.ledger),
+	}, options...)
+	running, err := fakebackend.New(id, all...).Listen(loopback)
+	if err != nil {
+		return errors.Wrap(err, "start backend server")
+	}
+	c.network.Register(running.Address(), zone.ID)
+	c.backends = append(c.backends, running)
+	c.servers = append(c.servers, describer.BackendServer{
+		ID: id, AvailabilityZone: zone.ID, Address: running.Address(), State: describer.Live,
+		Rack:     describer.RackID(fmt.Sprintf("%s-rack-%d", zone.ID, number/zone.ServersPerRack+1)),
+		Capacity: c.topology.Capacity,
+	})
+	return nil
+}
+
+func (c *Cell) startEntries() error {
+	for _, zone := range c.topology.Zones {
+		for i := range zone.Instances {
+			if _, err := c.StartEntry(zone.ID, fmt.Sprintf("%s-entry-%d", zone.ID, i+1)); err != nil {
+				return err
+			}
+		}
+	}
+	c.publish()
+	return nil
+}
+
+// StartEntry starts an entry instance in a zone.
+func (c *Cell) StartEntry(zone describer.AvailabilityZoneID, name string) (*Entry, error) {
+	daemon, err := server.New(c.settings(zone, name),
+		server.WithLogger(c.logger), server.WithSeed(c.seed), server.WithDial(c.network.Dialer(zone)))
+	if err != nil {
+		return nil, errors.Wrapf(err, "start entry instance %s", name)
+	}
+	addresses := daemon.Addresses()
+	for _, address := range []string{addresses.Callers, addresses.Operators, addresses.Relay, addresses.Peers} {
+		c.network.Register(address, zone)
+	}
+	entry := &Entry{
+		Instance: describer.InstanceID(name), Zone: zone, Daemon: daemon, Callers: addresses.Callers,
+	}
+	daemon.Start()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = append(c.entries, entry)
+	return entry, nil
+}
+
+func (c *Cell) settings(zone describer.AvailabilityZoneID, name string) loader.Settings {
+	return loader.Settings{
+		Instance: name, AvailabilityZone: string(zone), Zones: c.topology.ZoneIDs(),
+		Listeners:         loader.Listeners{Callers: loopback, Operators: loopback, Peers: loopback, Relay: loopback},
+		Store:             "http://" + c.platform.storeAddress,
+		InstanceList:      "http://" + c.platform.listAddress,
+		MaxRequestBytes:   1 << 20,
+		DefaultTimeout:    30 * time.Second,
+		MaxTimeout:        time.Minute,
+		DrainTimeout:      20 * time.Second,
+		IdempotencyWindow: 10 * time.Minute,
+		ListInterval:      500 * time.Millisecond,
+		LogLevel:          "Info",
+	}
+}
+
+// publish gives the instance list all running entry instances and all backend servers.
+func (c *Cell) publish() {
+	listing := lister.Listing{BackendServers: c.servers}
+	for _, entry := range c.Entries() {
+		addresses := entry.Daemon.Addresses()
+		listing.Instances = append(listing.Instances, describer.Instance{
+			ID: entry.Instance, AvailabilityZone: entry.Zone,
+			PeerAddress: addresses.Peers, OperatorAddress: addresses.Operators, RelayAddress: addresses.Relay,
+		})
+	}
+	c.platform.list.Set(listing)
+}
+
+// Entries returns the running entry instances.
+func (c *Cell) Entries() []*Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.entries)
+}
+
+// Kill ends an entry instance at once.
+func (c *Cell) Kill(entry *Entry) error {
+	c.remove(entry)
+	return errors.Wrapf(entry.Daemon.Stop(), "kill %s", entry.Instance)
+}
+
+// Drain ends an entry instance gracefully.
+func (c *Cell) Drain(ctx context.Context, entry *Entry) error {
+	c.remove(entry)
+	return errors.Wrapf(entry.Daemon.Drain(ctx), "drain %s", entry.Instance)
+}
+
+func (c *Cell) remove(entry *Entry) {
+	c.mu.Lock()
+	c.entries = slices.DeleteFunc(c.entries, func(e *Entry) bool { return e == entry })
+	c.mu.Unlock()
+	c.publish()
+}
+
+// Close ends everything.
+func (c *Cell) Close() {
+	for _, entry := range c.Entries() {
+		if err := entry.Daemon.Stop(); err != nil {
+			c.logger.Error("entry instance did not stop cleanly", "Error", err.Error())
+		}
+	}
+	for _, backend := range c.backends {
+		_ = backend.Close()
+	}
+	c.platform.close()
+}
--- a/router/executor.go
+++ b/router/executor.go
@@ -6,7 +6,6 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
-	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/dispatcher"
 	"egretring.example/egretring/forwarder"
@@ -75,20 +74,3 @@
 		AnswerComplete: result.Evidence == describer.Answered,
 	}
 }
-
-// errorOf returns the error of an attempt that nothing follows.
-func errorOf(outcome runner.Outcome, peer forwarder.PeerAnswer) error {
-	switch outcome.Evidence {
-	case describer.Answered:
-		return nil
-	case describer.Refused:
-		return classifier.New(peer.Kind, "peer refused the request").WithRetryAt(peer.RetryAt)
-	case describer.NotSent:
-		return classifier.New(classifier.NoBackendServer, "peer cannot be reached")
-	case describer.Failed:
-		return classifier.New(classifier.BackendFailed, "backend server answered with an error")
-	case describer.Truncated:
-		return classifier.New(classifier.BackendTruncated, "answer ended early")
-	}
-	return classifier.New(classifier.OutcomeUnknown, "connection to peer was lost after the request was sent")
-}
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -4,7 +4,9 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +24,7 @@
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/router"
 	"egretring.example/egretring/runner"
+	"egretring.example/egretring/ticketer"
 	"egretring.example/egretring/tracer"
 )
 
@@ -30,6 +33,7 @@
 	settings loader.Settings
 	logger   *slog.Logger
 	exporter sdktrace.SpanExporter
+	dial     forwarder.Dial
 	seed     uint64
 	store    keeper.Store
 	list     lister.List
@@ -44,6 +48,8 @@
 	membership  fixedMembership
 	listing     lister.Listing
 	listings    chan lister.Listing
+	// serving is true once the instance has had shares of backend servers.
+	serving atomic.Bool
 
 	callers   *listener
 	relay     *listener
@@ -57,8 +63,7 @@
 		settings:  settings,
 		logger:    slog.New(slog.DiscardHandler),
 		seed:      rand.Uint64(),
-		store:     keeper.NewClient(settings.Store, http.DefaultClient),
-		list:      lister.NewClient(settings.InstanceList, http.DefaultClient),
+		dial:      new(net.Dialer).DialContext,
 		meter:     meter.New(),
 		directory: router.NewDirectory(),
 		listings:  make(chan lister.Listing, 1),
@@ -66,10 +71,22 @@
 	for _, option := range options {
 		option(d)
 	}
+	d.connect()
 	d.compose()
 	return d, d.listen()
 }
 
+// connect creates the clients of the platform that no option has replaced.
+func (d *Daemon) connect() {
+	client := &http.Client{Transport: &http.Transport{DialContext: d.dial}}
+	if d.store == nil {
+		d.store = keeper.NewClient(d.settings.Store, client)
+	}
+	if d.list == nil {
+		d.list = lister.NewClient(d.settings.InstanceList, client)
+	}
+}
+
 func (d *Daemon) compose() {
 	d.tracer = tracer.New(d.logger, d.settings.Instance, d.settings.TraceRatio)
 	if d.exporter != nil {
@@ -83,7 +100,7 @@
 		distributor.WithLogger(d.logger), distributor.WithSeed(d.seed))
 	d.runner = runner.New(dispatcher.New(dispatcher.WithSeed(d.seed)),
 		runner.WithRight(d.membership.MayStart), runner.WithMeter(d.meter))
-	exchanger := forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()))
+	exchanger := forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dial))
 	d.router = router.New(instance, services{d.distributor}, d.runner, exchanger, d.directory,
 		router.WithMeter(d.meter), router.WithTracer(d.tracer))
 }
@@ -169,6 +186,7 @@
 	for _, service := range state.Services() {
 		shares := d.membership.shares(d.listing, service.SlotsPerBackendServer, service.ConnectionsPerBackendServer)
 		d.runner.Notify(dispatcher.SharesChanged{Shares: shares})
+		d.serving.Store(len(shares) > 0)
 		return
 	}
 }
@@ -207,3 +225,20 @@
 	}
 	return err
 }
+
+// ApplyTicket accepts a ticket and returns its number.
+func (d *Daemon) ApplyTicket(ctx context.Context, ticket ticketer.Ticket) (int64, error) {
+	return d.distributor.Accept(ctx, ticket)
+}
+
+// Configured reports whether the instance knows the configuration.
+func (d *Daemon) Configured() bool {
+	_, err := d.distributor.State()
+	return err == nil
+}
+
+// Ready reports whether the instance serves requests with at least the given ticket applied.
+func (d *Daemon) Ready(ticket int64) bool {
+	state, err := d.distributor.State()
+	return err == nil && state.Applied() >= ticket && d.serving.Load()
+}
--- a/server/option.go
+++ b/server/option.go
@@ -1,7 +1,9 @@
 package server
 
 import (
+	"context"
 	"log/slog"
+	"net"
 
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
@@ -32,6 +34,11 @@
 	return func(d *Daemon) { d.exporter = exporter }
 }
 
+// WithDial replaces the function that opens connections to the platform, peers and backend servers.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(d *Daemon) { d.dial = dial }
+}
+
 // WithSeed sets the seed of the random choices.
 func WithSeed(seed uint64) Option {
 	return func(d *Daemon) { d.seed = seed }
--- a/server/poller.go
+++ b/server/poller.go
@@ -38,6 +38,9 @@
 	if err == nil {
 		instances, err = p.list.Instances(ctx)
 	}
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		p.logger.WarnContext(ctx, "instance list cannot be read; the last listing stays in use", "Error", err.Error())
 		return
