Add the slot ownership core and its generated tests

Cause: shares of backend server slots must stay disjoint when owners pause, store answers are lost, and zones are partitioned.

Change: package assigner holds the assignment record with 64 fixed positions, and the state machine of one member with join, leave, takeover, hold agreement, quarantine and release. A model of store, network, clocks and processes drives it with generated faults.

--- /dev/null
+++ b/assigner/event.go
@@ -0,0 +1,136 @@
+package assigner
+
+import (
+	"time"
+
+	"egretring.example/egretring/describer"
+)
+
+// Event is something that happened to a member.
+type Event interface {
+	isEvent()
+}
+
+// ZoneRead reports the assignment record and the live leases of the zone. The leases must be read after the record:
+// a takeover relies on the absence of a lease at the version that it replaces.
+type ZoneRead struct {
+	Record Assignment
+	// Version is the store's version of the record; zero means that there is none.
+	Version int64
+	// Leases lists the owners whose member keys exist.
+	Leases []Owner
+}
+
+// WriteResult is the answer to a write of the record.
+type WriteResult int
+
+// The results of a write.
+const (
+	// Written means that the record has been written.
+	Written WriteResult = iota
+	// Conflicted means that the record did not have the expected version.
+	Conflicted
+	// Unanswered means that the answer was lost; the write may take effect, also later.
+	Unanswered
+)
+
+// WriteAnswered reports the result of a WriteAssignment.
+type WriteAnswered struct {
+	WriteID string
+	Result  WriteResult
+	// Version is the new version of the record when it was written.
+	Version int64
+}
+
+// LeaseRenewed reports that the own store lease was granted or renewed and that the member key is attached to it.
+type LeaseRenewed struct {
+	Incarnation describer.Incarnation
+	// Lease tells one lease from the next.
+	Lease int64
+	// Before is a time before the call was sent; the lease runs at least from then.
+	Before time.Time
+}
+
+// LeaseLost reports that the store no longer has the own lease.
+type LeaseLost struct{}
+
+// StoreChanged reports whether the store answers.
+type StoreChanged struct {
+	Reachable bool
+}
+
+// HeartbeatReceived reports a heartbeat of a peer.
+type HeartbeatReceived struct {
+	Heartbeat Heartbeat
+}
+
+// PeerRefused reports that the address of a member refused a connection, which proves that its process is gone.
+type PeerRefused struct {
+	Owner Owner
+}
+
+// PeerSilent reports that a member does not answer, which proves nothing.
+type PeerSilent struct {
+	Owner Owner
+}
+
+// DeclaredDead reports that an operator declared an instance dead up to an incarnation.
+type DeclaredDead struct {
+	Owner Owner
+}
+
+// ServerBusy is how many slots of a backend server are occupied.
+type ServerBusy struct {
+	BackendServer describer.BackendServerID
+	Slots         int
+}
+
+// BusyChanged reports the own occupied slots. Only a report that was taken under the newest shares releases slots,
+// because the request path may have started work under the earlier ones.
+type BusyChanged struct {
+	// Shares is the version of the newest ChangeShares that the request path had applied before it counted.
+	Shares uint64
+	Busy   []ServerBusy
+}
+
+// OwnerBusy is how many slots of a backend server the requests of one owner occupy.
+type OwnerBusy struct {
+	Owner Owner
+	Slots int
+}
+
+// UsageReported reports the usage of a backend server, sampled some time before.
+type UsageReported struct {
+	BackendServer describer.BackendServerID
+	SampledAt     time.Time
+	BusySlots     int
+	// ByOwner splits BusySlots by the owner that sent the request. Without it (nil), a slot leaves quarantine only
+	// when no slot of the backend server is occupied.
+	ByOwner []OwnerBusy
+}
+
+// ServersChanged replaces the backend servers of the zone.
+type ServersChanged struct {
+	Servers []Server
+}
+
+// LeaveRequested reports that the member is to give up its positions.
+type LeaveRequested struct{}
+
+// Ticked reports that time has passed.
+type Ticked struct{}
+
+func (ZoneRead) isEvent()          {}
+func (WriteAnswered) isEvent()     {}
+func (LeaseRenewed) isEvent()      {}
+func (LeaseLost) isEvent()         {}
+func (StoreChanged) isEvent()      {}
+func (HeartbeatReceived) isEvent() {}
+func (PeerRefused) isEvent()       {}
+func (PeerSilent) isEvent()        {}
+func (DeclaredDead) isEvent()      {}
+func (BusyChanged) isEvent()       {}
+func (UsageReported) isEvent()     {}
+func (ServersChanged) isEvent()    {}
+func (LeaveRequested) isEvent()    {}
+func (Ticked) isEvent()            {}
--- /dev/null
+++ b/assigner/machine_test.go
@@ -0,0 +1,169 @@
+package assigner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/describer"
+)
+
+// recoverySteps bounds the steps until all slots are usable after the last fault: a lease (9 s), the takeover margin,
+// a second takeover by a restarted instance, and usage reports of five servers.
+const recoverySteps = 240
+
+// leaveSteps is the time in which a member that was asked to leave before the last fault ended has left.
+const leaveSteps = 80
+
+// machine drives a cell with generated faults.
+type machine struct {
+	*cell
+	instances int
+	epoch     describer.Epoch
+}
+
+func (m *machine) check(t require.TestingT) {
+	for server := range modelServers {
+		inUse, _ := m.usable(server)
+		require.LessOrEqual(t, inUse, modelSlots, "slots of server %d at %s", server, m.now)
+	}
+	require.GreaterOrEqual(t, m.record.Epoch, m.epoch, "epoch of the record")
+	m.epoch = m.record.Epoch
+	for _, p := range m.processes {
+		adopted := p.core.Adopted().Epoch
+		if adopted != 0 {
+			require.GreaterOrEqual(t, adopted, p.epoch, "adopted epoch")
+			p.epoch = adopted
+		}
+	}
+}
+
+func (m *machine) steps(t require.TestingT, count int) {
+	for range count {
+		m.step()
+		m.check(t)
+	}
+}
+
+func (m *machine) pick(t *rapid.T) *process {
+	return m.latest(rapid.IntRange(0, m.instances-1).Draw(t, "instance"))
+}
+
+func (m *machine) toggle(a, b int) {
+	link := [2]int{min(a, b), max(a, b)}
+	m.cut[link] = !m.cut[link]
+}
+
+func (m *machine) restart(p *process) {
+	if !p.running {
+		m.start(p.instance)
+	}
+}
+
+// heal ends all faults. A dead instance restarts, or an operator declares it dead.
+func (m *machine) heal(t *rapid.T) {
+	m.storeDown = false
+	clear(m.cut)
+	for instance := range m.instances {
+		p := m.latest(instance)
+		p.paused, p.loseNext = false, 0
+		if p.running {
+			continue
+		}
+		if instance == 0 || rapid.Bool().Draw(t, "restart") {
+			m.restart(p)
+			continue
+		}
+		m.declareDead(p.core.Self().Owner)
+	}
+}
+
+func (m *machine) requireAllUsable(t require.TestingT) {
+	for server := range modelServers {
+		_, shared := m.usable(server)
+		require.Equal(t, modelSlots, shared, "usable slots of server %d", server)
+	}
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) { m.check(t) },
+		"advance": func(t *rapid.T) {
+			m.steps(t, rapid.IntRange(1, 50).Draw(t, "steps"))
+		},
+		"pause":        func(t *rapid.T) { m.pick(t).paused = true },
+		"resume":       func(t *rapid.T) { m.pick(t).paused = false },
+		"toggle store": func(*rapid.T) { m.storeDown = !m.storeDown },
+		"cut store":    func(t *rapid.T) { m.toggle(-1, m.pick(t).instance) },
+		"cut peers":    func(t *rapid.T) { m.toggle(m.pick(t).instance, m.pick(t).instance) },
+		"lose answers": func(t *rapid.T) { m.pick(t).loseNext = rapid.IntRange(1, 3).Draw(t, "answers") },
+		"die": func(t *rapid.T) {
+			p := m.pick(t)
+			p.running, p.silent = false, rapid.Bool().Draw(t, "silent")
+		},
+		"restart": func(t *rapid.T) { m.restart(m.pick(t)) },
+		"leave": func(t *rapid.T) {
+			p := m.pick(t)
+			p.inbox = append(p.inbox, assigner.LeaveRequested{})
+		},
+	}
+}
+
+// TestMembersNeverOverload guards against two members that may use the same slot, against an epoch that goes back,
+// and against slots that stay idle after all faults have ended.
+func TestMembersNeverOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{instances: rapid.IntRange(1, 4).Draw(t, "instances")}
+		m.cell = newCell(rapid.Uint64().Draw(t, "seed"), m.instances)
+		m.steps(t, rapid.IntRange(0, 40).Draw(t, "initial steps"))
+		t.Repeat(m.actions())
+		m.heal(t)
+		m.steps(t, leaveSteps)
+		m.restart(m.latest(0))
+		m.steps(t, recoverySteps)
+		m.requireAllUsable(t)
+	})
+}
+
+// TestZonePartition guards against a zone that stops serving while the store is unreachable for all its members, and
+// against one that cannot take over a member afterwards.
+func TestZonePartition(t *testing.T) {
+	for _, instances := range []int{1, 2, 7} {
+		m := &machine{instances: instances, cell: newCell(1, instances)}
+		m.steps(t, 80)
+		m.requireAllUsable(t)
+		m.storeDown = true
+		for range 2400 {
+			m.steps(t, 1)
+			m.requireAllUsable(t)
+		}
+		m.storeDown = false
+		m.steps(t, 40)
+		m.requireAllUsable(t)
+		if instances == 1 {
+			continue
+		}
+		m.latest(0).running, m.latest(0).silent = false, true
+		m.steps(t, recoverySteps)
+		m.requireAllUsable(t)
+	}
+}
+
+// TestPausedMember guards against a member that starts work after a pause in which it was taken over.
+func TestPausedMember(t *testing.T) {
+	m := &machine{instances: 3, cell: newCell(2, 3)}
+	m.steps(t, 80)
+	paused := m.latest(1)
+	before := paused.core.Self().Incarnation
+	paused.paused = true
+	m.steps(t, int(30*time.Second/stepTime))
+	require.False(t, paused.core.MayStart(m.now))
+	require.False(t, m.record.Has(paused.core.Self().Owner), "the paused member was taken over")
+	paused.paused = false
+	m.steps(t, recoverySteps)
+	require.Greater(t, paused.core.Self().Incarnation, before, "the member joined as a new incarnation")
+	m.requireAllUsable(t)
+}
--- /dev/null
+++ b/assigner/main_test.go
@@ -0,0 +1,11 @@
+package assigner_test
+
+import (
+	"testing"
+
+	"egretring.example/egretring/tester"
+)
+
+func TestMain(m *testing.M) {
+	tester.Main(m)
+}
--- /dev/null
+++ b/assigner/plan.go
@@ -0,0 +1,117 @@
+package assigner
+
+import (
+	"slices"
+	"time"
+)
+
+// plan returns the next write of the record, if one is due. At most one write is in progress.
+func (a *Assigner) plan(now time.Time) []Command {
+	if !a.known || a.reread || a.writeInProgress() {
+		return nil
+	}
+	if a.leaving {
+		return a.planLeave(now)
+	}
+	if !a.reachable || a.lease.id == 0 || !now.Before(a.lease.deadline) {
+		return nil
+	}
+	record, due := a.nextRecord(now)
+	if !due {
+		return nil
+	}
+	return a.send(record)
+}
+
+// writeInProgress reports whether an answer is awaited. After a lost answer the record is read again; a write that
+// has not taken effect by then is followed by another one of the same version, so that only one of them succeeds.
+func (a *Assigner) writeInProgress() bool {
+	return a.write != nil && !a.write.answered
+}
+
+func (a *Assigner) nextRecord(now time.Time) (Assignment, bool) {
+	if !a.record.Has(a.self.Owner) {
+		return a.join(now)
+	}
+	if gone := a.takeable(now); len(gone) > 0 {
+		return a.prune(now).without(gone, now), true
+	}
+	if a.acknowledged == a.record.Epoch {
+		return a.prune(now).refreshed(now), true
+	}
+	if a.lease.confirmed != a.lease.id {
+		return a.prune(now), true
+	}
+	placing, _ := a.record.PlacingMember()
+	pruned := a.prune(now)
+	if placing == a.self.Owner && len(pruned.Previous) == 0 && len(a.record.Previous) > 0 {
+		return pruned, true
+	}
+	return Assignment{}, false
+}
+
+// planLeave gives up the positions and then, when no work is left, the earlier holdings.
+func (a *Assigner) planLeave(now time.Time) []Command {
+	if a.record.Has(a.self.Owner) {
+		return a.send(a.prune(now).without([]Owner{a.self.Owner}, now))
+	}
+	if a.releasedEpoch() != allEpochs {
+		return nil
+	}
+	pruned := a.prune(now)
+	if slices.ContainsFunc(a.record.Previous, a.isOwn) {
+		return a.send(pruned)
+	}
+	a.departed = true
+	return []Command{Depart{}}
+}
+
+func (a *Assigner) send(record Assignment) []Command {
+	record = record.WithWriteID(a.newID())
+	if a.takesOver(record) {
+		a.unresolvedTakeover = a.version
+	}
+	unanswered := a.write != nil
+	a.write = &write{record: record, version: a.version, lease: a.lease.id, unanswered: unanswered}
+	return []Command{WriteAssignment{Record: record, Version: a.version}}
+}
+
+// takesOver reports whether a record removes another member.
+func (a *Assigner) takesOver(record Assignment) bool {
+	for _, member := range a.others(a.record) {
+		if !record.Has(member.Owner) {
+			return true
+		}
+	}
+	return false
+}
+
+// prune returns the record without the earlier holders that have released all they held.
+func (a *Assigner) prune(now time.Time) Assignment {
+	kept := slices.DeleteFunc(slices.Clone(a.record.Previous), func(holding Holding) bool {
+		return a.isFinished(now, holding)
+	})
+	return a.record.withPrevious(kept)
+}
+
+func (a *Assigner) isOwn(holding Holding) bool {
+	return holding.Owner == a.self.Owner
+}
+
+func (a *Assigner) isFinished(now time.Time, holding Holding) bool {
+	if a.isOwn(holding) {
+		return a.releasedEpoch() >= holding.Until && len(a.stillBusy()) == 0
+	}
+	if a.peer(holding.Owner).heartbeat.releasesAll(holding.Until, a.record.Epoch) {
+		return true
+	}
+	if !holding.Stopped || now.Sub(holding.Since) < QuarantineMinimum {
+		return false
+	}
+	for _, id := range a.order {
+		if a.servers[id].slotsOf(holding.Position) != 0 && !a.isCleared(holding, id) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/assigner/quarantine.go
@@ -0,0 +1,84 @@
+package assigner
+
+import (
+	"slices"
+
+	"egretring.example/egretring/describer"
+)
+
+// isCleared reports whether a usage report, sampled after a stopped holder lost its right to start work, shows that
+// none of its work is left on a backend server.
+func (a *Assigner) isCleared(holding Holding, id describer.BackendServerID) bool {
+	report, ok := a.usage[id]
+	if !ok || !holding.Stopped || !report.SampledAt.After(holding.Since.Add(SampleMargin)) {
+		return false
+	}
+	return report.slotsOf(holding.Owner) == 0
+}
+
+// slotsOf returns how many slots the work of an owner may occupy.
+func (u UsageReported) slotsOf(owner Owner) int {
+	if u.ByOwner == nil {
+		return u.BusySlots
+	}
+	slots := 0
+	for _, busy := range u.ByOwner {
+		if busy.Owner == owner {
+			slots += busy.Slots
+		}
+	}
+	return slots
+}
+
+// quarantine reports the backend servers whose usage is needed when they change. The placing member also needs those
+// of the other members, because it removes stopped holders from the record.
+func (a *Assigner) quarantine() []Command {
+	placing, _ := a.adopted.PlacingMember()
+	var needed []describer.BackendServerID
+	for _, id := range a.order {
+		known := a.servers[id]
+		missing := a.adopted.owns(a.self.Owner, known.Server) &^ known.granted
+		if placing == a.self.Owner {
+			missing = known.all()
+		}
+		if a.isQuarantined(known, missing) {
+			needed = append(needed, id)
+		}
+	}
+	if slices.Equal(needed, a.quarantined) {
+		return nil
+	}
+	a.quarantined = needed
+	return []Command{QuarantineServers{Servers: needed}}
+}
+
+func (a *Assigner) isQuarantined(known *server, slots SlotSet) bool {
+	for _, holding := range a.adopted.Previous {
+		if holding.Stopped && slots&known.slotsOf(holding.Position) != 0 && !a.isCleared(holding, known.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// slotsOf returns the slots that belong to a position.
+func (s *server) slotsOf(position int) SlotSet {
+	slot := s.slotOf(position)
+	if slot >= s.slotCount() {
+		return 0
+	}
+	return SlotSet(0).With(slot)
+}
+
+// slotOf returns the slot that belongs to a position; it may exceed the slots of the backend server.
+func (s *server) slotOf(position int) int {
+	return (position - s.base + PositionCount) % PositionCount
+}
+
+func (s *server) all() SlotSet {
+	var all SlotSet
+	for slot := range s.slotCount() {
+		all = all.With(slot)
+	}
+	return all
+}
