dispatcher: reserve and caps from the recent demand, water-filled admission

Cause: in a simulated swing to four times the load the first policy refused a third of the Standard requests although capacity was left after the swing, and a reserve that followed the largest recent demand doubled their wait. Conclusion: the simulation stands as tests against the baseline of one queue.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,6 +26,8 @@
 	Slots float64
 	// Run is the expected run time of the request.
 	Run time.Duration
+	// Long is true for long work, which may not fill the whole queue.
+	Long bool
 	// Sample is true when nothing of the same kind is in progress. Such a request is admitted whatever its estimate,
 	// because a kind whose requests are all refused would never correct a wrong estimate.
 	Sample bool
--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -50,13 +50,17 @@
 }
 
 // queueFull reports whether the queue of the request's service and class, or the common bound, has no room.
-func (a *Admitter) queueFull(request describer.Request) bool {
+func (a *Admitter) queueFull(request describer.Request, long bool) bool {
 	limit := a.services[request.Service].QueueLimit
 	if limit <= 0 {
 		limit = defaultQueueLimit
 	}
-	if a.queues[classKey{request.Service, request.Class}] >= limit {
+	part := 1.0
+	if long {
+		part = longPart
+	}
+	if float64(a.queues[classKey{request.Service, request.Class}]) >= part*float64(limit) {
 		return true
 	}
-	return float64(a.queued) >= queueParts[request.Class]*float64(a.bound)
+	return float64(a.queued) >= part*queueParts[request.Class]*float64(a.bound)
 }
--- a/admitter/option.go
+++ b/admitter/option.go
@@ -22,6 +22,9 @@
 // it never keeps urgent work out of the queue.
 var queueParts = [describer.ClassCount]float64{1, 0.8, 0.6}
 
+// longPart is the part of a queue that long work may fill; the rest is kept for short work, which leaves it sooner.
+const longPart = 0.75
+
 // Option changes how an Admitter is built.
 type Option func(*Admitter)
 
--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -11,7 +11,7 @@
 	// correctionStep is the weight of one observed wait in the correction.
 	correctionStep = 0.05
 	minCorrection  = 0.5
-	maxCorrection  = 4
+	maxCorrection  = 1.25
 	// leastPrediction is the wait below which the ratio of actual to expected wait is mostly noise.
 	leastPrediction = 5 * time.Millisecond
 	// pressedPart is the part of the time to the deadline that the expected wait must exceed before a team or service
@@ -42,7 +42,7 @@
 // from the present backlog, so that it reacts to a swing of the load without delay.
 func (a *Admitter) CheckQueue(now time.Time, request describer.Request, load Load) Verdict {
 	wait := a.expectedWait(request.Class, load)
-	if a.queueFull(request) {
+	if a.queueFull(request, load.Long) {
 		return Verdict{Kind: classifier.QueueFull, RetryAt: a.retryAfter(now, wait/2), Wait: wait}
 	}
 	remaining := request.Deadline.Sub(now)
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -91,20 +91,23 @@
 // loadFor returns what a request would meet in the queue.
 func (d *Dispatcher) loadFor(now time.Time, e *entry) admitter.Load {
 	class, group := e.request.Class, e.item.Group
-	load := admitter.Load{Run: e.item.Expected, Sample: d.samples[e.learner] <= 1}
+	load := admitter.Load{
+		Run:    e.item.Expected,
+		Long:   group == queuer.Long,
+		Sample: d.samples[e.learner] <= 1,
+	}
 	if d.picker.Free() > 0 && d.permit(now)[class][group] {
 		return load
 	}
-	backlog := d.queue.BacklogOf(class, group)
+	total := d.slots(now)
+	backlog := d.queue.BacklogOf(class, group, d.occupancy.supply(now, e.request.Deadline.Sub(now), total))
 	load.Work = backlog.Work + e.item.Work
-	load.Slots = d.slotsFor(now, class, group, backlog.Share)
+	load.Slots = d.boundSlots(now, class, group, total, backlog.Slots)
 	return load
 }
 
-// slotsFor returns the number of slots that the work of a class and group gets.
-func (d *Dispatcher) slotsFor(now time.Time, class describer.Class, group queuer.Group, share float64) float64 {
-	total := d.slots(now)
-	slots := share * float64(total)
+// boundSlots applies the urgent reserve and the cap on long work to the slots of a class and group.
+func (d *Dispatcher) boundSlots(now time.Time, class describer.Class, group queuer.Group, total int, slots float64) float64 {
 	if d.policy.reserve {
 		reserved := float64(d.occupancy.reserved(now, total))
 		if class == describer.Urgent {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"math"
 	"time"
 
 	"egretring.example/egretring/admitter"
@@ -14,8 +13,6 @@
 )
 
 const (
-	// noLimit is the long limit before anything is learned.
-	noLimit = time.Duration(math.MaxInt64)
 	// permitInterval is how often a permit is made again while work waits beside free slots, because a reserve
 	// shrinks with time and without an event.
 	permitInterval = 20 * time.Millisecond
--- /dev/null
+++ b/dispatcher/quality_test.go
@@ -0,0 +1,85 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+)
+
+// swing multiplies the load for three of every eight seconds.
+func swing(peak float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at%(8*time.Second) >= 5*time.Second {
+			return peak
+		}
+		return 1
+	}
+}
+
+var swingLoads = []load{
+	{"count", describer.Urgent, 10 * time.Millisecond, 500, 500 * time.Millisecond},
+	{"audit", describer.Standard, 30 * time.Millisecond, 250, 2 * time.Second},
+	{"reconcile", describer.Deferrable, 200 * time.Millisecond, 25, 5 * time.Second},
+	{"merge", describer.Deferrable, 800 * time.Millisecond, 6, 20 * time.Second},
+}
+
+// TestSwing guards against urgent requests that wait at the peak of a swing to more than twice the capacity, against
+// deferrable requests that do not give way, and against requests that are queued only to miss their deadline.
+func TestSwing(t *testing.T) {
+	s := scenario{servers: 12, length: 24 * time.Second, loads: swingLoads, stragglers: 0.005, factor: swing(4)}
+	sim := simulate(s)
+	urgent, standard, deferrable := &sim.results[0], &sim.results[1], &sim.results[2]
+	t.Logf("urgent: median wait %s, 99%% wait %s", urgent.wait(0.5), urgent.wait(0.99))
+	require.Less(t, urgent.wait(0.5), 10*time.Millisecond)
+	require.Less(t, urgent.wait(0.99), 100*time.Millisecond)
+	require.Greater(t, urgent.answeredShare(), 0.99)
+	require.Greater(t, standard.answeredShare(), 0.7)
+	require.Less(t, deferrable.answeredShare(), standard.answeredShare())
+	require.Greater(t, deferrable.answeredShare(), 0.1)
+	for i, r := range sim.results {
+		require.Less(t, float64(r.late), 0.03*float64(r.arrived), swingLoads[i].kind)
+	}
+	baseline := simulate(s, dispatcher.WithFIFOBaseline())
+	require.Greater(t, baseline.results[0].wait(0.5), 10*urgent.wait(0.5), "the load is a real overload")
+}
+
+// TestShortWorkBesideLongWork guards against short work that waits behind long work of the same class, against long
+// work that occupies the last slots, and against work that starves.
+func TestShortWorkBesideLongWork(t *testing.T) {
+	s := scenario{servers: 12, length: 24 * time.Second, stragglers: 0.002, factor: swing(3), loads: []load{
+		{"count", describer.Urgent, 10 * time.Millisecond, 200, 500 * time.Millisecond},
+		{"audit", describer.Standard, 10 * time.Millisecond, 500, 2 * time.Second},
+		{"long", describer.Standard, time.Second, 12, 10 * time.Second},
+		{"merge", describer.Deferrable, 4 * time.Second, 3, 60 * time.Second},
+	}}
+	sim := simulate(s)
+	short, long, merge := &sim.results[1], &sim.results[2], &sim.results[3]
+	t.Logf("short: median wait %s, 99%% wait %s", short.wait(0.5), short.wait(0.99))
+	require.Less(t, short.wait(0.5), 50*time.Millisecond)
+	require.Less(t, short.wait(0.99), 500*time.Millisecond)
+	require.Greater(t, short.answeredShare(), 0.99)
+	require.Greater(t, long.answeredShare(), 0.8)
+	require.Greater(t, merge.answeredShare(), 0.3)
+	require.LessOrEqual(t, sim.mostLong, 36, "three quarters of 48 slots")
+	free := simulate(s, dispatcher.WithoutLongCap())
+	require.Greater(t, free.mostLong, 40)
+	require.Greater(t, free.results[1].wait(0.5), 2*short.wait(0.5), "the cap is what keeps the wait short")
+}
+
+// TestFailingServerHarmsNobody guards against a server that fails all it starts within a millisecond and thereby
+// attracts requests.
+func TestFailingServerHarmsNobody(t *testing.T) {
+	s := scenario{servers: 12, length: 16 * time.Second, loads: swingLoads, stragglers: 0.005, factor: swing(2), fails: "b3"}
+	sim := simulate(s)
+	require.Less(t, sim.starts["b3"], 50)
+	for i, r := range sim.results {
+		require.Zero(t, r.other, swingLoads[i].kind)
+	}
+	baseline := simulate(s, dispatcher.WithFIFOBaseline())
+	require.Greater(t, baseline.starts["b3"], 1000)
+	require.Positive(t, baseline.results[0].other)
+}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -14,6 +14,8 @@
 	shortShare = 0.1
 	// arrivalMemory follows the mix of kinds within about a thousand requests.
 	arrivalMemory = 1000
+	// noLimit is the long limit before anything is learned.
+	noLimit = time.Duration(math.MaxInt64)
 )
 
 type key struct {
@@ -44,7 +46,7 @@
 		learning: true,
 		learners: make(map[key]*Learner),
 		arrivals: newHistogram(arrivalMemory),
-		limit:    math.MaxInt64,
+		limit:    noLimit,
 	}
 	for _, opt := range opts {
 		opt(e)
--- a/estimator/learner.go
+++ b/estimator/learner.go
@@ -30,8 +30,10 @@
 	Mean time.Duration
 	// High is exceeded by one run of twenty.
 	High time.Duration
-	// LongShare is the share of runs above the long limit.
-	LongShare float64
+	// Overdue is the run time after which an attempt of the kind counts as long work.
+	Overdue time.Duration
+	// StragglerShare is the share of runs that become overdue.
+	StragglerShare float64
 }
 
 // Learner estimates the run time of one kind of request.
@@ -87,15 +89,27 @@
 	if run <= 0 {
 		run = defaultRun
 	}
-	l.cached = Estimate{Median: run, Mean: run, High: run}
+	l.cached = Estimate{Median: run, Mean: run, High: run, Overdue: l.overdueAfter(run)}
 }
 
 func (l *Learner) learned() Estimate {
+	median := l.runs.quantile(medianShare)
+	overdue := l.overdueAfter(median)
 	return Estimate{
-		Low:       l.runs.quantile(lowShare),
-		Median:    l.runs.quantile(medianShare),
-		Mean:      l.runs.mean(),
-		High:      l.runs.quantile(highShare),
-		LongShare: l.runs.shareAbove(l.estimator.LongLimit()),
+		Low:            l.runs.quantile(lowShare),
+		Median:         median,
+		Mean:           l.runs.mean(),
+		High:           l.runs.quantile(highShare),
+		Overdue:        overdue,
+		StragglerShare: l.runs.shareAbove(overdue),
 	}
 }
+
+// overdueAfter is at least the long limit, because work below it is not long however much it exceeds its median.
+func (l *Learner) overdueAfter(median time.Duration) time.Duration {
+	overdue := longFactor * median
+	if limit := l.estimator.LongLimit(); limit < noLimit {
+		overdue = max(overdue, limit)
+	}
+	return overdue
+}
--- a/queuer/option.go
+++ b/queuer/option.go
@@ -14,11 +14,11 @@
 	ageAfter = 2 * time.Second
 	// agedShare is the share of slot time that aged work may take ahead of its turn. It counts slot time rather than
 	// turns, because one turn of long work would displace urgent work at a peak for its whole run.
-	agedShare = 0.05
+	agedShare = 0.02
 )
 
-// defaultWeights give Urgent three quarters of the slot time when all classes wait.
-var defaultWeights = [describer.ClassCount]float64{16, 4, 1}
+// defaultWeights give Urgent four fifths of the slot time when all classes wait.
+var defaultWeights = [describer.ClassCount]float64{32, 8, 1}
 
 type policy struct {
 	weights  [describer.ClassCount]float64
