distributor: give up queued tickets at once and never publish part of a fork

Change: the accepter works under the caller's context; a sequence that ends with an error is dropped as a whole. Conclusion: a ticket that was given up while queued is not accepted.

--- a/distributor/accepter.go
+++ b/distributor/accepter.go
@@ -88,11 +88,12 @@
 	}
 }
 
-// settle drives one proposal to its end, or until its caller has left.
-func (a *accepter) settle(ctx context.Context, one *pending) {
-	ctx, cancel := context.WithCancel(ctx)
+// settle drives one proposal to its end, or until its caller has left. The context derives from the caller's, so that
+// a ticket that was given up while it was queued is not written any more.
+func (a *accepter) settle(stopping context.Context, one *pending) {
+	ctx, cancel := context.WithCancel(one.ctx)
 	defer cancel()
-	stop := context.AfterFunc(one.ctx, cancel)
+	stop := context.AfterFunc(stopping, cancel)
 	defer stop()
 	a.backoff.reset()
 	for ctx.Err() == nil {
--- a/distributor/core_test.go
+++ b/distributor/core_test.go
@@ -132,6 +132,20 @@
 	c.refused[id] = true
 }
 
+// advanceWith takes one step of a member during a fault of the store.
+func (c *cell) advanceWith(t *rapid.T, fault string) {
+	m := c.member(t)
+	faults := fakekeeper.Faults{Down: fault == "down"}
+	if fault == "lost" {
+		faults.LoseWriteAnswers = 1
+	}
+	c.store.SetFaults(faults)
+	c.store.holdNext = fault == "late"
+	c.advance(t, m)
+	c.store.SetFaults(fakekeeper.Faults{})
+	c.store.holdNext = false
+}
+
 func (c *cell) accept(t require.TestingT, id string, number int64) {
 	require.LessOrEqual(t, number, int64(len(c.store.log)), "ticket %s was acknowledged under a free number", id)
 	require.Equal(t, id, c.store.log[number-1].Ticket.ID, "ticket %s was acknowledged and lost", id)
@@ -199,20 +213,15 @@
 			}
 			c.propose(m, rapid.SampledFrom(c.proposed).Draw(t, "ticket"))
 		},
-		"step":  func(t *rapid.T) { c.advance(t, c.member(t)) },
-		"step ": func(t *rapid.T) { c.advance(t, c.member(t)) },
-		"step with fault": func(t *rapid.T) {
+		"steps": func(t *rapid.T) {
 			m := c.member(t)
-			fault := rapid.SampledFrom([]string{"down", "lost", "late"}).Draw(t, "fault")
-			c.store.SetFaults(fakekeeper.Faults{Down: fault == "down"})
-			if fault == "lost" {
-				c.store.SetFaults(fakekeeper.Faults{LoseWriteAnswers: 1})
+			for range rapid.IntRange(1, 4).Draw(t, "steps") {
+				c.advance(t, m)
 			}
-			c.store.holdNext = fault == "late"
-			c.advance(t, m)
-			c.store.SetFaults(fakekeeper.Faults{})
-			c.store.holdNext = false
 		},
+		"step with outage":      func(t *rapid.T) { c.advanceWith(t, "down") },
+		"step with lost answer": func(t *rapid.T) { c.advanceWith(t, "lost") },
+		"step with late write":  func(t *rapid.T) { c.advanceWith(t, "late") },
 		"late write": func(t *rapid.T) {
 			if len(c.store.late) == 0 {
 				t.Skip("none")
--- a/distributor/holder.go
+++ b/distributor/holder.go
@@ -25,16 +25,20 @@
 	return h.journal, h.ready
 }
 
-// update replaces the journal by a later one.
+// update replaces the journal by a later one. Nothing of a sequence that ends with an error is taken over, because a
+// fork does not tell which of its tickets are the wrong ones.
 func (h *holder) update(next func(journal) (journal, error)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed, err := next(h.journal)
+	if err != nil {
+		return err
+	}
 	if changed.state.Applied() > h.journal.state.Applied() {
 		h.journal = changed
 		h.publish()
 	}
-	return err
+	return nil
 }
 
 // markReady allows the use of the journal.
