--- /dev/null
+++ b/handler/operator_doc.go
@@ -0,0 +1,2 @@
+// Package handler holds the thin HTTP handlers of the daemon.
+package handler
--- /dev/null
+++ b/handler/operator_query.go
@@ -0,0 +1,88 @@
+package handler
+
+import (
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/reporter"
+)
+
+// maxTickets bounds the tickets in one answer.
+const maxTickets = 2000
+
+// query reads the query of a URL and refuses parameters that were not read.
+type query struct {
+	values url.Values
+	read   []string
+	err    error
+}
+
+func newQuery(r *http.Request) *query {
+	values, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return &query{err: classifier.Wrap(err, classifier.BadRequest, "the query cannot be read")}
+	}
+	return &query{values: values}
+}
+
+func (q *query) text(name string) string {
+	q.read = append(q.read, name)
+	return q.values.Get(name)
+}
+
+func (q *query) whole(name string, most int64) int64 {
+	text := q.text(name)
+	if text == "" {
+		return 0
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 || number > most {
+		q.err = classifier.New(classifier.BadRequest,
+			"parameter %s is %q; allowed: a whole number from 0 to %d", name, text, most)
+	}
+	return number
+}
+
+func (q *query) failure() error {
+	if q.err != nil {
+		return q.err
+	}
+	for name := range q.values {
+		if !slices.Contains(q.read, name) {
+			return classifier.New(classifier.BadRequest, "parameter %q is unknown; allowed: %q", name, q.read)
+		}
+	}
+	return nil
+}
+
+func readTicketQuery(q *query) reporter.TicketQuery {
+	return reporter.TicketQuery{After: q.whole("After", 1<<53), Limit: int(q.whole("Limit", maxTickets))}
+}
+
+func readJobQuery(q *query) reporter.JobQuery {
+	return reporter.JobQuery{
+		Team:             describer.TeamID(q.text("Team")),
+		AvailabilityZone: describer.AvailabilityZoneID(q.text("AvailabilityZone")),
+		Policy:           describer.JobPolicy(q.text("Policy")),
+	}
+}
+
+func readTaskQuery(q *query) reporter.TaskQuery {
+	return reporter.TaskQuery{
+		Job:              describer.JobID(q.text("Job")),
+		AvailabilityZone: describer.AvailabilityZoneID(q.text("AvailabilityZone")),
+		BackendServer:    describer.BackendServerID(q.text("BackendServer")),
+		State:            q.text("State"),
+	}
+}
+
+func readServerQuery(q *query) reporter.ServerQuery {
+	return reporter.ServerQuery{
+		AvailabilityZone: describer.AvailabilityZoneID(q.text("AvailabilityZone")),
+		State:            describer.ServerState(q.text("State")),
+	}
+}
