--- /dev/null
+++ b/cmd/egretring/root.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/printer"
+	"egretring.example/egretring/requester"
+)
+
+// instancesVariable is the environment variable that holds the default of the flag -instances.
+const instancesVariable = "EGRETRING_INSTANCES"
+
+// console is where a command reads from and writes to, and the flags that all commands share.
+type console struct {
+	stdin     io.Reader
+	stdout    io.Writer
+	stderr    io.Writer
+	http      *http.Client
+	instances string
+	json      bool
+	timeout   time.Duration
+}
+
+func rootCommand(c *console) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "egretring",
+		ShortUsage: "egretring <subcommand> [flags] [arguments]",
+		ShortHelp:  "operate a cell",
+		LongHelp: "Exit codes: 0 done, 1 failed, 2 bad request or ticket, 3 not found, 4 try again later,\n" +
+			"5 outcome unknown, 6 conflict, 7 forbidden.\n\nExample:\n  " + instancesVariable +
+			"=http://10.0.0.1:7002,http://10.0.0.2:7002 egretring status",
+		FlagSet: c.flags("egretring"),
+		Subcommands: []*ffcli.Command{
+			ticketCommand(c), statusCommand(c), servicesCommand(c), jobsCommand(c), tasksCommand(c), workersCommand(c),
+			zonesCommand(c), teamsCommand(c), whyCommand(c), drainCommand(c), declareDeadCommand(c), topCommand(c),
+		},
+	}
+}
+
+// flags returns a flag set with the flags that all commands share, so that they may stand after the subcommand.
+func (c *console) flags(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(c.stderr)
+	flags.StringVar(&c.instances, "instances", c.instances, "base URLs of entry instances, separated by commas")
+	flags.BoolVar(&c.json, "json", c.json, "write JSON for programs")
+	flags.DurationVar(&c.timeout, "timeout", time.Minute, "longest time of the command")
+	return flags
+}
+
+// client returns a client of the given entry instances.
+func (c *console) client() (*requester.Client, error) {
+	var bases []string
+	for base := range strings.SplitSeq(c.instances, ",") {
+		base = strings.TrimRight(strings.TrimSpace(base), "/")
+		if base != "" {
+			bases = append(bases, base)
+		}
+	}
+	if len(bases) == 0 {
+		return nil, classifier.New(classifier.BadRequest,
+			"no entry instance is given; set -instances or %s", instancesVariable)
+	}
+	return requester.New(bases, c.http), nil
+}
+
+// exec returns the function of a command with an exact number of arguments.
+func (c *console) exec(
+	arguments string, run func(ctx context.Context, client *requester.Client, args []string) error,
+) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if want := len(strings.Fields(arguments)); len(args) != want {
+			return classifier.New(classifier.BadRequest,
+				"%d arguments are given, but %d are needed: %q (flags stand before them)", len(args), want, arguments)
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+		return run(ctx, client, args)
+	}
+}
+
+// show writes a view as JSON for programs or as a table for people.
+func show[V any](c *console, view V, err error, table func(io.Writer, V) error) error {
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return printer.JSON(c.stdout, view)
+	}
+	return table(c.stdout, view)
+}
+
+// simple returns a command without arguments that shows one view.
+func simple[V any](
+	c *console, name, help string, get func(*requester.Client, context.Context) (V, error), table func(io.Writer, V) error,
+) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "egretring " + name + " [flags]",
+		ShortHelp:  help,
+		LongHelp:   "Example:\n  egretring " + name + " -json",
+		FlagSet:    c.flags(name),
+		Exec: c.exec("", func(ctx context.Context, client *requester.Client, _ []string) error {
+			view, err := get(client, ctx)
+			return show(c, view, err, table)
+		}),
+	}
+}
--- /dev/null
+++ b/cmd/egretring/teams.go
@@ -0,0 +1,12 @@
+package main
+
+import (
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"egretring.example/egretring/printer"
+	"egretring.example/egretring/requester"
+)
+
+func teamsCommand(c *console) *ffcli.Command {
+	return simple(c, "teams", "list the teams, their quotas and what they use", (*requester.Client).Teams, printer.Teams)
+}
--- /dev/null
+++ b/cmd/egretring/top.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"egretring.example/egretring/printer"
+	"egretring.example/egretring/reporter"
+	"egretring.example/egretring/requester"
+)
+
+// clearScreen moves the cursor home and clears a terminal.
+const clearScreen = "\x1b[H\x1b[2J"
+
+// topView is one picture of the command top.
+type topView struct {
+	Status   reporter.StatusView
+	Services []reporter.ServiceView
+}
+
+func topCommand(c *console) *ffcli.Command {
+	flags := c.flags("top")
+	interval := flags.Duration("interval", 2*time.Second, "time between two pictures")
+	count := flags.Int("n", 0, "number of pictures; 0 shows pictures until it is interrupted")
+	return &ffcli.Command{
+		Name:       "top",
+		ShortUsage: "egretring top [flags]",
+		ShortHelp:  "show instances, zones and services again and again",
+		LongHelp:   "Example:\n  egretring top -interval 5s",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			client, err := c.client()
+			if err != nil {
+				return err
+			}
+			for shown := 1; ; shown++ {
+				if err := c.picture(ctx, client, *count != 1); err != nil {
+					return err
+				}
+				if shown == *count || !sleep(ctx, *interval) {
+					return nil
+				}
+			}
+		},
+	}
+}
+
+// picture shows one picture; the timeout bounds each picture, not the command.
+func (c *console) picture(ctx context.Context, client *requester.Client, clear bool) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	services, err := client.Services(ctx)
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return printer.JSON(c.stdout, topView{Status: status, Services: services})
+	}
+	if clear {
+		fmt.Fprint(c.stdout, clearScreen)
+	}
+	if err := printer.Status(c.stdout, status); err != nil {
+		return err
+	}
+	return printer.Services(c.stdout, services)
+}
--- /dev/null
+++ b/requester/doc.go
@@ -0,0 +1,2 @@
+// Package requester is the client of the operators' HTTP API.
+package requester
