Add the jsonrpc2 transport between entry instances

Cause: heartbeats, tickets and releases need bounded connections, and takeover needs to tell a refused connection from a silent peer.

Change: package messenger has a listener and a client pool with reconnect after a jittered backoff, limits on messages, connections and queued requests, and distinct errors; an attempt that the backoff suppressed proves nothing.

--- /dev/null
+++ b/messenger/codec.go
@@ -0,0 +1,52 @@
+package messenger
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// codec writes each message as a varint length and JSON. In contrast to jsonrpc2.VarintObjectCodec it bounds the
+// length, so that a peer cannot make the reader allocate any amount of memory.
+type codec struct {
+	limit int
+}
+
+var _ jsonrpc2.ObjectCodec = codec{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (c codec) WriteObject(stream io.Writer, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	if len(body) > c.limit {
+		return errors.Wrapf(ErrTooLarge, "%d bytes; at most %d are allowed", len(body), c.limit)
+	}
+	header := binary.AppendUvarint(nil, uint64(len(body)))
+	if _, err := stream.Write(header); err != nil {
+		return errors.Wrap(err, "write message length")
+	}
+	_, err = stream.Write(body)
+	return errors.Wrap(err, "write message")
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (c codec) ReadObject(stream *bufio.Reader, message any) error {
+	length, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if length > uint64(c.limit) {
+		return errors.Wrapf(ErrTooLarge, "%d bytes announced; at most %d are allowed", length, c.limit)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(stream, body); err != nil {
+		return errors.Wrap(err, "read message")
+	}
+	return errors.Wrap(json.Unmarshal(body, message), "decode message")
+}
--- /dev/null
+++ b/messenger/link.go
@@ -0,0 +1,105 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// link is the connection to one peer. It connects again after a jittered, growing time.
+type link struct {
+	address  string
+	settings settings
+
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+	failures int
+	notUntil time.Time
+}
+
+// connect returns the open connection or opens one.
+func (l *link) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && isOpen(l.conn) {
+		return l.conn, nil
+	}
+	if time.Now().Before(l.notUntil) {
+		return nil, ErrBackoff
+	}
+	conn, err := l.settings.dial(ctx, l.address)
+	if err != nil {
+		l.fail()
+		return nil, classify(err)
+	}
+	if l.settings.tls != nil {
+		conn = tls.Client(conn, l.settings.tls)
+	}
+	logger := jsonrpc2.SetLogger(protocolLog{l.settings.logger})
+	l.conn = jsonrpc2.NewConn(context.Background(), l.settings.stream(conn), refuser{}, logger)
+	return l.conn, nil
+}
+
+// succeed notes an answer; the next failure starts a new backoff.
+func (l *link) succeed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
+}
+
+// drop ends a connection on which a call got no answer.
+func (l *link) drop(conn *jsonrpc2.Conn) {
+	_ = conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.conn = nil
+		l.fail()
+	}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func (l *link) fail() {
+	wait := min(firstBackoff<<min(l.failures, 10), lastBackoff)
+	l.failures++
+	// Half of the time is fixed, so that a failing peer is not called at a high rate.
+	jittered := wait/2 + time.Duration(l.settings.jitter()*float64(wait/2))
+	l.notUntil = time.Now().Add(jittered)
+}
+
+func isOpen(conn *jsonrpc2.Conn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
+}
+
+func classify(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrapf(ErrRefused, "%v", err)
+	}
+	return errors.Wrapf(ErrSilent, "%v", err)
+}
+
+// refuser answers requests on connections that this side opened; peers send none.
+type refuser struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuser) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	reply(ctx, conn, request, nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only calls"})
+}
--- /dev/null
+++ b/messenger/listener.go
@@ -0,0 +1,113 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"gopkg.in/tomb.v2"
+)
+
+// Handler answers the calls of peers. Heartbeat and Release must return without waiting, because the next message of
+// the same connection is read after they return.
+type Handler interface {
+	Heartbeat(ctx context.Context, heartbeat Heartbeat) (HeartbeatReply, error)
+	Release(ctx context.Context, release Release) (ReleaseReply, error)
+	Tickets(ctx context.Context, request TicketsRequest) (TicketsReply, error)
+}
+
+// Listener accepts the connections of peers.
+type Listener struct {
+	settings settings
+	handler  Handler
+	accept   net.Listener
+	tomb     tomb.Tomb
+	ctx      context.Context
+
+	mu          sync.Mutex
+	connections int
+}
+
+// Listen opens a TCP address and serves peers on it.
+func Listen(address string, handler Handler, options ...Option) (*Listener, error) {
+	accept, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for peers on %s", address)
+	}
+	return Serve(accept, handler, options...), nil
+}
+
+// Serve serves peers on an open listener.
+func Serve(accept net.Listener, handler Handler, options ...Option) *Listener {
+	l := &Listener{settings: newSettings(options), handler: handler, accept: accept}
+	l.ctx = l.tomb.Context(context.Background())
+	l.tomb.Go(l.run)
+	l.tomb.Go(func() error {
+		<-l.tomb.Dying()
+		return errors.Wrap(l.accept.Close(), "close peer listener")
+	})
+	return l
+}
+
+// Address returns the address on which peers are served.
+func (l *Listener) Address() string {
+	return l.accept.Addr().String()
+}
+
+// Close ends the listener and its connections.
+func (l *Listener) Close() error {
+	l.tomb.Kill(nil)
+	return l.tomb.Wait()
+}
+
+func (l *Listener) run() error {
+	for {
+		conn, err := l.accept.Accept()
+		if !l.tomb.Alive() {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept peer connection")
+		}
+		if !l.admit() {
+			l.settings.logger.Warn("too many peer connections; closing a new one", "Peer", conn.RemoteAddr().String())
+			_ = conn.Close()
+			continue
+		}
+		l.tomb.Go(func() error {
+			l.serve(conn)
+			return nil
+		})
+	}
+}
+
+func (l *Listener) admit() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.connections >= l.settings.connections {
+		return false
+	}
+	l.connections++
+	return true
+}
+
+func (l *Listener) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connections--
+}
+
+// serve answers the requests of one connection until it ends.
+func (l *Listener) serve(conn net.Conn) {
+	defer l.release()
+	if l.settings.tls != nil {
+		conn = tls.Server(conn, l.settings.tls)
+	}
+	requests := newRequests(l.handler)
+	logger := jsonrpc2.SetLogger(protocolLog{l.settings.logger})
+	peer := jsonrpc2.NewConn(l.ctx, l.settings.stream(conn), requests, logger)
+	requests.run(l.ctx, peer)
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,183 @@
+package messenger_test
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/tester"
+)
+
+func TestMain(m *testing.M) {
+	tester.Main(m)
+}
+
+// recorder is a handler that answers with what it was asked.
+type recorder struct{}
+
+func (recorder) Heartbeat(_ context.Context, heartbeat messenger.Heartbeat) (messenger.HeartbeatReply, error) {
+	return messenger.HeartbeatReply{Owner: heartbeat.Owner}, nil
+}
+
+func (recorder) Release(_ context.Context, release messenger.Release) (messenger.ReleaseReply, error) {
+	return messenger.ReleaseReply{Owner: release.Heartbeat.Owner}, nil
+}
+
+func (recorder) Tickets(_ context.Context, request messenger.TicketsRequest) (messenger.TicketsReply, error) {
+	switch request.After {
+	case -1:
+		return messenger.TicketsReply{}, errors.New("no such ticket")
+	case -2:
+		content, err := json.Marshal(strings.Repeat("x", 8<<10))
+		return messenger.TicketsReply{Tickets: []messenger.Ticket{{Content: content}}}, err
+	}
+	return messenger.TicketsReply{Tickets: []messenger.Ticket{{Number: request.After + 1}}}, nil
+}
+
+func heartbeat() messenger.Heartbeat {
+	owner := assigner.Owner{Instance: "entry-1", Incarnation: 7}
+	return messenger.Heartbeat{Heartbeat: assigner.Heartbeat{
+		Owner: owner, Epoch: 3,
+		StillBusy: []assigner.ServerSlots{{BackendServer: "backend-1", Slots: 1<<63 | 1}},
+	}}
+}
+
+// TestCallsOverTCP guards against a message that loses a field, with and without encryption.
+func TestCallsOverTCP(t *testing.T) {
+	certified := httptest.NewUnstartedServer(nil)
+	certified.StartTLS()
+	defer certified.Close()
+	client := &tls.Config{RootCAs: certified.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"}
+	encrypted := messenger.WithTLS(&tls.Config{Certificates: certified.TLS.Certificates})
+	for name, options := range map[string][2][]messenger.Option{
+		"plain":     {},
+		"encrypted": {{encrypted}, {messenger.WithTLS(client)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := messenger.Listen("127.0.0.1:0", recorder{}, options[0]...)
+			require.NoError(t, err)
+			pool := messenger.NewClient(options[1]...)
+			ctx := context.Background()
+			answered, err := pool.Heartbeat(ctx, listener.Address(), heartbeat())
+			require.NoError(t, err)
+			require.Equal(t, heartbeat().Owner, answered.Owner)
+			released, err := pool.Release(ctx, listener.Address(), messenger.Release{Heartbeat: heartbeat()})
+			require.NoError(t, err)
+			require.Equal(t, heartbeat().Owner, released.Owner)
+			tickets, err := pool.Tickets(ctx, listener.Address(), messenger.TicketsRequest{After: 4})
+			require.NoError(t, err)
+			require.Equal(t, int64(5), tickets.Tickets[0].Number)
+			require.NoError(t, pool.Close())
+			require.NoError(t, listener.Close())
+		})
+	}
+}
+
+// TestRefusedConnection guards against taking a refused connection, which proves that a process is gone, for silence,
+// and against repeating that proof without a new attempt.
+func TestRefusedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	pool := messenger.NewClient()
+	_, err = pool.Heartbeat(context.Background(), address, heartbeat())
+	require.True(t, messenger.IsErrRefused(err), "%v", err)
+	require.False(t, messenger.IsErrSilent(err))
+	_, err = pool.Heartbeat(context.Background(), address, heartbeat())
+	require.True(t, messenger.IsErrBackoff(err), "%v", err)
+	require.False(t, messenger.IsErrRefused(err))
+}
+
+// pipes accepts the far ends of in-memory connections.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	conn, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (p pipes) Close() error {
+	close(p)
+	return nil
+}
+
+func (p pipes) Addr() net.Addr {
+	return &net.TCPAddr{}
+}
+
+// dialTo connects to a peer and appends its ends of the connections to conns.
+func dialTo(peer func(net.Conn), conns *[]net.Conn) messenger.Option {
+	return messenger.WithDial(func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		*conns = append(*conns, far)
+		go peer(far)
+		return near, nil
+	})
+}
+
+func serve(conn net.Conn) {
+	accept := make(pipes, 1)
+	accept <- conn
+	listener := messenger.Serve(accept, recorder{}, messenger.WithMessageBytes(4<<10))
+	time.Sleep(10 * time.Second)
+	_ = listener.Close()
+}
+
+func send(text string) func(net.Conn) {
+	return func(conn net.Conn) {
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		_, _ = conn.Write([]byte(text))
+	}
+}
+
+// TestPeerFaults guards against a call that hangs, or that takes a faulty peer for one that is gone.
+func TestPeerFaults(t *testing.T) {
+	cases := map[string]struct {
+		peer  func(net.Conn)
+		after int64
+		is    func(error) bool
+	}{
+		"closed":                   {func(conn net.Conn) { _ = conn.Close() }, 0, messenger.IsErrSilent},
+		"silent":                   {send(""), 0, messenger.IsErrSilent},
+		"does not read":            {func(net.Conn) {}, 0, messenger.IsErrSilent},
+		"slow":                     {func(conn net.Conn) { time.Sleep(2 * time.Second); serve(conn) }, 0, messenger.IsErrSilent},
+		"garbage":                  {send("HTTP/1.1 400 Bad Request\r\n" + strings.Repeat("x", 100)), 0, messenger.IsErrSilent},
+		"oversized announcement":   {send("\xff\xff\xff\xff\x7f"), 0, messenger.IsErrSilent},
+		"answer for another call":  {send("\x29" + `{"jsonrpc":"2.0","id":99,"result":{"A":1}}`), 0, messenger.IsErrSilent},
+		"rejected by the handler":  {serve, -1, messenger.IsErrRejected},
+		"answer above their limit": {serve, -2, messenger.IsErrRejected},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var conns []net.Conn
+				pool := messenger.NewClient(dialTo(fault.peer, &conns))
+				_, err := pool.Tickets(t.Context(), "peer", messenger.TicketsRequest{After: fault.after})
+				require.True(t, fault.is(err), "%v", err)
+				require.False(t, messenger.IsErrRefused(err))
+				require.NoError(t, pool.Close())
+				time.Sleep(time.Minute)
+				for _, conn := range conns {
+					_ = conn.Close()
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/messenger/request.go
@@ -0,0 +1,94 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"egretring.example/egretring/buffer"
+)
+
+// requests handles the requests of one connection. Heartbeats and releases are answered in the order of their
+// arrival; the reads of tickets wait in a bounded queue, so that they do not delay heartbeats.
+type requests struct {
+	handler Handler
+	queue   *buffer.Queue[*jsonrpc2.Request]
+}
+
+func newRequests(handler Handler) *requests {
+	return &requests{handler: handler, queue: buffer.NewQueue[*jsonrpc2.Request](queuedRequests)}
+}
+
+// Handle implements jsonrpc2.Handler.
+func (r *requests) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Method != MethodTickets {
+		r.answer(ctx, conn, request)
+		return
+	}
+	if err := r.queue.Offer(request); err != nil {
+		reply(ctx, conn, request, nil, err)
+	}
+}
+
+// run answers queued requests until the connection ends.
+func (r *requests) run(ctx context.Context, conn *jsonrpc2.Conn) {
+	for {
+		select {
+		case request := <-r.queue.Items():
+			r.answer(ctx, conn, request)
+		case <-conn.DisconnectNotify():
+			return
+		}
+	}
+}
+
+func (r *requests) answer(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	switch request.Method {
+	case MethodHeartbeat:
+		answer(ctx, conn, request, r.handler.Heartbeat)
+	case MethodRelease:
+		answer(ctx, conn, request, r.handler.Release)
+	case MethodTickets:
+		answer(ctx, conn, request, r.handler.Tickets)
+	default:
+		unknown := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "method " + request.Method + " is unknown"}
+		reply(ctx, conn, request, nil, unknown)
+	}
+}
+
+func answer[Q, A any](
+	ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, handle func(context.Context, Q) (A, error),
+) {
+	var question Q
+	if request.Params == nil {
+		reply(ctx, conn, request, nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"})
+		return
+	}
+	if err := json.Unmarshal(*request.Params, &question); err != nil {
+		reply(ctx, conn, request, nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
+		return
+	}
+	result, err := handle(ctx, question)
+	reply(ctx, conn, request, result, err)
+}
+
+// reply sends an answer. A connection on which an answer could not be written completely ends.
+func reply(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, result any, err error) {
+	if request.Notif {
+		return
+	}
+	if err == nil {
+		err = conn.Reply(ctx, request.ID, result)
+		if err == nil {
+			return
+		}
+	}
+	failure, ok := err.(*jsonrpc2.Error)
+	if !ok {
+		failure = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	if conn.ReplyWithError(ctx, request.ID, failure) != nil {
+		_ = conn.Close()
+	}
+}
