Run non-repeatable requests at the home of their key

Cause: a caller that retries through the load balancer can reach another entry instance, which knows nothing of the first attempt. Conclusion: the answer 'not run' is given only for a first attempt that left this instance unsent, or by the home itself.

--- /dev/null
+++ b/deduplicator/decision.go
@@ -0,0 +1,44 @@
+package deduplicator
+
+import (
+	"time"
+
+	"egretring.example/egretring/classifier"
+)
+
+// Action is what has to be done with a request.
+type Action int
+
+// The actions.
+const (
+	// Run runs the request; End must follow.
+	Run Action = iota
+	// Answer answers the request with an error kind.
+	Answer
+	// Replay answers the request with the recorded status and without a body: it ran before and got this status.
+	Replay
+)
+
+// Decision is what has to be done with a request.
+type Decision struct {
+	Action Action
+	// Kind is set for Answer.
+	Kind classifier.Kind
+	// RetryAt is set for Answer when a retry may help and the time is known.
+	RetryAt time.Time
+	// Status is set for Replay.
+	Status int
+}
+
+func answer(kind classifier.Kind) Decision {
+	return Decision{Action: Answer, Kind: kind}
+}
+
+// KindWhenUnreachable is the kind with which a request is answered when its home cannot be reached, or is no longer
+// its home. Only a first attempt that was never relayed proves that the key did not run.
+func KindWhenUnreachable(attempt int, wasRelayed bool) classifier.Kind {
+	if attempt == 1 && !wasRelayed {
+		return classifier.NoBackendServer
+	}
+	return classifier.OutcomeUnknown
+}
--- /dev/null
+++ b/deduplicator/deduplicator.go
@@ -0,0 +1,145 @@
+package deduplicator
+
+import (
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+)
+
+// Deduplicator is the at-most-once record of one incarnation of an entry instance. It is not safe for concurrent use.
+type Deduplicator struct {
+	window     time.Duration
+	skew       time.Duration
+	maxRecords int
+
+	tenures tenures
+	records map[string]*record
+	// ended holds the records whose run has ended, in the order in which they expire.
+	ended []*record
+}
+
+// New returns a deduplicator without records that is the home of no key.
+func New(opts ...Option) *Deduplicator {
+	d := &Deduplicator{
+		window:     defaultRetryWindow,
+		skew:       defaultClockSkew,
+		maxRecords: defaultMaxRecords,
+		records:    make(map[string]*record),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Place sets the placements that hold from now on. This instance is the home of the keys whose home it is by all of
+// them.
+//
+// While a transition is open, the placements before and after it are passed, so that a key is never at two homes: the
+// old home stops at once, and the new home starts only when the transition is complete. The same holds for a change of
+// the configured zones until it is in force everywhere.
+//
+// An instance whose position was taken over passes none, also when it is given a position again, since its records
+// lack what ran in between. A lapse of its right during which nobody took over is not passed; no other home ran its
+// keys then.
+func (d *Deduplicator) Place(now time.Time, placements ...Placement) {
+	d.expire(now)
+	if d.tenures.holds(placements) {
+		return
+	}
+	d.tenures = append(d.tenures, tenure{since: now, placements: placements})
+	d.tenures = d.tenures.trimmed(now.Add(-d.retention()))
+}
+
+// IsHome reports whether this instance is the home of a key.
+func (d *Deduplicator) IsHome(key Key) bool {
+	_, ok := d.tenures.homeSince(key)
+	return ok
+}
+
+// Len returns the number of records.
+func (d *Deduplicator) Len() int {
+	return len(d.records)
+}
+
+// Begin decides on an attempt with a key. After Run, each further attempt with the key is answered from the record.
+func (d *Deduplicator) Begin(now time.Time, key Key, attempt int) Decision {
+	d.expire(now)
+	if known := d.records[key.text]; known != nil {
+		return known.decision()
+	}
+	since, isHome := d.tenures.homeSince(key)
+	if !isHome {
+		return answer(KindWhenUnreachable(attempt, false))
+	}
+	if attempt != 1 {
+		if kind, refused := d.refusal(now, key, since); refused {
+			return answer(kind)
+		}
+	}
+	if len(d.records) >= d.maxRecords {
+		return d.full()
+	}
+	d.records[key.text] = &record{text: key.text, state: running}
+	return Decision{Action: Run}
+}
+
+// End records how the run of a key ended. A request that ended before it was sent ends with NotSent.
+func (d *Deduplicator) End(now time.Time, key Key, evidence describer.Evidence, status int) {
+	d.expire(now)
+	known := d.records[key.text]
+	if known == nil || known.state != running {
+		return
+	}
+	if evidence.ProvesNotRun() {
+		delete(d.records, key.text)
+		return
+	}
+	known.end(evidence, status)
+	known.expiresAt = now.Add(d.retention())
+	d.ended = append(d.ended, known)
+}
+
+// refusal returns why a key without a record may have run before. since is when this instance became its home.
+func (d *Deduplicator) refusal(now time.Time, key Key, since time.Time) (classifier.Kind, bool) {
+	takeoverCounts := now.Before(since.Add(d.retention()))
+	if !d.hasUsableTime(now, key) {
+		return classifier.OutcomeUnknown, takeoverCounts
+	}
+	if now.After(key.issuedAt.Add(d.window)) {
+		return classifier.KeyExpired, true
+	}
+	issuedBefore := !key.issuedAt.After(since.Add(d.skew))
+	return classifier.OutcomeUnknown, takeoverCounts && issuedBefore
+}
+
+// hasUsableTime reports whether a key carries an issue time that is not in the future. A clock that is further ahead
+// than the allowed skew proves nothing about the order of a key and a takeover.
+func (d *Deduplicator) hasUsableTime(now time.Time, key Key) bool {
+	return !key.issuedAt.IsZero() && !key.issuedAt.After(now.Add(d.skew))
+}
+
+// retention is how long a record is kept after the end of its run. A key that was issued up to one skew after the run
+// by its caller's clock must not be forgotten before it is refused as expired.
+func (d *Deduplicator) retention() time.Duration {
+	return d.window + 2*d.skew
+}
+
+// full is the decision when there is no room for a record. The key has none, so it is proved not to have run.
+func (d *Deduplicator) full() Decision {
+	decision := answer(classifier.LimitReached)
+	if len(d.ended) > 0 {
+		decision.RetryAt = d.ended[0].expiresAt
+	}
+	return decision
+}
+
+// expire forgets the records whose retention has ended.
+func (d *Deduplicator) expire(now time.Time) {
+	for len(d.ended) > 0 && !now.Before(d.ended[0].expiresAt) {
+		delete(d.records, d.ended[0].text)
+		d.ended[0] = nil
+		d.ended = d.ended[1:]
+	}
+}
--- /dev/null
+++ b/deduplicator/deduplicator_test.go
@@ -0,0 +1,282 @@
+package deduplicator_test
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/deduplicator"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/tester"
+)
+
+const (
+	window = 10 * time.Minute
+	skew   = 30 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	tester.Main(m)
+}
+
+var (
+	epochStart = time.Unix(1_800_000_000, 0)
+	zones      = []describer.AvailabilityZoneID{"hala-a", "hala-b", "sklad"}
+	alone      = deduplicator.Placement{Zones: zones[:1], Zone: "hala-a", Positions: 1}
+)
+
+// uuid returns a UUIDv7 that was issued at a time.
+func uuid(issuedAt time.Time, number int) string {
+	var bytes [16]byte
+	binary.BigEndian.PutUint64(bytes[:8], uint64(issuedAt.UnixMilli())<<16|0x7000)
+	binary.BigEndian.PutUint64(bytes[8:], 0x8000_0000_0000_0000|uint64(number))
+	text := hex.EncodeToString(bytes[:])
+	return fmt.Sprintf("%s-%s-%s-%s-%s", text[:8], text[8:12], text[12:16], text[16:20], text[20:])
+}
+
+func parse(t require.TestingT, text string) deduplicator.Key {
+	key, err := deduplicator.ParseKey(text)
+	require.NoError(t, err)
+	return key
+}
+
+func at(offset time.Duration) time.Time {
+	return epochStart.Add(offset)
+}
+
+// beginCase is one attempt at a home that was taken over at offset zero.
+type beginCase struct {
+	name    string
+	key     string
+	attempt int
+	offset  time.Duration
+	action  deduplicator.Action
+	kind    classifier.Kind
+}
+
+var beginCases = []beginCase{
+	{name: "first attempt without time", key: "k", attempt: 1, offset: time.Second, action: deduplicator.Run},
+	{
+		name: "unmarked without time", key: "k", offset: time.Second,
+		action: deduplicator.Answer, kind: classifier.OutcomeUnknown,
+	},
+	{
+		name: "second without time at the end of the window", key: "k", attempt: 2, offset: window + 2*skew - 1,
+		action: deduplicator.Answer, kind: classifier.OutcomeUnknown,
+	},
+	{name: "unmarked without time after the window", key: "k", offset: window + 2*skew, action: deduplicator.Run},
+	{
+		name: "issued after the takeover", key: uuid(at(skew+time.Second), 1), offset: 2 * skew,
+		action: deduplicator.Run,
+	},
+	{
+		name: "issued after the takeover, with zone", key: "hala-a:" + uuid(at(skew+time.Second), 1), offset: 2 * skew,
+		action: deduplicator.Run,
+	},
+	{
+		name: "issued within the skew of the takeover", key: uuid(at(skew), 1), attempt: 2, offset: 2 * skew,
+		action: deduplicator.Answer, kind: classifier.OutcomeUnknown,
+	},
+	{
+		name: "issued in the future", key: uuid(at(time.Hour), 1), offset: time.Second,
+		action: deduplicator.Answer, kind: classifier.OutcomeUnknown,
+	},
+	{
+		name: "issued before the window", key: uuid(at(0), 1), offset: window + time.Second,
+		action: deduplicator.Answer, kind: classifier.KeyExpired,
+	},
+	{
+		name: "first attempt with an old key", key: uuid(at(0), 1), attempt: 1, offset: 2 * window,
+		action: deduplicator.Run,
+	},
+	{
+		name: "other zone, first", key: "sklad:k", attempt: 1, offset: time.Second,
+		action: deduplicator.Answer, kind: classifier.NoBackendServer,
+	},
+	{
+		name: "other zone, second", key: "sklad:k", attempt: 2, offset: time.Second,
+		action: deduplicator.Answer, kind: classifier.OutcomeUnknown,
+	},
+}
+
+// TestBeginWithoutRecord guards against a second run of a key whose first run a former home had recorded.
+func TestBeginWithoutRecord(t *testing.T) {
+	for _, c := range beginCases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deduplicator.New()
+			placement := alone
+			if c.key == "sklad:k" {
+				placement.Zones = zones
+			}
+			d.Place(at(0), placement)
+			decision := d.Begin(at(c.offset), parse(t, c.key), c.attempt)
+			require.Equal(t, c.action, decision.Action)
+			require.Equal(t, c.kind, decision.Kind)
+		})
+	}
+}
+
+// endCase is how a run ended and what a second attempt is answered.
+type endCase struct {
+	evidence describer.Evidence
+	status   int
+	second   deduplicator.Decision
+}
+
+var endCases = []endCase{
+	{describer.Answered, 201, deduplicator.Decision{Action: deduplicator.Replay, Status: 201}},
+	{describer.Answered, 404, deduplicator.Decision{Action: deduplicator.Replay, Status: 404}},
+	{describer.Failed, 500, deduplicator.Decision{Action: deduplicator.Answer, Kind: classifier.BackendFailed}},
+	{describer.NotSent, 0, deduplicator.Decision{Action: deduplicator.Run}},
+	{describer.Refused, 503, deduplicator.Decision{Action: deduplicator.Run}},
+	{describer.Truncated, 200, deduplicator.Decision{Action: deduplicator.Answer, Kind: classifier.OutcomeUnknown}},
+	{describer.Broken, 0, deduplicator.Decision{Action: deduplicator.Answer, Kind: classifier.OutcomeUnknown}},
+	{describer.Aborted, 0, deduplicator.Decision{Action: deduplicator.Answer, Kind: classifier.OutcomeUnknown}},
+}
+
+// TestSecondAttempt guards against a second run after evidence that does not prove "not run", and against a key that
+// stays blocked after evidence that does.
+func TestSecondAttempt(t *testing.T) {
+	for _, c := range endCases {
+		t.Run(c.evidence.String(), func(t *testing.T) {
+			d := deduplicator.New()
+			d.Place(at(0), alone)
+			key := parse(t, "k")
+			require.Equal(t, deduplicator.Run, d.Begin(at(0), key, 1).Action)
+			inUse := deduplicator.Decision{Action: deduplicator.Answer, Kind: classifier.KeyInUse}
+			require.Equal(t, inUse, d.Begin(at(time.Hour), key, 1))
+			d.End(at(time.Hour), key, c.evidence, c.status)
+			d.End(at(time.Hour), key, describer.NotSent, 0)
+			require.Equal(t, c.second, d.Begin(at(time.Hour+window+2*skew-1), key, 1))
+		})
+	}
+}
+
+// TestMemoryBound guards against records without bound, and against forgetting a key to make room.
+func TestMemoryBound(t *testing.T) {
+	d := deduplicator.New(deduplicator.WithMaxRecords(2), deduplicator.WithRetryWindow(window), deduplicator.WithClockSkew(0))
+	d.Place(at(0), alone)
+	for i := range 2 {
+		key := parse(t, fmt.Sprint(i))
+		require.Equal(t, deduplicator.Run, d.Begin(at(0), key, 1).Action)
+		d.End(at(time.Duration(i)), key, describer.Answered, 200)
+	}
+	full := deduplicator.Decision{
+		Action: deduplicator.Answer, Kind: classifier.LimitReached, RetryAt: at(window),
+	}
+	require.Equal(t, full, d.Begin(at(time.Minute), parse(t, "2"), 1))
+	require.Equal(t, deduplicator.Replay, d.Begin(at(time.Minute), parse(t, "0"), 2).Action)
+	require.Equal(t, deduplicator.Run, d.Begin(at(window), parse(t, "2"), 1).Action)
+	require.Equal(t, 2, d.Len())
+}
+
+// TestHome guards against a home that depends on the order of zones, ignores the zone in a key, or moves more keys
+// than a change of the zones requires.
+func TestHome(t *testing.T) {
+	reversed := []describer.AvailabilityZoneID{"sklad", "hala-b", "hala-a"}
+	perZone := make(map[describer.AvailabilityZoneID]int)
+	perPosition := make(map[int]int)
+	const keys = 6000
+	for i := range keys {
+		key := parse(t, fmt.Sprint("key-", i))
+		home := deduplicator.HomeZone(key, zones)
+		require.Equal(t, home, deduplicator.HomeZone(key, reversed))
+		if home != "sklad" {
+			require.Equal(t, home, deduplicator.HomeZone(key, zones[:2]))
+		}
+		position := deduplicator.HomePosition(key, 3)
+		if position != 2 {
+			require.Equal(t, position, deduplicator.HomePosition(key, 2))
+		}
+		perZone[home]++
+		perPosition[position]++
+	}
+	for _, zone := range zones {
+		require.InDelta(t, keys/3, perZone[zone], keys/30)
+	}
+	for position := range 3 {
+		require.InDelta(t, keys/3, perPosition[position], keys/30)
+	}
+	require.EqualValues(t, "sklad", deduplicator.HomeZone(parse(t, "sklad:1"), zones))
+	require.NotEmpty(t, deduplicator.HomeZone(parse(t, "elsewhere:1"), zones))
+	require.Empty(t, deduplicator.HomeZone(parse(t, "1"), nil))
+	require.Equal(t, -1, deduplicator.HomePosition(parse(t, "1"), 0))
+}
+
+// TestTakenOverInBetween guards against an instance that gets its old position back and trusts records that lack what
+// another home ran in between.
+func TestTakenOverInBetween(t *testing.T) {
+	d := deduplicator.New()
+	d.Place(at(0), alone)
+	d.Place(at(time.Hour), alone)
+	key := parse(t, "k")
+	require.Equal(t, deduplicator.Run, d.Begin(at(time.Hour), key, 2).Action, "the same placement is no takeover")
+	d.End(at(time.Hour), key, describer.NotSent, 0)
+	d.Place(at(time.Hour))
+	d.Place(at(time.Hour), alone)
+	require.Equal(t, classifier.OutcomeUnknown, d.Begin(at(time.Hour), key, 2).Kind)
+}
+
+// TestKindWhenUnreachable guards against "not run" for a request of which an earlier attempt may have run.
+func TestKindWhenUnreachable(t *testing.T) {
+	require.Equal(t, classifier.NoBackendServer, deduplicator.KindWhenUnreachable(1, false))
+	require.Equal(t, classifier.OutcomeUnknown, deduplicator.KindWhenUnreachable(1, true))
+	require.Equal(t, classifier.OutcomeUnknown, deduplicator.KindWhenUnreachable(2, false))
+	require.Equal(t, classifier.OutcomeUnknown, deduplicator.KindWhenUnreachable(deduplicator.AttemptUnknown, false))
+}
+
+// FuzzParseKey guards against keys of callers that crash the parser, break log lines or carry a wrong time.
+func FuzzParseKey(f *testing.F) {
+	f.Add("hala-a:" + uuid(epochStart, 1))
+	f.Add("k")
+	f.Add(":")
+	f.Fuzz(func(t *testing.T, text string) {
+		key, err := deduplicator.ParseKey(text)
+		if err != nil {
+			require.True(t, classifier.IsErrKind(err, classifier.BadRequest))
+			return
+		}
+		require.Equal(t, text, key.String())
+		require.LessOrEqual(t, len(text), 255)
+		require.NotContains(t, text, "\n")
+		if !key.IssuedAt().IsZero() {
+			require.Less(t, key.IssuedAt().UnixMilli(), int64(1)<<48)
+		}
+	})
+}
+
+// FuzzParseAttempt guards against attempt headers that are taken for a first attempt although they are not "1".
+func FuzzParseAttempt(f *testing.F) {
+	f.Add("1")
+	f.Add("+1")
+	f.Add("01")
+	f.Fuzz(func(t *testing.T, text string) {
+		attempt, err := deduplicator.ParseAttempt(text)
+		if attempt == 1 {
+			require.Equal(t, "1", text)
+		}
+		require.Equal(t, text == "" || err != nil, attempt == deduplicator.AttemptUnknown)
+	})
+}
+
+// TestParseKey guards against an issue time read from a text that is no UUIDv7.
+func TestParseKey(t *testing.T) {
+	issuedAt := time.UnixMilli(1_800_000_000_123)
+	require.Equal(t, issuedAt, parse(t, uuid(issuedAt, 1)).IssuedAt())
+	require.Equal(t, issuedAt, parse(t, "sklad:"+uuid(issuedAt, 1)).IssuedAt())
+	for _, text := range []string{
+		"01900000-0000-4000-8000-000000000000", "01900000-0000-7000-0000-000000000000",
+		"0190000000007000800000000000000000000", "01900000-0000-7000-8000-00000000000g", "k",
+	} {
+		require.True(t, parse(t, text).IssuedAt().IsZero(), text)
+	}
+	for _, text := range []string{"", "a b", "a\n", "ä", string(make([]byte, 300))} {
+		_, err := deduplicator.ParseKey(text)
+		require.True(t, classifier.IsErrKind(err, classifier.BadRequest), "%q", text)
+	}
+}
--- /dev/null
+++ b/deduplicator/record.go
@@ -0,0 +1,49 @@
+package deduplicator
+
+import (
+	"net/http"
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+)
+
+type recordState int
+
+const (
+	running recordState = iota
+	finished
+	unknown
+)
+
+// record is what the home knows about a key.
+type record struct {
+	text   string
+	state  recordState
+	status int
+	// expiresAt is set when the run has ended.
+	expiresAt time.Time
+}
+
+// end sets the state after a run that may have happened.
+func (r *record) end(evidence describer.Evidence, status int) {
+	r.state = unknown
+	if evidence == describer.Answered || evidence == describer.Failed {
+		r.state = finished
+		r.status = status
+	}
+}
+
+// decision is the decision for a further attempt with the key.
+func (r *record) decision() Decision {
+	switch {
+	case r.state == running:
+		return answer(classifier.KeyInUse)
+	case r.state == unknown:
+		return answer(classifier.OutcomeUnknown)
+	case r.status >= http.StatusInternalServerError:
+		return answer(classifier.BackendFailed)
+	default:
+		return Decision{Action: Replay, Status: r.status}
+	}
+}
--- a/handler/caller.go
+++ b/handler/caller.go
@@ -96,12 +96,14 @@
 		Relayed:        c.options.Relayed,
 	}
 	return router.Call{
-		Request:      request,
-		Method:       r.Method,
-		Path:         r.URL.RequestURI(),
-		Header:       r.Header,
-		Body:         body,
-		FirstAttempt: options.firstAttempt,
+		Request:    request,
+		Method:     r.Method,
+		Path:       r.URL.RequestURI(),
+		Header:     r.Header,
+		Body:       body,
+		Attempt:    options.attempt,
+		RelayedBy:  options.relayedBy,
+		Registered: options.registered,
 	}, nil
 }
 
--- a/handler/error.go
+++ b/handler/error.go
@@ -1,18 +1,14 @@
 package handler
 
 import (
-	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"egretring.example/egretring/classifier"
-)
-
-// The headers of answers that egretring gives itself.
-const (
-	HeaderKind    = "Egretring-Kind"
-	HeaderOutcome = "Egretring-Outcome"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/ticketer"
 )
 
 // ErrorBody is the body of an answer with an error.
@@ -21,25 +17,29 @@
 	Message string
 	Outcome classifier.Outcome
 	RetryAt time.Time `json:",omitzero"`
+	// Failures are the faults of a ticket that is not valid.
+	Failures []ticketer.Failure `json:",omitempty"`
 }
 
 // WriteError answers with an error.
 func WriteError(w http.ResponseWriter, err error) {
 	answer := classifier.AnswerOf(classifier.KindOf(err))
-	body := ErrorBody{Kind: answer.Name, Message: err.Error(), Outcome: answer.Outcome, RetryAt: classifier.RetryAtOf(err)}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderKind, answer.Name)
-	w.Header().Set(HeaderOutcome, string(answer.Outcome))
+	body := ErrorBody{
+		Kind:     answer.Name,
+		Message:  err.Error(),
+		Outcome:  answer.Outcome,
+		RetryAt:  classifier.RetryAtOf(err),
+		Failures: ticketer.FailuresOf(err),
+	}
+	w.Header().Set(forwarder.HeaderKind, answer.Name)
+	w.Header().Set(forwarder.HeaderOutcome, string(answer.Outcome))
 	if answer.RetryMayHelp {
 		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds(body.RetryAt)))
 	}
-	w.WriteHeader(answer.Status)
-	if err := json.NewEncoder(w).Encode(body); err != nil {
-		return
-	}
+	writeJSON(w, answer.Status, body)
 }
 
-// retrySeconds returns the whole seconds until a retry may succeed, at least one.
+// retrySeconds rounds up, because the header has whole seconds.
 func retrySeconds(at time.Time) int {
-	return max(1, int(time.Until(at).Round(time.Second)/time.Second))
+	return max(1, int(math.Ceil(time.Until(at).Seconds())))
 }
--- a/handler/header.go
+++ b/handler/header.go
@@ -6,30 +6,29 @@
 	"time"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/deduplicator"
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/router"
 )
 
 // The headers of callers' requests.
 const (
-	HeaderDeadline   = "Egretring-Deadline"
-	HeaderTimeout    = "Egretring-Timeout"
 	HeaderTeam       = "Egretring-Team"
-	HeaderKey        = "Idempotency-Key"
 	HeaderAttempt    = "Egretring-Attempt"
 	HeaderRepeatable = "Egretring-Repeatable"
 	HeaderClass      = "Egretring-Class"
 )
 
-// maxKeyBytes bounds the memory that an idempotency key takes.
-const maxKeyBytes = 255
-
 type requestOptions struct {
-	team         describer.TeamID
-	class        describer.Class
-	deadline     time.Time
-	repeatable   bool
-	key          string
-	firstAttempt bool
+	team       describer.TeamID
+	class      describer.Class
+	deadline   time.Time
+	repeatable bool
+	key        string
+	attempt    int
+	relayedBy  describer.InstanceID
+	registered bool
 }
 
 func parseHeaders(
@@ -37,7 +36,7 @@
 ) (requestOptions, error) {
 	options := requestOptions{
 		team: describer.TeamID(r.Header.Get(HeaderTeam)),
-		key:  r.Header.Get(HeaderKey),
+		key:  r.Header.Get(forwarder.HeaderIdempotencyKey),
 	}
 	var err error
 	if options.deadline, err = parseDeadline(r.Header, limits, now); err != nil {
@@ -49,28 +48,29 @@
 	if options.repeatable, err = parseRepeatable(r, kind); err != nil {
 		return options, err
 	}
-	if options.firstAttempt, err = parseAttempt(r.Header); err != nil {
+	if options.attempt, err = deduplicator.ParseAttempt(r.Header.Get(HeaderAttempt)); err != nil {
 		return options, err
 	}
-	if len(options.key) > maxKeyBytes {
-		return options, classifier.New(classifier.BadRequest, "header %s has more than %d bytes", HeaderKey, maxKeyBytes)
+	if limits.Relayed {
+		options.relayedBy = describer.InstanceID(r.Header.Get(forwarder.HeaderRelayed))
+		options.registered = r.Header.Get(router.HeaderRegistered) == "true"
 	}
 	return options, nil
 }
 
 func parseDeadline(header http.Header, limits CallerOptions, now time.Time) (time.Time, error) {
 	deadline := now.Add(limits.DefaultTimeout)
-	if text := header.Get(HeaderTimeout); text != "" {
+	if text := header.Get(forwarder.HeaderTimeout); text != "" {
 		timeout, err := time.ParseDuration(text)
 		if err != nil {
-			return deadline, classifier.New(classifier.BadDeadline, "header %s: %q is not a duration", HeaderTimeout, text)
+			return deadline, classifier.New(classifier.BadDeadline, "header %s: %q is not a duration", forwarder.HeaderTimeout, text)
 		}
 		deadline = now.Add(timeout)
 	}
-	if text := header.Get(HeaderDeadline); text != "" {
+	if text := header.Get(forwarder.HeaderDeadline); text != "" {
 		parsed, err := time.Parse(time.RFC3339Nano, text)
 		if err != nil {
-			return deadline, classifier.New(classifier.BadDeadline, "header %s: %q is not a time", HeaderDeadline, text)
+			return deadline, classifier.New(classifier.BadDeadline, "header %s: %q is not a time", forwarder.HeaderDeadline, text)
 		}
 		deadline = parsed
 	}
@@ -112,15 +112,3 @@
 	}
 	return repeatable, nil
 }
-
-func parseAttempt(header http.Header) (bool, error) {
-	text := header.Get(HeaderAttempt)
-	if text == "" {
-		return false, nil
-	}
-	attempt, err := strconv.Atoi(text)
-	if err != nil || attempt < 1 {
-		return false, classifier.New(classifier.BadRequest, "header %s: %q is not a number from 1", HeaderAttempt, text)
-	}
-	return attempt == 1, nil
-}
--- a/handler/operator.go
+++ b/handler/operator.go
@@ -32,7 +32,7 @@
 	mux.HandleFunc(pat.Get("/v1/teams"), withoutQuery(service.Teams))
 	mux.HandleFunc(pat.Get("/v1/why/*"), why(service))
 	mux.HandleFunc(pat.New("/*"), func(w http.ResponseWriter, r *http.Request) {
-		answerError(w, classifier.New(classifier.NotFound, "there is no %s %s", r.Method, r.URL.Path))
+		WriteError(w, classifier.New(classifier.NotFound, "there is no %s %s", r.Method, r.URL.Path))
 	})
 	return mux
 }
@@ -43,7 +43,7 @@
 		values := newQuery(r)
 		options := read(values)
 		if err := values.failure(); err != nil {
-			answerError(w, err)
+			WriteError(w, err)
 			return
 		}
 		view, err := call(r.Context(), options)
@@ -63,7 +63,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		number, err := strconv.ParseInt(pat.Param(r, "number"), 10, 64)
 		if err != nil || number < 1 {
-			answerError(w, classifier.New(classifier.BadRequest,
+			WriteError(w, classifier.New(classifier.BadRequest,
 				"%q is not a ticket number; allowed: a whole number from 1", pat.Param(r, "number")))
 			return
 		}
@@ -76,7 +76,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		what := strings.Trim(pattern.Path(r.Context()), "/")
 		if what == "" {
-			answerError(w, classifier.New(classifier.BadRequest, "the path does not name what to explain"))
+			WriteError(w, classifier.New(classifier.BadRequest, "the path does not name what to explain"))
 			return
 		}
 		reasons, err := service.Why(r.Context(), what)
--- a/handler/operator_test.go
+++ b/handler/operator_test.go
@@ -53,7 +53,7 @@
 			recorder := httptest.NewRecorder()
 			handler.NewOperator(reporter.New(configuration)).ServeHTTP(recorder, request)
 			require.Equal(t, test.status, recorder.Code)
-			var body handler.OperatorError
+			var body handler.ErrorBody
 			require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &body))
 			require.Equal(t, test.kind, body.Kind)
 			require.Equal(t, test.kind, recorder.Header().Get("Egretring-Kind"))
--- a/handler/operator_ticket.go
+++ b/handler/operator_ticket.go
@@ -16,7 +16,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		ticket, err := readTicket(w, r)
 		if err != nil {
-			answerError(w, err)
+			WriteError(w, err)
 			return
 		}
 		view, err := call(r.Context(), ticket)
--- a/requester/client.go
+++ b/requester/client.go
@@ -108,7 +108,7 @@
 	if status == http.StatusOK {
 		return errors.Wrap(json.Unmarshal(text, into), "decode answer")
 	}
-	var body handler.OperatorError
+	var body handler.ErrorBody
 	if err := json.Unmarshal(text, &body); err != nil {
 		return errors.Errorf("entry instance answered status %d without a known body", status)
 	}
--- a/router/answer_writer.go
+++ b/router/answer_writer.go
@@ -2,21 +2,24 @@
 
 import "net/http"
 
-// answerWriter remembers whether the answer has begun.
+// answerWriter remembers the status with which the answer has begun.
 type answerWriter struct {
 	http.ResponseWriter
-	begun bool
+	// status is zero while the answer has not begun.
+	status int
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
-	w.begun = true
+	w.status = status
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(data []byte) (int, error) {
-	w.begun = true
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
 	return w.ResponseWriter.Write(data)
 }
 
--- a/router/call.go
+++ b/router/call.go
@@ -14,6 +14,10 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// FirstAttempt is true when the caller promises that it has not sent the request before.
-	FirstAttempt bool
+	// Attempt counts the caller's attempts from one; deduplicator.AttemptUnknown when the caller does not say.
+	Attempt int
+	// RelayedBy is the peer that relayed the request; it is empty for a request of a caller.
+	RelayedBy describer.InstanceID
+	// Registered is true when the home of the request's idempotency key has recorded this run.
+	Registered bool
 }
--- a/router/executor.go
+++ b/router/executor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"go.opentelemetry.io/otel/attribute"
 
@@ -12,11 +11,14 @@
 	"egretring.example/egretring/runner"
 )
 
+// HeaderRegistered marks a relayed request whose idempotency key was recorded by the key's home.
+const HeaderRegistered = "Egretring-Registered"
+
 // executor carries out the attempts of one call.
 type executor struct {
 	router *Router
 	call   Call
-	writer http.ResponseWriter
+	writer *answerWriter
 }
 
 // Attempt implements runner.Executor.
@@ -54,7 +56,7 @@
 	defer span.End()
 	result := e.router.exchanger.Exchange(ctx, forwarder.ExchangeOptions{
 		Server:    describer.BackendServer{Address: peer.RelayAddress},
-		Request:   e.request(),
+		Request:   e.relayRequest(),
 		Deadline:  e.call.Request.Deadline,
 		Writer:    e.writer,
 		RelayedBy: e.router.instance,
@@ -67,6 +69,17 @@
 	return forwarder.Request{Method: e.call.Method, Path: e.call.Path, Header: e.call.Header, Body: e.call.Body}
 }
 
+// relayRequest returns the request with what the peer has to know about its idempotency key.
+func (e *executor) relayRequest() forwarder.Request {
+	request := e.request()
+	request.Header = request.Header.Clone()
+	request.Header.Del(HeaderRegistered)
+	if e.call.Registered {
+		request.Header.Set(HeaderRegistered, "true")
+	}
+	return request
+}
+
 func outcomeOf(result forwarder.Result) runner.Outcome {
 	return runner.Outcome{
 		Evidence:       result.Evidence,
--- /dev/null
+++ b/router/once.go
@@ -0,0 +1,106 @@
+package router
+
+import (
+	"context"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/deduplicator"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/runner"
+)
+
+// HeaderReplayed marks the answer to a request whose key has run before. It has the status of that run and no body.
+const HeaderReplayed = "Egretring-Replayed"
+
+// once serves a non-repeatable request with an idempotency key.
+type once struct {
+	*executor
+	homes *Homes
+	key   deduplicator.Key
+}
+
+func (r *Router) serveOnce(ctx context.Context, e *executor) error {
+	key, err := deduplicator.ParseKey(e.call.Request.IdempotencyKey)
+	if err != nil {
+		return err
+	}
+	o := &once{executor: e, homes: r.homes, key: key}
+	if o.homes.isLocal(key) {
+		return o.runHere(ctx)
+	}
+	return o.relayHome(ctx)
+}
+
+// runHere runs the request at the home of its key, if the key has not run before.
+func (o *once) runHere(ctx context.Context) error {
+	decision := o.homes.begin(o.key, o.call.Attempt)
+	switch decision.Action {
+	case deduplicator.Answer:
+		err := classifier.New(decision.Kind, "idempotency key %s", o.key)
+		return err.WithRetryAt(decision.RetryAt)
+	case deduplicator.Replay:
+		o.writer.Header().Set(HeaderReplayed, "true")
+		o.writer.WriteHeader(decision.Status)
+		return nil
+	}
+	o.call.Registered = true
+	err := o.router.runner.Run(ctx, o.call.Request, o.executor)
+	o.homes.end(o.key, evidenceOf(err), o.writer.status)
+	return err
+}
+
+// evidenceOf returns what an error proves about a run. Whatever does not prove that the request was not run counts as
+// a run with an unknown result.
+func evidenceOf(err error) describer.Evidence {
+	switch {
+	case err == nil:
+		return describer.Answered
+	case classifier.IsErrNotRun(err):
+		return describer.NotSent
+	case classifier.IsErrKind(err, classifier.BackendFailed):
+		return describer.Failed
+	}
+	return describer.Broken
+}
+
+// relayHome relays the request towards the home of its key. A request that came from a peer of the own zone is not
+// relayed again: the two instances follow different assignments.
+func (o *once) relayHome(ctx context.Context) error {
+	target, ok := o.homes.next(o.key)
+	if !ok || o.fromOwnZone() {
+		return o.unreachable()
+	}
+	outcome, peer := o.relayTo(ctx, target)
+	return o.relayError(outcome, peer)
+}
+
+func (o *once) fromOwnZone() bool {
+	if o.call.RelayedBy == "" {
+		return false
+	}
+	relayer, ok := o.router.directory.Peer(o.call.RelayedBy)
+	return !ok || relayer.AvailabilityZone == o.homes.zone
+}
+
+func (o *once) unreachable() error {
+	kind := deduplicator.KindWhenUnreachable(o.call.Attempt, false)
+	return classifier.New(kind, "home of idempotency key %s cannot be reached", o.key)
+}
+
+// relayError returns the error after a relay that nothing follows.
+func (o *once) relayError(outcome runner.Outcome, peer forwarder.PeerAnswer) error {
+	switch outcome.Evidence {
+	case describer.Answered:
+		return nil
+	case describer.Refused:
+		return classifier.New(peer.Kind, "home of idempotency key %s refused the request", o.key).WithRetryAt(peer.RetryAt)
+	case describer.NotSent:
+		return o.unreachable()
+	case describer.Failed:
+		return classifier.New(classifier.BackendFailed, "backend server answered with an error")
+	case describer.Truncated:
+		return classifier.New(classifier.BackendTruncated, "answer ended early")
+	}
+	return classifier.New(classifier.OutcomeUnknown, "connection to the home of key %s was lost after the request was sent", o.key)
+}
--- a/router/option.go
+++ b/router/option.go
@@ -23,3 +23,8 @@
 func WithLeavingHook(hook func(describer.BackendServerID)) Option {
 	return func(r *Router) { r.onLeaving = hook }
 }
+
+// WithHomes sets where non-repeatable requests with an idempotency key run.
+func WithHomes(homes *Homes) Option {
+	return func(r *Router) { r.homes = homes }
+}
--- a/router/router.go
+++ b/router/router.go
@@ -41,6 +41,7 @@
 	runner    Runner
 	exchanger Exchanger
 	directory *Directory
+	homes     *Homes
 	meter     *meter.Meter
 	tracer    *tracer.Tracer
 	onLeaving func(describer.BackendServerID)
@@ -80,11 +81,11 @@
 	defer span.End()
 	r.meter.Count(meter.RequestsReceived, 1)
 	e := &executor{router: r, call: call, writer: &answerWriter{ResponseWriter: w}}
-	err := r.runner.Run(ctx, call.Request, e)
+	err := r.serve(ctx, e)
 	r.meter.Observe(meter.RequestTime, time.Since(startedAt))
 	r.countEnd(err)
 	span.SetAttributes(attribute.Bool("Answered", err == nil))
-	if err != nil && e.writer.(*answerWriter).begun {
+	if err != nil && e.writer.status != 0 {
 		return &answerBegunError{cause: err}
 	}
 	return err
@@ -100,3 +101,12 @@
 		r.meter.Count(meter.RequestsUnknown, 1)
 	}
 }
+
+// serve chooses between the way of a non-repeatable request with a key and the way of all others.
+func (r *Router) serve(ctx context.Context, e *executor) error {
+	request := e.call.Request
+	if request.Repeatable || request.IdempotencyKey == "" || r.homes == nil || e.call.Registered {
+		return r.runner.Run(ctx, request, e)
+	}
+	return r.serveOnce(ctx, e)
+}
