Abort relays and inspect the core from outside

Cause: the core can end a relay and reports leaving servers, which the runner did not carry out; the registrar needs the busy slots as the core counts them. Change: AbortAttempt.Relay, ServerLeaving and Runner.Inspect.

--- a/router/executor.go
+++ b/router/executor.go
@@ -85,5 +85,6 @@
 		Evidence:       result.Evidence,
 		AnswerBegun:    result.AnswerBegun,
 		AnswerComplete: result.Evidence == describer.Answered,
+		ServerLeaving:  result.Leaving,
 	}
 }
--- a/runner/call.go
+++ b/runner/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"egretring.example/egretring/dispatcher"
 )
@@ -17,15 +18,16 @@
 	mu             sync.Mutex
 	abort          context.CancelFunc
 	abortedAttempt int
+	abortedRelay   bool
 }
 
 func newCall() *call {
 	return &call{commands: make(chan dispatcher.Command, commandsPerCall)}
 }
 
-// begin returns the context of an attempt, which is already cancelled if the attempt was aborted.
-func (c *call) begin(ctx context.Context, attempt int) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+// beginAttempt returns the context of an attempt, which is already cancelled if the attempt was aborted.
+func (c *call) beginAttempt(ctx context.Context, attempt int, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.abort = cancel
@@ -35,11 +37,27 @@
 	return ctx, cancel
 }
 
-// abortUntil aborts the attempts up to the given one.
-func (c *call) abortUntil(attempt int) {
+// beginRelay returns the context of a relay, which is already cancelled if the relay was aborted.
+func (c *call) beginRelay(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.abortedAttempt = attempt
+	c.abort = cancel
+	if c.abortedRelay {
+		cancel()
+	}
+	return ctx, cancel
+}
+
+// end aborts the attempt or the relay that a command names, also when it has not begun yet.
+func (c *call) end(command dispatcher.AbortAttempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if command.Relay {
+		c.abortedRelay = true
+	} else {
+		c.abortedAttempt = command.Attempt
+	}
 	if c.abort != nil {
 		c.abort()
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -38,6 +38,8 @@
 	opens  *call
 	id     describer.RequestID
 	closes bool
+	// inspect is run by the goroutine that owns the core.
+	inspect func()
 }
 
 // Option configures a Runner.
@@ -89,6 +91,26 @@
 	r.post(message{event: event})
 }
 
+// Inspect runs a function in the goroutine that owns the core and waits for it.
+func (r *Runner) Inspect(ctx context.Context, inspect func()) error {
+	done := make(chan struct{})
+	m := message{inspect: func() {
+		defer close(done)
+		inspect()
+	}}
+	if err := r.inbox.Put(ctx, m); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-r.tomb.Dying():
+		return tomb.ErrDying
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Run serves one request and returns nil when its whole answer has been sent.
 func (r *Runner) Run(ctx context.Context, request describer.Request, executor Executor) error {
 	c := newCall()
@@ -139,6 +161,9 @@
 	if m.event != nil {
 		r.apply(m.event)
 	}
+	if m.inspect != nil {
+		m.inspect()
+	}
 	if m.closes {
 		r.close(m.id)
 	}
@@ -175,7 +200,7 @@
 		return
 	}
 	if abort, ok := command.(dispatcher.AbortAttempt); ok {
-		c.abortUntil(abort.Attempt)
+		c.end(abort)
 		return
 	}
 	select {
--- a/runner/serving.go
+++ b/runner/serving.go
@@ -57,10 +57,11 @@
 		outcome := s.attempt(ctx, command)
 		return s.ended(outcome, dispatcher.AttemptEnded{
 			ID: command.ID, Attempt: command.Attempt, Evidence: outcome.Evidence, AnswerBegun: outcome.AnswerBegun,
+			ServerLeaving: outcome.ServerLeaving,
 		})
 	case dispatcher.RelayToPeer:
 		s.runner.meter.Count(meter.RequestsRelayed, 1)
-		relayContext, cancel := context.WithDeadline(ctx, command.Deadline)
+		relayContext, cancel := s.call.beginRelay(ctx, command.Deadline)
 		defer cancel()
 		outcome := s.executor.Relay(relayContext, command)
 		return s.ended(outcome, dispatcher.RelayEnded{
@@ -85,10 +86,8 @@
 		return Outcome{Evidence: describer.NotSent}
 	}
 	s.observeWait()
-	attemptContext, cancel := s.call.begin(ctx, start.Attempt)
+	attemptContext, cancel := s.call.beginAttempt(ctx, start.Attempt, start.Deadline)
 	defer cancel()
-	attemptContext, cancelDeadline := context.WithDeadline(attemptContext, start.Deadline)
-	defer cancelDeadline()
 	s.runner.meter.Count(meter.AttemptsStarted, 1)
 	return s.executor.Attempt(attemptContext, start)
 }
