--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -222,6 +222,23 @@
 	require.Equal(t, classifier.OutcomeUnknown, d.Begin(at(time.Hour), key, 2).Kind)
 }
 
+// TestOpenTransition guards against a key that is run at its old and its new home while a transition is open.
+func TestOpenTransition(t *testing.T) {
+	key := parse(t, "k")
+	home := deduplicator.HomePosition(key, 2)
+	before := deduplicator.Placement{Zones: zones[:1], Zone: "hala-a", Positions: 2, Position: home}
+	after := before
+	after.Position = 1 - home
+	for _, order := range [][]deduplicator.Placement{{before, after}, {after, before}} {
+		d := deduplicator.New()
+		d.Place(at(0), order...)
+		require.False(t, d.IsHome(key))
+		require.Equal(t, classifier.NoBackendServer, d.Begin(at(time.Second), key, 1).Kind)
+		d.Place(at(time.Hour), before)
+		require.Equal(t, deduplicator.Run, d.Begin(at(time.Hour), key, 1).Action)
+	}
+}
+
 // TestKindWhenUnreachable guards against "not run" for a request of which an earlier attempt may have run.
 func TestKindWhenUnreachable(t *testing.T) {
 	require.Equal(t, classifier.NoBackendServer, deduplicator.KindWhenUnreachable(1, false))
--- a/deduplicator/tenure.go
+++ b/deduplicator/tenure.go
@@ -18,11 +18,11 @@
 // isHome reports whether this instance is the home of a key by all placements. Without placements it is not.
 func (t tenure) isHome(key Key) bool {
 	for _, placement := range t.placements {
-		if placement.isHome(key) {
-			return true
+		if !placement.isHome(key) {
+			return false
 		}
 	}
-	return false
+	return len(t.placements) > 0
 }
 
 // tenures are the changes of the placements, oldest first.
