Add the registrar that runs the slot ownership core

Cause: the core needs the store, the instance list and the peers.

Change: package registrar runs one goroutine per responsibility under a tomb (core, lease, watch, reads, writes, heartbeats, instance list, usage) and gives out the shares, the right to start work, and what the peers report.

--- a/assigner/apply.go
+++ b/assigner/apply.go
@@ -131,7 +131,6 @@
 	}
 	a.lease.id = renewed.Lease
 	a.lease.deadline = renewed.Before.Add(LeaseTTL - LeaseMargin)
-	a.reachable = true
 }
 
 func (a *Assigner) hear(now time.Time, heartbeat Heartbeat) {
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -139,10 +139,19 @@
 // MayStart reports whether the member may start work at a time. It is checked at each start, so that a member that
 // was paused starts nothing with an expired right.
 func (a *Assigner) MayStart(now time.Time) bool {
+	return a.Right().Allows(now)
+}
+
+// Right returns the present right to start work, which a caller may keep until the next event.
+func (a *Assigner) Right() Right {
 	if a.leaving || !a.adopted.Has(a.self.Owner) {
-		return false
+		return Right{}
+	}
+	right := Right{Held: a.holds()}
+	if a.lease.id != 0 && a.lease.id == a.lease.confirmed {
+		right.Deadline = a.lease.deadline
 	}
-	return a.leaseValid(now) || a.holds()
+	return right
 }
 
 // Handle applies one event at a time and returns the commands it causes.
--- a/assigner/event.go
+++ b/assigner/event.go
@@ -64,7 +64,8 @@
 	Heartbeat Heartbeat
 }
 
-// PeerRefused reports that the address of a member refused a connection, which proves that its process is gone.
+// PeerRefused reports that the address of a member refused a connection or answered as a newer incarnation. Both
+// prove that the member's process is gone.
 type PeerRefused struct {
 	Owner Owner
 }
--- a/assigner/model_test.go
+++ b/assigner/model_test.go
@@ -210,6 +210,7 @@
 		return
 	}
 	p.renewedAt = c.now
+	c.handle(p, assigner.StoreChanged{Reachable: true})
 	c.expireLeases()
 	if p.leaseOf != owner {
 		delete(c.leases, p.leaseOf)
--- /dev/null
+++ b/registrar/beat.go
@@ -0,0 +1,91 @@
+package registrar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/messenger"
+)
+
+// runHeartbeats sends a heartbeat to each peer at intervals and when slots were released.
+func (r *Registrar) runHeartbeats(ctx context.Context) error {
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	var busy sync.Map
+	for {
+		select {
+		case <-ticker.C:
+		case <-r.beatNow.Items():
+		case <-ctx.Done():
+			return nil
+		}
+		heartbeat := r.heartbeat()
+		for _, peer := range r.peersToCall() {
+			if _, calling := busy.LoadOrStore(peer.address, true); calling {
+				continue
+			}
+			r.tomb.Go(func() error {
+				defer busy.Delete(peer.address)
+				r.beat(ctx, peer, heartbeat)
+				return nil
+			})
+		}
+		r.hooks.peers(r.PeerLoads())
+	}
+}
+
+// heartbeat returns the next heartbeat of this instance.
+func (r *Registrar) heartbeat() messenger.Heartbeat {
+	r.mu.Lock()
+	ownership := r.core.Heartbeat()
+	r.mu.Unlock()
+	load := r.hooks.load()
+	return messenger.Heartbeat{
+		Heartbeat:        ownership,
+		AvailabilityZone: r.self.AvailabilityZone,
+		AppliedTicket:    r.hooks.appliedTicket(),
+		FreeSlots:        load.FreeSlots,
+		Queued:           load.Queued,
+		LeavingServers:   r.hooks.leavingServers(),
+		SentAt:           time.Now().UTC(),
+	}
+}
+
+// beat sends one heartbeat and reports what the answer proves about the member at the address.
+func (r *Registrar) beat(ctx context.Context, peer target, heartbeat messenger.Heartbeat) {
+	reply, err := r.peers.Heartbeat(ctx, peer.address, heartbeat)
+	if err != nil {
+		r.skip(peer.zone)
+	}
+	if peer.owner == (assigner.Owner{}) || ctx.Err() != nil {
+		return
+	}
+	replaced := reply.Owner.Instance == peer.owner.Instance && reply.Owner.Incarnation > peer.owner.Incarnation
+	switch {
+	case err == nil && replaced, messenger.IsErrRefused(err):
+		r.post(ctx, assigner.PeerRefused{Owner: peer.owner})
+	case messenger.IsErrSilent(err):
+		r.post(ctx, assigner.PeerSilent{Owner: peer.owner})
+	}
+}
+
+// depart tells the peers that everything is released, and ends the lease.
+func (r *Registrar) depart(ctx context.Context) error {
+	var calls sync.WaitGroup
+	release := messenger.Release{Heartbeat: r.heartbeat()}
+	for _, peer := range r.peersToCall() {
+		if peer.zone != r.self.AvailabilityZone {
+			continue
+		}
+		calls.Go(func() {
+			if _, err := r.peers.Release(ctx, peer.address, release); err != nil {
+				r.hooks.logger.Info("release not delivered", "Peer", peer.instance, "Error", err.Error())
+			}
+		})
+	}
+	calls.Wait()
+	close(r.departed)
+	return nil
+}
--- /dev/null
+++ b/registrar/core.go
@@ -0,0 +1,84 @@
+package registrar
+
+import (
+	"context"
+	"time"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/dispatcher"
+)
+
+// tickInterval is the time between two ticks of the core; it bounds how long an expired right shows in the shares.
+const tickInterval = 250 * time.Millisecond
+
+// runCore passes events to the core and carries out its commands.
+func (r *Registrar) runCore(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-r.events.Items():
+			r.handle(ctx, event)
+		case <-ticker.C:
+			r.handle(ctx, r.countBusy())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// countBusy returns the occupied slots. Without a hook nothing is occupied and the newest shares count as applied.
+func (r *Registrar) countBusy() assigner.Event {
+	if r.hooks.busy != nil {
+		return r.hooks.busy()
+	}
+	return assigner.BusyChanged{Shares: r.Shares().Version}
+}
+
+func (r *Registrar) handle(ctx context.Context, event assigner.Event) {
+	r.mu.Lock()
+	commands := r.core.Handle(time.Now(), event)
+	right := r.core.Right()
+	r.mu.Unlock()
+	r.right.Store(&right)
+	for _, command := range commands {
+		r.execute(ctx, command)
+	}
+}
+
+func (r *Registrar) execute(ctx context.Context, command assigner.Command) {
+	switch command := command.(type) {
+	case assigner.WriteAssignment:
+		// The core has at most one write in progress and one that it gave up, so that the writer is soon free.
+		_ = r.writes.Put(ctx, command)
+	case assigner.AdoptEpoch:
+		r.hooks.logger.Info("follow a new assignment epoch", "Epoch", command.Record.Epoch,
+			"Members", len(command.Record.Members))
+		request(r.beatNow)
+	case assigner.ReleaseSlots:
+		request(r.beatNow)
+	case assigner.QuarantineServers:
+		r.mu.Lock()
+		r.quarantined = command.Servers
+		r.mu.Unlock()
+	case assigner.ChangeShares:
+		r.changeShares(command)
+	case assigner.Rejoin:
+		r.hooks.logger.Warn("removed from the assignment; register as a new incarnation",
+			"Incarnation", command.Incarnation)
+		request(r.renewNow)
+	case assigner.Depart:
+		r.tomb.Go(func() error { return r.depart(ctx) })
+	}
+}
+
+func (r *Registrar) changeShares(command assigner.ChangeShares) {
+	shares := Shares{Version: command.Version}
+	for _, share := range command.Shares {
+		shares.Changed.Shares = append(shares.Changed.Shares, dispatcher.Share(share))
+	}
+	r.mu.Lock()
+	r.shares = shares
+	r.mu.Unlock()
+	r.hooks.shares(shares)
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,162 @@
+package registrar
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/buffer"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/lister"
+	"egretring.example/egretring/messenger"
+)
+
+const (
+	// HeartbeatInterval is the time between two heartbeats to a peer.
+	HeartbeatInterval = 500 * time.Millisecond
+	// renewInterval is a third of the lease's time to live.
+	renewInterval = assigner.LeaseTTL / 3
+	// retryInterval is the time between two attempts to get a lease.
+	retryInterval = time.Second
+	// readInterval is the time between two reads of the zone when no change was reported.
+	readInterval = time.Second
+	// storeTimeout bounds a store call. The store counts as unreachable at most readInterval and storeTimeout after
+	// its outage begins, so that a hold agreement is concluded before the first lease expires 5 s after it.
+	storeTimeout = time.Second
+	// watchTimeout bounds a watch, a pending call of the store.
+	watchTimeout = 30 * time.Second
+	// listInterval is the time between two reads of the instance list.
+	listInterval = time.Second
+	// usageInterval is the time between two reads of the usage of quarantined backend servers.
+	usageInterval = time.Second
+	// queuedEvents bounds the events that wait for the core.
+	queuedEvents = 1024
+	// queuedWrites bounds the writes of the record that wait; all but the last belong to earlier incarnations.
+	queuedWrites = 4
+)
+
+// Messenger sends heartbeats and releases to peers; *messenger.Client is one.
+type Messenger interface {
+	Heartbeat(ctx context.Context, address string, heartbeat messenger.Heartbeat) (messenger.HeartbeatReply, error)
+	Release(ctx context.Context, address string, release messenger.Release) (messenger.ReleaseReply, error)
+}
+
+// Registrar is this instance's part in the ownership of its zone's slots.
+type Registrar struct {
+	self  describer.Instance
+	store keeper.Store
+	list  lister.List
+	peers Messenger
+	hooks hooks
+	tomb  tomb.Tomb
+
+	events *buffer.Queue[assigner.Event]
+	writes *buffer.Queue[assigner.WriteAssignment]
+	// Each of these asks a goroutine to act before its next interval; one pending request is enough.
+	readNow  *buffer.Queue[struct{}]
+	beatNow  *buffer.Queue[struct{}]
+	renewNow *buffer.Queue[struct{}]
+
+	right    atomic.Pointer[assigner.Right]
+	departed chan struct{}
+	health   health
+	reports  reports
+	targets  targets
+
+	mu          sync.Mutex
+	core        *assigner.Assigner
+	shares      Shares
+	quarantined []describer.BackendServerID
+	servers     []describer.BackendServer
+}
+
+// New starts to register an instance in its zone.
+func New(
+	self describer.Instance, store keeper.Store, list lister.List, peers Messenger, options ...Option,
+) *Registrar {
+	r := &Registrar{
+		self: self, store: store, list: list, peers: peers, hooks: newHooks(options),
+		events:   buffer.NewQueue[assigner.Event](queuedEvents),
+		writes:   buffer.NewQueue[assigner.WriteAssignment](queuedWrites),
+		readNow:  buffer.NewQueue[struct{}](1),
+		beatNow:  buffer.NewQueue[struct{}](1),
+		renewNow: buffer.NewQueue[struct{}](1),
+		departed: make(chan struct{}),
+	}
+	r.core = assigner.New(assigner.Member{
+		Owner:   assigner.Owner{Instance: self.ID, Incarnation: self.Incarnation},
+		Address: self.PeerAddress,
+	}, rand.Text)
+	r.right.Store(&assigner.Right{})
+	for _, run := range []func(context.Context) error{
+		r.runCore, r.runLease, r.runWatch, r.runReader, r.runWriter, r.runHeartbeats, r.runList, r.runUsage,
+	} {
+		r.tomb.Go(func() error { return run(r.tomb.Context(context.Background())) })
+	}
+	return r
+}
+
+// Close stops without giving up the positions, which peers then take over as those of a dead instance.
+func (r *Registrar) Close() error {
+	r.tomb.Kill(nil)
+	err := r.tomb.Wait()
+	r.right.Store(&assigner.Right{})
+	return err
+}
+
+// Leave gives up the positions and waits until all work has ended and the peers have been told.
+func (r *Registrar) Leave(ctx context.Context) error {
+	if err := r.events.Put(ctx, assigner.LeaveRequested{}); err != nil {
+		return err
+	}
+	select {
+	case <-r.departed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.tomb.Dying():
+		return tomb.ErrDying
+	}
+}
+
+// MayStart reports whether this instance may start work now. It is to be checked at each start.
+func (r *Registrar) MayStart() bool {
+	return r.right.Load().Allows(time.Now())
+}
+
+// Shares returns the present shares.
+func (r *Registrar) Shares() Shares {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shares
+}
+
+// Assignment returns the record that this instance follows.
+func (r *Registrar) Assignment() assigner.Assignment {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Adopted()
+}
+
+// DeclareDead says that an operator declared an instance dead up to an incarnation.
+func (r *Registrar) DeclareDead(ctx context.Context, owner assigner.Owner) error {
+	return r.events.Put(ctx, assigner.DeclaredDead{Owner: owner})
+}
+
+// post passes an event to the core; it waits for room until the registrar stops.
+func (r *Registrar) post(ctx context.Context, event assigner.Event) {
+	if err := r.events.Put(ctx, event); err != nil && r.tomb.Alive() {
+		r.hooks.logger.Warn("event for the slot ownership core was dropped", "Error", err.Error())
+	}
+}
+
+// request asks a goroutine to act; a request that is already pending is enough.
+func request(queue *buffer.Queue[struct{}]) {
+	_ = queue.Offer(struct{}{})
+}
--- /dev/null
+++ b/registrar/zone.go
@@ -0,0 +1,130 @@
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/keeper"
+)
+
+// runWatch waits for changes below Zones/<zone>/ and has the zone read after each.
+func (r *Registrar) runWatch(ctx context.Context) error {
+	var revision int64
+	for ctx.Err() == nil {
+		changes, err := r.watch(ctx, revision)
+		if errors.Is(err, keeper.ErrCompacted) {
+			revision = 0
+		}
+		if err != nil {
+			// The periodic reads go on meanwhile.
+			sleep(ctx, retryInterval)
+			continue
+		}
+		revision = changes.Revision
+		request(r.readNow)
+	}
+	return nil
+}
+
+// watch bounds a watch, so that one whose connection was lost without notice begins anew.
+func (r *Registrar) watch(ctx context.Context, revision int64) (keeper.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return r.store.Watch(ctx, zonePrefix(r.self.AvailabilityZone), revision)
+}
+
+// runReader reads the zone after changes and at intervals.
+func (r *Registrar) runReader(ctx context.Context) error {
+	ticker := time.NewTicker(readInterval)
+	defer ticker.Stop()
+	for {
+		read, err := r.readZone(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			r.post(ctx, read)
+		}
+		r.reportHealth(ctx, reads, err == nil)
+		select {
+		case <-ticker.C:
+		case <-r.readNow.Items():
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// readZone reads the record and then the members' leases; a takeover relies on this order.
+func (r *Registrar) readZone(ctx context.Context) (assigner.ZoneRead, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := r.store.Get(ctx, assignmentKey(r.self.AvailabilityZone))
+	if err != nil {
+		return assigner.ZoneRead{}, errors.Wrap(err, "read assignment")
+	}
+	record, err := decodeAssignment(entry)
+	if err != nil {
+		return assigner.ZoneRead{}, err
+	}
+	page, err := r.store.List(ctx, membersPrefix(r.self.AvailabilityZone))
+	if err != nil {
+		return assigner.ZoneRead{}, errors.Wrap(err, "list members")
+	}
+	read := assigner.ZoneRead{Record: record, Version: entry.Version}
+	for _, entry := range page.Entries {
+		member, err := decodeMember(entry)
+		if err != nil {
+			return assigner.ZoneRead{}, err
+		}
+		read.Leases = append(read.Leases, member.Owner)
+	}
+	return read, nil
+}
+
+// runWriter writes the record when the core asks for it.
+func (r *Registrar) runWriter(ctx context.Context) error {
+	for {
+		select {
+		case write := <-r.writes.Items():
+			r.post(ctx, r.write(ctx, write))
+			request(r.readNow)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (r *Registrar) write(ctx context.Context, write assigner.WriteAssignment) assigner.WriteAnswered {
+	answer := assigner.WriteAnswered{WriteID: write.Record.WriteID, Result: assigner.Conflicted}
+	value, err := json.Marshal(write.Record)
+	if err != nil {
+		r.hooks.logger.Error("assignment not encoded", "Error", err.Error())
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := r.store.Put(ctx, keeper.PutOptions{
+		Key: assignmentKey(r.self.AvailabilityZone), Value: value, Version: write.Version,
+	})
+	switch {
+	case err == nil:
+		answer.Result, answer.Version = assigner.Written, entry.Version
+	case !keeper.IsErrConflict(err):
+		answer.Result = assigner.Unanswered
+	}
+	return answer
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
