--- /dev/null
+++ b/handler/error.go
@@ -0,0 +1,45 @@
+package handler
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/ticketer"
+)
+
+// ErrorBody is the body of an answer with an error.
+type ErrorBody struct {
+	Kind    string
+	Message string
+	Outcome classifier.Outcome
+	RetryAt time.Time `json:",omitzero"`
+	// Failures are the faults of a ticket that is not valid.
+	Failures []ticketer.Failure `json:",omitempty"`
+}
+
+// WriteError answers with an error.
+func WriteError(w http.ResponseWriter, err error) {
+	answer := classifier.AnswerOf(classifier.KindOf(err))
+	body := ErrorBody{
+		Kind:     answer.Name,
+		Message:  err.Error(),
+		Outcome:  answer.Outcome,
+		RetryAt:  classifier.RetryAtOf(err),
+		Failures: ticketer.FailuresOf(err),
+	}
+	w.Header().Set(forwarder.HeaderKind, answer.Name)
+	w.Header().Set(forwarder.HeaderOutcome, string(answer.Outcome))
+	if answer.RetryMayHelp {
+		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds(body.RetryAt)))
+	}
+	writeJSON(w, answer.Status, body)
+}
+
+// retrySeconds rounds up, because the header has whole seconds.
+func retrySeconds(at time.Time) int {
+	return max(1, int(math.Ceil(time.Until(at).Seconds())))
+}
