--- a/fakekeeper/store.go
+++ b/fakekeeper/store.go
@@ -1,6 +1,7 @@
 package fakekeeper
 
 import (
+	"bytes"
 	"context"
 	"sort"
 	"strings"
@@ -47,7 +48,7 @@
 	}
 	s.mu.Lock()
 	s.expire()
-	entry := s.entries[key]
+	entry := copied(s.entries[key])
 	s.mu.Unlock()
 	entry.Key = key
 	return entry, fate.answer()
@@ -65,7 +66,7 @@
 	page := keeper.Page{Revision: s.revision}
 	for key, entry := range s.entries {
 		if strings.HasPrefix(key, prefix) {
-			page.Entries = append(page.Entries, entry)
+			page.Entries = append(page.Entries, copied(entry))
 		}
 	}
 	sort.Slice(page.Entries, func(i, j int) bool { return page.Entries[i].Key < page.Entries[j].Key })
@@ -75,7 +76,7 @@
 // Put implements keeper.Store.
 func (s *Store) Put(ctx context.Context, options keeper.PutOptions) (keeper.Entry, error) {
 	if len(options.Value) > keeper.MaxValueBytes {
-		return keeper.Entry{}, errors.Errorf("value of key %q has %d bytes; at most %d are allowed",
+		return keeper.Entry{}, errors.Wrapf(keeper.ErrValueTooLarge, "value of key %q has %d bytes; at most %d are allowed",
 			options.Key, len(options.Value), keeper.MaxValueBytes)
 	}
 	fate, err := s.begin(ctx, writeCall)
@@ -99,7 +100,7 @@
 		Lease:   options.Lease,
 	}
 	entry = s.record(keeper.Change{Entry: entry})
-	return entry, fate.answer()
+	return copied(entry), fate.answer()
 }
 
 // Delete implements keeper.Store.
@@ -165,6 +166,12 @@
 	return fate.answer()
 }
 
+// copied returns an entry whose value the caller may change.
+func copied(entry keeper.Entry) keeper.Entry {
+	entry.Value = bytes.Clone(entry.Value)
+	return entry
+}
+
 // record applies a change, appends it to the history and wakes the watches.
 func (s *Store) record(change keeper.Change) keeper.Entry {
 	s.revision++
--- a/fakekeeper/watch.go
+++ b/fakekeeper/watch.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"egretring.example/egretring/keeper"
 )
 
@@ -35,7 +37,9 @@
 	changes := keeper.Changes{Revision: s.revision}
 	for i := len(s.history) - 1; i >= 0 && s.history[i].Entry.Revision > after; i-- {
 		if strings.HasPrefix(s.history[i].Entry.Key, prefix) {
-			changes.Changes = append(changes.Changes, s.history[i])
+			change := s.history[i]
+			change.Entry = copied(change.Entry)
+			changes.Changes = append(changes.Changes, change)
 		}
 	}
 	reverse(changes.Changes)
@@ -62,6 +66,6 @@
 	case <-expiry:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return errors.Wrap(keeper.ErrUnavailable, ctx.Err().Error())
 	}
 }
--- a/fakelister/list.go
+++ b/fakelister/list.go
@@ -51,14 +51,18 @@
 func (l *List) Set(listing lister.Listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.set(listing)
+}
+
+func (l *List) set(listing lister.Listing) {
 	l.versions = append(l.versions, version{visibleFrom: time.Now().Add(l.lag), listing: listing})
 }
 
 // SetServerState changes the state of one backend server; readers see it after the lag.
 func (l *List) SetServerState(id describer.BackendServerID, state describer.ServerState) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	last := l.versions[len(l.versions)-1].listing
-	l.mu.Unlock()
 	servers := make([]describer.BackendServer, 0, len(last.BackendServers))
 	for _, server := range last.BackendServers {
 		if server.ID == id {
@@ -66,7 +70,7 @@
 		}
 		servers = append(servers, server)
 	}
-	l.Set(lister.Listing{BackendServers: servers, Instances: last.Instances})
+	l.set(lister.Listing{BackendServers: servers, Instances: last.Instances})
 }
 
 // SetDown starts or ends an outage of the list.
--- a/keeper/protocol.go
+++ b/keeper/protocol.go
@@ -26,7 +26,8 @@
 
 // Reply is the body of each answer.
 type Reply struct {
-	// Failure is empty, or the name of the error: Conflict, RateLimited, LeaseLapsed, Compacted or Unavailable.
+	// Failure is empty, or the name of the error: Conflict, RateLimited, LeaseLapsed, Compacted, ValueTooLarge or
+	// Unavailable.
 	Failure string  `json:",omitempty"`
 	Entry   Entry   `json:",omitzero"`
 	Page    Page    `json:",omitzero"`
@@ -35,11 +36,12 @@
 }
 
 var failures = map[string]error{
-	"Conflict":    ErrConflict,
-	"RateLimited": ErrRateLimited,
-	"LeaseLapsed": ErrLeaseLapsed,
-	"Compacted":   ErrCompacted,
-	"Unavailable": ErrUnavailable,
+	"Conflict":      ErrConflict,
+	"RateLimited":   ErrRateLimited,
+	"LeaseLapsed":   ErrLeaseLapsed,
+	"Compacted":     ErrCompacted,
+	"ValueTooLarge": ErrValueTooLarge,
+	"Unavailable":   ErrUnavailable,
 }
 
 // FailureName returns the protocol's name of an error.
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -19,6 +19,8 @@
 	ErrRateLimited = errors.New("store refused the call because of its rate")
 	// ErrLeaseLapsed is returned when a lease has lapsed or does not exist.
 	ErrLeaseLapsed = errors.New("lease has lapsed")
+	// ErrValueTooLarge is returned when a value is larger than MaxValueBytes; nothing was written.
+	ErrValueTooLarge = errors.New("value is too large")
 	// ErrCompacted is returned when a watch starts at a revision that the store no longer has.
 	ErrCompacted = errors.New("revision is no longer in the store")
 )
