--- a/fakebackend/server_test.go
+++ b/fakebackend/server_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -24,7 +25,8 @@
 	return running
 }
 
-// TestRequestModes guards against a mode that counts a run which did not happen, or misses one.
+// TestRequestModes guards against a mode that counts a run which did not happen, or misses one, and against modes that
+// differ over HTTP and in memory.
 func TestRequestModes(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -68,6 +70,12 @@
 					require.Equal(t, fakebackend.AnswerBody("r1", 64), body)
 				}
 			}
+			inMemory := fakebackend.NewState("s1")
+			inMemory.SetFaults(c.faults)
+			decision := inMemory.Begin(time.Unix(1000, 0), fakebackend.Request{ID: "r1", Key: "k1"})
+			require.Equal(t, c.runs == 1, decision.Run != 0)
+			require.EqualValues(t, c.runs, inMemory.Counters().Runs)
+			require.Equal(t, server.Counters().Refused, inMemory.Counters().Refused)
 			require.Equal(t, c.runs, server.Ledger().Runs("r1"))
 			require.Equal(t, c.runs, server.Ledger().RunsOfKey("k1"))
 			require.Zero(t, server.Counters().BusySlots)
