Count new work at leaving backend servers by its time

Change: Counters.LatestWhileLeaving; State.SetFaults takes the time.

Conclusion: go test -race ./fakebackend ./forwarder passes.

--- a/fakebackend/counters.go
+++ b/fakebackend/counters.go
@@ -1,11 +1,15 @@
 package fakebackend
 
+import "time"
+
 // Counters count what happened at one backend server.
 type Counters struct {
 	// Runs is how many requests were run, also those whose answer was lost.
 	Runs int64
 	// Refused is how many requests were refused without running them.
 	Refused int64
+	// LatestWhileLeaving is the longest time after the server began to leave at which new work arrived.
+	LatestWhileLeaving time.Duration
 	// Answered is how many complete answers below status 500 were sent.
 	Answered int64
 	// Cancelled is how many runs ended early because the connection was closed.
--- a/fakebackend/server.go
+++ b/fakebackend/server.go
@@ -26,7 +26,7 @@
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state.SetFaults(faults)
+	s.state.SetFaults(time.Now(), faults)
 }
 
 // Counters returns the counters.
--- a/fakebackend/server_test.go
+++ b/fakebackend/server_test.go
@@ -71,11 +71,12 @@
 				}
 			}
 			inMemory := fakebackend.NewState("s1")
-			inMemory.SetFaults(c.faults)
+			inMemory.SetFaults(time.Unix(990, 0), c.faults)
 			decision := inMemory.Begin(time.Unix(1000, 0), fakebackend.Request{ID: "r1", Key: "k1"})
 			require.Equal(t, c.runs == 1, decision.Run != 0)
 			require.EqualValues(t, c.runs, inMemory.Counters().Runs)
 			require.Equal(t, server.Counters().Refused, inMemory.Counters().Refused)
+			require.Equal(t, c.faults.Mode == fakebackend.Leaving, inMemory.Counters().LatestWhileLeaving == 10*time.Second)
 			require.Equal(t, c.runs, server.Ledger().Runs("r1"))
 			require.Equal(t, c.runs, server.Ledger().RunsOfKey("k1"))
 			require.Zero(t, server.Counters().BusySlots)
--- a/fakebackend/state.go
+++ b/fakebackend/state.go
@@ -58,7 +58,9 @@
 	random      *rand.Rand
 	ledger      *Ledger
 	faults      Faults
-	counters    Counters
+	// leavingSince is when the mode became Leaving.
+	leavingSince time.Time
+	counters     Counters
 
 	lastRun RunID
 	runs    map[RunID]struct{}
@@ -90,7 +92,10 @@
 }
 
 // SetFaults replaces the faults.
-func (s *State) SetFaults(faults Faults) {
+func (s *State) SetFaults(now time.Time, faults Faults) {
+	if faults.Mode == Leaving && s.faults.Mode != Leaving {
+		s.leavingSince = now
+	}
 	s.faults = faults
 }
 
@@ -104,7 +109,7 @@
 	s.advance(now)
 	decision := Decision{Mode: s.modeOfNext(), Leaving: s.faults.Mode == Leaving}
 	if !decision.Mode.runs() {
-		s.countNotRun(decision.Mode)
+		s.countNotRun(now, decision.Mode)
 		return decision
 	}
 	s.lastRun++
@@ -167,10 +172,13 @@
 	return Healthy
 }
 
-func (s *State) countNotRun(mode Mode) {
+func (s *State) countNotRun(now time.Time, mode Mode) {
 	if mode == Leaving || mode == Refuses {
 		s.counters.Refused++
 	}
+	if mode == Leaving {
+		s.counters.LatestWhileLeaving = max(s.counters.LatestWhileLeaving, now.Sub(s.leavingSince))
+	}
 }
 
 func (s *State) runTime(request Request, mode Mode) time.Duration {
--- a/fakebackend/task.go
+++ b/fakebackend/task.go
@@ -41,7 +41,7 @@
 		return forwarder.ErrUnknownTask
 	}
 	if s.faults.Mode == Leaving || s.faults.Mode == Refuses {
-		s.counters.Refused++
+		s.countNotRun(now, s.faults.Mode)
 		return forwarder.ErrNotStarted
 	}
 	s.countStart(call)
