Join membership, peers and the operators' API to the daemon

Cause: slots were divided by a fixed rule, instances did not know each other, and no operator could reach the daemon.

--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -27,7 +27,7 @@
 var (
 	epochStart = time.Unix(1_800_000_000, 0)
 	zones      = []describer.AvailabilityZoneID{"hala-a", "hala-b", "sklad"}
-	alone      = deduplicator.Placement{Zones: zones[:1], Zone: "hala-a", Positions: 1}
+	alone      = deduplicator.Placement{Zones: zones[:1], Zone: "hala-a", Positions: 1, Held: []int{0}}
 )
 
 // uuid returns a UUIDv7 that was issued at a time.
@@ -226,9 +226,9 @@
 func TestOpenTransition(t *testing.T) {
 	key := parse(t, "k")
 	home := deduplicator.HomePosition(key, 2)
-	before := deduplicator.Placement{Zones: zones[:1], Zone: "hala-a", Positions: 2, Position: home}
+	before := deduplicator.Placement{Zones: zones[:1], Zone: "hala-a", Positions: 2, Held: []int{home}}
 	after := before
-	after.Position = 1 - home
+	after.Held = []int{1 - home}
 	for _, order := range [][]deduplicator.Placement{{before, after}, {after, before}} {
 		d := deduplicator.New()
 		d.Place(at(0), order...)
--- a/deduplicator/home.go
+++ b/deduplicator/home.go
@@ -16,8 +16,8 @@
 	Zone describer.AvailabilityZoneID
 	// Positions is the number of positions in the assignment of Zone.
 	Positions int
-	// Position is the position of this instance; a negative one stands for none.
-	Position int
+	// Held lists the positions whose keys this instance may run, in ascending order.
+	Held []int
 }
 
 // HomeZone returns the home zone of a key: the zone that it names, or else one chosen by rendezvous hashing.
@@ -51,13 +51,13 @@
 }
 
 func (p Placement) equal(other Placement) bool {
-	return p.Zone == other.Zone && p.Positions == other.Positions && p.Position == other.Position &&
-		slices.Equal(p.Zones, other.Zones)
+	return p.Zone == other.Zone && p.Positions == other.Positions &&
+		slices.Equal(p.Held, other.Held) && slices.Equal(p.Zones, other.Zones)
 }
 
 // isHome reports whether this instance is the home of a key.
 func (p Placement) isHome(key Key) bool {
-	return p.Position >= 0 && HomePosition(key, p.Positions) == p.Position && HomeZone(key, p.Zones) == p.Zone
+	return slices.Contains(p.Held, HomePosition(key, p.Positions)) && HomeZone(key, p.Zones) == p.Zone
 }
 
 // weight is the rendezvous weight of a candidate. All instances of a cell must compute the same weights, so a change
--- a/deduplicator/world_test.go
+++ b/deduplicator/world_test.go
@@ -65,10 +65,11 @@
 func (w *world) place(i *instance, assignments ...[]int) {
 	var placements []deduplicator.Placement
 	for _, positions := range assignments {
-		placements = append(placements, deduplicator.Placement{
-			Zones: modelZones, Zone: modelZones[0],
-			Positions: len(positions), Position: slices.Index(positions, i.number),
-		})
+		placement := deduplicator.Placement{Zones: modelZones, Zone: modelZones[0], Positions: len(positions)}
+		if position := slices.Index(positions, i.number); position >= 0 {
+			placement.Held = []int{position}
+		}
+		placements = append(placements, placement)
 	}
 	i.core.Place(w.now, placements...)
 }
--- /dev/null
+++ b/dispatcher/busy.go
@@ -0,0 +1,8 @@
+package dispatcher
+
+import "egretring.example/egretring/picker"
+
+// Busy returns the backend servers on which attempts of this instance run, with the slots that they occupy.
+func (d *Dispatcher) Busy() []picker.Busy {
+	return d.picker.Busy()
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -46,7 +46,9 @@
 
 // TicketsReply holds tickets in order without gaps. It may end before the newest ticket.
 type TicketsReply struct {
-	Tickets []Ticket
+	// Snapshot is set when the sender no longer has all tickets after the number.
+	Snapshot json.RawMessage `json:",omitempty"`
+	Tickets  []Ticket
 }
 
 // Release says that the sender gives up its positions and starts no more work.
--- /dev/null
+++ b/picker/busy.go
@@ -0,0 +1,20 @@
+package picker
+
+import "egretring.example/egretring/describer"
+
+// Busy is how many slots of a backend server the attempts of this instance occupy.
+type Busy struct {
+	BackendServer describer.BackendServerID
+	Slots         int
+}
+
+// Busy returns the servers on which attempts of this instance run.
+func (p *Picker) Busy() []Busy {
+	var busy []Busy
+	for _, s := range p.order {
+		if s.inUse > 0 {
+			busy = append(busy, Busy{BackendServer: s.id, Slots: s.inUse})
+		}
+	}
+	return busy
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -144,6 +144,11 @@
 	return r.core.Adopted()
 }
 
+// Owner returns this instance with its current incarnation.
+func (r *Registrar) Owner() assigner.Owner {
+	return r.owner()
+}
+
 // DeclareDead says that an operator declared an instance dead up to an incarnation.
 func (r *Registrar) DeclareDead(ctx context.Context, owner assigner.Owner) error {
 	return r.events.Put(ctx, assigner.DeclaredDead{Owner: owner})
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -126,7 +126,7 @@
 	homes := router.NewHomes("self", "zone-a", zones, deduplicator.New(),
 		func(zone describer.AvailabilityZoneID) (describer.InstanceID, bool) { return "far", zone == "zone-b" })
 	homes.Assign(time.Now().Add(-time.Hour), router.Assignment{
-		Placements: []deduplicator.Placement{{Zones: zones, Zone: "zone-a", Positions: 1}},
+		Placements: []deduplicator.Placement{{Zones: zones, Zone: "zone-a", Positions: 1, Held: []int{0}}},
 		Positions:  []describer.InstanceID{"self"},
 	})
 	return router.New("self", path, path, path, directory, router.WithHomes(homes))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -91,6 +91,11 @@
 	r.post(message{event: event})
 }
 
+// NotifyThen gives the core an event that belongs to no request, and calls a function once the core has handled it.
+func (r *Runner) NotifyThen(event dispatcher.Event, handled func()) {
+	r.post(message{event: event, inspect: handled})
+}
+
 // Inspect runs a function in the goroutine that owns the core and waits for it.
 func (r *Runner) Inspect(ctx context.Context, inspect func()) error {
 	done := make(chan struct{})
--- /dev/null
+++ b/server/compose.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"egretring.example/egretring/deduplicator"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+	"egretring.example/egretring/distributor"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/handler"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/lister"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/registrar"
+	"egretring.example/egretring/reporter"
+	"egretring.example/egretring/router"
+	"egretring.example/egretring/runner"
+	"egretring.example/egretring/tracer"
+)
+
+// shutdownTimeout bounds the export of the last spans.
+const shutdownTimeout = time.Second
+
+// connect creates the clients of the platform that no option has replaced.
+func (d *Daemon) connect() {
+	d.http = &http.Client{Transport: &http.Transport{DialContext: d.dial}}
+	if d.store == nil {
+		d.store = keeper.NewClient(d.settings.Store, d.http)
+	}
+	if d.list == nil {
+		d.list = lister.NewClient(d.settings.InstanceList, d.http)
+	}
+	d.messages = messenger.NewClient(messenger.WithLogger(d.logger),
+		messenger.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+			return d.dial(ctx, "tcp", address)
+		}))
+}
+
+func (d *Daemon) compose() {
+	d.tracer = tracer.New(d.logger, d.settings.Instance, d.settings.TraceRatio)
+	if d.exporter != nil {
+		d.tracer = tracer.NewWithExporter(d.exporter, d.settings.TraceRatio)
+	}
+	d.self = describer.Instance{
+		ID:               describer.InstanceID(d.settings.Instance),
+		AvailabilityZone: describer.AvailabilityZoneID(d.settings.AvailabilityZone),
+		Incarnation:      describer.Incarnation(time.Now().UnixNano()),
+	}
+	d.membership = newMembership(d)
+	d.distributor = distributor.New(d.store, distributor.WithInstance(d.self.ID), distributor.WithLogger(d.logger),
+		distributor.WithSeed(d.seed), distributor.WithPeers(d.membership.peerSources))
+	d.core = dispatcher.New(dispatcher.WithSeed(d.seed))
+	d.runner = runner.New(d.core, runner.WithRight(d.membership.mayStart), runner.WithMeter(d.meter))
+	d.exchanger = forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dial))
+	d.router = router.New(d.self.ID, services{d.distributor}, d.runner, d.exchanger, d.directory,
+		router.WithMeter(d.meter), router.WithTracer(d.tracer), router.WithHomes(d.membership.homes.homes),
+		router.WithLeavingHook(d.membership.leaving.add))
+}
+
+func newMembership(d *Daemon) *membership {
+	m := &membership{daemon: d}
+	zones := make([]describer.AvailabilityZoneID, len(d.settings.Zones))
+	for i, zone := range d.settings.Zones {
+		zones[i] = describer.AvailabilityZoneID(zone)
+	}
+	records := deduplicator.New(deduplicator.WithRetryWindow(d.settings.IdempotencyWindow))
+	m.homes.homes = router.NewHomes(d.self.ID, d.self.AvailabilityZone, zones, records, m.zonePeer)
+	m.homes.zone, m.homes.zones = d.self.AvailabilityZone, zones
+	return m
+}
+
+func (d *Daemon) listen() error {
+	options := handler.CallerOptions{
+		MaxRequestBytes: d.settings.MaxRequestBytes,
+		DefaultTimeout:  d.settings.DefaultTimeout,
+		MaxTimeout:      d.settings.MaxTimeout,
+	}
+	d.tracked = newTracker(handler.NewCaller(d.router, options, d.logger))
+	options.Relayed = true
+	relayed := handler.NewCaller(d.router, options, d.logger)
+	var err error
+	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, nil); err != nil {
+		return err
+	}
+	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, nil); err != nil {
+		return err
+	}
+	if d.operators, err = listen("operators", d.settings.Listeners.Operators, d.operatorPages(), nil); err != nil {
+		return err
+	}
+	d.peers, err = net.Listen("tcp", d.settings.Listeners.Peers)
+	return err
+}
+
+// operatorPages serves the operators' API, the metrics and the health of the instance.
+func (d *Daemon) operatorPages() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", d.meter.Handler())
+	mux.HandleFunc("/healthz", d.serveHealth)
+	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, reporter.WithInstance(d.self.ID))))
+	return mux
+}
+
+// serveHealth tells the load balancer whether requests may be sent to this instance.
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if d.draining.Load() || !d.Ready(0) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// join registers the instance in its zone and serves its peers.
+func (d *Daemon) join() {
+	d.self.PeerAddress = d.peers.Addr().String()
+	d.self.OperatorAddress = d.operators.address()
+	d.self.RelayAddress = d.relay.address()
+	member := registrar.New(d.self, d.store, d.list, d.messages, d.membership.options()...)
+	d.membership.registrar.Store(member)
+	d.served = messenger.Serve(d.peers, member, messenger.WithLogger(d.logger))
+}
+
+// Stop ends the daemon at once and breaks all connections.
+func (d *Daemon) Stop() error {
+	d.closeListeners()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	stops := []func() error{
+		d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close,
+		func() error { return d.tracer.Shutdown(ctx) },
+		func() error {
+			d.tomb.Kill(nil)
+			return d.tomb.Wait()
+		},
+	}
+	var first error
+	for _, stop := range stops {
+		if err := stop(); first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (d *Daemon) closeListeners() {
+	for _, open := range []*listener{d.callers, d.relay, d.operators} {
+		if open != nil {
+			open.close()
+		}
+	}
+	if d.served != nil {
+		_ = d.served.Close()
+	} else if d.peers != nil {
+		_ = d.peers.Close()
+	}
+}
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
@@ -17,10 +16,10 @@
 	"egretring.example/egretring/dispatcher"
 	"egretring.example/egretring/distributor"
 	"egretring.example/egretring/forwarder"
-	"egretring.example/egretring/handler"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/lister"
 	"egretring.example/egretring/loader"
+	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/router"
 	"egretring.example/egretring/runner"
@@ -37,20 +36,27 @@
 	seed     uint64
 	store    keeper.Store
 	list     lister.List
+	http     *http.Client
 
+	self        describer.Instance
 	tomb        tomb.Tomb
 	meter       *meter.Meter
 	tracer      *tracer.Tracer
 	directory   *router.Directory
+	exchanger   *forwarder.Forwarder
 	distributor *distributor.Distributor
+	core        *dispatcher.Dispatcher
 	runner      *runner.Runner
 	router      *router.Router
-	membership  fixedMembership
-	listing     lister.Listing
+	messages    *messenger.Client
+	membership  *membership
 	listings    chan lister.Listing
-	// serving is true once the instance has had shares of backend servers.
-	serving atomic.Bool
+	// serving is true while the instance has shares of backend servers.
+	serving  atomic.Bool
+	draining atomic.Bool
 
+	peers     net.Listener
+	served    *messenger.Listener
 	callers   *listener
 	relay     *listener
 	operators *listener
@@ -62,8 +68,8 @@
 	d := &Daemon{
 		settings:  settings,
 		logger:    slog.New(slog.DiscardHandler),
-		seed:      rand.Uint64(),
 		dial:      new(net.Dialer).DialContext,
+		seed:      rand.Uint64(),
 		meter:     meter.New(),
 		directory: router.NewDirectory(),
 		listings:  make(chan lister.Listing, 1),
@@ -73,62 +79,18 @@
 	}
 	d.connect()
 	d.compose()
-	return d, d.listen()
-}
-
-// connect creates the clients of the platform that no option has replaced.
-func (d *Daemon) connect() {
-	client := &http.Client{Transport: &http.Transport{DialContext: d.dial}}
-	if d.store == nil {
-		d.store = keeper.NewClient(d.settings.Store, client)
-	}
-	if d.list == nil {
-		d.list = lister.NewClient(d.settings.InstanceList, client)
-	}
-}
-
-func (d *Daemon) compose() {
-	d.tracer = tracer.New(d.logger, d.settings.Instance, d.settings.TraceRatio)
-	if d.exporter != nil {
-		d.tracer = tracer.NewWithExporter(d.exporter, d.settings.TraceRatio)
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
 	}
-	instance := describer.InstanceID(d.settings.Instance)
-	d.membership = fixedMembership{self: describer.Instance{
-		ID: instance, AvailabilityZone: describer.AvailabilityZoneID(d.settings.AvailabilityZone),
-	}}
-	d.distributor = distributor.New(d.store, distributor.WithInstance(instance),
-		distributor.WithLogger(d.logger), distributor.WithSeed(d.seed))
-	d.runner = runner.New(dispatcher.New(dispatcher.WithSeed(d.seed)),
-		runner.WithRight(d.membership.MayStart), runner.WithMeter(d.meter))
-	exchanger := forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dial))
-	d.router = router.New(instance, services{d.distributor}, d.runner, exchanger, d.directory,
-		router.WithMeter(d.meter), router.WithTracer(d.tracer))
-}
-
-func (d *Daemon) listen() error {
-	options := handler.CallerOptions{
-		MaxRequestBytes: d.settings.MaxRequestBytes,
-		DefaultTimeout:  d.settings.DefaultTimeout,
-		MaxTimeout:      d.settings.MaxTimeout,
-	}
-	d.tracked = newTracker(handler.NewCaller(d.router, options, d.logger))
-	options.Relayed = true
-	relayed := handler.NewCaller(d.router, options, d.logger)
-	var err error
-	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, nil); err != nil {
-		return err
-	}
-	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, nil); err != nil {
-		return err
-	}
-	d.operators, err = listen("operators", d.settings.Listeners.Operators, d.meter.Handler(), nil)
-	return err
+	return d, nil
 }
 
 // Start starts the goroutines of the daemon.
 func (d *Daemon) Start() {
 	d.distributor.Start()
 	d.runner.Start()
+	d.join()
 	ctx := d.tomb.Context(context.Background())
 	read := &poller{
 		list: d.list, interval: d.settings.ListInterval, logger: d.logger, meter: d.meter, onList: d.offerListing,
@@ -138,7 +100,7 @@
 	d.callers.start(&d.tomb)
 	d.relay.start(&d.tomb)
 	d.operators.start(&d.tomb)
-	d.logger.Info("entry instance started", "Instance", d.settings.Instance, "Callers", d.callers.address())
+	d.logger.Info("entry instance started", "Instance", d.self.ID, "Callers", d.callers.address())
 }
 
 // Addresses returns the bound addresses.
@@ -146,10 +108,28 @@
 	return loader.Listeners{
 		Callers:   d.callers.address(),
 		Operators: d.operators.address(),
+		Peers:     d.peers.Addr().String(),
 		Relay:     d.relay.address(),
 	}
 }
 
+// ApplyTicket accepts a ticket and returns its number.
+func (d *Daemon) ApplyTicket(ctx context.Context, ticket ticketer.Ticket) (int64, error) {
+	return d.distributor.Accept(ctx, ticket)
+}
+
+// Configured reports whether the instance knows the configuration.
+func (d *Daemon) Configured() bool {
+	_, err := d.distributor.State()
+	return err == nil
+}
+
+// Ready reports whether the instance serves requests with at least the given ticket applied.
+func (d *Daemon) Ready(ticket int64) bool {
+	state, err := d.distributor.State()
+	return err == nil && state.Applied() >= ticket && d.serving.Load()
+}
+
 func (d *Daemon) offerListing(listing lister.Listing) {
 	select {
 	case <-d.listings:
@@ -162,83 +142,57 @@
 func (d *Daemon) follow(ctx context.Context) error {
 	subscription := d.distributor.Subscribe()
 	defer subscription.Close()
+	var listing lister.Listing
 	for {
 		select {
 		case state := <-subscription.States():
 			d.meter.Set(meter.TicketApplied, state.Applied())
 			d.runner.Notify(dispatcher.ServicesChanged{Services: state.Services()})
-		case d.listing = <-d.listings:
-			d.directory.SetServers(d.listing.BackendServers)
-			d.directory.SetPeers(d.listing.Instances)
-			d.runner.Notify(dispatcher.BackendServersChanged{Servers: d.listing.BackendServers})
+		case listing = <-d.listings:
+			d.directory.SetServers(listing.BackendServers)
+			d.directory.SetPeers(listing.Instances)
 		case <-ctx.Done():
 			return nil
 		}
-		d.notifyShares()
+		d.notifyServers(listing)
 	}
 }
 
-func (d *Daemon) notifyShares() {
+// notifyServers gives the zone's backend servers to the request path; drained ones count as leaving.
+func (d *Daemon) notifyServers(listing lister.Listing) {
 	state, err := d.distributor.State()
 	if err != nil {
 		return
 	}
-	for _, service := range state.Services() {
-		shares := d.membership.shares(d.listing, service.SlotsPerBackendServer, service.ConnectionsPerBackendServer)
-		d.runner.Notify(dispatcher.SharesChanged{Shares: shares})
-		d.serving.Store(len(shares) > 0)
-		return
+	var servers []describer.BackendServer
+	for _, server := range listing.BackendServers {
+		if server.AvailabilityZone != d.self.AvailabilityZone {
+			continue
+		}
+		if state.IsServerDrained(server) && server.State == describer.Live {
+			server = server.WithState(describer.Leaving)
+		}
+		servers = append(servers, server)
 	}
+	d.runner.Notify(dispatcher.BackendServersChanged{Servers: servers})
 }
 
-// Drain stops accepting requests, lets those in flight end, and stops the daemon. When the context ends first, it logs
-// what was left and breaks the remaining connections.
+// Drain stops accepting requests, lets those in flight end, gives up the slots, and stops the daemon. When the context
+// ends first, it logs what was left and breaks the remaining connections.
 func (d *Daemon) Drain(ctx context.Context) error {
-	d.logger.Info("entry instance is draining", "Instance", d.settings.Instance)
+	d.draining.Store(true)
+	d.logger.Info("entry instance is draining", "Instance", d.self.ID)
 	err := d.callers.drain(ctx)
 	if err == nil {
 		err = d.relay.drain(ctx)
 	}
 	if err != nil {
 		d.logger.Error("requests were left in flight", "Requests", d.tracked.remaining())
+	} else if err = d.membership.leave(ctx); err != nil {
+		d.logger.Error("slots were not given up in time; peers take them over later", "Error", err.Error())
 	}
-	return errors.Wrap(errors.Wrap(d.Stop(), "stop daemon"), "drain")
-}
-
-// Stop ends the daemon at once and breaks all connections.
-func (d *Daemon) Stop() error {
-	d.callers.close()
-	d.relay.close()
-	d.operators.close()
-	err := d.runner.Stop()
-	if stopErr := d.distributor.Stop(); err == nil {
-		err = stopErr
-	}
-	d.tomb.Kill(nil)
-	if stopErr := d.tomb.Wait(); err == nil {
-		err = stopErr
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if stopErr := d.tracer.Shutdown(ctx); err == nil {
+	if stopErr := d.Stop(); err == nil {
 		err = stopErr
 	}
-	return err
-}
-
-// ApplyTicket accepts a ticket and returns its number.
-func (d *Daemon) ApplyTicket(ctx context.Context, ticket ticketer.Ticket) (int64, error) {
-	return d.distributor.Accept(ctx, ticket)
-}
-
-// Configured reports whether the instance knows the configuration.
-func (d *Daemon) Configured() bool {
-	_, err := d.distributor.State()
-	return err == nil
-}
-
-// Ready reports whether the instance serves requests with at least the given ticket applied.
-func (d *Daemon) Ready(ticket int64) bool {
-	state, err := d.distributor.State()
-	return err == nil && state.Applied() >= ticket && d.serving.Load()
+	return errors.Wrap(err, "drain")
 }
--- /dev/null
+++ b/server/membership.go
@@ -0,0 +1,190 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/dispatcher"
+	"egretring.example/egretring/distributor"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/meter"
+	"egretring.example/egretring/registrar"
+)
+
+// inspectTimeout bounds the wait for the request path when its slots are counted.
+const inspectTimeout = 200 * time.Millisecond
+
+// membership joins the registrar to the request path.
+type membership struct {
+	daemon *Daemon
+	// registrar is nil until it has been created; it calls its hooks before that.
+	registrar atomic.Pointer[registrar.Registrar]
+	// applied is the version of the newest shares that the request path has applied.
+	applied atomic.Uint64
+	leaving leavingSet
+	homes   homeAssigner
+}
+
+func (m *membership) options() []registrar.Option {
+	d := m.daemon
+	return []registrar.Option{
+		registrar.WithLogger(d.logger),
+		registrar.WithLoad(m.load),
+		registrar.WithAppliedTicket(m.appliedTicket),
+		registrar.WithBusySlots(m.busy),
+		registrar.WithLeavingServers(m.leaving.list),
+		registrar.WithTickets(m.ticketsForPeer),
+		registrar.WithUsage(m.usage),
+		registrar.WithShares(m.changeShares),
+		registrar.WithPeers(m.reportPeers),
+	}
+}
+
+// changeShares gives new shares to the request path. It does not wait, as the registrar demands; the request path
+// applies its events in order.
+func (m *membership) changeShares(shares registrar.Shares) {
+	d := m.daemon
+	owned := 0
+	for _, share := range shares.Changed.Shares {
+		owned += share.Slots
+		if server, ok := d.directory.Server(share.BackendServer); ok {
+			d.exchanger.SetConnections(server.Address, max(1, share.Connections))
+		}
+	}
+	d.meter.Set(meter.SlotsOwned, int64(owned))
+	d.serving.Store(owned > 0)
+	d.runner.NotifyThen(shares.Changed, func() { m.applied.Store(shares.Version) })
+	m.assignHomes()
+}
+
+// busy counts the occupied slots. While the request path does not answer, it reports no version, so that nothing is
+// released.
+func (m *membership) busy() assigner.BusyChanged {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	var changed assigner.BusyChanged
+	err := m.daemon.runner.Inspect(ctx, func() {
+		counted := assigner.BusyChanged{Shares: m.applied.Load()}
+		for _, busy := range m.daemon.core.Busy() {
+			counted.Busy = append(counted.Busy, assigner.ServerBusy(busy))
+		}
+		changed = counted
+	})
+	if err != nil {
+		return assigner.BusyChanged{}
+	}
+	return changed
+}
+
+func (m *membership) appliedTicket() int64 {
+	state, err := m.daemon.distributor.State()
+	if err != nil {
+		return 0
+	}
+	return state.Applied()
+}
+
+func (m *membership) ticketsForPeer(
+	ctx context.Context, request messenger.TicketsRequest,
+) (messenger.TicketsReply, error) {
+	batch, err := m.daemon.distributor.Tickets(ctx, request.After)
+	if err != nil {
+		return messenger.TicketsReply{}, err
+	}
+	return encodeBatch(batch)
+}
+
+func (m *membership) load() registrar.Load {
+	if m.daemon.draining.Load() {
+		return registrar.Load{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	var load registrar.Load
+	_ = m.daemon.runner.Inspect(ctx, func() {
+		current := m.daemon.core.Load()
+		load = registrar.Load{FreeSlots: current.FreeSlots, Queued: current.Queued}
+	})
+	return load
+}
+
+func (m *membership) usage(ctx context.Context, server describer.BackendServer) (assigner.UsageReported, error) {
+	report, err := forwarder.NewTaskClient(server.Address, m.daemon.http).Usage(ctx)
+	return assigner.UsageReported{
+		BackendServer: server.ID, SampledAt: report.SampledAt, BusySlots: report.BusySlots,
+	}, err
+}
+
+func (m *membership) reportPeers(peers dispatcher.PeersReported) {
+	d := m.daemon
+	d.meter.Set(meter.PeersReachable, int64(len(peers.Loads)))
+	d.runner.Notify(peers)
+	member := m.registrar.Load()
+	if member == nil {
+		return
+	}
+	if leaving := member.LeavingServers(); len(leaving) > 0 {
+		d.runner.Notify(dispatcher.BackendServersLeaving{BackendServers: leaving})
+	}
+	for _, peer := range member.PeerTickets() {
+		d.distributor.Heard(peer.AppliedTicket)
+	}
+	m.assignHomes()
+}
+
+// leave gives up the positions of this instance.
+func (m *membership) leave(ctx context.Context) error {
+	return m.registrar.Load().Leave(ctx)
+}
+
+// close stops without giving up the positions.
+func (m *membership) close() error {
+	if member := m.registrar.Load(); member != nil {
+		return member.Close()
+	}
+	return nil
+}
+
+// assignHomes follows the assignment with the homes of idempotency keys.
+func (m *membership) assignHomes() {
+	if member := m.registrar.Load(); member != nil {
+		m.homes.assign(time.Now(), member.Owner(), member.Assignment())
+	}
+}
+
+// mayStart reports whether this instance has the right to start work.
+func (m *membership) mayStart(time.Time) bool {
+	member := m.registrar.Load()
+	return member != nil && member.MayStart()
+}
+
+// peerSources returns the peers that can be asked for tickets.
+func (m *membership) peerSources() []distributor.PeerSource {
+	member := m.registrar.Load()
+	if member == nil {
+		return nil
+	}
+	var sources []distributor.PeerSource
+	for _, peer := range member.PeerTickets() {
+		sources = append(sources, peerSource{client: m.daemon.messages, address: peer.Address})
+	}
+	return sources
+}
+
+// zonePeer returns a live entry instance of another zone.
+func (m *membership) zonePeer(zone describer.AvailabilityZoneID) (describer.InstanceID, bool) {
+	member := m.registrar.Load()
+	if member == nil {
+		return "", false
+	}
+	for _, peer := range member.PeerTickets() {
+		if peer.AvailabilityZone == zone {
+			return peer.Instance, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/server/peer_source.go
@@ -0,0 +1,64 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/distributor"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/ticketer"
+)
+
+// peerSource fetches tickets from a peer.
+type peerSource struct {
+	client  *messenger.Client
+	address string
+}
+
+// Tickets implements distributor.PeerSource.
+func (p peerSource) Tickets(ctx context.Context, after int64) (distributor.Batch, error) {
+	reply, err := p.client.Tickets(ctx, p.address, messenger.TicketsRequest{After: after})
+	if err != nil {
+		return distributor.Batch{}, err
+	}
+	return decodeBatch(reply)
+}
+
+func decodeBatch(reply messenger.TicketsReply) (distributor.Batch, error) {
+	var batch distributor.Batch
+	if len(reply.Snapshot) > 0 {
+		batch.Snapshot = new(ticketer.Snapshot)
+		if err := json.Unmarshal(reply.Snapshot, batch.Snapshot); err != nil {
+			return batch, errors.Wrap(err, "decode snapshot of peer")
+		}
+	}
+	for _, ticket := range reply.Tickets {
+		var numbered ticketer.Numbered
+		if err := json.Unmarshal(ticket.Content, &numbered); err != nil {
+			return batch, errors.Wrapf(err, "decode ticket %d of peer", ticket.Number)
+		}
+		batch.Tickets = append(batch.Tickets, numbered)
+	}
+	return batch, nil
+}
+
+func encodeBatch(batch distributor.Batch) (messenger.TicketsReply, error) {
+	var reply messenger.TicketsReply
+	if batch.Snapshot != nil {
+		encoded, err := json.Marshal(batch.Snapshot)
+		if err != nil {
+			return reply, errors.Wrap(err, "encode snapshot")
+		}
+		reply.Snapshot = encoded
+	}
+	for _, numbered := range batch.Tickets {
+		encoded, err := json.Marshal(numbered)
+		if err != nil {
+			return reply, errors.Wrapf(err, "encode ticket %d", numbered.Number)
+		}
+		reply.Tickets = append(reply.Tickets, messenger.Ticket{Number: numbered.Number, Content: encoded})
+	}
+	return reply, nil
+}
