--- a/distributor/accepter.go
+++ b/distributor/accepter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,7 @@
 	session *session
 	backoff backoff
 	queue   *buffer.Queue[*pending]
+	log     *slog.Logger
 	// stopped is closed when no ticket is accepted any more.
 	stopped chan struct{}
 
@@ -100,6 +102,7 @@
 		current, _ := a.session.holder.current()
 		next := one.proposal.plan(current, time.Now())
 		if next.done {
+			a.log.InfoContext(ctx, "ticket was decided", "ID", one.waiting.ID, "Number", next.number, "Error", next.err)
 			one.results <- next
 			return
 		}
--- a/distributor/batch.go
+++ b/distributor/batch.go
@@ -8,8 +8,8 @@
 
 // Batch is what a peer knows after a ticket number.
 type Batch struct {
-	// Snapshot is set when the peer no longer has all tickets after the number.
-	Snapshot *ticketer.Snapshot
+	// Snapshot is set when the peer no longer has all tickets after the number. It is compressed JSON.
+	Snapshot []byte
 	// Tickets are contiguous. With a snapshot they may begin before it.
 	Tickets []ticketer.Numbered
 }
@@ -21,20 +21,24 @@
 }
 
 // batchAfter returns what the journal knows after a number.
-func (j journal) batchAfter(number int64) Batch {
+func (j journal) batchAfter(number int64) (Batch, error) {
 	if number+1 >= j.oldest() {
-		return Batch{Tickets: j.after(number)}
+		return Batch{Tickets: j.after(number)}, nil
 	}
-	snapshot := j.mark.Snapshot()
-	return Batch{Snapshot: &snapshot, Tickets: j.tickets}
+	snapshot, err := encodeSnapshot(j.mark.Snapshot())
+	return Batch{Snapshot: snapshot, Tickets: j.tickets}, err
 }
 
 // learned returns the journal after a batch of a peer or of the store.
 func (j journal) learned(batch Batch) (journal, error) {
-	if batch.Snapshot == nil {
+	if len(batch.Snapshot) == 0 {
 		return j.withAll(batch.Tickets)
 	}
-	return j.adopted(batch.Snapshot.State(), batch.Tickets)
+	snapshot, err := decodeSnapshot(batch.Snapshot)
+	if err != nil {
+		return j, err
+	}
+	return j.adopted(snapshot.State(), batch.Tickets)
 }
 
 // sequence returns the highest run of tickets in which each one follows the one before. A ticket that was written
--- a/distributor/core_test.go
+++ b/distributor/core_test.go
@@ -246,7 +246,8 @@
 			m, peer := c.member(t), c.member(t)
 			mine, _ := m.session.holder.current()
 			theirs, _ := peer.session.holder.current()
-			batch := theirs.batchAfter(mine.state.Applied())
+			batch, err := theirs.batchAfter(mine.state.Applied())
+			require.NoError(t, err)
 			_ = m.session.holder.update(func(j journal) (journal, error) { return j.learned(batch) })
 		},
 	}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -48,7 +48,7 @@
 		},
 		accepter: &accepter{
 			session: s, backoff: backoff{random: o.random(2)}, queue: buffer.NewQueue[*pending](waitingCapacity),
-			stopped: make(chan struct{}),
+			log: o.log, stopped: make(chan struct{}),
 		},
 		compacter: &compacter{
 			session: s, nonce: o.nonce, random: o.random(3), backoff: backoff{random: o.random(4)}, log: o.log,
@@ -116,7 +116,7 @@
 	if !ready {
 		return Batch{}, notReady()
 	}
-	return current.batchAfter(after), nil
+	return current.batchAfter(after)
 }
 
 // Recent returns the last tickets that this instance still has, oldest first.
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -149,6 +150,24 @@
 	return Batch{}, errors.New("connection refused")
 }
 
+// encodedPeer is a peer whose batches are encoded on the way, as between instances.
+type encodedPeer struct {
+	PeerSource
+}
+
+func (p encodedPeer) Tickets(ctx context.Context, after int64) (Batch, error) {
+	var decoded Batch
+	batch, err := p.PeerSource.Tickets(ctx, after)
+	if err != nil {
+		return decoded, err
+	}
+	encoded, err := json.Marshal(batch)
+	if err != nil {
+		return decoded, err
+	}
+	return decoded, json.Unmarshal(encoded, &decoded)
+}
+
 // TestRestartDuringOutage guards against an instance that is ready without a state, or that takes an older state when
 // a peer has a newer one.
 func TestRestartDuringOutage(t *testing.T) {
@@ -159,24 +178,24 @@
 		waitFor(t, 0, stale, fresh)
 		waitFor(t, accept(t, fresh, "first", 1), stale, fresh)
 		cut.down.Store(true)
-		for i := range 700 {
+		for i := range 1700 {
 			accept(t, fresh, fmt.Sprintf("more-%d", i), i)
 		}
 		store.SetFaults(fakekeeper.Faults{Down: true})
 		alone := started(t, store, "alone", unreachablePeer{})
-		restarted := started(t, store, "restarted", unreachablePeer{}, stale, fresh, alone)
+		restarted := started(t, store, "restarted", unreachablePeer{}, stale, encodedPeer{fresh}, alone)
 		time.Sleep(10 * time.Second)
 		_, err := alone.State()
 		require.True(t, classifier.IsErrKind(err, classifier.NotReady))
 		_, err = alone.Accept(t.Context(), limitTicket("x", 0, 1, "red"))
 		require.True(t, classifier.IsErrKind(err, classifier.NotReady))
 		require.Equal(t, int64(1), stale.Status().Applied)
-		require.Equal(t, int64(701), restarted.Status().Applied)
+		require.Equal(t, int64(1701), restarted.Status().Applied)
 		want, _ := fresh.State()
 		got, _ := restarted.State()
 		require.Equal(t, want.Snapshot(), got.Snapshot())
 		store.SetFaults(fakekeeper.Faults{})
-		waitFor(t, 701, alone)
+		waitFor(t, 1701, alone)
 	})
 }
 
--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -25,7 +25,7 @@
 	for ctx.Err() == nil {
 		revision, err := f.session.resync(ctx)
 		if err != nil {
-			f.fail(ctx, "could not read tickets from the store", err)
+			f.fail(ctx, "could not read tickets from the store; trying again", err)
 			continue
 		}
 		f.backoff.reset()
@@ -50,7 +50,7 @@
 			return
 		}
 		if err != nil {
-			f.fail(ctx, "could not watch tickets in the store", err)
+			f.fail(ctx, "could not watch tickets in the store; trying again", err)
 			continue
 		}
 		f.backoff.reset()
@@ -95,6 +95,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.log.DebugContext(ctx, message, "Error", err.Error())
+	if f.backoff.attempt == 0 {
+		f.log.WarnContext(ctx, message, "Error", err.Error())
+	}
 	f.backoff.wait(ctx)
 }
--- /dev/null
+++ b/distributor/http_test.go
@@ -0,0 +1,30 @@
+package distributor
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/keeper"
+)
+
+// TestStoreOverHTTP guards against errors of the store's client that are taken for others, so that a lost answer or a
+// conflict is not resolved.
+func TestStoreOverHTTP(t *testing.T) {
+	store := fakekeeper.New()
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	client := func() keeper.Store { return keeper.NewClient(server.URL, server.Client()) }
+	a, b := started(t, client(), "a"), started(t, client(), "b")
+	waitFor(t, 0, a, b)
+	store.SetFaults(fakekeeper.Faults{LoseWriteAnswers: 2})
+	number, err := a.Accept(t.Context(), limitTicket("first", 0, 1, "red"))
+	require.NoError(t, err)
+	require.Equal(t, int64(1), number)
+	number, err = b.Accept(t.Context(), limitTicket("second", 0, 1, "blue"))
+	require.NoError(t, err)
+	require.Equal(t, int64(2), number)
+	waitFor(t, 2, a, b)
+}
--- a/distributor/learner.go
+++ b/distributor/learner.go
@@ -16,6 +16,9 @@
 	storeGrace = 2 * time.Second
 	// lagGrace is how long the watch has to deliver a ticket that a peer reported.
 	lagGrace = 500 * time.Millisecond
+	// lastLagDelay bounds the doubled delay between attempts to fetch a reported ticket that nobody has, for example
+	// because a heartbeat was wrong; each attempt reads all tickets of the store.
+	lastLagDelay = 30 * time.Second
 	// peerInterval is the time between two rounds of an instance that is not ready.
 	peerInterval = 500 * time.Millisecond
 )
@@ -88,8 +91,8 @@
 
 // catchUp fetches the tickets that a peer reported, unless the watch delivers them in time.
 func (l *learner) catchUp(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, lagGrace)
+	for delay := lagGrace; ctx.Err() == nil; delay = min(2*delay, lastLagDelay) {
+		sleep(ctx, delay)
 		if !l.lags() {
 			return
 		}
--- a/distributor/part.go
+++ b/distributor/part.go
@@ -6,13 +6,11 @@
 	"encoding/json"
 	"slices"
 
-	"github.com/pkg/errors"
-
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/ticketer"
 )
 
-// partBytes is the amount of encoded snapshot in one part. Base64 and the other fields of the part enlarge it to
+// partBytes is the amount of compressed snapshot in one part. Base64 and the other fields of the part enlarge it to
 // about 935 kB, below the store's 1 MB per value.
 const partBytes = 700_000
 
@@ -29,9 +27,9 @@
 
 // partsOf encodes a snapshot.
 func partsOf(snapshot ticketer.Snapshot, writeID string) ([]part, error) {
-	encoded, err := json.Marshal(snapshot)
+	encoded, err := encodeSnapshot(snapshot)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode snapshot")
+		return nil, err
 	}
 	digest := digestOf(encoded)
 	var parts []part
@@ -82,9 +80,9 @@
 		}
 		encoded = append(encoded, one.Data...)
 	}
-	var snapshot ticketer.Snapshot
-	if digestOf(encoded) != parts[0].Digest || json.Unmarshal(encoded, &snapshot) != nil {
+	if digestOf(encoded) != parts[0].Digest {
 		return ticketer.Snapshot{}, false
 	}
-	return snapshot, true
+	snapshot, err := decodeSnapshot(encoded)
+	return snapshot, err == nil
 }
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -51,7 +51,8 @@
 	if err != nil {
 		return CheckView{}, err
 	}
-	return CheckView{Applied: state.Applied(), Changes: ticketer.DiffTicket(state, ticket)}, nil
+	changes := append([]ticketer.Change{}, ticketer.DiffTicket(state, ticket)...)
+	return CheckView{Applied: state.Applied(), Changes: changes}, nil
 }
 
 // Tickets returns the selected tickets that this instance still has, oldest first.
--- a/ticketer/diff.go
+++ b/ticketer/diff.go
@@ -35,7 +35,7 @@
 	if before.shards == after.shards {
 		return changes
 	}
-	keys := append(before.keys(), after.keys()...)
+	keys := append(before.keysNotShared(after), after.keysNotShared(before)...)
 	slices.Sort(keys)
 	for _, key := range slices.Compact(keys) {
 		object := Object{Section: section, Name: string(key)}
--- a/ticketer/table.go
+++ b/ticketer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"reflect"
 	"slices"
 )
 
@@ -78,6 +79,24 @@
 	return keys
 }
 
+// keysNotShared returns the keys in the shards that the other table does not share; the values of all other keys are
+// the same in both.
+func (t table[K, V]) keysNotShared(other table[K, V]) []K {
+	if t.shards == nil {
+		return nil
+	}
+	var keys []K
+	for i, shard := range t.shards {
+		if other.shards != nil && reflect.ValueOf(shard).Pointer() == reflect.ValueOf(other.shards[i]).Pointer() {
+			continue
+		}
+		for key := range shard {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // values returns all values in the order of their keys.
 func (t table[K, V]) values() []V {
 	keys := t.keys()
