dispatcher: urgent work keeps its wait at the onset of a swing

Cause: a turn of aged work moved the common clock of the classes and set Urgent back behind Standard; at the onset of a swing long work held the slots that Urgent had left. Change: aged turns leave the clock alone; an idle class keeps a bounded credit; demands fall within 2 s; long work is pushed back to 40% of the slots; the correction of expected waits stays within 0.75 and 1.25. Tables for the answer after each evidence, for arrivals without slots and for relays.

--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -10,7 +10,7 @@
 const (
 	// correctionStep is the weight of one observed wait in the correction.
 	correctionStep = 0.05
-	minCorrection  = 0.5
+	minCorrection  = 0.75
 	maxCorrection  = 1.25
 	// leastPrediction is the wait below which the ratio of actual to expected wait is mostly noise.
 	leastPrediction = 5 * time.Millisecond
--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -10,7 +10,7 @@
 	// and short against a swing.
 	riseMemory = 250 * time.Millisecond
 	// fallMemory keeps slots for a demand that swings, until the next swing.
-	fallMemory = time.Second
+	fallMemory = 2 * time.Second
 	// slowMemory averages over several swings.
 	slowMemory = 10 * time.Second
 )
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -41,5 +41,81 @@
 	commands := d.Handle(epoch.Add(time.Second), dispatcher.Ticked{})
 	require.Len(t, commands, 2)
 	require.Contains(t, commands, dispatcher.AbortAttempt{ID: 1, Attempt: 1})
-	require.Contains(t, commands, dispatcher.AnswerRequest{ID: 2, Kind: classifier.DeadlineExceeded, RetryAt: epoch.Add(time.Second)})
+	require.Contains(t, commands, dispatcher.AnswerRequest{
+		ID: 2, Kind: classifier.DeadlineExceeded, RetryAt: epoch.Add(time.Second),
+	})
+}
+
+// TestAnswerAfterEvidence guards against an answer that promises more than the evidence of the attempt shows.
+func TestAnswerAfterEvidence(t *testing.T) {
+	const begun, late = true, true
+	for _, test := range []struct {
+		evidence describer.Evidence
+		begun    bool
+		late     bool
+		want     classifier.Kind
+	}{
+		{describer.NotSent, false, false, classifier.NoBackendServer},
+		{describer.NotSent, false, late, classifier.DeadlineExceeded},
+		{describer.NotSent, begun, false, classifier.OutcomeUnknown},
+		{describer.Refused, false, false, classifier.NoBackendServer},
+		{describer.Refused, false, late, classifier.DeadlineExceeded},
+		{describer.Failed, false, false, classifier.BackendFailed},
+		{describer.Failed, false, late, classifier.BackendFailed},
+		{describer.Truncated, begun, false, classifier.BackendTruncated},
+		{describer.Truncated, false, late, classifier.BackendTruncated},
+		{describer.Broken, false, false, classifier.OutcomeUnknown},
+		{describer.Broken, false, late, classifier.OutcomeUnknown},
+		{describer.Aborted, false, false, classifier.OutcomeUnknown},
+		{describer.Aborted, false, late, classifier.OutcomeUnknown},
+	} {
+		d := newReady(1, dispatcher.WithAttempts(1))
+		d.Handle(epoch, arrival(1))
+		now := epoch
+		if test.late {
+			now = epoch.Add(time.Second)
+			d.Handle(now, dispatcher.Ticked{})
+		}
+		commands := d.Handle(now, dispatcher.AttemptEnded{ID: 1, Attempt: 1, Evidence: test.evidence, AnswerBegun: test.begun})
+		require.Len(t, commands, 1, "%v", test)
+		require.Equal(t, test.want, commands[0].(dispatcher.AnswerRequest).Kind, "%v", test)
+	}
+}
+
+// TestArrivalWithoutSlots guards against requests that wait for their deadline while no server takes work, and against
+// requests that are refused during a short change of shares.
+func TestArrivalWithoutSlots(t *testing.T) {
+	d := newReady(1)
+	d.Handle(epoch, dispatcher.SharesChanged{})
+	require.Empty(t, d.Handle(epoch.Add(100*time.Millisecond), arrival(1)))
+	commands := d.Handle(epoch.Add(600*time.Millisecond), arrival(2))
+	require.Equal(t, []dispatcher.Command{dispatcher.AnswerRequest{
+		ID: 2, Kind: classifier.NoBackendServer, RetryAt: epoch.Add(1600 * time.Millisecond),
+	}}, commands)
+}
+
+// TestRelay guards against relays to a peer without room or in another zone while the own zone has room, and against
+// a request that is relayed twice or lost when the peer refuses it.
+func TestRelay(t *testing.T) {
+	d := newReady(1)
+	d.Handle(epoch, arrival(1))
+	d.Handle(epoch, dispatcher.PeersReported{Loads: []dispatcher.PeerLoad{
+		{Instance: "far", FreeSlots: 8}, {Instance: "near", SameZone: true, FreeSlots: 2}, {Instance: "full", SameZone: true},
+	}})
+	relay := func(id int, instance describer.InstanceID) []dispatcher.Command {
+		return []dispatcher.Command{dispatcher.RelayToPeer{
+			ID: describer.RequestID(id), Instance: instance, Deadline: epoch.Add(time.Second),
+		}}
+	}
+	require.Equal(t, relay(2, "near"), d.Handle(epoch, arrival(2)))
+	require.Equal(t, relay(3, "far"), d.Handle(epoch, arrival(3)), "half of the free slots of the near peer are used")
+	require.Empty(t, d.Handle(epoch, dispatcher.RelayEnded{ID: 2, Evidence: describer.Refused}), "it waits here")
+	require.Equal(t, relay(4, "far"), d.Handle(epoch, arrival(4)), "the near peer refused")
+	require.Empty(t, d.Handle(epoch, dispatcher.RelayEnded{ID: 3, Evidence: describer.Answered}))
+	started := d.Handle(epoch, dispatcher.AttemptEnded{ID: 1, Attempt: 1, Evidence: describer.Answered})
+	require.Equal(t, describer.RequestID(2), started[0].(dispatcher.StartAttempt).ID)
+	require.Equal(t, []dispatcher.Command{dispatcher.AbortAttempt{ID: 4, Relay: true}},
+		d.Handle(epoch, dispatcher.RequestCancelled{ID: 4}))
+	require.Equal(t, []dispatcher.Command{dispatcher.AnswerRequest{ID: 4, Kind: classifier.Cancelled}},
+		d.Handle(epoch, dispatcher.RelayEnded{ID: 4, Evidence: describer.Broken}))
 }
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -13,7 +13,7 @@
 	// mostReserved is the largest share of the slots that is kept for Urgent requests.
 	mostReserved = 0.35
 	// leastLong and mostLong bound the share of the slots that long work may occupy.
-	leastLong = 0.5
+	leastLong = 0.4
 	mostLong  = 0.75
 	// lastSlots is the share of the slots that kinds with stragglers may not take while long work is at its cap.
 	lastSlots = 0.1
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -36,6 +36,8 @@
 	require.InEpsilon(t, 10*time.Millisecond, estimate.Median, 0.25)
 	require.InEpsilon(t, 10*time.Millisecond, estimate.High, 0.25)
 	require.InDelta(t, 30*time.Millisecond, estimate.Mean, float64(15*time.Millisecond), "the mean includes stragglers")
+	require.InDelta(t, 0.02, estimate.StragglerShare, 0.01)
+	require.InEpsilon(t, 40*time.Millisecond, estimate.Overdue, 0.25)
 
 	fixed := newLearned(estimator.WithoutLearning()).LearnerOf("tally", "count")
 	for range 100 {
--- a/queuer/next.go
+++ b/queuer/next.go
@@ -28,27 +28,30 @@
 // Serve takes an item that Next returned out of its queue and charges its class.
 func (q *Queuer[V]) Serve(item *Item[V]) {
 	class := item.Flow.Class
+	work := item.Work.Seconds()
+	q.Remove(item)
 	if item == q.agedItem {
-		q.agedCredit -= item.Work.Seconds()
+		// A turn out of order says nothing about how far the classes have been served.
+		q.agedCredit -= work
+	} else {
+		q.clock = max(q.clock, q.passes[class])
 	}
-	q.agedCredit = min(q.agedCredit+agedShare*item.Work.Seconds(), maxCredit)
-	q.Remove(item)
-	q.clock = max(q.clock, q.passes[class])
-	q.passes[class] += item.Work.Seconds() / q.policy.weights[class]
-	q.forgiveBlocked()
+	q.agedCredit = min(q.agedCredit+agedShare*work, maxCredit)
+	q.passes[class] += work / q.policy.weights[class]
+	q.limitCredit()
 }
 
-// forgiveBlocked limits the credit of a class that is kept from being served by a permit. With its whole credit it
-// would take all slots at once when the permit allows it again.
-func (q *Queuer[V]) forgiveBlocked() {
+// maxCredit is the largest credit of a class or of aged work, in seconds of slot time at weight one.
+const maxCredit = 0.1
+
+// limitCredit bounds by how much a class may lag behind. The credit lets a class that was idle, such as Urgent before
+// a swing, go first for a while; without a bound a class that was kept from being served would then take all slots.
+func (q *Queuer[V]) limitCredit() {
 	for class := range q.passes {
 		q.passes[class] = max(q.passes[class], q.clock-maxCredit)
 	}
 }
 
-// maxCredit is the largest credit of a class or of aged work, in seconds of slot time.
-const maxCredit = 0.1
-
 func (q *Queuer[V]) heads(permit Permit) candidates[V] {
 	var heads candidates[V]
 	for class := range heads {
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -46,9 +46,6 @@
 
 func (q *Queuer[V]) insert(item *Item[V], place func(*lane[V], *Item[V])) {
 	class := item.Flow.Class
-	if q.LenOf(class) == 0 {
-		q.passes[class] = max(q.passes[class], q.clock)
-	}
 	q.counts[class][item.Group]++
 	q.works[class][item.Group] += item.Work
 	l, known := q.lanes[item.Flow]
