Add placer: tight packing, rack spread, reservation, preemption, learned needs

Cause: tasks need a place on the zone's backend servers by processors, memory and accelerators, and declared sizes are often wrong.

Change: pure core with a cell index for the tightest fit, segment trees over racks for complete searches, one reservation per zone with backfilling, urgent preemption of the lowest class and least work, and needs learned from reports.

--- /dev/null
+++ b/placer/job.go
@@ -0,0 +1,148 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"egretring.example/egretring/describer"
+)
+
+// ageingStep is how much longer a job of the next lower class waits before it goes first. It bounds the wait of
+// deferrable work under a steady stream of standard work.
+const ageingStep = 5 * time.Minute
+
+// job is what the placer knows about a job with tasks in this zone.
+type job struct {
+	description describer.Job
+	estimate    needEstimate
+	// need is the declared or learned need of a task.
+	need       describer.Resources
+	runTime    runTimeEstimate
+	placements map[int]*placement
+	// racks counts the placed tasks of a service by rack.
+	racks   map[int]int
+	pending *entry
+}
+
+func newJob(description describer.Job) *job {
+	return &job{
+		description: description,
+		estimate:    newNeedEstimate(description.PerTask),
+		need:        description.PerTask,
+		placements:  make(map[int]*placement),
+		racks:       make(map[int]int),
+	}
+}
+
+// describe takes over a changed description; a changed size starts the learning again.
+func (j *job) describe(description describer.Job) {
+	if description.PerTask != j.description.PerTask {
+		j.estimate = newNeedEstimate(description.PerTask)
+		j.need = description.PerTask
+	}
+	j.description = description
+}
+
+// observe learns from a sample. A learned need stays below the largest backend server, so that the job can be placed.
+func (j *job) observe(used, largest describer.Resources) {
+	j.estimate.observe(used)
+	declared := j.description.PerTask
+	j.need = smaller(j.estimate.need(declared), larger(declared, largest))
+}
+
+func (j *job) isGang() bool {
+	return j.description.Policy == describer.GangJob
+}
+
+// entry is a job with tasks that wait for a place.
+type entry struct {
+	job     *job
+	indices []int
+	// order is the time of submission, later by ageingStep for each class below Urgent.
+	order time.Time
+	// blockedSince is when the job was first found to fit nowhere.
+	blockedSince time.Time
+	// retryAt bounds how often a gang job is tried, because each attempt costs a search for each task.
+	retryAt time.Time
+}
+
+func newEntry(now time.Time, j *job) *entry {
+	return &entry{job: j, order: now.Add(time.Duration(j.description.Class) * ageingStep)}
+}
+
+// taskCount returns how many places the entry needs at the same time.
+func (e *entry) taskCount() int {
+	if e.job.isGang() {
+		return len(e.indices)
+	}
+	return 1
+}
+
+// insert adds an entry to the pending ones, which are kept in order.
+func (p *Placer) insert(e *entry) {
+	at, _ := slices.BinarySearchFunc(p.pending, e, func(a, b *entry) int {
+		if a.order.After(b.order) {
+			return 1
+		}
+		return -1
+	})
+	p.pending = slices.Insert(p.pending, at, e)
+}
+
+// submit queues tasks of a job.
+func (p *Placer) submit(now time.Time, description describer.Job, indices []int) {
+	j := p.jobOf(description)
+	if j.pending == nil {
+		j.pending = newEntry(now, j)
+		p.insert(j.pending)
+	}
+	j.pending.indices = append(j.pending.indices, indices...)
+	p.dirty = true
+}
+
+func (p *Placer) jobOf(description describer.Job) *job {
+	j := p.jobs[description.ID]
+	if j == nil {
+		j = newJob(description)
+		p.jobs[description.ID] = j
+		return j
+	}
+	j.describe(description)
+	return j
+}
+
+// withdraw takes tasks out of the queue; tasks that have a place are not affected.
+func (p *Placer) withdraw(id describer.JobID, indices []int) {
+	j := p.jobs[id]
+	if j == nil || j.pending == nil {
+		return
+	}
+	withdrawn := make(map[int]bool, len(indices))
+	for _, index := range indices {
+		withdrawn[index] = true
+	}
+	j.pending.indices = slices.DeleteFunc(j.pending.indices, func(index int) bool { return withdrawn[index] })
+	p.dropEmpty()
+}
+
+// dropEmpty removes the entries without waiting tasks and the reservation of a removed entry.
+func (p *Placer) dropEmpty() {
+	p.pending = slices.DeleteFunc(p.pending, func(e *entry) bool {
+		if len(e.indices) > 0 {
+			return false
+		}
+		e.job.pending = nil
+		if p.reservation != nil && p.reservation.holder == e {
+			p.cancelReservation()
+		}
+		return true
+	})
+}
+
+// forget drops what was learned about a job without tasks.
+func (p *Placer) forget(id describer.JobID) {
+	j := p.jobs[id]
+	if j != nil && j.pending == nil && len(j.placements) == 0 {
+		delete(p.jobs, id)
+	}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,202 @@
+package placer
+
+import (
+	"time"
+
+	"egretring.example/egretring/describer"
+)
+
+const (
+	// passInterval bounds how often the pending tasks are tried. Releases that arrive together are used together.
+	passInterval = 10 * time.Millisecond
+	// idleInterval is how often pending tasks and the reservation are looked at without any change.
+	idleInterval = 200 * time.Millisecond
+)
+
+// Placer places the tasks of one zone.
+type Placer struct {
+	servers []*server
+	numbers map[describer.BackendServerID]int
+	racks   [][]*server
+	// largest is the largest capacity of a backend server in each dimension.
+	largest     describer.Resources
+	openRoom    rackTree
+	evictRoom   [describer.ClassCount]rackTree
+	openCells   *cellIndex
+	backfill    *cellIndex
+	jobs        map[describer.JobID]*job
+	pending     []*entry
+	reservation *reservation
+	probing     []*server
+	dirty       bool
+	lastPass    time.Time
+	spreadFrom  int
+	// reserveFrom is the backend server at which the next search for a reservation begins.
+	reserveFrom int
+	commands    []Command
+}
+
+// New returns a placer without backend servers.
+func New() *Placer {
+	p := &Placer{
+		numbers: make(map[describer.BackendServerID]int),
+		jobs:    make(map[describer.JobID]*job),
+	}
+	p.rebuild()
+	return p
+}
+
+// Handle applies one event at time now and returns the commands it causes.
+func (p *Placer) Handle(now time.Time, event Event) []Command {
+	p.commands = nil
+	p.apply(now, event)
+	if p.dirty && !now.Before(p.lastPass.Add(passInterval)) || !now.Before(p.lastPass.Add(idleInterval)) {
+		p.pass(now)
+	}
+	return p.commands
+}
+
+// NextDeadline is the earliest time at which Handle must be called with Ticked.
+func (p *Placer) NextDeadline() (time.Time, bool) {
+	if len(p.pending) == 0 {
+		return time.Time{}, false
+	}
+	if p.dirty {
+		return p.lastPass.Add(passInterval), true
+	}
+	return p.lastPass.Add(idleInterval), true
+}
+
+func (p *Placer) apply(now time.Time, event Event) {
+	switch e := event.(type) {
+	case ServersChanged:
+		p.changeServers(e.Servers)
+	case ServerSetAside:
+		p.changeAside(e.Server, true, 0)
+	case ServerProbed:
+		p.changeAside(e.Server, true, 1)
+	case ServerReadmitted:
+		p.changeAside(e.Server, false, 0)
+	case TasksSubmitted:
+		p.submit(now, e.Job, e.Indices)
+	case TasksWithdrawn:
+		p.withdraw(e.Job, e.Indices)
+	case JobForgotten:
+		p.forget(e.Job)
+	case TaskAdopted:
+		p.adopt(e)
+	case TaskStarted:
+		p.started(now, e.Task)
+	case TaskReleased:
+		p.release(now, e)
+	case UsageReported:
+		p.observe(now, e)
+	}
+}
+
+func (p *Placer) emit(command Command) {
+	p.commands = append(p.commands, command)
+}
+
+// placementOf returns the placement of a task, or nil.
+func (p *Placer) placementOf(task describer.TaskID) *placement {
+	j := p.jobs[task.Job]
+	if j == nil {
+		return nil
+	}
+	return j.placements[task.Index]
+}
+
+// put gives a task a place; the place of a waiting task is announced when there is room.
+func (p *Placer) put(now time.Time, j *job, index int, s *server, waiting bool) *placement {
+	place := &placement{
+		task:      describer.TaskID{Job: j.description.ID, Index: index},
+		job:       j,
+		server:    s.number,
+		need:      j.need,
+		startedAt: now,
+		waiting:   waiting,
+	}
+	p.expect(place)
+	s.add(place)
+	j.placements[index] = place
+	j.racks[s.rack]++
+	if s.probes > 0 {
+		s.probes--
+	}
+	p.refresh(s)
+	return place
+}
+
+// expect sets the expected end of a task from its start.
+func (p *Placer) expect(place *placement) {
+	runTime, known := place.job.runTime.expected(place.job.description)
+	place.endKnown = known
+	place.endsAt = place.startedAt.Add(runTime)
+	s := p.servers[place.server]
+	place.late = s.hasReserved && !place.endsBefore(p.reservation.startsAt)
+}
+
+// take removes a task from its place.
+func (p *Placer) take(place *placement) {
+	s := p.servers[place.server]
+	s.remove(place)
+	delete(place.job.placements, place.task.Index)
+	place.job.racks[s.rack]--
+	if place.job.racks[s.rack] == 0 {
+		delete(place.job.racks, s.rack)
+	}
+	p.refresh(s)
+}
+
+func (p *Placer) announce(place *placement) {
+	p.emit(PlaceTask{Task: place.task, Server: p.servers[place.server].ID, Resources: place.need})
+}
+
+func (p *Placer) adopt(e TaskAdopted) {
+	number, known := p.numbers[e.Server]
+	j := p.jobOf(e.Job)
+	if !known || j.placements[e.Index] != nil {
+		return
+	}
+	p.put(e.StartedAt, j, e.Index, p.servers[number], false)
+}
+
+func (p *Placer) started(now time.Time, task describer.TaskID) {
+	place := p.placementOf(task)
+	if place == nil {
+		return
+	}
+	s := p.servers[place.server]
+	s.change(place, func() {
+		place.startedAt = now
+		p.expect(place)
+	})
+	p.refresh(s)
+}
+
+func (p *Placer) release(now time.Time, e TaskReleased) {
+	place := p.placementOf(e.Task)
+	if place == nil {
+		return
+	}
+	if e.Completed {
+		place.job.runTime.observe(now.Sub(place.startedAt))
+	}
+	p.take(place)
+	p.announceWaiting(p.servers[place.server])
+	p.dirty = true
+}
+
+// announceWaiting announces the tasks whose room has become free.
+func (p *Placer) announceWaiting(s *server) {
+	for i := 0; s.waiting > 0 && i < len(s.placements); i++ {
+		place := s.placements[i]
+		if !place.waiting || !s.occupied.Plus(place.need).Fits(s.Capacity) {
+			continue
+		}
+		s.change(place, func() { place.waiting = false })
+		p.announce(place)
+	}
+	p.refresh(s)
+}
