Add starter: task lifecycle, leases, backoff, server health, recovery

Cause: a placed task must run in one place only, through loss of its server, its owner or the store's answers.

Change: pure core over the placer. A start is sent only after its commit; a lost task starts elsewhere after its lease and a margin, or after a confirmed stop; failing servers are set aside and probed; a new owner adopts the store's records and resolves them against reports in both directions.

--- a/placer/job.go
+++ b/placer/job.go
@@ -111,10 +111,18 @@
 	return j
 }
 
-// withdraw takes tasks out of the queue; tasks that have a place are not affected.
+// withdraw takes tasks out of the queue; tasks whose place was announced are not affected.
 func (p *Placer) withdraw(id describer.JobID, indices []int) {
 	j := p.jobs[id]
-	if j == nil || j.pending == nil {
+	if j == nil {
+		return
+	}
+	for _, index := range indices {
+		if place := j.placements[index]; place != nil && place.waiting {
+			p.take(place)
+		}
+	}
+	if j.pending == nil {
 		return
 	}
 	withdrawn := make(map[int]bool, len(indices))
--- /dev/null
+++ b/starter/assignment.go
@@ -0,0 +1,134 @@
+package starter
+
+import (
+	"time"
+
+	"egretring.example/egretring/committer"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/placer"
+)
+
+// assign takes over tasks of a job.
+func (s *Starter) assign(now time.Time, e TasksAssigned) {
+	j := s.jobs[e.Job.ID]
+	if j == nil {
+		j = newJob(e.Job)
+		s.jobs[e.Job.ID] = j
+	}
+	j.description = e.Job
+	var added []*task
+	for index := e.First; index < e.First+e.Count; index++ {
+		if _, finished := j.finished[index]; finished {
+			continue
+		}
+		if known := j.tasks[index]; known != nil {
+			known.withdrawn = false
+			continue
+		}
+		t := &task{id: describer.TaskID{Job: e.Job.ID, Index: index}, job: j, state: Pending}
+		j.tasks[index] = t
+		added = append(added, t)
+	}
+	s.submit(now, j, added)
+}
+
+// submit gives waiting tasks to the placer. A gang job is submitted when all its unfinished tasks are ready.
+func (s *Starter) submit(now time.Time, j *job, tasks []*task) {
+	if !s.recovered {
+		return
+	}
+	if j.isGang() {
+		// While tasks are being stopped one after the other, an early submission would be taken back in part.
+		if j.breaking || s.giveUpRest(now, j) {
+			return
+		}
+		tasks = j.ordered()
+		for _, t := range tasks {
+			if !t.isReady(now) {
+				return
+			}
+		}
+	}
+	indices := make([]int, 0, len(tasks))
+	for _, t := range tasks {
+		if t.isReady(now) {
+			t.submitted = true
+			t.wakeAt = time.Time{}
+			indices = append(indices, t.id.Index)
+		}
+	}
+	if len(indices) > 0 {
+		s.place(now, placer.TasksSubmitted{Job: j.description, Indices: indices})
+	}
+}
+
+// giveUpRest gives up the waiting tasks of a gang job of which one task was given up, because the gang cannot be
+// complete any more. It reports whether the job is given up.
+func (s *Starter) giveUpRest(now time.Time, j *job) bool {
+	lost := false
+	for _, outcome := range j.finished {
+		lost = lost || outcome == committer.GivenUp
+	}
+	if !lost {
+		return false
+	}
+	for _, t := range j.ordered() {
+		if t.state == Pending {
+			s.commitEnd(now, t, committer.GivenUp, "another task of the gang job was given up")
+			t.finish(committer.GivenUp)
+		}
+	}
+	return true
+}
+
+// isReady reports whether the task may be submitted.
+func (t *task) isReady(now time.Time) bool {
+	return t.state == Pending && !t.submitted && !t.withdrawn && !now.Before(t.wakeAt)
+}
+
+// withdraw gives tasks of a job away; an attempt that may run is stopped first.
+func (s *Starter) withdraw(now time.Time, e TasksWithdrawn) {
+	j := s.jobs[e.Job]
+	if j == nil {
+		return
+	}
+	for index := e.First; index < e.First+e.Count; index++ {
+		delete(j.finished, index)
+		t := j.tasks[index]
+		if t == nil {
+			continue
+		}
+		t.withdrawn = true
+		switch t.state {
+		case Pending:
+			s.unsubmit(now, t)
+			s.drop(now, t)
+		case Lost:
+			t.mustLeave = true
+		default:
+			s.stop(now, t)
+		}
+	}
+	s.forgetIfEmpty(now, j)
+}
+
+func (s *Starter) unsubmit(now time.Time, t *task) {
+	if t.submitted {
+		t.submitted = false
+		s.place(now, placer.TasksWithdrawn{Job: t.id.Job, Indices: []int{t.id.Index}})
+	}
+}
+
+// drop forgets a task that occupies no backend server.
+func (s *Starter) drop(now time.Time, t *task) {
+	t.wakeAt = time.Time{}
+	delete(t.job.tasks, t.id.Index)
+	s.forgetIfEmpty(now, t.job)
+}
+
+func (s *Starter) forgetIfEmpty(now time.Time, j *job) {
+	if len(j.tasks) == 0 && len(j.finished) == 0 {
+		delete(s.jobs, j.description.ID)
+		s.place(now, placer.JobForgotten{Job: j.description.ID})
+	}
+}
--- /dev/null
+++ b/starter/lifecycle_test.go
@@ -0,0 +1,299 @@
+package starter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/committer"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/starter"
+)
+
+// script drives one starter; the test answers each command itself.
+type script struct {
+	t      *testing.T
+	now    time.Time
+	core   *starter.Starter
+	starts []starter.StartTask
+	ended  map[describer.TaskID]starter.ReportFinished
+	// result answers each start.
+	result func(start starter.StartTask) starter.StartResult
+	// fail ends each accepted start at once when it returns a reason.
+	fail     func(start starter.StartTask) string
+	holdBack bool
+}
+
+func newScript(t *testing.T, servers int, jobs ...describer.Job) *script {
+	s := &script{t: t, now: began, core: starter.New(), ended: make(map[describer.TaskID]starter.ReportFinished)}
+	var list []describer.BackendServer
+	for i := range servers {
+		list = append(list, describer.BackendServer{
+			ID: describer.BackendServerID(fmt.Sprintf("server-%d", i)), State: describer.Live,
+			Rack:     describer.RackID(fmt.Sprintf("rack-%d", i)),
+			Capacity: describer.Resources{MilliCores: 4000, MemoryBytes: 4 << 30},
+		})
+	}
+	s.send(starter.RightChanged{Epoch: 1, StartUntil: began.Add(time.Hour), RenewUntil: began.Add(time.Hour)})
+	s.send(starter.ServersChanged{Servers: list})
+	for _, j := range jobs {
+		s.send(starter.TasksAssigned{Job: j, Count: j.Tasks})
+	}
+	return s
+}
+
+func (s *script) send(event starter.Event) {
+	for _, command := range s.core.Handle(s.now, event) {
+		switch c := command.(type) {
+		case starter.CommitRecord:
+			if !s.holdBack {
+				s.send(starter.RecordsCommitted{Records: []committer.Record{c.Record}})
+			}
+		case starter.RenewLeases:
+			s.send(starter.RenewAnswered{Server: c.Server, Epoch: c.Epoch})
+		case starter.ReportFinished:
+			s.ended[c.Task] = c
+		case starter.StartTask:
+			s.starts = append(s.starts, c)
+			s.answer(c)
+		}
+	}
+}
+
+func (s *script) answer(c starter.StartTask) {
+	result := starter.Accepted
+	if s.result != nil {
+		result = s.result(c)
+	}
+	s.send(starter.StartAnswered{Server: c.Server, Task: c.Attempt.Task, Attempt: c.Attempt.Number, Result: result})
+	if s.fail == nil || result != starter.Accepted {
+		return
+	}
+	if reason := s.fail(c); reason != "" {
+		s.send(starter.TaskLeft{
+			Server: c.Server, Task: c.Attempt.Task, Attempt: c.Attempt.Number,
+			Outcome: committer.Failed, Reason: reason,
+		})
+	}
+}
+
+func (s *script) wait(duration time.Duration) {
+	until := s.now.Add(duration)
+	for {
+		at, ok := s.core.NextDeadline()
+		if !ok || at.After(until) {
+			s.now = until
+			return
+		}
+		s.now = at
+		s.send(starter.Ticked{})
+	}
+}
+
+func batch(id string, tasks int) describer.Job {
+	return describer.Job{
+		ID: describer.JobID(id), Policy: describer.BatchJob, Class: describer.Standard, Tasks: tasks,
+		PerTask: describer.Resources{MilliCores: 1000, MemoryBytes: 1 << 30},
+	}
+}
+
+// TestTaskThatAlwaysFailsIsGivenUp guards against endless or unspaced restarts, a lost reason, and a backend server that
+// is blamed for the fault of a job.
+func TestTaskThatAlwaysFailsIsGivenUp(t *testing.T) {
+	s := newScript(t, 9, batch("bad", 1))
+	s.fail = func(starter.StartTask) string { return "exit status 3" }
+	var times []time.Time
+	servers := make(map[describer.BackendServerID]bool)
+	s.result = func(c starter.StartTask) starter.StartResult {
+		times = append(times, s.now)
+		servers[c.Server] = true
+		return starter.Accepted
+	}
+	s.send(starter.RecordsRecovered{})
+	s.wait(10 * time.Minute)
+	// Two backend servers are set aside by three failures each; the third is not blamed any more, and five failures
+	// there use up the attempts.
+	require.Len(t, s.starts, 11)
+	for i := 8; i < len(times); i++ {
+		require.Greater(t, times[i].Sub(times[i-1]), times[i-1].Sub(times[i-2]), "backoff does not grow")
+	}
+	require.Len(t, servers, 3)
+	finished := s.ended[describer.TaskID{Job: "bad"}]
+	require.Equal(t, committer.GivenUp, finished.Outcome)
+	require.Equal(t, "exit status 3", finished.Reason)
+	state, _ := s.core.StateOf(describer.TaskID{Job: "bad"})
+	require.Equal(t, starter.GivenUp, state)
+}
+
+// TestFailingServerIsSetAside guards against a backend server that fails everything and, being empty, attracts all
+// work, and against one that never gets work again.
+func TestFailingServerIsSetAside(t *testing.T) {
+	first, second := batch("first", 12), batch("second", 12)
+	first.MaxAttempts, second.MaxAttempts = 50, 50
+	s := newScript(t, 9, first, second)
+	broken := true
+	onBroken := 0
+	var bad describer.BackendServerID
+	s.fail = func(c starter.StartTask) string {
+		if bad == "" {
+			bad = c.Server
+		}
+		if c.Server == bad {
+			onBroken++
+			if broken {
+				return "disk is read-only"
+			}
+		}
+		return ""
+	}
+	s.send(starter.RecordsRecovered{})
+	s.wait(25 * time.Second)
+	// Four tasks were placed there together before the third failure set it aside.
+	require.Equal(t, 4, onBroken, "starts before it was set aside")
+	broken = false
+	s.send(starter.TasksAssigned{Job: batch("third", 12), Count: 12})
+	s.wait(20 * time.Second)
+	require.Equal(t, 5, onBroken, "starts with one probe")
+}
+
+// TestNoStartWithoutRight guards against a start of a member that was paused between the commit and the start.
+func TestNoStartWithoutRight(t *testing.T) {
+	s := newScript(t, 1, batch("a", 1))
+	s.holdBack = true
+	s.send(starter.RecordsRecovered{})
+	s.wait(time.Second)
+	record := committer.Record{Kind: committer.Started, Task: describer.TaskID{Job: "a"}, Attempt: 1}
+	s.now = began.Add(2 * time.Hour)
+	s.send(starter.RecordsCommitted{Records: []committer.Record{record}})
+	require.Empty(t, s.starts)
+	until := s.now.Add(time.Minute)
+	s.send(starter.RightChanged{Epoch: 2, StartUntil: until, RenewUntil: until})
+	require.Len(t, s.starts, 1)
+	require.Equal(t, describer.Epoch(2), s.starts[0].Epoch)
+}
+
+// TestFencedStarterIsSilent guards against commands of a member whose write was refused.
+func TestFencedStarterIsSilent(t *testing.T) {
+	s := newScript(t, 1, batch("a", 1))
+	s.send(starter.Fenced{})
+	s.send(starter.RecordsRecovered{})
+	s.wait(time.Minute)
+	require.Empty(t, s.starts)
+}
+
+// TestRecordsAndReports guards against a recovery that resolves a difference between records and reports the wrong way:
+// a task of a record that does not run starts again, a task without a record is stopped, a reported one goes on.
+func TestRecordsAndReports(t *testing.T) {
+	withdrawn := describer.TaskID{Job: "gone"}
+	s := newScript(t, 2, batch("a", 3))
+	record := func(id describer.TaskID) committer.Record {
+		return committer.Record{Kind: committer.Started, Task: id, Attempt: 4, Epoch: 1, Server: "server-0", At: began}
+	}
+	s.send(starter.RightChanged{Epoch: 2, StartUntil: began.Add(time.Hour), RenewUntil: began.Add(time.Hour)})
+	s.send(starter.RecordsRecovered{
+		Records:  []committer.Record{record(describer.TaskID{Job: "a"}), record(describer.TaskID{Job: "a", Index: 1}), record(withdrawn)},
+		Finished: []committer.Finished{{Job: "a", First: 2, Count: 1, Outcome: committer.Succeeded}},
+	})
+	s.wait(5 * time.Second)
+	require.Empty(t, s.starts, "started before the report")
+	report := starter.ServerReported{Server: "server-0", SampledAt: s.now, Tasks: []starter.TaskReport{
+		{Task: describer.TaskID{Job: "a"}, Attempt: 4},
+		{Task: describer.TaskID{Job: "stray"}, Attempt: 1},
+	}}
+	var stopped []starter.Attempt
+	for _, command := range s.core.Handle(s.now, report) {
+		if stop, ok := command.(starter.StopTask); ok {
+			stopped = append(stopped, stop.Attempt)
+		}
+		if commit, ok := command.(starter.CommitRecord); ok {
+			s.send(starter.RecordsCommitted{Records: []committer.Record{commit.Record}})
+		}
+	}
+	s.wait(time.Second)
+	require.Equal(t, []starter.Attempt{{Task: describer.TaskID{Job: "stray"}, Number: 1}}, stopped)
+	require.Len(t, s.starts, 1)
+	require.Equal(t, starter.Attempt{Task: describer.TaskID{Job: "a", Index: 1}, Number: 5}, s.starts[0].Attempt)
+	for index, want := range []starter.State{starter.Running, starter.Running, starter.Ended} {
+		state, _ := s.core.StateOf(describer.TaskID{Job: "a", Index: index})
+		require.Equal(t, want, state, "task %d", index)
+	}
+}
+
+// TestLostTaskWaitsForLease guards against a second start while the lease at a silent backend server may be valid.
+func TestLostTaskWaitsForLease(t *testing.T) {
+	s := newScript(t, 2, batch("a", 1))
+	s.send(starter.RecordsRecovered{})
+	s.wait(time.Second)
+	require.Len(t, s.starts, 1)
+	var list []describer.BackendServer
+	for _, id := range []describer.BackendServerID{"server-0", "server-1"} {
+		if id != s.starts[0].Server {
+			list = append(list, describer.BackendServer{ID: id, State: describer.Live, Capacity: describer.Resources{MilliCores: 4000, MemoryBytes: 4 << 30}})
+		}
+	}
+	lostAt := s.now
+	s.send(starter.ServersChanged{Servers: list})
+	s.wait(30 * time.Second)
+	require.Len(t, s.starts, 1, "%v after the loss", s.now.Sub(lostAt))
+	s.wait(5 * time.Second)
+	require.Len(t, s.starts, 2)
+	require.NotEqual(t, s.starts[0].Server, s.starts[1].Server)
+}
+
+// BenchmarkRecover measures the rebuilding of a zone with 20 running tasks on each backend server, from the records
+// and one report of each backend server.
+func BenchmarkRecover(b *testing.B) {
+	for _, servers := range []int{48, 1222, 11000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			list, jobs, records, reports := recoveryInput(servers)
+			for b.Loop() {
+				core := starter.New()
+				core.Handle(began, starter.RightChanged{Epoch: 2, StartUntil: began.Add(time.Hour), RenewUntil: began.Add(time.Hour)})
+				core.Handle(began, starter.ServersChanged{Servers: list})
+				for _, j := range jobs {
+					core.Handle(began, starter.TasksAssigned{Job: j, Count: j.Tasks})
+				}
+				core.Handle(began, starter.RecordsRecovered{Records: records})
+				for _, report := range reports {
+					core.Handle(began.Add(time.Second), report)
+				}
+			}
+		})
+	}
+}
+
+func recoveryInput(servers int) (
+	list []describer.BackendServer, jobs []describer.Job, records []committer.Record, reports []starter.ServerReported,
+) {
+	each := describer.Resources{MilliCores: 380, MemoryBytes: 1 << 30}
+	for i := range 1000 {
+		jobs = append(jobs, describer.Job{
+			ID: describer.JobID(fmt.Sprintf("job-%d", i)), Policy: describer.BatchJob, Class: describer.Standard,
+			Tasks: servers * 20 / 1000, PerTask: each,
+		})
+	}
+	next := 0
+	for i := range servers {
+		id := describer.BackendServerID(fmt.Sprintf("server-%d", i))
+		list = append(list, describer.BackendServer{
+			ID: id, State: describer.Live, Rack: describer.RackID(fmt.Sprintf("rack-%d", i/6)),
+			Capacity: describer.Resources{MilliCores: 8000, MemoryBytes: 32 << 30},
+		})
+		report := starter.ServerReported{Server: id, SampledAt: began}
+		for range 20 {
+			task := describer.TaskID{Job: jobs[next%1000].ID, Index: next / 1000}
+			next++
+			if task.Index >= jobs[0].Tasks {
+				continue
+			}
+			records = append(records, committer.Record{
+				Kind: committer.Started, Task: task, Attempt: 1, Epoch: 1, Server: id, Resources: each, At: began,
+			})
+			report.Tasks = append(report.Tasks, starter.TaskReport{Task: task, Attempt: 1, Used: each})
+		}
+		reports = append(reports, report)
+	}
+	return list, jobs, records, reports
+}
--- /dev/null
+++ b/starter/option.go
@@ -0,0 +1,51 @@
+package starter
+
+import "time"
+
+const (
+	// CallTimeout bounds a call to a backend server. A call that was given up has no effect later, so the lease of a
+	// call ends at the latest CallTimeout plus the lease after it was sent.
+	CallTimeout = 2 * time.Second
+
+	defaultLease          = 30 * time.Second
+	defaultRenewInterval  = 10 * time.Second
+	defaultLossTimeout    = 15 * time.Second
+	defaultLeaseMargin    = 2 * time.Second
+	defaultMaxAttempts    = 5
+	defaultCheckpointTime = 1200 * time.Millisecond
+
+	// resendInterval is how long an unanswered start or stop waits before it is sent again.
+	resendInterval = CallTimeout
+	// clockSkew is the largest assumed difference between the clocks of a backend server and of this member.
+	clockSkew = time.Second
+)
+
+type settings struct {
+	lease          time.Duration
+	renewInterval  time.Duration
+	lossTimeout    time.Duration
+	leaseMargin    time.Duration
+	checkpointTime time.Duration
+	maxAttempts    int
+}
+
+// Option changes a setting of a starter.
+type Option func(*settings)
+
+// WithLease sets the lease of a task at its backend server; it is renewed after a third of it, and a backend server
+// that was not heard of for half of it is lost.
+func WithLease(lease time.Duration) Option {
+	return func(s *settings) {
+		s.lease, s.renewInterval, s.lossTimeout = lease, lease/3, lease/2
+	}
+}
+
+// WithMaxAttempts sets after how many failures a task is given up when its job says nothing.
+func WithMaxAttempts(attempts int) Option {
+	return func(s *settings) { s.maxAttempts = attempts }
+}
+
+// WithCheckpointTime sets how long a checkpoint may take before the task is stopped.
+func WithCheckpointTime(limit time.Duration) Option {
+	return func(s *settings) { s.checkpointTime = limit }
+}
--- /dev/null
+++ b/starter/world_test.go
@@ -0,0 +1,391 @@
+package starter_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"egretring.example/egretring/committer"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/starter"
+	"egretring.example/egretring/tester"
+)
+
+func TestMain(m *testing.M) { tester.Main(m) }
+
+var began = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// rightSeconds is how long a placing member may start tasks without a renewal of its right.
+const rightSeconds = 8
+
+// runningTask is an attempt at a fake backend server.
+type runningTask struct {
+	resources  describer.Resources
+	leaseUntil time.Time
+	endsAt     time.Time
+	outcome    committer.Outcome
+}
+
+// backend is a fake backend server: it keeps leases, refuses old epochs and remembers stopped attempts.
+type backend struct {
+	describer.BackendServer
+	epoch       describer.Epoch
+	tasks       map[starter.Attempt]*runningTask
+	stopped     map[starter.Attempt]bool
+	partitioned bool
+	failsAll    bool
+}
+
+// member is a placing member with its starter and the records that it has not made durable.
+type member struct {
+	core    *starter.Starter
+	epoch   describer.Epoch
+	paused  bool
+	pending []committer.Record
+	// retired is true when the right is no longer renewed.
+	retired bool
+	// sealed is true after a newer member has taken over.
+	sealed bool
+}
+
+// world drives starters against fake backend servers and a fake store in virtual time.
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	backends []*backend
+	members  []*member
+	durable  []committer.Record
+	jobs     []describer.Job
+	finished map[describer.TaskID]committer.Outcome
+	storeOff bool
+	loseCall int
+}
+
+func newWorld(t *rapid.T, servers int, jobs []describer.Job) *world {
+	w := &world{
+		t: t, now: began, jobs: jobs,
+		finished: make(map[describer.TaskID]committer.Outcome),
+	}
+	for i := range servers {
+		w.backends = append(w.backends, &backend{
+			BackendServer: describer.BackendServer{
+				ID: describer.BackendServerID(fmt.Sprintf("server-%d", i)), State: describer.Live,
+				Rack:     describer.RackID(fmt.Sprintf("rack-%d", i/2)),
+				Capacity: describer.Resources{MilliCores: 4000, MemoryBytes: 4 << 30},
+			},
+			tasks: make(map[starter.Attempt]*runningTask), stopped: make(map[starter.Attempt]bool),
+		})
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) leader() *member { return w.members[len(w.members)-1] }
+
+// takeOver starts a new placing member from the durable records after the right of the one before has expired. The
+// writes of the member before are refused from then on.
+func (w *world) takeOver() {
+	if len(w.members) > 0 {
+		old := w.leader()
+		old.retired = true
+		for range 2 * rightSeconds {
+			w.step()
+		}
+		old.sealed = true
+		old.pending = nil
+	}
+	m := &member{core: starter.New(starter.WithLease(30 * time.Second)), epoch: describer.Epoch(len(w.members) + 1)}
+	w.members = append(w.members, m)
+	w.grant(m)
+	w.send(m, starter.ServersChanged{Servers: w.list()})
+	for _, j := range w.jobs {
+		w.send(m, starter.TasksAssigned{Job: j, Count: j.Tasks})
+	}
+	last := make(map[describer.TaskID]committer.Record)
+	for _, record := range w.durable {
+		last[record.Task] = record
+	}
+	var event starter.RecordsRecovered
+	for _, record := range w.durable {
+		if last[record.Task] != record {
+			continue
+		}
+		if record.Kind == committer.Ended && record.Outcome.IsFinal() {
+			event.Finished = append(event.Finished, committer.Finished{
+				Job: record.Task.Job, First: record.Task.Index, Count: 1, Outcome: record.Outcome,
+			})
+			continue
+		}
+		event.Records = append(event.Records, record)
+	}
+	w.send(m, event)
+}
+
+func (w *world) grant(m *member) {
+	if m.retired {
+		return
+	}
+	until := w.now.Add(rightSeconds * time.Second)
+	w.send(m, starter.RightChanged{Epoch: m.epoch, StartUntil: until, RenewUntil: until})
+}
+
+func (w *world) list() []describer.BackendServer {
+	var list []describer.BackendServer
+	for _, b := range w.backends {
+		if b.State != describer.Gone {
+			list = append(list, b.BackendServer)
+		}
+	}
+	return list
+}
+
+func (w *world) send(m *member, event starter.Event) {
+	if m.paused {
+		return
+	}
+	for _, command := range m.core.Handle(w.now, event) {
+		w.obey(m, command)
+	}
+}
+
+func (w *world) backendOf(id describer.BackendServerID) *backend {
+	for _, b := range w.backends {
+		if b.ID == id {
+			return b
+		}
+	}
+	return &backend{partitioned: true}
+}
+
+// reach delivers a call unless the backend server is cut off, gone, or has seen a newer epoch.
+func (w *world) reach(id describer.BackendServerID, epoch describer.Epoch) (b *backend, delivered, current bool) {
+	b = w.backendOf(id)
+	if b.partitioned || b.State == describer.Gone {
+		return b, false, false
+	}
+	if epoch < b.epoch {
+		return b, true, false
+	}
+	b.epoch = epoch
+	return b, true, true
+}
+
+// answer tells the member, unless the answer is lost.
+func (w *world) answer(m *member, event starter.Event) {
+	if w.loseCall > 0 {
+		w.loseCall--
+		return
+	}
+	w.send(m, event)
+}
+
+func (w *world) obey(m *member, command starter.Command) {
+	switch c := command.(type) {
+	case starter.CommitRecord:
+		if !m.sealed {
+			m.pending = append(m.pending, c.Record)
+		}
+	case starter.ReportFinished:
+		if !m.sealed {
+			w.finished[c.Task] = c.Outcome
+		}
+	case starter.StartTask:
+		w.start(m, c)
+	case starter.RenewLeases:
+		b, _, current := w.reach(c.Server, c.Epoch)
+		if !current {
+			return
+		}
+		for _, attempt := range c.Attempts {
+			if task := b.tasks[attempt]; task != nil {
+				task.leaseUntil = w.now.Add(time.Duration(c.LeaseSeconds) * time.Second)
+			}
+		}
+		w.answer(m, starter.RenewAnswered{Server: c.Server, Epoch: c.Epoch})
+	case starter.StopTask:
+		w.end(m, c.Server, c.Attempt, c.Epoch, committer.Stopped)
+	case starter.CheckpointTask:
+		w.end(m, c.Server, c.Attempt, c.Epoch, committer.Checkpointed)
+	}
+}
+
+func (w *world) start(m *member, c starter.StartTask) {
+	if !w.isDurable(committer.Started, c.Attempt) {
+		w.t.Fatalf("%v: start of %v was sent before its commit", w.now.Sub(began), c.Attempt)
+	}
+	w.checkGang(c.Attempt)
+	b, delivered, current := w.reach(c.Server, c.Epoch)
+	if !delivered {
+		return
+	}
+	result := starter.Accepted
+	switch {
+	case !current || b.stopped[c.Attempt]:
+		result = starter.Refused
+	case b.tasks[c.Attempt] == nil && b.failsAll:
+		result = starter.Refused
+		b.stopped[c.Attempt] = true
+	case b.tasks[c.Attempt] == nil:
+		b.tasks[c.Attempt] = &runningTask{
+			resources: c.Resources, leaseUntil: w.now.Add(time.Duration(c.LeaseSeconds) * time.Second),
+			endsAt: w.now.Add(w.runTime(c.Attempt)),
+		}
+	}
+	w.answer(m, starter.StartAnswered{
+		Server: c.Server, Task: c.Attempt.Task, Attempt: c.Attempt.Number, Result: result,
+	})
+}
+
+func (w *world) isDurable(kind committer.RecordKind, attempt starter.Attempt) bool {
+	return slices.ContainsFunc(w.durable, func(r committer.Record) bool {
+		return r.Kind == kind && r.Task == attempt.Task && r.Attempt == attempt.Number
+	})
+}
+
+// checkGang asserts that a task of a gang job starts only when the starts of all its unfinished tasks are durable.
+func (w *world) checkGang(attempt starter.Attempt) {
+	if attempt.Task.Job != "gang" {
+		return
+	}
+	last := make(map[int]committer.Record)
+	for _, record := range w.durable {
+		if record.Task.Job == "gang" {
+			last[record.Task.Index] = record
+		}
+	}
+	for index := range w.jobs[2].Tasks {
+		record := last[index]
+		if record.Kind != committer.Started && !record.Outcome.IsFinal() {
+			w.t.Fatalf("%v: start of %v was sent without task %d", w.now.Sub(began), attempt, index)
+		}
+	}
+}
+
+func (w *world) runTime(attempt starter.Attempt) time.Duration {
+	if attempt.Task.Job == "service" {
+		return 1000 * time.Hour
+	}
+	return time.Duration(20+attempt.Task.Index%5*15) * time.Second
+}
+
+func (w *world) end(
+	m *member, id describer.BackendServerID, attempt starter.Attempt, epoch describer.Epoch, outcome committer.Outcome,
+) {
+	b, _, current := w.reach(id, epoch)
+	if !current {
+		return
+	}
+	if task := b.tasks[attempt]; task != nil && task.outcome != "" {
+		outcome = task.outcome
+	}
+	delete(b.tasks, attempt)
+	b.stopped[attempt] = true
+	w.answer(m, starter.TaskLeft{Server: id, Task: attempt.Task, Attempt: attempt.Number, Outcome: outcome})
+}
+
+// flush makes the pending records durable and answers.
+func (w *world) flush() {
+	m := w.leader()
+	if w.storeOff || m.paused || len(m.pending) == 0 {
+		return
+	}
+	records := m.pending
+	m.pending = nil
+	w.durable = append(w.durable, records...)
+	w.send(m, starter.RecordsCommitted{Records: records})
+}
+
+// step moves the time on by half a second.
+func (w *world) step() {
+	w.now = w.now.Add(500 * time.Millisecond)
+	for _, b := range w.backends {
+		for attempt, task := range b.tasks {
+			if task.outcome == "" && !w.now.Before(task.endsAt) {
+				task.outcome = committer.Succeeded
+			}
+			if !w.now.Before(task.leaseUntil) {
+				delete(b.tasks, attempt)
+				b.stopped[attempt] = true
+			}
+		}
+	}
+	w.flush()
+	for _, m := range w.members {
+		w.grant(m)
+		if at, ok := m.core.NextDeadline(); ok && !w.now.Before(at) {
+			w.send(m, starter.Ticked{})
+		}
+	}
+	if w.now.Sub(began)%(2*time.Second) == 0 {
+		w.report()
+	}
+	w.check()
+}
+
+// useOf is the real use of a task, four fifths of its declared size.
+func (w *world) useOf(id describer.TaskID) describer.Resources {
+	for _, j := range w.jobs {
+		if j.ID == id.Job {
+			return describer.Resources{MilliCores: j.PerTask.MilliCores * 4 / 5, MemoryBytes: j.PerTask.MemoryBytes * 4 / 5}
+		}
+	}
+	return describer.Resources{}
+}
+
+func (w *world) report() {
+	for _, b := range w.backends {
+		if b.partitioned || b.State == describer.Gone {
+			continue
+		}
+		event := starter.ServerReported{Server: b.ID, SampledAt: w.now}
+		for attempt, task := range b.tasks {
+			event.Tasks = append(event.Tasks, starter.TaskReport{
+				Task: attempt.Task, Attempt: attempt.Number, Outcome: task.outcome, Used: w.useOf(attempt.Task),
+			})
+		}
+		slices.SortFunc(event.Tasks, func(a, b starter.TaskReport) int {
+			return slices.Compare([]byte(a.Task.String()), []byte(b.Task.String()))
+		})
+		w.answer(w.leader(), event)
+	}
+}
+
+// check asserts that no capacity is exceeded and no task runs twice.
+func (w *world) check() {
+	places := make(map[describer.TaskID]describer.BackendServerID)
+	for _, b := range w.backends {
+		sum := describer.Resources{}
+		for attempt, task := range b.tasks {
+			if task.outcome != "" {
+				continue
+			}
+			sum = sum.Plus(w.useOf(attempt.Task))
+			if other, twice := places[attempt.Task]; twice {
+				w.t.Fatalf("%v: %v runs on %s and %s", w.now.Sub(began), attempt.Task, other, b.ID)
+			}
+			places[attempt.Task] = b.ID
+			if w.finished[attempt.Task] != "" {
+				w.t.Fatalf("%v: finished %v runs on %s", w.now.Sub(began), attempt.Task, b.ID)
+			}
+		}
+		if !sum.Fits(b.Capacity) {
+			w.t.Fatalf("%v: %s runs %v of %v", w.now.Sub(began), b.ID, sum, b.Capacity)
+		}
+	}
+}
+
+// runningOf counts the running tasks of a job.
+func (w *world) runningOf(id describer.JobID) int {
+	count := 0
+	for _, b := range w.backends {
+		for attempt, task := range b.tasks {
+			if attempt.Task.Job == id && task.outcome == "" {
+				count++
+			}
+		}
+	}
+	return count
+}
