Add committer: group commit, compaction, seals and recovery of task records

Cause: a start may be sent only after its record is durable, and a paused owner must not add records that its successor has not read.

--- /dev/null
+++ b/committer/recovery.go
@@ -0,0 +1,242 @@
+package committer
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/keeper"
+)
+
+// ErrFenced is returned when a newer placing member has taken over.
+var ErrFenced = errors.New("a newer placing member has taken over")
+
+// IsErrFenced reports whether a newer placing member has taken over.
+func IsErrFenced(err error) bool {
+	return errors.Is(err, ErrFenced)
+}
+
+// State is what the store holds about the tasks of a zone.
+type State struct {
+	Records  []Record
+	Finished []Finished
+}
+
+func newWriteID(writer string, epoch describer.Epoch, number int64) WriteID {
+	return WriteID(fmt.Sprintf("%s/%d/%d", writer, epoch, number))
+}
+
+// sealRetention is for how many epochs a seal is kept. A member that was paused for longer can write a group again; it
+// is ignored when it is read, because its epoch is too old.
+const sealRetention = 64
+
+// reader reads the task records of a zone for a new placing member.
+type reader struct {
+	store  keeper.Store
+	zone   describer.AvailabilityZoneID
+	epoch  describer.Epoch
+	writer string
+}
+
+// contents are the groups in order of their positions, and the shards.
+type contents struct {
+	groups   []Group
+	shards   [ShardCount]Shard
+	versions [ShardCount]int64
+}
+
+// Recover seals the sequences of all earlier epochs, so that no write of an earlier member takes effect any more, and
+// reads the records back. It is called again after an error.
+func Recover(
+	ctx context.Context, store keeper.Store, zone describer.AvailabilityZoneID, epoch describer.Epoch, writer string,
+) (*Journal, State, error) {
+	r := reader{store: store, zone: zone, epoch: epoch, writer: writer}
+	before, err := r.read(ctx)
+	if err != nil {
+		return nil, State{}, err
+	}
+	if err := r.seal(ctx, before); err != nil {
+		return nil, State{}, err
+	}
+	after, err := r.read(ctx)
+	if err != nil {
+		return nil, State{}, err
+	}
+	j := newJournal(writer, epoch)
+	j.load(after)
+	return j, j.state(), nil
+}
+
+func newJournal(writer string, epoch describer.Epoch) *Journal {
+	return &Journal{writer: writer, epoch: epoch, table: newTable(), permits: writeBurst}
+}
+
+// read reads the groups before the shards: an earlier member that compacts in the meantime writes a shard before it
+// deletes a group, so each record is found in one of them.
+func (r reader) read(ctx context.Context) (contents, error) {
+	var read contents
+	groups, err := r.store.List(ctx, startsPrefix(r.zone))
+	if err != nil {
+		return read, errors.Wrap(err, "list groups of task records")
+	}
+	shards, err := r.store.List(ctx, tasksPrefix(r.zone))
+	if err != nil {
+		return read, errors.Wrap(err, "list task shards")
+	}
+	for _, entry := range groups.Entries {
+		if err := read.addGroup(r.zone, entry); err != nil {
+			return read, err
+		}
+	}
+	slices.SortFunc(read.groups, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Sequence, b.Sequence))
+	})
+	for _, entry := range shards.Entries {
+		if err := read.addShard(r.zone, entry); err != nil {
+			return read, err
+		}
+	}
+	return read, nil
+}
+
+func (c *contents) addGroup(zone describer.AvailabilityZoneID, entry keeper.Entry) error {
+	at, err := positionOf(zone, entry.Key)
+	if err != nil {
+		return err
+	}
+	var group Group
+	if err := json.Unmarshal(entry.Value, &group); err != nil {
+		return errors.Wrapf(err, "decode key %q", entry.Key)
+	}
+	group.Epoch, group.Sequence = at.Epoch, at.Sequence
+	c.groups = append(c.groups, group)
+	return nil
+}
+
+func (c *contents) addShard(zone describer.AvailabilityZoneID, entry keeper.Entry) error {
+	number, err := shardNumberOf(zone, entry.Key)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(entry.Value, &c.shards[number]); err != nil {
+		return errors.Wrapf(err, "decode key %q", entry.Key)
+	}
+	c.versions[number] = entry.Version
+	return nil
+}
+
+func (g Group) at() Position {
+	return Position{Epoch: g.Epoch, Sequence: g.Sequence}
+}
+
+// sequences are the last known position of each epoch, which epochs are sealed, and the latest epoch whose member has
+// sealed all epochs before it.
+type sequences struct {
+	last      map[describer.Epoch]int64
+	sealed    map[describer.Epoch]bool
+	recovered describer.Epoch
+}
+
+func (c *contents) sequences() sequences {
+	known := sequences{last: make(map[describer.Epoch]int64), sealed: make(map[describer.Epoch]bool), recovered: 1}
+	for _, shard := range c.shards {
+		at := shard.Through
+		known.last[at.Epoch] = max(known.last[at.Epoch], at.Sequence)
+		known.recovered = max(known.recovered, at.Epoch, shard.Epoch)
+	}
+	for _, group := range c.groups {
+		known.last[group.Epoch] = max(known.last[group.Epoch], group.Sequence)
+		switch {
+		case group.SealedBy == 0:
+			known.recovered = max(known.recovered, group.Epoch)
+		default:
+			known.sealed[group.Epoch] = true
+			// Seals are written in the order of epochs, so the last one proves that all were written.
+			if group.SealedBy == group.Epoch+1 {
+				known.recovered = max(known.recovered, group.SealedBy)
+			}
+		}
+	}
+	return known
+}
+
+// seal writes a seal at the next position of each epoch that is not sealed. Earlier members write one group after the
+// other, each at the next position, so a member whose next position is taken is fenced.
+func (r reader) seal(ctx context.Context, read contents) error {
+	known := read.sequences()
+	// The latest seal may be this member's own, whose answer was lost.
+	if known.recovered > r.epoch || known.last[r.epoch] > 0 {
+		return errors.Wrapf(ErrFenced, "epoch %d is in use or sealed", known.recovered)
+	}
+	for epoch := known.recovered; epoch < r.epoch; epoch++ {
+		if known.sealed[epoch] {
+			continue
+		}
+		if err := r.sealEpoch(ctx, Position{Epoch: epoch, Sequence: known.last[epoch] + 1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r reader) sealEpoch(ctx context.Context, at Position) error {
+	for ; ; at.Sequence++ {
+		body, err := encode(Group{
+			WriteID: newWriteID(r.writer, r.epoch, -int64(at.Epoch)), Epoch: at.Epoch, Sequence: at.Sequence,
+			SealedBy: r.epoch,
+		})
+		if err != nil {
+			return err
+		}
+		_, err = r.store.Put(ctx, keeper.PutOptions{Key: groupKey(r.zone, at), Value: body})
+		if err == nil {
+			return nil
+		}
+		// A conflict is a group that the earlier member wrote in the meantime; the seal goes behind it.
+		if !keeper.IsErrConflict(err) {
+			return errors.Wrapf(err, "seal epoch %d", at.Epoch)
+		}
+	}
+}
+
+// load takes over the shards, and the groups that they do not cover. The shards that groups of earlier epochs changed
+// are written again before those groups are deleted.
+func (j *Journal) load(read contents) {
+	for number, shard := range read.shards {
+		j.versions[number] = read.versions[number]
+		j.through[number] = shard.Through
+		j.table.load(number, shard)
+	}
+	for _, group := range read.groups {
+		at := group.at()
+		j.written = at
+		outdated := group.Epoch+sealRetention < j.epoch
+		if group.SealedBy == 0 || outdated {
+			j.undeleted = append(j.undeleted, at)
+		}
+		if outdated {
+			continue
+		}
+		for _, record := range group.Records {
+			shard := shardOf(record.Task)
+			j.changed[shard] = true
+			if j.through[shard].before(at) {
+				j.table.apply(record)
+			}
+		}
+	}
+}
+
+func (j *Journal) state() State {
+	var state State
+	for i := range j.table.shards {
+		state.Records = append(state.Records, j.table.shards[i].records()...)
+		state.Finished = append(state.Finished, j.table.shards[i].ranges()...)
+	}
+	return state
+}
--- /dev/null
+++ b/committer/table.go
@@ -0,0 +1,106 @@
+package committer
+
+import (
+	"cmp"
+	"slices"
+
+	"egretring.example/egretring/describer"
+)
+
+// table is the state of the tasks of a zone that follows from its records.
+type table struct {
+	shards [ShardCount]tableShard
+}
+
+type tableShard struct {
+	last     map[describer.TaskID]Record
+	finished map[describer.TaskID]Outcome
+}
+
+func newTable() *table {
+	t := &table{}
+	for i := range t.shards {
+		t.shards[i] = tableShard{
+			last: make(map[describer.TaskID]Record), finished: make(map[describer.TaskID]Outcome),
+		}
+	}
+	return t
+}
+
+// apply takes a record into account. An older attempt changes nothing.
+func (t *table) apply(record Record) {
+	shard := &t.shards[shardOf(record.Task)]
+	if known, ok := shard.last[record.Task]; ok && known.Attempt > record.Attempt {
+		return
+	}
+	if record.Kind == Ended && record.Outcome.IsFinal() {
+		delete(shard.last, record.Task)
+		shard.finished[record.Task] = record.Outcome
+		return
+	}
+	if _, finished := shard.finished[record.Task]; !finished {
+		shard.last[record.Task] = record
+	}
+}
+
+// forget drops the tasks of a job.
+func (s *tableShard) forget(job describer.JobID) {
+	for task := range s.last {
+		if task.Job == job {
+			delete(s.last, task)
+		}
+	}
+	for task := range s.finished {
+		if task.Job == job {
+			delete(s.finished, task)
+		}
+	}
+}
+
+// load takes over a compacted shard.
+func (t *table) load(number int, shard Shard) {
+	into := &t.shards[number]
+	for _, record := range shard.Records {
+		into.last[record.Task] = record
+	}
+	for _, finished := range shard.Finished {
+		for index := finished.First; index < finished.First+finished.Count; index++ {
+			into.finished[describer.TaskID{Job: finished.Job, Index: index}] = finished.Outcome
+		}
+	}
+}
+
+// records returns the last records of the unfinished tasks of a shard in order.
+func (s *tableShard) records() []Record {
+	records := make([]Record, 0, len(s.last))
+	for _, record := range s.last {
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b Record) int { return compareTasks(a.Task, b.Task) })
+	return records
+}
+
+// ranges returns the finished tasks of a shard as ranges.
+func (s *tableShard) ranges() []Finished {
+	tasks := make([]describer.TaskID, 0, len(s.finished))
+	for task := range s.finished {
+		tasks = append(tasks, task)
+	}
+	slices.SortFunc(tasks, compareTasks)
+	var ranges []Finished
+	for _, task := range tasks {
+		outcome := s.finished[task]
+		last := len(ranges) - 1
+		if last >= 0 && ranges[last].Job == task.Job && ranges[last].Outcome == outcome &&
+			ranges[last].First+ranges[last].Count == task.Index {
+			ranges[last].Count++
+			continue
+		}
+		ranges = append(ranges, Finished{Job: task.Job, First: task.Index, Count: 1, Outcome: outcome})
+	}
+	return ranges
+}
+
+func compareTasks(a, b describer.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+}
