--- a/generator/deployment.go
+++ b/generator/deployment.go
@@ -38,7 +38,7 @@
 
 // Hronov returns the load of the deployment of that name in section 1.4 of the design.
 func Hronov() Load {
-	return deployment("label", []describer.AvailabilityZoneID{"hala-a", "hala-b", "sklad"}, []Kind{
+	return deployment("pletac", []describer.AvailabilityZoneID{"hala-a", "hala-b", "sklad"}, []Kind{
 		kindOf("label", describer.Urgent, 0.78, 15*time.Millisecond),
 		kindOf("issue", describer.Urgent, 0.12, 30*time.Millisecond).once(),
 		kindOf("tension", describer.Standard, 0.09, 250*time.Millisecond),
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -47,7 +47,7 @@
 // TicketsReply holds tickets in order without gaps. It may end before the newest ticket.
 type TicketsReply struct {
 	// Snapshot is set when the sender no longer has all tickets after the number.
-	Snapshot json.RawMessage `json:",omitempty"`
+	Snapshot []byte `json:",omitempty"`
 	Tickets  []Ticket
 }
 
--- a/server/peer_source.go
+++ b/server/peer_source.go
@@ -27,13 +27,7 @@
 }
 
 func decodeBatch(reply messenger.TicketsReply) (distributor.Batch, error) {
-	var batch distributor.Batch
-	if len(reply.Snapshot) > 0 {
-		batch.Snapshot = new(ticketer.Snapshot)
-		if err := json.Unmarshal(reply.Snapshot, batch.Snapshot); err != nil {
-			return batch, errors.Wrap(err, "decode snapshot of peer")
-		}
-	}
+	batch := distributor.Batch{Snapshot: reply.Snapshot}
 	for _, ticket := range reply.Tickets {
 		var numbered ticketer.Numbered
 		if err := json.Unmarshal(ticket.Content, &numbered); err != nil {
@@ -45,14 +39,7 @@
 }
 
 func encodeBatch(batch distributor.Batch) (messenger.TicketsReply, error) {
-	var reply messenger.TicketsReply
-	if batch.Snapshot != nil {
-		encoded, err := json.Marshal(batch.Snapshot)
-		if err != nil {
-			return reply, errors.Wrap(err, "encode snapshot")
-		}
-		reply.Snapshot = encoded
-	}
+	reply := messenger.TicketsReply{Snapshot: batch.Snapshot}
 	for _, numbered := range batch.Tickets {
 		encoded, err := json.Marshal(numbered)
 		if err != nil {
