--- a/dispatcher/benchmark_test.go
+++ b/dispatcher/benchmark_test.go
@@ -10,7 +10,7 @@
 )
 
 // newFleet returns a dispatcher whose slots are all taken and whose queue is not empty.
-func newFleet(b *testing.B, servers, waiting int) (*dispatcher.Dispatcher, []dispatcher.StartAttempt) {
+func newFleet(b testing.TB, servers, waiting int) (*dispatcher.Dispatcher, []dispatcher.StartAttempt) {
 	b.Helper()
 	d := dispatcher.New(dispatcher.WithQueueBound(1 << 30))
 	d.Handle(epoch, dispatcher.ServicesChanged{Services: []describer.Service{{
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -109,13 +109,14 @@
 	}
 	require.Equal(t, relay(2, "near"), d.Handle(epoch, arrival(2)))
 	require.Equal(t, relay(3, "far"), d.Handle(epoch, arrival(3)), "half of the free slots of the near peer are used")
-	require.Empty(t, d.Handle(epoch, dispatcher.RelayEnded{ID: 2, Evidence: describer.Refused}), "it waits here")
-	require.Equal(t, relay(4, "far"), d.Handle(epoch, arrival(4)), "the near peer refused")
-	require.Empty(t, d.Handle(epoch, dispatcher.RelayEnded{ID: 3, Evidence: describer.Answered}))
+	require.Empty(t, d.Handle(epoch, dispatcher.RelayEnded{ID: 2, Evidence: describer.Answered}))
+	require.Equal(t, relay(4, "near"), d.Handle(epoch, arrival(4)), "the near peer has room again")
+	require.Empty(t, d.Handle(epoch, dispatcher.RelayEnded{ID: 4, Evidence: describer.Refused}), "it waits here")
+	require.Equal(t, relay(5, "far"), d.Handle(epoch, arrival(5)), "the near peer refused")
 	started := d.Handle(epoch, dispatcher.AttemptEnded{ID: 1, Attempt: 1, Evidence: describer.Answered})
-	require.Equal(t, describer.RequestID(2), started[0].(dispatcher.StartAttempt).ID)
-	require.Equal(t, []dispatcher.Command{dispatcher.AbortAttempt{ID: 4, Relay: true}},
-		d.Handle(epoch, dispatcher.RequestCancelled{ID: 4}))
-	require.Equal(t, []dispatcher.Command{dispatcher.AnswerRequest{ID: 4, Kind: classifier.Cancelled}},
-		d.Handle(epoch, dispatcher.RelayEnded{ID: 4, Evidence: describer.Broken}))
+	require.Equal(t, describer.RequestID(4), started[0].(dispatcher.StartAttempt).ID)
+	require.Equal(t, []dispatcher.Command{dispatcher.AbortAttempt{ID: 5, Relay: true}},
+		d.Handle(epoch, dispatcher.RequestCancelled{ID: 5}))
+	require.Equal(t, []dispatcher.Command{dispatcher.AnswerRequest{ID: 5, Kind: classifier.Cancelled}},
+		d.Handle(epoch, dispatcher.RelayEnded{ID: 5, Evidence: describer.Broken}))
 }
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -23,7 +23,7 @@
 		return "", false
 	}
 	s := p.choose(wish)
-	s.inUse++
+	s.take()
 	p.update(s)
 	return s.id, true
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -103,6 +103,7 @@
 		if s.health == ejected && !now.Before(s.ejectedUntil) {
 			s.health = probing
 			s.successes = 0
+			s.probes = 0
 		}
 		p.update(s)
 	}
--- a/picker/release.go
+++ b/picker/release.go
@@ -13,7 +13,7 @@
 	if !known || s.inUse == 0 {
 		return
 	}
-	s.inUse--
+	s.release()
 	switch evidence {
 	case describer.Answered:
 		s.recordSuccess()
--- a/picker/server.go
+++ b/picker/server.go
@@ -43,6 +43,8 @@
 	successes    int
 	ejections    int
 	ejectedUntil time.Time
+	// probes is the number of running attempts that were started to probe the server.
+	probes int
 
 	level       int
 	levelIndex  int
@@ -58,7 +60,7 @@
 	return s.live && s.leavingUntil.IsZero() && s.share > 0
 }
 
-// limit is the number of attempts that may run on the server.
+// limit is what the server adds to the capacity.
 func (s *server) limit() int {
 	switch {
 	case !s.eligible() || s.health == ejected:
@@ -70,8 +72,31 @@
 	}
 }
 
+// free is the number of attempts that may be started. Attempts that run since before an ejection do not keep the
+// server from being probed.
 func (s *server) free() int {
-	return max(0, s.limit()-s.inUse)
+	if s.limit() == 0 {
+		return 0
+	}
+	if s.health == probing {
+		return max(0, min(1-s.probes, s.share-s.inUse))
+	}
+	return max(0, s.share-s.inUse)
+}
+
+// take uses a slot for a new attempt.
+func (s *server) take() {
+	s.inUse++
+	if s.health == probing {
+		s.probes++
+	}
+}
+
+// release frees the slot of an ended attempt. It need not be known which attempt was the probe: at worst another one
+// is started a little early.
+func (s *server) release() {
+	s.inUse--
+	s.probes = max(0, s.probes-1)
 }
 
 func (s *server) wantedLevel() int {
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// TestBlockedClassDoesNotCatchUp guards against a class that was not permitted and then takes all slots at once.
+func TestBlockedClassDoesNotCatchUp(t *testing.T) {
+	q := queuer.New[int]()
+	for range 3000 {
+		q.Push(newItem("count", describer.Urgent, start, 10*time.Millisecond))
+		q.Push(newItem("layout", describer.Deferrable, start, 10*time.Millisecond))
+	}
+	permit := queuer.PermitAll()
+	permit[describer.Deferrable] = [queuer.GroupCount]bool{}
+	for range 2000 {
+		q.Serve(q.Next(start, permit))
+	}
+	blocked := 0
+	for range 100 {
+		if serve(q, start).Flow.Class == describer.Deferrable {
+			blocked++
+		}
+	}
+	require.Less(t, blocked, 20)
+}
+
 // TestRemoveKeepsOrderAndSums guards against a cancellation that leaves a trace in the queue.
 func TestRemoveKeepsOrderAndSums(t *testing.T) {
 	q := queuer.New[int]()
