dispatcher: a server that lets requests hang until their deadline is ejected

Cause: the high quantile of the run time, learned from attempts that hung, rose above the deadline and hid the hanging server; and an attempt reported at its deadline before the tick was not recognised as late. Change: a late attempt that ran twice the overdue limit of its kind counts as a failure of the server; lateness follows from the time of the report. Conclusion: a test covers it, and that stragglers alone eject no server.

--- a/dispatcher/agenda_test.go
+++ b/dispatcher/agenda_test.go
@@ -16,11 +16,17 @@
 	d.Handle(start, ServicesChanged{Services: []describer.Service{{ID: "tally"}}})
 	d.Handle(start, BackendServersChanged{Servers: []describer.BackendServer{{ID: "b1", State: describer.Live}}})
 	d.Handle(start, SharesChanged{Shares: []Share{{BackendServer: "b1", Slots: 1, Connections: 1}}})
+	arrive := func(id describer.RequestID, patience time.Duration) {
+		d.Handle(start, RequestArrived{Request: describer.Request{ID: id, Service: "tally", Deadline: start.Add(patience)}})
+	}
+	arrive(0, time.Minute)
 	for id := range describer.RequestID(10_000) {
-		d.Handle(start, RequestArrived{Request: describer.Request{ID: id, Service: "tally", Deadline: start.Add(time.Hour)}})
-		d.Handle(start, AttemptEnded{ID: id, Attempt: 1, Evidence: describer.Answered})
+		arrive(id+1, time.Hour)
+		d.Handle(start, RequestCancelled{ID: id + 1})
 	}
 	require.Less(t, len(d.agenda.entries), 100)
+	require.Len(t, d.requests, 1)
+	d.Handle(start, AttemptEnded{ID: 0, Attempt: 1, Evidence: describer.Answered})
 	require.Empty(t, d.requests)
 	require.Empty(t, d.samples)
 }
--- a/dispatcher/ending.go
+++ b/dispatcher/ending.go
@@ -8,8 +8,8 @@
 	"egretring.example/egretring/retrier"
 )
 
-// hungFactor is the multiple of the high quantile of the run time after which an attempt that reached its deadline
-// is a failure of the server rather than of a tight deadline.
+// hungFactor is the multiple of the overdue limit after which an attempt that reached its deadline is a failure of
+// the server rather than of a tight deadline. Stragglers pass it as well, but seldom five times in a row.
 const hungFactor = 2
 
 // ending is the end of an attempt or a relay.
@@ -25,7 +25,7 @@
 	}
 	d.vacate(e)
 	elapsed := now.Sub(e.startedAt)
-	d.picker.Release(now, e.server, d.serverEvidence(e, event.Evidence, elapsed))
+	d.picker.Release(now, e.server, d.serverEvidence(now, e, event.Evidence))
 	if event.ServerLeaving {
 		d.picker.MarkLeaving(now, e.server)
 	}
@@ -34,11 +34,13 @@
 }
 
 // serverEvidence is what an attempt says about its server.
-func (d *Dispatcher) serverEvidence(e *entry, evidence describer.Evidence, elapsed time.Duration) describer.Evidence {
+func (d *Dispatcher) serverEvidence(now time.Time, e *entry, evidence describer.Evidence) describer.Evidence {
 	if e.cancelled && evidence != describer.Answered && !evidence.ProvesNotRun() {
 		return describer.Aborted
 	}
-	hung := e.expired && elapsed > hungFactor*e.learner.Estimate().High
+	// The forwarder ends an attempt at the deadline by itself, so its report may come before the tick.
+	late := !now.Before(e.request.Deadline)
+	hung := late && now.Sub(e.startedAt) > hungFactor*e.learner.Estimate().Overdue
 	if evidence == describer.Aborted && hung {
 		return describer.Broken
 	}
--- a/dispatcher/quality_test.go
+++ b/dispatcher/quality_test.go
@@ -83,3 +83,15 @@
 	require.Greater(t, baseline.starts["b3"], 1000)
 	require.Positive(t, baseline.results[0].other)
 }
+
+// TestHangingServerIsEjected guards against a server that never answers and holds requests until their deadline, and
+// against an ejection of servers whose requests only straggle.
+func TestHangingServerIsEjected(t *testing.T) {
+	s := scenario{servers: 12, length: 16 * time.Second, loads: swingLoads, stragglers: 0.005, factor: swing(2), hangs: "b3"}
+	sim := simulate(s)
+	require.Less(t, 2*sim.starts["b3"], simulate(s, dispatcher.WithoutEjection()).starts["b3"])
+	s.hangs = ""
+	for id, count := range simulate(s).starts {
+		require.Greater(t, count, 500, id)
+	}
+}
--- a/dispatcher/simulation_test.go
+++ b/dispatcher/simulation_test.go
@@ -38,6 +38,8 @@
 	factor func(time.Duration) float64
 	// fails says which server fails all that it starts within a millisecond.
 	fails describer.BackendServerID
+	// hangs says which server answers nothing before the deadline.
+	hangs describer.BackendServerID
 }
 
 // happening is a future event of a simulation.
@@ -199,6 +201,9 @@
 	}
 	ended := dispatcher.AttemptEnded{ID: c.ID, Attempt: c.Attempt, Evidence: describer.Answered}
 	at := s.now.Add(s.run(i))
+	if c.BackendServer == s.scenario.hangs {
+		at = c.Deadline.Add(1)
+	}
 	if c.BackendServer == s.scenario.fails {
 		ended.Evidence = describer.Failed
 		at = s.now.Add(time.Millisecond)
