--- a/distributor/batch.go
+++ b/distributor/batch.go
@@ -29,16 +29,32 @@
 	return Batch{Snapshot: snapshot, Tickets: j.tickets}, err
 }
 
-// learned returns the journal after a batch of a peer or of the store.
-func (j journal) learned(batch Batch) (journal, error) {
-	if len(batch.Snapshot) == 0 {
-		return j.withAll(batch.Tickets)
+// lesson is what a batch holds after decoding.
+type lesson struct {
+	// snapshot is nil when the tickets suffice.
+	snapshot *ticketer.State
+	tickets  []ticketer.Numbered
+}
+
+// lesson decodes a batch. This takes a second for the largest snapshots, so it must not be done under a lock.
+func (b Batch) lesson() (lesson, error) {
+	if len(b.Snapshot) == 0 {
+		return lesson{tickets: b.Tickets}, nil
 	}
-	snapshot, err := decodeSnapshot(batch.Snapshot)
+	snapshot, err := decodeSnapshot(b.Snapshot)
 	if err != nil {
-		return j, err
+		return lesson{}, err
+	}
+	state := snapshot.State()
+	return lesson{snapshot: &state, tickets: b.Tickets}, nil
+}
+
+// learned returns the journal after what a peer knows.
+func (j journal) learned(from lesson) (journal, error) {
+	if from.snapshot == nil {
+		return j.withAll(from.tickets)
 	}
-	return j.adopted(snapshot.State(), batch.Tickets)
+	return j.adopted(*from.snapshot, from.tickets)
 }
 
 // sequence returns the highest run of tickets in which each one follows the one before. A ticket that was written
--- a/distributor/learner.go
+++ b/distributor/learner.go
@@ -139,5 +139,9 @@
 	if err != nil {
 		return errors.Wrap(err, "fetch tickets from peer")
 	}
-	return l.session.holder.update(func(j journal) (journal, error) { return j.learned(batch) })
+	decoded, err := batch.lesson()
+	if err != nil {
+		return err
+	}
+	return l.session.holder.update(func(j journal) (journal, error) { return j.learned(decoded) })
 }
--- a/distributor/session.go
+++ b/distributor/session.go
@@ -150,7 +150,8 @@
 	if !ok {
 		return errors.Errorf("store has tickets from %d on, but no complete snapshot before them", firstNumber(tickets))
 	}
-	return s.holder.update(func(j journal) (journal, error) { return j.adopted(snapshot.State(), tickets) })
+	state := snapshot.State()
+	return s.holder.update(func(j journal) (journal, error) { return j.adopted(state, tickets) })
 }
 
 func firstNumber(tickets []ticketer.Numbered) int64 {
--- a/requester/calls.go
+++ b/requester/calls.go
@@ -12,10 +12,10 @@
 	"egretring.example/egretring/ticketer"
 )
 
-// Apply applies the text of a ticket. It returns when the ticket was accepted or the context ends.
+// Apply applies the text of a ticket. It returns when the ticket was accepted or refused, or the context ends.
 func (c *Client) Apply(ctx context.Context, text []byte) (reporter.AcceptedView, error) {
 	var view reporter.AcceptedView
-	err := c.do(ctx, call{method: http.MethodPost, path: "/v1/tickets", body: text}, &view)
+	err := c.doUntilDecided(ctx, call{method: http.MethodPost, path: "/v1/tickets", body: text}, &view)
 	return view, err
 }
 
--- a/requester/client.go
+++ b/requester/client.go
@@ -19,6 +19,11 @@
 const (
 	// readTimeout bounds a read at one entry instance, so that one that hangs does not hold up the others.
 	readTimeout = 5 * time.Second
+	// applyTimeout is how long one of several entry instances may take for a ticket. It may be cut off from the store
+	// while another is not; applying the ticket there is safe because of its ID.
+	applyTimeout = 10 * time.Second
+	// roundPause is the time before the entry instances are tried again.
+	roundPause = 500 * time.Millisecond
 	// maxAnswerBytes bounds an answer; 220,000 tasks take about 60 MB.
 	maxAnswerBytes = 256 << 20
 )
@@ -63,6 +68,26 @@
 	return failure
 }
 
+// doUntilDecided tries the entry instances in rounds until one has decided or the context ends.
+func (c *Client) doUntilDecided(ctx context.Context, one call, into any) error {
+	if len(c.bases) > 1 {
+		one.timeout = applyTimeout
+	}
+	for {
+		err := c.do(ctx, one, into)
+		if err == nil || ctx.Err() != nil || !slices.Contains(elsewhere, classifier.KindOf(err)) {
+			return err
+		}
+		pause := time.NewTimer(roundPause)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return err
+		}
+	}
+}
+
 // prefer moves the instance that answered to the front.
 func (c *Client) prefer(index int) {
 	base := c.bases[index]
