--- a/ticketer/ticket.go
+++ b/ticketer/ticket.go
@@ -47,12 +47,6 @@
 	return t
 }
 
-// WithID returns a copy with another ID.
-func (t Ticket) WithID(id string) Ticket {
-	t.ID = id
-	return t
-}
-
 // Digest identifies the content. The base is left out, because a client that retries may have read a later base.
 func (t Ticket) Digest() string {
 	t.Base = 0
