--- /dev/null
+++ b/dispatcher/entry.go
@@ -0,0 +1,81 @@
+package dispatcher
+
+import (
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/estimator"
+	"egretring.example/egretring/queuer"
+)
+
+type state int
+
+const (
+	queued state = iota
+	waitingForRetry
+	running
+	relayed
+	ended
+)
+
+// entry is the state of one request.
+type entry struct {
+	item    queuer.Item[*entry]
+	request describer.Request
+	learner *estimator.Learner
+	state   state
+
+	arrived      time.Time
+	expectedWait time.Duration
+
+	attempts  int
+	server    describer.BackendServerID
+	startedAt time.Time
+	// countsLong is true while the running attempt counts as long work.
+	countsLong bool
+	// relays is the number of relays; a request is relayed at most once.
+	relays int
+	peer   describer.InstanceID
+
+	// mayHaveRun is true after evidence that does not prove that the request was not run.
+	mayHaveRun bool
+	// failure is the answer when no further attempt follows an attempt that may have run.
+	failure   classifier.Kind
+	cancelled bool
+	// expired is true when the deadline passed while an attempt or a relay was running.
+	expired bool
+}
+
+// inFlight reports whether an attempt or a relay is running.
+func (e *entry) inFlight() bool {
+	return e.state == running || e.state == relayed
+}
+
+// recordEvidence remembers what the evidence says about whether the request was run.
+func (e *entry) recordEvidence(evidence describer.Evidence, answerBegun bool) {
+	if evidence.ProvesNotRun() && !answerBegun {
+		return
+	}
+	e.mayHaveRun = true
+	e.failure = failureOf(evidence)
+}
+
+// kindOr returns the given kind unless the request may have run.
+func (e *entry) kindOr(notRun classifier.Kind) classifier.Kind {
+	if e.mayHaveRun {
+		return e.failure
+	}
+	return notRun
+}
+
+func failureOf(evidence describer.Evidence) classifier.Kind {
+	switch evidence {
+	case describer.Failed:
+		return classifier.BackendFailed
+	case describer.Truncated:
+		return classifier.BackendTruncated
+	default:
+		return classifier.OutcomeUnknown
+	}
+}
--- /dev/null
+++ b/router/call.go
@@ -0,0 +1,23 @@
+package router
+
+import (
+	"net/http"
+
+	"egretring.example/egretring/describer"
+)
+
+// Call is one request with all that is sent on.
+type Call struct {
+	Request describer.Request
+	Method  string
+	// Path is the path with the query as the caller sent it.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Attempt counts the caller's attempts from one; deduplicator.AttemptUnknown when the caller does not say.
+	Attempt int
+	// RelayedBy is the peer that relayed the request; it is empty for a request of a caller.
+	RelayedBy describer.InstanceID
+	// Registered is true when the home of the request's idempotency key has recorded this run.
+	Registered bool
+}
