--- a/handler/operator_doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package handler holds the thin HTTP handlers of the daemon.
-package handler
