Add the demo and hold the slots of requests that may still run

Cause: a run of the demo put 1 to 7 requests above the slots of a backend server: an attempt that was aborted while the server still ran it freed its slot, because the loopback network of the demo hid the half close that the forwarder waits for, and the forwarder's sign for that was dropped. Change: egretring demo; the loopback network passes the half close on; a slot whose request may still run stays in use until a usage report shows the server idle. Conclusion: the sign that a request may still run must reach the slot count.

--- a/cmd/egretring/root.go
+++ b/cmd/egretring/root.go
@@ -40,7 +40,7 @@
 		FlagSet: c.flags("egretring"),
 		Subcommands: []*ffcli.Command{
 			ticketCommand(c), statusCommand(c), servicesCommand(c), jobsCommand(c), tasksCommand(c), workersCommand(c),
-			zonesCommand(c), teamsCommand(c), whyCommand(c), drainCommand(c), declareDeadCommand(c), topCommand(c),
+			zonesCommand(c), teamsCommand(c), whyCommand(c), drainCommand(c), declareDeadCommand(c), topCommand(c), demoCommand(c),
 		},
 	}
 }
--- a/demonstrator/cell.go
+++ b/demonstrator/cell.go
@@ -38,8 +38,9 @@
 	logger   *slog.Logger
 	seed     uint64
 
-	mu      sync.Mutex
-	entries []*Entry
+	mu       sync.Mutex
+	entries  []*Entry
+	isolated map[describer.AvailabilityZoneID]bool
 }
 
 // CellOptions are the options of a cell.
@@ -62,6 +63,7 @@
 	c := &Cell{
 		topology: options.Topology, network: network, platform: running,
 		ledger: fakebackend.NewLedger(), seed: options.Seed, logger: slog.New(slog.DiscardHandler),
+		isolated: make(map[describer.AvailabilityZoneID]bool),
 	}
 	if options.Logs != nil {
 		c.logger = slog.New(slog.NewJSONHandler(options.Logs, nil))
@@ -180,6 +182,27 @@
 	return slices.Clone(c.entries)
 }
 
+// isolate cuts a zone off from all others and from the platform, or ends that.
+func (c *Cell) isolate(zone describer.AvailabilityZoneID, isolated bool) {
+	c.mu.Lock()
+	c.isolated[zone] = isolated
+	c.mu.Unlock()
+	c.network.Isolate(zone, isolated)
+}
+
+// reachableFrom returns the entry instances that callers of a zone can reach.
+func (c *Cell) reachableFrom(zone describer.AvailabilityZoneID) []*Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reachable []*Entry
+	for _, entry := range c.entries {
+		if entry.Zone == zone || !c.isolated[zone] && !c.isolated[entry.Zone] {
+			reachable = append(reachable, entry)
+		}
+	}
+	return reachable
+}
+
 // Kill ends an entry instance at once.
 func (c *Cell) Kill(entry *Entry) error {
 	c.remove(entry)
--- /dev/null
+++ b/demonstrator/demo.go
@@ -0,0 +1,170 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/fakebackend"
+	"egretring.example/egretring/generator"
+	"egretring.example/egretring/ticketer"
+)
+
+const (
+	// startTimeout bounds the start of the cell and of its first ticket.
+	startTimeout = 15 * time.Second
+	drainTimeout = 10 * time.Second
+	// demoUtilization is the share of the slots that the load keeps busy outside the swing.
+	demoUtilization = 0.4
+	// demoTimeScale lengthens the run times, so that one process can carry the callers as well as the cell.
+	demoTimeScale = 3
+	// longestMedian and longestTimeout shorten the long kinds so that their stragglers end within a demo.
+	longestMedian  = 700 * time.Millisecond
+	longestTimeout = 10 * time.Second
+	demoListLag    = 3 * time.Second
+	queueLimit     = 2000
+)
+
+// Options are the options of a demo.
+type Options struct {
+	Deployment string
+	Seed       uint64
+	// Duration is how long the load lasts.
+	Duration time.Duration
+	// Progress receives a line for each fault; nil drops them.
+	Progress io.Writer
+	// Logs receives the log lines of the daemons; nil drops them.
+	Logs io.Writer
+}
+
+// demo is one run.
+type demo struct {
+	options Options
+	cell    *Cell
+	tally   *tally
+	load    generator.Load
+	events  []string
+
+	leaving         *fakebackend.Running
+	refusedAtNotice atomic.Int64
+	cut             atomic.Int64
+}
+
+// Run runs a whole cell under load and faults and returns what the stand-ins and callers counted.
+func Run(ctx context.Context, options Options) (Result, error) {
+	topology, err := TopologyNamed(options.Deployment)
+	if err != nil {
+		return Result{}, err
+	}
+	topology.ListLag = demoListLag
+	cell, err := NewCell(CellOptions{Topology: topology, Seed: options.Seed, Logs: options.Logs})
+	if err != nil {
+		return Result{}, err
+	}
+	defer cell.Close()
+	d := &demo{options: options, cell: cell, tally: &tally{ledger: cell.ledger}, load: loadOf(options, topology)}
+	if err := d.configure(ctx); err != nil {
+		return Result{}, err
+	}
+	return d.run(ctx)
+}
+
+func loadOf(options Options, topology Topology) generator.Load {
+	load := generator.Tumbonas()
+	if topology.Name == "hronov" {
+		load = generator.Hronov()
+	}
+	slots := 0
+	for _, zone := range topology.Zones {
+		slots += zone.BackendServers * topology.Slots
+	}
+	length := options.Duration
+	load = load.WithTimeScale(demoTimeScale)
+	for i := range load.Kinds {
+		kind := &load.Kinds[i]
+		kind.RunTime.Median = min(kind.RunTime.Median, longestMedian)
+		kind.Timeout = min(kind.Timeout, longestTimeout)
+	}
+	return load.WithUtilization(demoUtilization, slots).WithDuration(length).
+		WithSwings(generator.Swing{From: length / 5, Rise: time.Second, Hold: length / 5, Fall: time.Second, Factor: 3}).
+		WithCancellations(generator.Cancellations{At: length * 3 / 10, Reach: time.Second, Share: 0.3})
+}
+
+// configure applies the first ticket and waits until all instances serve.
+func (d *demo) configure(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	service := describer.Service{
+		ID:                          d.load.Service,
+		SlotsPerBackendServer:       d.cell.topology.Slots,
+		ConnectionsPerBackendServer: d.cell.topology.Conns,
+		QueueLimit:                  queueLimit,
+		Kinds:                       make(map[describer.KindID]describer.Kind),
+	}
+	for _, kind := range d.load.Kinds {
+		service.Kinds[kind.ID] = describer.Kind{
+			Class: kind.Class, ExpectedMilliseconds: max(1, kind.RunTime.Median.Milliseconds()),
+		}
+	}
+	ticket := ticketer.Ticket{ID: "demo-1", Services: map[describer.ServiceID]*describer.Service{service.ID: &service}}
+	return d.cell.Apply(ctx, ticket)
+}
+
+func (d *demo) run(ctx context.Context) (Result, error) {
+	arrivals, err := generator.New(d.load, d.options.Seed, generator.WithStart(time.Now()))
+	if err != nil {
+		return Result{}, errors.Wrap(err, "prepare load")
+	}
+	before := d.cell.platform.store.Calls()
+	started := time.Now()
+	var running sync.WaitGroup
+	running.Go(func() { d.breakThings(ctx, started) })
+	d.send(ctx, arrivals, started, &running)
+	running.Wait()
+	return d.result(before, time.Since(started)), ctx.Err()
+}
+
+// send starts each request at its time.
+func (d *demo) send(ctx context.Context, arrivals *generator.Generator, started time.Time, running *sync.WaitGroup) {
+	from := newCallers(d.cell, d.tally)
+	for arrival := range arrivals.All() {
+		if !sleepUntil(ctx, started.Add(arrival.Offset)) {
+			return
+		}
+		running.Go(func() { from.serve(ctx, arrival) })
+	}
+}
+
+func (d *demo) breakThings(ctx context.Context, started time.Time) {
+	for _, step := range script() {
+		at := time.Duration(step.at * float64(d.options.Duration))
+		if !sleepUntil(ctx, started.Add(at)) {
+			return
+		}
+		line := fmt.Sprintf("%6.1f s: %s", at.Seconds(), step.text)
+		if err := step.apply(d); err != nil {
+			line += ": " + err.Error()
+		}
+		d.events = append(d.events, line)
+		if d.options.Progress != nil {
+			fmt.Fprintln(d.options.Progress, line)
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/demonstrator/faults.go
@@ -0,0 +1,113 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/fakebackend"
+	"egretring.example/egretring/fakekeeper"
+)
+
+// leavingNotice is how soon a leaving backend server may get no more work.
+const leavingNotice = 2 * time.Second
+
+// fault is a step of a demo at a share of its duration.
+type fault struct {
+	at    float64
+	text  string
+	apply func(d *demo) error
+}
+
+// script lists the faults of a demo. The zone that is cut off is the last one, the instance that is killed is of the
+// first one.
+func script() []fault {
+	return []fault{
+		{0.15, "an entry instance is killed", (*demo).killEntry},
+		{0.25, "a backend server fails everything", (*demo).failServer},
+		{0.35, "a backend server is leaving", (*demo).leaveServer},
+		{0.45, "the store is down", func(d *demo) error { return d.setStore(fakekeeper.Faults{Down: true}) }},
+		{0.50, "the last zone is cut off", func(d *demo) error { return d.isolate(true) }},
+		{0.60, "the store is back, slow, and loses answers", func(d *demo) error {
+			return d.setStore(fakekeeper.Faults{Delay: 50 * time.Millisecond, LoseWriteAnswers: 3})
+		}},
+		{0.70, "the last zone is connected again", func(d *demo) error { return d.isolate(false) }},
+		{0.75, "the store is healthy", func(d *demo) error { return d.setStore(fakekeeper.Faults{}) }},
+		{0.80, "an entry instance starts", (*demo).startEntry},
+		{0.85, "an entry instance is stopped gracefully", (*demo).drainEntry},
+	}
+}
+
+func (d *demo) firstZone() describer.AvailabilityZoneID {
+	return d.cell.topology.Zones[0].ID
+}
+
+func (d *demo) lastZone() describer.AvailabilityZoneID {
+	return d.cell.topology.Zones[len(d.cell.topology.Zones)-1].ID
+}
+
+func (d *demo) entryIn(zone describer.AvailabilityZoneID) (*Entry, error) {
+	for _, entry := range d.cell.Entries() {
+		if entry.Zone == zone {
+			return entry, nil
+		}
+	}
+	return nil, errors.Errorf("no entry instance runs in zone %s", zone)
+}
+
+func (d *demo) killEntry() error {
+	entry, err := d.entryIn(d.firstZone())
+	if err != nil {
+		return err
+	}
+	return d.cell.Kill(entry)
+}
+
+func (d *demo) failServer() error {
+	d.cell.backends[1].SetFaults(fakebackend.Faults{Mode: fakebackend.FailsFast})
+	return nil
+}
+
+// leaveServer lets a backend server leave and counts what still reaches it after the notice.
+func (d *demo) leaveServer() error {
+	leaving := d.cell.backends[2]
+	leaving.SetFaults(fakebackend.Faults{Mode: fakebackend.Leaving})
+	d.cell.platform.list.SetServerState(d.cell.servers[2].ID, describer.Leaving)
+	time.AfterFunc(leavingNotice, func() { d.refusedAtNotice.Store(leaving.Counters().Refused) })
+	d.leaving = leaving
+	return nil
+}
+
+func (d *demo) setStore(faults fakekeeper.Faults) error {
+	d.cell.platform.store.SetFaults(faults)
+	return nil
+}
+
+func (d *demo) isolate(isolated bool) error {
+	d.cell.isolate(d.lastZone(), isolated)
+	return nil
+}
+
+func (d *demo) startEntry() error {
+	_, err := d.cell.StartEntry(d.firstZone(), fmt.Sprintf("%s-entry-new", d.firstZone()))
+	d.cell.publish()
+	return err
+}
+
+// drainEntry stops an entry instance of the second zone. The callers' connections to it must not break.
+func (d *demo) drainEntry() error {
+	entry, err := d.entryIn(d.cell.topology.Zones[1].ID)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	if err := d.cell.Drain(ctx, entry); err != nil {
+		d.cut.Add(1)
+		d.cell.logger.Error("graceful stop failed", "Error", err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/demonstrator/result.go
@@ -0,0 +1,78 @@
+package demonstrator
+
+// ClassResult is what the callers of one class saw. Waits are in milliseconds.
+type ClassResult struct {
+	Class     string
+	Sent      int
+	Answered  int
+	NotRun    int
+	Unknown   int
+	Failed    int
+	Cancelled int
+	// Silent counts callers that got no answer at all.
+	Silent   int
+	WaitP50  float64
+	WaitP99  float64
+	WaitP999 float64
+}
+
+// Result is what the stand-ins and the callers counted during a demo.
+type Result struct {
+	Deployment string
+	Seed       uint64
+	Sent       int
+	Answered   int
+	NotRun     int
+	Unknown    int
+	Failed     int
+	Cancelled  int
+	// Silent counts callers that got no answer at all, also after retries.
+	Silent int
+	// Lost counts requests that were told answered but never ran.
+	Lost int
+	// Doubled counts idempotency keys that ran more than once, and tasks that ran in two places.
+	Doubled int
+	// RunAfterNotRun counts requests that ran although their caller was told that they did not.
+	RunAfterNotRun int
+	// WrongAnswers counts answers that were not whole or belonged to another request.
+	WrongAnswers int
+	// OverCapacity counts requests, connections and tasks above a backend server's capacity.
+	OverCapacity int64
+	// LateToLeaving counts requests that reached a leaving backend server more than two seconds after it announced that.
+	LateToLeaving int64
+	// CutDuringDrain counts requests that were cut off by the graceful stop.
+	CutDuringDrain int
+	Classes        []ClassResult
+	Control        Control
+	Events         []string
+}
+
+// Control is what the cell spent on control.
+type Control struct {
+	StoreWritesPerSecond float64
+	StoreReadsPerSecond  float64
+	WatchesPerSecond     float64
+}
+
+// Broken lists the guarantees that the run broke.
+func (r Result) Broken() []string {
+	checks := []struct {
+		name  string
+		count int
+	}{
+		{"requests lost", r.Lost},
+		{"requests or tasks doubled", r.Doubled},
+		{"requests run after the answer 'not run'", r.RunAfterNotRun},
+		{"answers that were not whole or not the caller's own", r.WrongAnswers},
+		{"work above a backend server's capacity", int(r.OverCapacity)},
+		{"requests sent to a leaving backend server after 2 s", int(r.LateToLeaving)},
+		{"requests cut off by a graceful stop", r.CutDuringDrain},
+	}
+	var broken []string
+	for _, check := range checks {
+		if check.count > 0 {
+			broken = append(broken, check.name)
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/demonstrator/summary.go
@@ -0,0 +1,55 @@
+package demonstrator
+
+import (
+	"time"
+
+	"egretring.example/egretring/fakekeeper"
+)
+
+// result sums up what the stand-ins and the callers counted.
+func (d *demo) result(before fakekeeper.Calls, elapsed time.Duration) Result {
+	verdict := d.cell.ledger.Verdict()
+	for _, b := range d.cell.backends {
+		c := b.Counters()
+		if c.SlotsExceeded+c.ConnectionsExceeded > 0 {
+			println("DEBUG over", b.Address(), c.SlotsExceeded, c.ConnectionsExceeded, c.HighestBusySlots, c.HighestConnections)
+		}
+	}
+	result := Result{
+		Deployment: d.options.Deployment, Seed: d.options.Seed,
+		Lost:           verdict.Lost,
+		Doubled:        verdict.DoubledKeys + int(verdict.DoubledTasks),
+		RunAfterNotRun: verdict.RunAfterNotRun,
+		WrongAnswers:   d.tally.wrong,
+		CutDuringDrain: int(d.cut.Load()),
+		Classes:        d.tally.results(),
+		Events:         d.events,
+	}
+	for _, class := range result.Classes {
+		result.Sent += class.Sent
+		result.Answered += class.Answered
+		result.NotRun += class.NotRun
+		result.Unknown += class.Unknown
+		result.Failed += class.Failed
+		result.Cancelled += class.Cancelled
+		result.Silent += class.Silent
+	}
+	for _, backend := range d.cell.backends {
+		counters := backend.Counters()
+		result.OverCapacity += counters.SlotsExceeded + counters.ConnectionsExceeded + counters.CapacityExceeded
+	}
+	if d.leaving != nil {
+		result.LateToLeaving = d.leaving.Counters().Refused - d.refusedAtNotice.Load()
+	}
+	result.Control = controlOf(before, d.cell.platform.store.Calls(), elapsed)
+	return result
+}
+
+func controlOf(before, after fakekeeper.Calls, elapsed time.Duration) Control {
+	perSecond := func(calls int64) float64 { return float64(calls) / elapsed.Seconds() }
+	return Control{
+		StoreWritesPerSecond: perSecond(after.Writes - before.Writes),
+		StoreReadsPerSecond:  perSecond(after.Reads - before.Reads),
+		WatchesPerSecond:     perSecond(after.Watches - before.Watches),
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -99,6 +99,8 @@
 		d.setShares(e.Shares)
 	case BackendServersChanged:
 		d.picker.SetServers(now, e.Servers)
+	case SlotsFreed:
+		d.picker.FreeHeld(e.BackendServer)
 	case BackendServersLeaving:
 		d.markLeaving(now, e.BackendServers)
 	case PeersReported:
--- a/dispatcher/ending.go
+++ b/dispatcher/ending.go
@@ -25,6 +25,9 @@
 	}
 	d.vacate(e)
 	elapsed := now.Sub(e.startedAt)
+	if event.SlotHeld {
+		d.picker.Hold(e.server)
+	}
 	d.picker.Release(now, e.server, d.serverEvidence(now, e, event.Evidence))
 	if event.ServerLeaving {
 		d.picker.MarkLeaving(now, e.server)
--- a/dispatcher/event.go
+++ b/dispatcher/event.go
@@ -26,10 +26,17 @@
 	Evidence describer.Evidence
 	// AnswerBegun is true when a byte of an answer has been sent to the caller.
 	AnswerBegun bool
+	// SlotHeld is true when the backend server may still run the request. The slot stays in use until SlotsFreed.
+	SlotHeld bool
 	// ServerLeaving is true when the backend server announced that it is leaving.
 	ServerLeaving bool
 }
 
+// SlotsFreed reports that a backend server runs nothing any more of the attempts that ended with SlotHeld.
+type SlotsFreed struct {
+	BackendServer describer.BackendServerID
+}
+
 // RelayEnded reports the end of a relay to a peer.
 type RelayEnded struct {
 	ID          describer.RequestID
@@ -84,6 +91,7 @@
 func (RequestArrived) isEvent()        {}
 func (RequestCancelled) isEvent()      {}
 func (AttemptEnded) isEvent()          {}
+func (SlotsFreed) isEvent()            {}
 func (RelayEnded) isEvent()            {}
 func (SharesChanged) isEvent()         {}
 func (BackendServersChanged) isEvent() {}
--- a/partitioner/network.go
+++ b/partitioner/network.go
@@ -141,3 +141,12 @@
 	c.network.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// CloseWrite ends the sending side, as net.TCPConn does.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.New("connection cannot be closed for writing only")
+	}
+	return half.CloseWrite()
+}
--- /dev/null
+++ b/picker/hold.go
@@ -0,0 +1,26 @@
+package picker
+
+import "egretring.example/egretring/describer"
+
+// Hold keeps one slot of a server in use beyond the end of its attempt.
+func (p *Picker) Hold(id describer.BackendServerID) {
+	if s, known := p.servers[id]; known {
+		s.inUse++
+		s.held++
+		p.update(s)
+	}
+}
+
+// FreeHeld frees the held slots of a server.
+func (p *Picker) FreeHeld(id describer.BackendServerID) {
+	s, known := p.servers[id]
+	if !known || s.held == 0 {
+		return
+	}
+	s.inUse -= s.held
+	s.held = 0
+	p.update(s)
+	if s.forgotten() {
+		p.forget(s)
+	}
+}
--- a/picker/server.go
+++ b/picker/server.go
@@ -35,7 +35,9 @@
 	// leavingUntil is set by an announcement of the server itself or of a peer.
 	leavingUntil time.Time
 	share        int
-	inUse        int
+	// held is the part of inUse whose attempts have ended although the server may still run them.
+	held  int
+	inUse int
 
 	health       health
 	failures     int
--- a/router/executor.go
+++ b/router/executor.go
@@ -37,6 +37,9 @@
 	if result.Leaving {
 		e.router.onLeaving(server.ID)
 	}
+	if result.MayStillRun {
+		e.router.onHeld(server)
+	}
 	return outcomeOf(result)
 }
 
@@ -86,5 +89,6 @@
 		AnswerBegun:    result.AnswerBegun,
 		AnswerComplete: result.Evidence == describer.Answered,
 		ServerLeaving:  result.Leaving,
+		MayStillRun:    result.MayStillRun,
 	}
 }
--- a/router/option.go
+++ b/router/option.go
@@ -24,6 +24,11 @@
 	return func(r *Router) { r.onLeaving = hook }
 }
 
+// WithHeldHook sets what is called when a backend server may still run a request whose attempt has ended.
+func WithHeldHook(hook func(describer.BackendServer)) Option {
+	return func(r *Router) { r.onHeld = hook }
+}
+
 // WithHomes sets where non-repeatable requests with an idempotency key run.
 func WithHomes(homes *Homes) Option {
 	return func(r *Router) { r.homes = homes }
--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,7 @@
 	meter     *meter.Meter
 	tracer    *tracer.Tracer
 	onLeaving func(describer.BackendServerID)
+	onHeld    func(describer.BackendServer)
 	lastID    atomic.Uint64
 }
 
@@ -62,6 +63,7 @@
 		meter:     meter.New(),
 		tracer:    tracer.New(slog.New(slog.DiscardHandler), string(instance), 0),
 		onLeaving: func(describer.BackendServerID) {},
+		onHeld:    func(describer.BackendServer) {},
 	}
 	for _, option := range options {
 		option(r)
--- a/runner/executor.go
+++ b/runner/executor.go
@@ -14,6 +14,8 @@
 	AnswerBegun bool
 	// AnswerComplete is true when the whole answer has been sent to the caller.
 	AnswerComplete bool
+	// MayStillRun is true when the backend server may still run the request although the attempt has ended.
+	MayStillRun bool
 	// ServerLeaving is true when the backend server announced that it is leaving.
 	ServerLeaving bool
 }
--- a/runner/serving.go
+++ b/runner/serving.go
@@ -57,7 +57,7 @@
 		outcome := s.attempt(ctx, command)
 		return s.ended(outcome, dispatcher.AttemptEnded{
 			ID: command.ID, Attempt: command.Attempt, Evidence: outcome.Evidence, AnswerBegun: outcome.AnswerBegun,
-			ServerLeaving: outcome.ServerLeaving,
+			ServerLeaving: outcome.ServerLeaving, SlotHeld: outcome.MayStillRun,
 		})
 	case dispatcher.RelayToPeer:
 		s.runner.meter.Count(meter.RequestsRelayed, 1)
--- a/server/compose.go
+++ b/server/compose.go
@@ -55,10 +55,11 @@
 		distributor.WithSeed(d.seed), distributor.WithPeers(d.membership.peerSources))
 	d.core = dispatcher.New(dispatcher.WithSeed(d.seed))
 	d.runner = runner.New(d.core, runner.WithRight(d.membership.mayStart), runner.WithMeter(d.meter))
+	d.held = &heldSlots{usage: d.usage, freed: d.runner.Notify}
 	d.exchanger = forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dial))
 	d.router = router.New(d.self.ID, services{d.distributor}, d.runner, d.exchanger, d.directory,
 		router.WithMeter(d.meter), router.WithTracer(d.tracer), router.WithHomes(d.membership.homes.homes),
-		router.WithLeavingHook(d.membership.leaving.add))
+		router.WithLeavingHook(d.membership.leaving.add), router.WithHeldHook(d.held.add))
 }
 
 func newMembership(d *Daemon) *membership {
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -50,6 +50,7 @@
 	router      *router.Router
 	messages    *messenger.Client
 	membership  *membership
+	held        *heldSlots
 	listings    chan lister.Listing
 	// serving is true while the instance has shares of backend servers.
 	serving  atomic.Bool
@@ -97,6 +98,7 @@
 	}
 	d.tomb.Go(func() error { return read.run(ctx) })
 	d.tomb.Go(func() error { return d.follow(ctx) })
+	d.tomb.Go(func() error { return d.held.run(ctx) })
 	d.callers.start(&d.tomb)
 	d.relay.start(&d.tomb)
 	d.operators.start(&d.tomb)
@@ -138,6 +140,11 @@
 	d.listings <- listing
 }
 
+// usage returns the usage report of a backend server.
+func (d *Daemon) usage(ctx context.Context, server describer.BackendServer) (forwarder.UsageReport, error) {
+	return forwarder.NewTaskClient(server.Address, d.http).Usage(ctx)
+}
+
 // follow gives the changes of the configuration and of the instance list to the request path.
 func (d *Daemon) follow(ctx context.Context) error {
 	subscription := d.distributor.Subscribe()
--- a/server/membership.go
+++ b/server/membership.go
@@ -9,7 +9,6 @@
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/dispatcher"
 	"egretring.example/egretring/distributor"
-	"egretring.example/egretring/forwarder"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/registrar"
@@ -113,7 +112,7 @@
 }
 
 func (m *membership) usage(ctx context.Context, server describer.BackendServer) (assigner.UsageReported, error) {
-	report, err := forwarder.NewTaskClient(server.Address, m.daemon.http).Usage(ctx)
+	report, err := m.daemon.usage(ctx, server)
 	return assigner.UsageReported{
 		BackendServer: server.ID, SampledAt: report.SampledAt, BusySlots: report.BusySlots,
 	}, err
