Give the kind for rejections outside the home of a key

Cause: an instance that drains or has no room answers with a kind that promises "not run". For a retry of a keyed request this would be wrong if an earlier attempt ran.

Change: deduplicator.KindOutsideHome.

Conclusion: go test -race ./deduplicator passes.

--- a/deduplicator/decision.go
+++ b/deduplicator/decision.go
@@ -37,8 +37,18 @@
 // KindWhenUnreachable is the kind with which a request is answered when its home cannot be reached, or is no longer
 // its home. Only a first attempt that was never relayed proves that the key did not run.
 func KindWhenUnreachable(attempt int, wasRelayed bool) classifier.Kind {
-	if attempt == 1 && !wasRelayed {
-		return classifier.NoBackendServer
+	if wasRelayed {
+		return classifier.OutcomeUnknown
 	}
-	return classifier.OutcomeUnknown
+	return KindOutsideHome(classifier.NoBackendServer, attempt)
+}
+
+// KindOutsideHome is the kind with which a request with a key is answered when it is rejected with a kind before its
+// home was asked, for example while the instance drains. A kind that promises "not run" would be wrong for a retry:
+// this attempt does not run, but an earlier one may have.
+func KindOutsideHome(kind classifier.Kind, attempt int) classifier.Kind {
+	if attempt != 1 && classifier.AnswerOf(kind).Outcome == classifier.NotRun {
+		return classifier.OutcomeUnknown
+	}
+	return kind
 }
