--- a/assigner/apply.go
+++ b/assigner/apply.go
@@ -47,7 +47,7 @@
 	a.known = true
 	a.reread = false
 	a.learn(read.Record, read.Version)
-	a.leases, a.leasesVersion = read.Leases, read.Version
+	a.leases, a.leasesVersion, a.leasesAt = read.Leases, read.Version, now
 	a.noteAbsent(now)
 	a.forget()
 }
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -52,6 +52,7 @@
 	adopted       Assignment
 	leases        []Owner
 	leasesVersion int64
+	leasesAt      time.Time
 	absentSince   map[Owner]time.Time
 
 	write  *write
@@ -90,6 +91,14 @@
 	confirmed int64
 }
 
+// confirmedDeadline returns when the right from the lease ends; it is zero without a confirmed lease.
+func (l lease) confirmedDeadline() time.Time {
+	if l.id == 0 || l.id != l.confirmed {
+		return time.Time{}
+	}
+	return l.deadline
+}
+
 // write is a write of the record that was sent.
 type write struct {
 	record  Assignment
@@ -147,11 +156,7 @@
 	if a.leaving || !a.adopted.Has(a.self.Owner) {
 		return Right{}
 	}
-	right := Right{Held: a.holds()}
-	if a.lease.id != 0 && a.lease.id == a.lease.confirmed {
-		right.Deadline = a.lease.deadline
-	}
-	return right
+	return Right{Deadline: a.lease.confirmedDeadline(), Held: a.holds()}
 }
 
 // Handle applies one event at a time and returns the commands it causes.
@@ -247,7 +252,7 @@
 }
 
 func (a *Assigner) leaseValid(now time.Time) bool {
-	return a.lease.id != 0 && a.lease.id == a.lease.confirmed && now.Before(a.lease.deadline)
+	return now.Before(a.lease.confirmedDeadline())
 }
 
 func (a *Assigner) holds() bool {
--- a/assigner/machine_test.go
+++ b/assigner/machine_test.go
@@ -152,6 +152,37 @@
 	}
 }
 
+// TestRepeatedOutage guards against members that remain in different epochs, without an agreement, when an outage
+// begins again while they are on their way to the epoch written after the last one.
+func TestRepeatedOutage(t *testing.T) {
+	for seed := range uint64(40) {
+		m := &machine{instances: 3, cell: newCell(seed, 3)}
+		m.steps(t, 80)
+		m.storeDown = true
+		m.steps(t, 80)
+		held := m.record.Epoch
+		m.storeDown = false
+		for m.record.Epoch == held {
+			m.steps(t, 1)
+		}
+		m.steps(t, int(seed%4))
+		m.storeDown = true
+		m.steps(t, 80)
+		known := 0
+		for _, p := range m.processes {
+			if p.core.Record().Epoch == m.record.Epoch {
+				known++
+			}
+		}
+		if known == m.instances {
+			m.requireAllUsable(t)
+		}
+		m.storeDown = false
+		m.steps(t, 60)
+		m.requireAllUsable(t)
+	}
+}
+
 // TestPausedMember guards against a member that starts work after a pause in which it was taken over.
 func TestPausedMember(t *testing.T) {
 	m := &machine{instances: 3, cell: newCell(2, 3)}
--- /dev/null
+++ b/assigner/rule_test.go
@@ -0,0 +1,270 @@
+package assigner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/assigner"
+	"egretring.example/egretring/describer"
+)
+
+var (
+	self  = assigner.Member{Owner: assigner.Owner{Instance: "self", Incarnation: 1}, Address: "a", Joined: 3}
+	other = assigner.Member{Owner: assigner.Owner{Instance: "other", Incarnation: 1}, Address: "b", Joined: 2}
+	third = assigner.Member{Owner: assigner.Owner{Instance: "third", Incarnation: 1}, Address: "c", Joined: 2}
+)
+
+// member is a core that follows epoch 5 of a zone with three members and has a confirmed lease.
+type member struct {
+	*assigner.Assigner
+	now      time.Time
+	commands []assigner.Command
+	ids      int
+}
+
+// act is one thing that happens to a member.
+type act func(*member)
+
+func newMember() *member {
+	m := &member{now: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}
+	m.Assigner = assigner.New(self, func() string {
+		m.ids++
+		return fmt.Sprint(m.ids)
+	})
+	m.on(
+		assigner.ServersChanged{Servers: []assigner.Server{{ID: "backend-1", Slots: 8, Connections: 64}}},
+		assigner.StoreChanged{Reachable: true},
+		assigner.LeaseRenewed{Incarnation: 1, Lease: 1, Before: m.now},
+		zoneRead(5, 10, self.Owner, other.Owner, third.Owner),
+	)
+	m.answer(assigner.Written, 11)
+	m.on(zoneRead(5, 11, self.Owner, other.Owner, third.Owner))
+	return m
+}
+
+func (m *member) on(events ...assigner.Event) {
+	for _, event := range events {
+		m.commands = append(m.commands, m.Handle(m.now, event)...)
+	}
+}
+
+func (m *member) lastWrite() assigner.WriteAssignment {
+	for i := len(m.commands) - 1; i >= 0; i-- {
+		if write, ok := m.commands[i].(assigner.WriteAssignment); ok {
+			return write
+		}
+	}
+	return assigner.WriteAssignment{}
+}
+
+func (m *member) answer(result assigner.WriteResult, version int64) {
+	m.on(assigner.WriteAnswered{WriteID: m.lastWrite().Record.WriteID, Result: result, Version: version})
+}
+
+func zoneRead(epoch describer.Epoch, version int64, leases ...assigner.Owner) assigner.ZoneRead {
+	record := assigner.Assignment{Epoch: epoch, Members: []assigner.Member{self, other, third}}
+	for i := range assigner.PositionCount {
+		record.Positions = append(record.Positions, record.Members[i%3].Owner)
+	}
+	return assigner.ZoneRead{Record: record, Version: version, Leases: leases}
+}
+
+func events(list ...assigner.Event) act {
+	return func(m *member) { m.on(list...) }
+}
+
+func wait(duration time.Duration) act {
+	return func(m *member) { m.now = m.now.Add(duration) }
+}
+
+// renew keeps the own lease valid.
+func renew(m *member) {
+	m.on(assigner.LeaseRenewed{Incarnation: 1, Lease: 1, Before: m.now})
+}
+
+func beat(from assigner.Member, epoch, hold describer.Epoch, reachable bool) assigner.Event {
+	return assigner.HeartbeatReceived{Heartbeat: assigner.Heartbeat{
+		Owner: from.Owner, Address: from.Address, Epoch: epoch, KnownEpoch: epoch, ReleasedEpoch: epoch,
+		StoreReachable: reachable, HoldEpoch: hold,
+	}}
+}
+
+// absent is the reading of a zone in which the other member has no lease.
+func absent(epoch describer.Epoch, version int64) assigner.Event {
+	return zoneRead(epoch, version, self.Owner, third.Owner)
+}
+
+// expired lets the other member's lease be absent for the takeover margin.
+func expired(epoch describer.Epoch, version int64) act {
+	return func(m *member) {
+		m.on(absent(epoch, version))
+		m.now = m.now.Add(assigner.TakeoverMargin)
+		renew(m)
+		m.on(absent(epoch, version))
+	}
+}
+
+// acknowledge makes the member acknowledge the hold agreement of an epoch.
+func acknowledge(epoch describer.Epoch) act {
+	return events(assigner.StoreChanged{}, beat(other, epoch, 0, false), beat(third, epoch, 0, false),
+		assigner.StoreChanged{Reachable: true})
+}
+
+// conflict answers the write in progress, so that the next read may cause another one.
+func conflict(m *member) {
+	m.answer(assigner.Conflicted, 0)
+	m.answer(assigner.Conflicted, 0)
+	m.on(absent(5, 12))
+}
+
+// newEpoch answers the write of the next epoch, which ends an acknowledged hold agreement.
+func newEpoch(m *member) {
+	m.answer(assigner.Written, 12)
+}
+
+// TestTakeoverProofs guards against the takeover of a member that may still start work, and against one that is never
+// taken over. The cases in which section 4 alone would be unsafe are marked.
+func TestTakeoverProofs(t *testing.T) {
+	leaving := beat(other, 5, 0, true).(assigner.HeartbeatReceived)
+	leaving.Heartbeat.Leaving = true
+	newer, moved := other, other
+	newer.Incarnation, moved.Incarnation, moved.Address = 2, 2, "d"
+	cases := map[string]struct {
+		acts  []act
+		takes bool
+	}{
+		"witness":           {[]act{events(beat(other, 5, 0, true)), expired(5, 11)}, true},
+		"lease just absent": {[]act{events(beat(other, 5, 0, true), absent(5, 11))}, false},
+		"lease present":     {[]act{events(beat(other, 5, 0, true)), wait(time.Minute), renew}, false},
+		"acknowledged hold": {[]act{acknowledge(5), expired(5, 12), conflict}, false},
+		"silent in a hold": {
+			[]act{acknowledge(5), events(assigner.PeerSilent{Owner: other.Owner}), expired(5, 12), conflict}, false,
+		},
+		"refused in a hold": {
+			[]act{acknowledge(5), events(assigner.PeerRefused{Owner: other.Owner}), expired(5, 12), conflict}, true,
+		},
+		"declared dead in a hold": {
+			[]act{acknowledge(5), events(assigner.DeclaredDead{Owner: other.Owner}), expired(5, 12), conflict}, true,
+		},
+		"newer incarnation at its address": {
+			[]act{acknowledge(5), events(beat(newer, 0, 0, true)), expired(5, 12), conflict}, true,
+		},
+		"newer incarnation elsewhere": {
+			[]act{acknowledge(5), events(beat(moved, 0, 0, true)), expired(5, 12), conflict}, false,
+		},
+		"leaving": {[]act{events(leaving)}, true},
+		// Unsafe in section 4: the other member may hold an epoch from before this witness joined.
+		"witness joined after the other's epoch": {[]act{events(beat(other, 2, 0, true)), expired(5, 11)}, false},
+		// Unsafe in section 4: the other member still holds epoch 5 while the record is at epoch 6.
+		"hold of the epoch before the record's": {[]act{acknowledge(5), newEpoch, expired(6, 12)}, false},
+		"hold ended by the next epoch": {
+			[]act{acknowledge(5), newEpoch, events(beat(other, 6, 0, true)), expired(6, 12)}, true,
+		},
+		// Unsafe in section 4: the absence was read with a version that the other member has since replaced.
+		"absence at an earlier version": {
+			[]act{
+				events(beat(other, 5, 0, true), absent(5, 11), assigner.LeaseLost{}, assigner.LeaseRenewed{
+					Incarnation: 1, Lease: 2, Before: newMember().now.Add(assigner.TakeoverMargin),
+				}), wait(assigner.TakeoverMargin), events(absent(5, 11)), func(m *member) { m.answer(assigner.Written, 12) },
+			}, false,
+		},
+	}
+	for name, example := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := newMember()
+			for _, act := range example.acts {
+				act(m)
+			}
+			written := m.lastWrite().Record
+			require.Equal(t, example.takes, !written.Has(other.Owner))
+			require.True(t, written.Has(third.Owner))
+		})
+	}
+}
+
+// TestRightToStart guards against a member that starts work without a right, and against one that loses its right
+// although a hold agreement was concluded.
+func TestRightToStart(t *testing.T) {
+	down := events(assigner.StoreChanged{}, beat(other, 5, 0, false), beat(third, 5, 0, false))
+	newLease := func(m *member) {
+		m.on(assigner.LeaseLost{}, assigner.LeaseRenewed{Incarnation: 1, Lease: 2, Before: m.now})
+	}
+	cases := map[string]struct {
+		acts []act
+		may  bool
+		hold describer.Epoch
+	}{
+		"confirmed lease":      {[]act{wait(7 * time.Second)}, true, 0},
+		"expired lease":        {[]act{wait(8 * time.Second)}, false, 0},
+		"acknowledged by none": {[]act{down, wait(8 * time.Second)}, false, 5},
+		"acknowledged by one":  {[]act{down, events(beat(other, 5, 5, false)), wait(8 * time.Second)}, false, 5},
+		"acknowledged by all":  {[]act{down, events(beat(other, 5, 5, false), beat(third, 5, 5, false)), wait(time.Hour)}, true, 5},
+		"acknowledged for another epoch": {
+			[]act{down, events(beat(other, 5, 5, false), beat(third, 4, 4, false)), wait(8 * time.Second)}, false, 5,
+		},
+		"leaving": {[]act{events(assigner.LeaveRequested{})}, false, 0},
+		// Unsafe in section 4: a takeover that saw the member without a lease may still be written.
+		"new lease, not confirmed": {[]act{newLease}, false, 0},
+		"new lease, confirmed":     {[]act{newLease, func(m *member) { m.answer(assigner.Written, 12) }}, true, 0},
+		"new lease, confirmation lost and found": {
+			[]act{newLease, func(m *member) {
+				sent := m.lastWrite().Record
+				m.answer(assigner.Unanswered, 0)
+				m.on(assigner.ZoneRead{Record: sent, Version: 12})
+			}}, true, 0,
+		},
+		// Unsafe in section 4: a takeover whose answer was lost may take effect after the agreement.
+		"takeover without an answer": {
+			[]act{events(beat(other, 5, 0, true)), expired(5, 11), func(m *member) { m.answer(assigner.Unanswered, 0) }, down},
+			true, 0,
+		},
+	}
+	for name, example := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := newMember()
+			for _, act := range example.acts {
+				act(m)
+			}
+			require.Equal(t, example.may, m.MayStart(m.now))
+			require.Equal(t, example.hold, m.Heartbeat().HoldEpoch)
+		})
+	}
+}
+
+// TestReleaseOfPeerAhead guards against taking a slot from a peer that gave it up and received it again in an epoch
+// that the member does not know. Section 4 alone is unsafe here.
+func TestReleaseOfPeerAhead(t *testing.T) {
+	for name, example := range map[string]struct {
+		peer  describer.Epoch
+		slots int
+	}{"behind": {5, 0}, "same epoch": {6, 1}, "ahead": {7, 0}} {
+		t.Run(name, func(t *testing.T) {
+			m := newMember()
+			m.on(assigner.BusyChanged{Shares: 100})
+			read := zoneRead(6, 12, self.Owner, other.Owner, third.Owner)
+			moved := assigner.PositionOf("backend-1", 0)
+			for read.Record.Positions[moved] != other.Owner {
+				moved++
+			}
+			for i := range read.Record.Positions {
+				read.Record.Positions[i] = third.Owner
+			}
+			read.Record.Positions[moved] = self.Owner
+			read.Record.Previous = []assigner.Holding{{Position: moved, Owner: other.Owner, Until: 6}}
+			m.on(read, beat(other, example.peer, 0, true))
+			total := 0
+			for _, command := range m.commands {
+				if changed, ok := command.(assigner.ChangeShares); ok {
+					total = 0
+					for _, share := range changed.Shares {
+						total += share.Slots
+					}
+				}
+			}
+			require.Equal(t, example.slots, total)
+		})
+	}
+}
--- a/assigner/takeover.go
+++ b/assigner/takeover.go
@@ -28,10 +28,12 @@
 
 // leaseExpired reports whether a member had no lease when the record's current version was read, and for the takeover
 // margin before. Leases that were read with an earlier version prove nothing: a member that was granted a new lease
-// confirms it by a write of the record.
+// confirms it by a write of the record. Only leases that were read just now count, so that a takeover is not sent into
+// an outage of the store, where the missing answer would prevent a hold agreement.
 func (a *Assigner) leaseExpired(now time.Time, owner Owner) bool {
 	since, absent := a.absentSince[owner]
-	return absent && a.leasesVersion == a.version && now.Sub(since) >= TakeoverMargin
+	current := a.leasesVersion == a.version && a.leasesAt.Equal(now)
+	return absent && current && now.Sub(since) >= TakeoverMargin
 }
 
 // isWitness reports whether this member knows that another relies on no hold agreement. The other can rely only on an
--- a/registrar/beat.go
+++ b/registrar/beat.go
@@ -73,6 +73,13 @@
 
 // depart tells the peers that everything is released, and ends the lease.
 func (r *Registrar) depart(ctx context.Context) error {
+	r.announce(ctx)
+	close(r.departed)
+	return nil
+}
+
+// announce sends a release to the peers of the own zone.
+func (r *Registrar) announce(ctx context.Context) {
 	var calls sync.WaitGroup
 	release := messenger.Release{Heartbeat: r.heartbeat()}
 	for _, peer := range r.peersToCall() {
@@ -86,6 +93,4 @@
 		})
 	}
 	calls.Wait()
-	close(r.departed)
-	return nil
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -35,6 +35,8 @@
 	listInterval = time.Second
 	// usageInterval is the time between two reads of the usage of quarantined backend servers.
 	usageInterval = time.Second
+	// announceTimeout bounds the last message to the peers of an instance that could not leave in time.
+	announceTimeout = time.Second
 	// queuedEvents bounds the events that wait for the core.
 	queuedEvents = 1024
 	// queuedWrites bounds the writes of the record that wait; all but the last belong to earlier incarnations.
@@ -76,7 +78,8 @@
 	servers     []describer.BackendServer
 }
 
-// New starts to register an instance in its zone.
+// New starts to register an instance in its zone. The instance must accept peers' connections before New and until
+// Leave or Close has returned, because peers take a refused connection as proof that the process is gone.
 func New(
 	self describer.Instance, store keeper.Store, list lister.List, peers Messenger, options ...Option,
 ) *Registrar {
@@ -110,7 +113,8 @@
 	return err
 }
 
-// Leave gives up the positions and waits until all work has ended and the peers have been told.
+// Leave gives up the positions and waits until all work has ended and the peers have been told. When the context ends
+// before, for example during an outage of the store, the peers are told what has been released so far.
 func (r *Registrar) Leave(ctx context.Context) error {
 	if err := r.events.Put(ctx, assigner.LeaveRequested{}); err != nil {
 		return err
@@ -118,11 +122,14 @@
 	select {
 	case <-r.departed:
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	case <-r.tomb.Dying():
 		return tomb.ErrDying
+	case <-ctx.Done():
 	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+	defer cancel()
+	r.announce(last)
+	return ctx.Err()
 }
 
 // MayStart reports whether this instance may start work now. It is to be checked at each start.
--- a/registrar/zone.go
+++ b/registrar/zone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,11 +26,19 @@
 			continue
 		}
 		revision = changes.Revision
-		request(r.readNow)
+		if slices.ContainsFunc(changes.Changes, r.concernsAssignment) {
+			request(r.readNow)
+		}
 	}
 	return nil
 }
 
+// concernsAssignment tells the assignment from the task records below the same prefix, which change several times a
+// second.
+func (r *Registrar) concernsAssignment(change keeper.Change) bool {
+	return change.Entry.Key == assignmentKey(r.self.AvailabilityZone)
+}
+
 // watch bounds a watch, so that one whose connection was lost without notice begins anew.
 func (r *Registrar) watch(ctx context.Context, revision int64) (keeper.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
