Test reconnects, the bound of the connection pool and the end of a quarantine

Cause: these paths had no test.

Change: table cases for earlier holders and usage reports; the number of dials to an unreachable peer and the eviction from the pool under virtual time.

--- a/assigner/rule_test.go
+++ b/assigner/rule_test.go
@@ -234,16 +234,32 @@
 	}
 }
 
-// TestReleaseOfPeerAhead guards against taking a slot from a peer that gave it up and received it again in an epoch
-// that the member does not know. Section 4 alone is unsafe here.
-func TestReleaseOfPeerAhead(t *testing.T) {
+// TestEarlierHolder guards against taking a slot that its earlier holder may still use. Section 4 alone is unsafe for a
+// peer that gave the slot up and received it again in an epoch that the member does not know.
+func TestEarlierHolder(t *testing.T) {
+	since := newMember().now
+	usage := func(sampled time.Duration, busy int, byOwner ...assigner.OwnerBusy) assigner.Event {
+		return assigner.UsageReported{
+			BackendServer: "backend-1", SampledAt: since.Add(sampled), BusySlots: busy, ByOwner: byOwner,
+		}
+	}
 	for name, example := range map[string]struct {
-		peer  describer.Epoch
-		slots int
-	}{"behind": {5, 0}, "same epoch": {6, 1}, "ahead": {7, 0}} {
+		stopped bool
+		event   assigner.Event
+		slots   int
+	}{
+		"peer behind":                {false, beat(other, 5, 0, true), 0},
+		"peer at the same epoch":     {false, beat(other, 6, 0, true), 1},
+		"peer ahead":                 {false, beat(other, 7, 0, true), 0},
+		"usage of a running holder":  {false, usage(time.Minute, 0), 0},
+		"sampled too early":          {true, usage(time.Second, 0), 0},
+		"idle backend server":        {true, usage(2*time.Second, 0), 1},
+		"work of unknown owners":     {true, usage(2*time.Second, 1), 0},
+		"work of the earlier holder": {true, usage(2*time.Second, 1, assigner.OwnerBusy{Owner: other.Owner, Slots: 1}), 0},
+		"work of another owner":      {true, usage(2*time.Second, 1, assigner.OwnerBusy{Owner: third.Owner, Slots: 1}), 1},
+	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMember()
-			m.on(assigner.BusyChanged{Shares: 100})
 			read := zoneRead(6, 12, self.Owner, other.Owner, third.Owner)
 			moved := assigner.PositionOf("backend-1", 0)
 			for read.Record.Positions[moved] != other.Owner {
@@ -253,8 +269,10 @@
 				read.Record.Positions[i] = third.Owner
 			}
 			read.Record.Positions[moved] = self.Owner
-			read.Record.Previous = []assigner.Holding{{Position: moved, Owner: other.Owner, Until: 6}}
-			m.on(read, beat(other, example.peer, 0, true))
+			read.Record.Previous = []assigner.Holding{{
+				Position: moved, Owner: other.Owner, Until: 6, Stopped: example.stopped, Since: since,
+			}}
+			m.on(read, example.event)
 			total := 0
 			for _, command := range m.commands {
 				if changed, ok := command.(assigner.ChangeShares); ok {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -181,3 +181,54 @@
 		})
 	}
 }
+
+// TestReconnect guards against a peer that is called at a high rate while it cannot be reached, and against one that
+// is not called again.
+func TestReconnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials, reachable := 0, false
+		pool := messenger.NewClient(messenger.WithJitter(func() float64 { return 0 }),
+			messenger.WithDial(func(context.Context, string) (net.Conn, error) {
+				dials++
+				if !reachable {
+					return nil, errors.New("no route to host")
+				}
+				near, far := net.Pipe()
+				go serve(far)
+				return near, nil
+			}))
+		for range 600 {
+			_, err := pool.Heartbeat(t.Context(), "peer", heartbeat())
+			require.True(t, messenger.IsErrSilent(err) || messenger.IsErrBackoff(err), "%v", err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.InDelta(t, 62, dials, 4, "one attempt a second after the first few")
+		reachable = true
+		time.Sleep(2 * time.Second)
+		_, err := pool.Heartbeat(t.Context(), "peer", heartbeat())
+		require.NoError(t, err)
+		require.NoError(t, pool.Close())
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestPoolIsBounded guards against connections that pile up when the addresses of peers change.
+func TestPoolIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var conns []net.Conn
+		pool := messenger.NewClient(dialTo(serve, &conns), messenger.WithConnections(2))
+		for _, address := range []string{"a", "b", "a", "c"} {
+			_, err := pool.Heartbeat(t.Context(), address, heartbeat())
+			require.NoError(t, err)
+		}
+		synctest.Wait()
+		require.Len(t, conns, 3)
+		_, err := conns[1].Write(nil)
+		require.ErrorIs(t, err, io.ErrClosedPipe, "the least recently used connection is closed")
+		_, err = pool.Heartbeat(t.Context(), "a", heartbeat())
+		require.NoError(t, err)
+		require.Len(t, conns, 3, "the other connection remains")
+		require.NoError(t, pool.Close())
+		time.Sleep(time.Minute)
+	})
+}
