Keep the owned slots of each backend server in the ownership core

Cause: the core hashed every backend server at each event.

Change: owned slots are computed when an epoch is adopted or the list changes.

--- a/assigner/apply.go
+++ b/assigner/apply.go
@@ -168,6 +168,7 @@
 			a.servers[listed.ID] = known
 		}
 		known.Server, known.listed = listed, true
+		known.owned = a.adopted.owns(a.self.Owner, listed)
 		a.order = append(a.order, listed.ID)
 	}
 }
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -124,8 +124,10 @@
 type server struct {
 	Server
 	// base is the position of slot 0.
-	base    int
-	listed  bool
+	base   int
+	listed bool
+	// owned are the slots that the adopted epoch gives to this member, granted or not.
+	owned   SlotSet
 	granted SlotSet
 	// still are slots that the member lost and has not released.
 	still SlotSet
@@ -230,7 +232,7 @@
 	a.held = 0
 	a.released = 0
 	for _, known := range a.servers {
-		known.granted, known.still = 0, 0
+		known.owned, known.granted, known.still = 0, 0, 0
 	}
 	return []Command{Rejoin{Incarnation: a.self.Incarnation}}
 }
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -43,11 +43,11 @@
 		return a.prune(now), true
 	}
 	placing, _ := a.record.PlacingMember()
-	pruned := a.prune(now)
-	if placing == a.self.Owner && len(pruned.Previous) == 0 && len(a.record.Previous) > 0 {
-		return pruned, true
+	if placing != a.self.Owner || len(a.record.Previous) == 0 {
+		return Assignment{}, false
 	}
-	return Assignment{}, false
+	pruned := a.prune(now)
+	return pruned, len(pruned.Previous) == 0
 }
 
 // planLeave gives up the positions and then, when no work is left, the earlier holdings.
--- a/assigner/quarantine.go
+++ b/assigner/quarantine.go
@@ -30,26 +30,35 @@
 	return slots
 }
 
-// quarantine reports the backend servers whose usage is needed when they change. The placing member also needs those
-// of the other members, because it removes stopped holders from the record.
+// quarantine reports the backend servers whose usage is needed when they change.
 func (a *Assigner) quarantine() []Command {
+	needed := a.quarantinedServers()
+	if slices.Equal(needed, a.quarantined) {
+		return nil
+	}
+	a.quarantined = needed
+	return []Command{QuarantineServers{Servers: needed}}
+}
+
+// quarantinedServers returns the backend servers whose usage is needed. The placing member also needs those of the
+// other members, because it removes stopped holders from the record.
+func (a *Assigner) quarantinedServers() []describer.BackendServerID {
+	if !slices.ContainsFunc(a.adopted.Previous, func(holding Holding) bool { return holding.Stopped }) {
+		return nil
+	}
 	placing, _ := a.adopted.PlacingMember()
 	var needed []describer.BackendServerID
 	for _, id := range a.order {
 		known := a.servers[id]
-		missing := a.adopted.owns(a.self.Owner, known.Server) &^ known.granted
+		slots := known.owned &^ known.granted
 		if placing == a.self.Owner {
-			missing = known.all()
+			slots = known.all()
 		}
-		if a.isQuarantined(known, missing) {
+		if a.isQuarantined(known, slots) {
 			needed = append(needed, id)
 		}
 	}
-	if slices.Equal(needed, a.quarantined) {
-		return nil
-	}
-	a.quarantined = needed
-	return []Command{QuarantineServers{Servers: needed}}
+	return needed
 }
 
 func (a *Assigner) isQuarantined(known *server, slots SlotSet) bool {
--- a/assigner/shares.go
+++ b/assigner/shares.go
@@ -25,21 +25,18 @@
 	}
 	a.adopted = a.record
 	for _, known := range a.servers {
-		owned := a.adopted.owns(a.self.Owner, known.Server)
-		known.still = (known.still | known.granted) &^ owned
-		known.granted &= owned
+		known.owned = a.adopted.owns(a.self.Owner, known.Server)
+		known.still = (known.still | known.granted) &^ known.owned
+		known.granted &= known.owned
 	}
 	return []Command{AdoptEpoch{Record: a.adopted}}
 }
 
 // grant adds owned slots that all earlier holders have released.
 func (a *Assigner) grant() {
-	if len(a.adopted.Positions) == 0 {
-		return
-	}
 	for _, id := range a.order {
 		known := a.servers[id]
-		missing := a.adopted.owns(a.self.Owner, known.Server) &^ known.granted
+		missing := known.owned &^ known.granted
 		if missing == 0 {
 			continue
 		}
