Start the takeover margin anew after a gap between reads

Cause: a member that was paused between two reads could take two absences for one, although the other member had a lease in between. A leaving instance was not tested during an outage of the store.

Conclusion: peers take the slots once the store answers again.

--- a/assigner/apply.go
+++ b/assigner/apply.go
@@ -47,8 +47,9 @@
 	a.known = true
 	a.reread = false
 	a.learn(read.Record, read.Version)
-	a.leases, a.leasesVersion, a.leasesAt = read.Leases, read.Version, now
+	a.leases, a.leasesVersion = read.Leases, read.Version
 	a.noteAbsent(now)
+	a.leasesAt = now
 	a.forget()
 }
 
@@ -73,14 +74,17 @@
 	}
 }
 
+// noteAbsent notes since when members have no lease. After a gap between two reads it starts anew, because a member
+// may have had a lease in between.
 func (a *Assigner) noteAbsent(now time.Time) {
+	gap := now.Sub(a.leasesAt) > TakeoverMargin
 	absent := make(map[Owner]time.Time)
 	for _, member := range a.record.Members {
 		if slices.Contains(a.leases, member.Owner) {
 			continue
 		}
 		since, ok := a.absentSince[member.Owner]
-		if !ok {
+		if !ok || gap {
 			since = now
 		}
 		absent[member.Owner] = since
--- a/assigner/machine_test.go
+++ b/assigner/machine_test.go
@@ -13,7 +13,7 @@
 
 // recoverySteps bounds the steps until all slots are usable after the last fault: a lease (9 s), the takeover margin,
 // a second takeover by a restarted instance, and usage reports of five servers.
-const recoverySteps = 240
+const recoverySteps = 120
 
 // leaveSteps is the time in which a member that was asked to leave before the last fault ended has left.
 const leaveSteps = 80
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -49,6 +49,8 @@
 	Release(ctx context.Context, address string, release messenger.Release) (messenger.ReleaseReply, error)
 }
 
+var _ Messenger = (*messenger.Client)(nil)
+
 // Registrar is this instance's part in the ownership of its zone's slots.
 type Registrar struct {
 	self  describer.Instance
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -106,3 +107,22 @@
 		require.Len(t, z.all[0].Assignment().Members, 1)
 	})
 }
+
+// TestLeaveDuringOutage guards against a leaving instance that waits for the store without end, and against peers that
+// lose their right because of it or never take its slots.
+func TestLeaveDuringOutage(t *testing.T) {
+	run(t, 3, func(z *zone) {
+		z.store.SetFaults(fakekeeper.Faults{Down: true})
+		z.advance(20*time.Second, serverSlots)
+		ctx, cancel := context.WithTimeout(z.t.Context(), 3*time.Second)
+		defer cancel()
+		require.ErrorIs(z.t, z.all[2].Leave(ctx), context.DeadlineExceeded)
+		z.all[2].die(false)
+		z.advance(time.Minute, 0)
+		require.True(z.t, z.all[0].MayStart())
+		require.True(z.t, z.all[1].MayStart())
+		z.store.SetFaults(fakekeeper.Faults{})
+		z.advance(5*time.Second, 0)
+		z.advance(time.Second, serverSlots)
+	})
+}
