--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,297 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/planner"
+	"egretring.example/egretring/tester"
+)
+
+func TestMain(m *testing.M) { tester.Main(m) }
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func cores(count int64) describer.Resources {
+	return describer.Resources{MilliCores: count * 1000, MemoryBytes: count << 30}
+}
+
+// cell drives a planner and follows its commands.
+type cell struct {
+	now        time.Time
+	core       *planner.Planner
+	owner      map[describer.TaskID]describer.AvailabilityZoneID
+	impossible map[describer.JobID]planner.Reason
+	log        []planner.Command
+	sizes      map[describer.JobID]describer.Job
+}
+
+func newCell(zones ...string) *cell {
+	c := &cell{
+		now: start, core: planner.New(), owner: make(map[describer.TaskID]describer.AvailabilityZoneID),
+		impossible: make(map[describer.JobID]planner.Reason), sizes: make(map[describer.JobID]describer.Job),
+	}
+	var list []planner.Zone
+	for _, id := range zones {
+		list = append(list, planner.Zone{
+			ID: describer.AvailabilityZoneID(id), Shapes: []planner.Shape{{Capacity: cores(8), Count: 10}},
+		})
+	}
+	c.handle(planner.ZonesChanged{Zones: list})
+	return c
+}
+
+func (c *cell) handle(event planner.Event) {
+	for _, command := range c.core.Handle(c.now, event) {
+		c.log = append(c.log, command)
+		switch command := command.(type) {
+		case planner.AssignTasks:
+			for i := command.First; i < command.First+command.Count; i++ {
+				id := describer.TaskID{Job: command.Job.ID, Index: i}
+				if _, twice := c.owner[id]; twice {
+					panic(fmt.Sprintf("task %v is assigned twice", id))
+				}
+				c.owner[id] = command.Zone
+			}
+		case planner.WithdrawTasks:
+			for i := command.First; i < command.First+command.Count; i++ {
+				delete(c.owner, describer.TaskID{Job: command.Job, Index: i})
+			}
+		case planner.ReportImpossible:
+			c.impossible[command.Job] = command.Reason
+		case planner.ReportPossible:
+			delete(c.impossible, command.Job)
+		}
+	}
+}
+
+func (c *cell) wait(duration time.Duration) {
+	for until := c.now.Add(duration); c.now.Before(until); {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.handle(planner.Ticked{})
+	}
+}
+
+func (c *cell) submit(id, team string, policy describer.JobPolicy, tasks int, each describer.Resources, zones ...describer.AvailabilityZoneID) {
+	j := describer.Job{
+		ID: describer.JobID(id), Team: describer.TeamID(team), Class: describer.Standard, Policy: policy,
+		Tasks: tasks, PerTask: each, AvailabilityZones: zones,
+	}
+	c.sizes[j.ID] = j
+	c.handle(planner.JobSubmitted{Job: j})
+	c.wait(200 * time.Millisecond)
+}
+
+func (c *cell) in(job string, zone describer.AvailabilityZoneID) int {
+	count := 0
+	for id, owner := range c.owner {
+		if string(id.Job) == job && owner == zone {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *cell) assigned(job string) int {
+	count := 0
+	for id := range c.owner {
+		if string(id.Job) == job {
+			count++
+		}
+	}
+	return count
+}
+
+// TestImpossibleJobs guards against a job that can never run and is not reported with its reason, or holds up others.
+func TestImpossibleJobs(t *testing.T) {
+	cases := []struct {
+		name   string
+		team   string
+		policy describer.JobPolicy
+		tasks  int
+		each   describer.Resources
+		zones  []describer.AvailabilityZoneID
+		reason planner.Reason
+	}{
+		{"possible", "rich", describer.BatchJob, 5, cores(8), nil, ""},
+		{"no server large enough", "rich", describer.BatchJob, 1, cores(9), nil, planner.NoServerLargeEnough},
+		{"no accelerator", "rich", describer.BatchJob, 1, describer.Resources{Accelerators: 1}, nil, planner.NoServerLargeEnough},
+		{"quota below one task", "poor", describer.BatchJob, 1, cores(3), nil, planner.QuotaTooSmall},
+		{"quota below the gang", "poor", describer.GangJob, 3, cores(1), nil, planner.QuotaTooSmall},
+		{"borrower above its quota", "borrower", describer.GangJob, 3, cores(1), nil, ""},
+		{"no quota", "stranger", describer.BatchJob, 1, cores(1), nil, planner.QuotaTooSmall},
+		{"gang larger than any zone", "rich", describer.GangJob, 11, cores(8), nil, planner.GangTooLarge},
+		{"largest gang", "rich", describer.GangJob, 10, cores(8), nil, ""},
+		{"unknown zone", "rich", describer.BatchJob, 1, cores(1), []describer.AvailabilityZoneID{"x"}, planner.UnknownZone},
+		{"one zone known", "rich", describer.BatchJob, 1, cores(1), []describer.AvailabilityZoneID{"x", "a"}, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCell("a", "b")
+			c.handle(planner.QuotasChanged{Quotas: []describer.Quota{
+				{Team: "rich", Limit: cores(200)},
+				{Team: "poor", Limit: cores(2)},
+				{Team: "borrower", Limit: cores(1), MayBorrow: true},
+			}})
+			c.submit("case", test.team, test.policy, test.tasks, test.each, test.zones...)
+			c.submit("next", "rich", describer.BatchJob, 1, cores(1))
+			require.Equal(t, test.reason, c.impossible["case"])
+			require.Equal(t, 1, c.assigned("next"))
+			want := test.tasks
+			if test.reason != "" {
+				want = 0
+			}
+			require.Equal(t, want, c.assigned("case"))
+		})
+	}
+}
+
+// TestBecomesPossible guards against a reported job that stays reported after its cause is gone.
+func TestBecomesPossible(t *testing.T) {
+	c := newCell("a")
+	c.submit("late", "team", describer.BatchJob, 1, cores(1), "b")
+	require.Equal(t, planner.UnknownZone, c.impossible["late"])
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{{ID: "b", Shapes: []planner.Shape{{Capacity: cores(8), Count: 1}}}}})
+	c.wait(time.Second)
+	require.Empty(t, c.impossible)
+	require.Equal(t, 1, c.assigned("late"))
+}
+
+// TestServiceIsSpread guards against a service whose tasks share a zone although others have room.
+func TestServiceIsSpread(t *testing.T) {
+	c := newCell("a", "b", "c")
+	c.submit("load", "team", describer.BatchJob, 20, cores(1), "a")
+	c.submit("web", "team", describer.ServiceJob, 7, cores(1))
+	for _, zone := range []describer.AvailabilityZoneID{"a", "b", "c"} {
+		require.InDelta(t, 7.0/3, c.in("web", zone), 1)
+	}
+}
+
+// TestBorrowAndReclaim guards against quota that stays idle or borrowed while its owner waits.
+func TestBorrowAndReclaim(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{
+		{Team: "lender", Limit: cores(10)}, {Team: "borrower", Limit: cores(10), MayBorrow: true},
+	}})
+	c.submit("borrowed", "borrower", describer.BatchJob, 30, cores(1))
+	require.Equal(t, 20, c.assigned("borrowed"))
+	c.submit("own", "lender", describer.BatchJob, 15, cores(1))
+	c.wait(time.Second)
+	require.Equal(t, 10, c.assigned("own"), "the lender may not borrow")
+	require.Equal(t, 10, c.assigned("borrowed"))
+	finished := []int{}
+	for id := range c.owner {
+		if id.Job == "own" {
+			finished = append(finished, id.Index)
+			delete(c.owner, id)
+		}
+	}
+	c.handle(planner.TasksFinished{Job: "own", Indices: finished})
+	c.wait(time.Second)
+	require.Equal(t, 5, c.assigned("own"))
+	require.Equal(t, 15, c.assigned("borrowed"))
+}
+
+// TestZoneLoss guards against tasks that move before the lost zone has stopped them, services that wait behind batch
+// work, and a rush that is not paced.
+func TestZoneLoss(t *testing.T) {
+	c := newCell("a", "b")
+	c.handle(planner.ZoneLost{Zone: "b", SafeAt: start})
+	c.submit("batch", "team", describer.BatchJob, 600, describer.Resources{MilliCores: 100, MemoryBytes: 1 << 20})
+	c.submit("web", "team", describer.ServiceJob, 150, describer.Resources{MilliCores: 100, MemoryBytes: 1 << 20})
+	c.wait(2 * time.Second)
+	require.Equal(t, 600, c.in("batch", "a"))
+	require.Equal(t, 150, c.in("web", "a"))
+	c.handle(planner.ZoneReturned{Zone: "b"})
+	safeAt := c.now.Add(30 * time.Second)
+	c.handle(planner.ZoneLost{Zone: "a", SafeAt: safeAt})
+	c.wait(29 * time.Second)
+	require.Equal(t, 600, c.in("batch", "a"), "moved before the leases have expired")
+	servicesAt := time.Time{}
+	for range 30 {
+		before := c.in("batch", "b") + c.in("web", "b")
+		c.wait(100 * time.Millisecond)
+		require.LessOrEqual(t, c.in("batch", "b")+c.in("web", "b")-before, 100)
+		if servicesAt.IsZero() && c.in("web", "b") == 150 {
+			servicesAt = c.now
+			require.LessOrEqual(t, c.in("batch", "b"), 50)
+		}
+	}
+	require.Equal(t, 600, c.in("batch", "b"))
+	require.False(t, servicesAt.IsZero())
+}
+
+// TestQuotasAreKept guards against teams that together use more than all quotas, a team without the right to borrow
+// above its own, a gang job that is split, and waiting work while quota and zones have room.
+func TestQuotasAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCell("a", "b", "c")
+		limits := map[describer.TeamID]describer.Quota{
+			"x": {Team: "x", Limit: cores(20)}, "y": {Team: "y", Limit: cores(30), MayBorrow: true},
+			"z": {Team: "z", Limit: cores(10), MayBorrow: true},
+		}
+		c.handle(planner.QuotasChanged{Quotas: []describer.Quota{limits["x"], limits["y"], limits["z"]}})
+		next := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				next++
+				policy := rapid.SampledFrom([]describer.JobPolicy{describer.ServiceJob, describer.BatchJob, describer.GangJob}).Draw(t, "policy")
+				team := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "team")
+				c.submit(fmt.Sprintf("job-%d", next), team, policy, rapid.IntRange(1, 12).Draw(t, "tasks"), cores(int64(rapid.IntRange(1, 4).Draw(t, "cores"))))
+			},
+			"finish": func(t *rapid.T) {
+				id := describer.JobID(fmt.Sprintf("job-%d", rapid.IntRange(1, next+1).Draw(t, "job")))
+				var indices []int
+				for task := range c.owner {
+					if task.Job == id {
+						indices = append(indices, task.Index)
+						delete(c.owner, task)
+					}
+				}
+				c.handle(planner.TasksFinished{Job: id, Indices: indices})
+			},
+			"withdraw": func(t *rapid.T) {
+				c.handle(planner.JobWithdrawn{Job: describer.JobID(fmt.Sprintf("job-%d", rapid.IntRange(1, next+1).Draw(t, "job")))})
+			},
+			"loseZone":   func(*rapid.T) { c.handle(planner.ZoneLost{Zone: "a", SafeAt: c.now.Add(time.Second)}) },
+			"returnZone": func(*rapid.T) { c.handle(planner.ZoneReturned{Zone: "a"}) },
+			"":           func(t *rapid.T) { c.wait(500 * time.Millisecond); c.check(t, limits) },
+		})
+	})
+}
+
+func (c *cell) check(t *rapid.T, limits map[describer.TeamID]describer.Quota) {
+	used := make(map[describer.TeamID]describer.Resources)
+	total, pool := describer.Resources{}, describer.Resources{}
+	gangs := make(map[describer.JobID]map[describer.AvailabilityZoneID]bool)
+	for id, zone := range c.owner {
+		j := c.sizes[id.Job]
+		used[j.Team] = used[j.Team].Plus(j.PerTask)
+		total = total.Plus(j.PerTask)
+		if j.Policy == describer.GangJob {
+			if gangs[id.Job] == nil {
+				gangs[id.Job] = make(map[describer.AvailabilityZoneID]bool)
+			}
+			gangs[id.Job][zone] = true
+		}
+	}
+	for team, quota := range limits {
+		pool = pool.Plus(quota.Limit)
+		if !quota.MayBorrow && !used[team].Fits(quota.Limit) {
+			t.Fatalf("team %s uses %v of %v", team, used[team], quota.Limit)
+		}
+	}
+	if !total.Fits(pool) {
+		t.Fatalf("teams use %v of %v", total, pool)
+	}
+	for id, zones := range gangs {
+		if len(zones) != 1 || c.assigned(string(id)) != c.sizes[id].Tasks {
+			t.Fatalf("gang job %s has %d tasks in zones %v", id, c.assigned(string(id)), zones)
+		}
+	}
+}
