Measure packing, gang jobs and urgent starts; fix faults they showed

Change: overdue tasks count against the reserved room; groups and deletions alternate; more is evicted when a waiting urgent task lost its room; the estimates move in smaller steps. Package measurer and egretring-measure tasks.

--- /dev/null
+++ b/cmd/egretring-measure/main.go
@@ -0,0 +1,25 @@
+// Command egretring-measure measures the cores in virtual time and prints the figures as Markdown tables.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+)
+
+func main() {
+	root := &ffcli.Command{
+		ShortUsage:  "egretring-measure <subcommand> [flags]",
+		Subcommands: []*ffcli.Command{newTasksCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -115,19 +115,28 @@
 }
 
 // TestRateAndCompaction guards against more than ten writes a second, groups closer than 100 ms, groups that pile up in
-// the store, and a finished task that is forgotten when its group is deleted.
+// the store, groups that wait for long behind deletions, and a finished task that is forgotten when its group is deleted.
 func TestRateAndCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := fakekeeper.New()
 		c, _ := open(t, store, 1)
 		before, begun := store.Calls().Writes, time.Now()
 		const seconds, perSecond = 400, 40
+		received, lastAt, longest := 0, time.Now(), time.Duration(0)
 		for i := range seconds * perSecond {
 			require.NoError(t, c.Commit(started(i, 1, 1)))
 			require.NoError(t, c.Commit(ended(i, 1, committer.Succeeded)))
 			time.Sleep(time.Second / perSecond)
+			select {
+			case records := <-c.Durable():
+				received += len(records)
+				longest = max(longest, time.Since(lastAt))
+				lastAt = time.Now()
+			default:
+			}
 		}
-		receive(t, c, 2*seconds*perSecond)
+		receive(t, c, 2*seconds*perSecond-received)
+		require.LessOrEqual(t, longest, 500*time.Millisecond, "groups wait behind deletions")
 		writes := store.Calls().Writes - before
 		limit := int64(10*time.Since(begun)/time.Second) + 10
 		require.LessOrEqual(t, writes, limit)
--- a/committer/journal.go
+++ b/committer/journal.go
@@ -15,9 +15,9 @@
 	// on average. The burst lets urgent groups be written every GroupInterval for a while.
 	writeInterval = 100 * time.Millisecond
 	writeBurst    = 10
-	// deletionReserve are the permitted writes that a group leaves to deletions. Under steady load groups and deletions
-	// then share the rate, and the number of groups in the store stays bounded.
-	deletionReserve = 1
+	// deletionsPerGroup is how many deletions follow a group while records wait, so that the number of groups in the
+	// store stays bounded under steady load and no group waits for more than these.
+	deletionsPerGroup = 1
 	// manyGroups is how many groups in the store double the share of deletions, to keep a recovery short.
 	manyGroups = 1000
 	// maxGroupBytes keeps a group below the 1 MB of a value. A record is counted with recordBytes and its names.
@@ -48,24 +48,26 @@
 // Journal decides what is written to the store next. One write is under way at a time, so that the groups of an epoch
 // form a sequence without gaps, which a later member can seal.
 type Journal struct {
-	writer      string
-	epoch       describer.Epoch
-	table       *table
-	queue       []Record
-	sequence    int64
-	underway    *Write
-	attempts    int
-	retryAt     time.Time
-	nextGroup   time.Time
-	nextShard   time.Time
-	permits     float64
-	permitsAt   time.Time
-	shard       int
-	versions    [ShardCount]int64
-	through     [ShardCount]Position
-	changed     [ShardCount]bool
-	undeleted   []Position
-	written     Position
+	writer    string
+	epoch     describer.Epoch
+	table     *table
+	queue     []Record
+	sequence  int64
+	underway  *Write
+	attempts  int
+	retryAt   time.Time
+	nextGroup time.Time
+	nextShard time.Time
+	permits   float64
+	permitsAt time.Time
+	shard     int
+	versions  [ShardCount]int64
+	through   [ShardCount]Position
+	changed   [ShardCount]bool
+	undeleted []Position
+	written   Position
+	// deletions is how many deletions may be written before the next group.
+	deletions   int
 	writeNumber int64
 }
 
@@ -129,21 +131,23 @@
 }
 
 func (j *Journal) choose(now time.Time) (Write, bool) {
-	needed := 1.0
-	if j.hasDeletion() {
-		needed += deletionReserve
-	}
-	if j.hasDeletion() && len(j.undeleted) > manyGroups {
-		needed += deletionReserve
+	if j.permits < 1 {
+		return Write{}, false
 	}
+	deletion := j.hasDeletion()
 	switch {
-	case j.permits >= 1 && !now.Before(j.nextShard) && j.needsShard():
+	case !now.Before(j.nextShard) && j.needsShard():
 		j.nextShard = now.Add(compactionInterval)
 		return Write{Shard: j.takeShard()}, true
-	case len(j.queue) > 0 && !now.Before(j.nextGroup) && j.permits >= needed:
+	case len(j.queue) > 0 && !now.Before(j.nextGroup) && (j.deletions <= 0 || !deletion):
 		j.nextGroup = now.Add(GroupInterval)
+		j.deletions = deletionsPerGroup
+		if len(j.undeleted) > manyGroups {
+			j.deletions += deletionsPerGroup
+		}
 		return Write{Group: j.takeGroup()}, true
-	case j.permits >= 1 && j.hasDeletion():
+	case deletion && (j.deletions > 0 || len(j.queue) == 0):
+		j.deletions--
 		return Write{Deletion: &j.undeleted[0]}, true
 	}
 	return Write{}, false
--- /dev/null
+++ b/measurer/tasks.go
@@ -0,0 +1,16 @@
+package measurer
+
+// Measurement is a named measurement that is repeated for each seed.
+type Measurement struct {
+	Name string
+	Run  func(seeds []uint64) Table
+}
+
+// TaskMeasurements lists the measurements of the placing, starting and committing of tasks.
+func TaskMeasurements() []Measurement {
+	return []Measurement{
+		{Name: "packing", Run: MeasurePacking},
+		{Name: "urgent", Run: MeasureUrgent},
+		{Name: "gangs", Run: MeasureGangs},
+	}
+}
--- /dev/null
+++ b/measurer/tasks_table.go
@@ -0,0 +1,68 @@
+// Package measurer measures the cores in virtual time and prints the figures as Markdown tables.
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Table is a Markdown table with what is needed to repeat it.
+type Table struct {
+	Title   string
+	Notes   []string
+	Columns []string
+	Rows    [][]string
+}
+
+// add appends a row.
+func (t *Table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, cell := range cells {
+		switch cell := cell.(type) {
+		case float64:
+			row[i] = fmt.Sprintf("%.3g", cell)
+		case time.Duration:
+			row[i] = cell.Round(time.Millisecond).String()
+		default:
+			row[i] = fmt.Sprint(cell)
+		}
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+// WriteTo writes the table.
+func (t *Table) WriteTo(w io.Writer) (int64, error) {
+	var text strings.Builder
+	fmt.Fprintf(&text, "## %s\n\n", t.Title)
+	for _, note := range t.Notes {
+		fmt.Fprintf(&text, "%s\n\n", note)
+	}
+	fmt.Fprintf(&text, "| %s |\n", strings.Join(t.Columns, " | "))
+	fmt.Fprintf(&text, "|%s\n", strings.Repeat(" --- |", len(t.Columns)))
+	for _, row := range t.Rows {
+		fmt.Fprintf(&text, "| %s |\n", strings.Join(row, " | "))
+	}
+	text.WriteString("\n")
+	written, err := io.WriteString(w, text.String())
+	return int64(written), err
+}
+
+// quantile returns a quantile of durations by the nearest rank.
+func quantile(durations []time.Duration, q float64) time.Duration {
+	if len(durations) == 0 {
+		return 0
+	}
+	ordered := slices.Sorted(slices.Values(durations))
+	return ordered[min(len(ordered)-1, int(q*float64(len(ordered))))]
+}
+
+// percent formats a share.
+func percent(part, whole float64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f%%", 100*part/whole)
+}
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// quantileUp and quantileDown move an estimate by sample; in equilibrium a share of
-	// quantileDown/(quantileUp+quantileDown) = 5% of the samples lies above the estimate.
-	quantileUp   = 0.095
-	quantileDown = 0.005
+	// learnedQuantile is the share of samples below an estimate in equilibrium.
+	learnedQuantile = 0.95
+	// A sample moves an estimate by its gain, which falls from firstGain to lastGain: a wrong declaration is corrected
+	// within some hundred samples, and later the estimate moves by at most 2% at a time.
+	firstGain   = 0.2
+	lastGain    = 0.02
+	gainSamples = 50
 	// minSamples is how many samples a job needs before its learned need may fall below the declared size,
 	// because the first samples of a task are taken while it starts up.
 	minSamples = 20
@@ -23,15 +26,16 @@
 	minEstimate = 1
 )
 
-// estimate learns the 95% quantile of a quantity by multiplicative steps.
+// estimate learns a quantile of a quantity by multiplicative steps.
 type estimate float64
 
-func (e *estimate) observe(sample float64) {
-	switch {
-	case sample > float64(*e):
-		*e += *e * quantileUp
-	default:
-		*e -= *e * quantileDown
+// observe takes a sample into account; samples is how many there were before.
+func (e *estimate) observe(sample float64, samples int) {
+	gain := max(lastGain, firstGain/(1+float64(samples)/gainSamples))
+	if sample > float64(*e) {
+		*e *= estimate(1 + gain*learnedQuantile)
+	} else {
+		*e *= estimate(1 - gain*(1-learnedQuantile))
 	}
 	*e = max(*e, minEstimate)
 }
@@ -51,9 +55,9 @@
 }
 
 func (n *needEstimate) observe(used describer.Resources) {
+	n.milliCores.observe(float64(used.MilliCores), n.samples)
+	n.memoryBytes.observe(float64(used.MemoryBytes), n.samples)
 	n.samples++
-	n.milliCores.observe(float64(used.MilliCores))
-	n.memoryBytes.observe(float64(used.MemoryBytes))
 }
 
 // need returns the room to keep for a task. Accelerators are assigned whole, so their declared number holds.
@@ -83,8 +87,8 @@
 	if r.completed == 0 {
 		r.seconds = estimate(seconds)
 	}
+	r.seconds.observe(seconds, r.completed)
 	r.completed++
-	r.seconds.observe(seconds)
 }
 
 // expected returns the expected run time and whether one is known.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -184,10 +184,26 @@
 		place.job.runTime.observe(now.Sub(place.startedAt))
 	}
 	p.take(place)
-	p.announceWaiting(p.servers[place.server])
+	p.serveWaiting(now, p.servers[place.server])
 	p.dirty = true
 }
 
+// serveWaiting announces the tasks whose room has become free, and evicts more when the learned need of other tasks has
+// grown into the room of a waiting one.
+func (p *Placer) serveWaiting(now time.Time, s *server) {
+	if s.waiting == 0 {
+		return
+	}
+	p.announceWaiting(s)
+	missing := s.Capacity.Minus(s.allocated)
+	missing = scaled(missing, -1)
+	for _, place := range p.victims(now, s, missing, func(place *placement) bool {
+		return s.waiting > 0 && place.isPreemptible(describer.Standard)
+	}) {
+		p.evict(place, Preempted)
+	}
+}
+
 // announceWaiting announces the tasks whose room has become free.
 func (p *Placer) announceWaiting(s *server) {
 	for i := 0; s.waiting > 0 && i < len(s.placements); i++ {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -208,6 +208,44 @@
 	require.Positive(t, backfilled)
 }
 
+// TestOverrunsDelayGangLittle guards against a gang job that starves because tasks run longer than declared and the room
+// of each task that ends is given away again.
+func TestOverrunsDelayGangLittle(t *testing.T) {
+	c := newCell(t, zone(4))
+	small := job("small", describer.BatchJob, describer.Standard, 60, size(1, 1))
+	small.ExpectedSeconds = 5
+	c.submit(small)
+	next := small.Tasks
+	ends := make(map[describer.TaskID]time.Time)
+	submitted := false
+	for range 300 {
+		c.wait(100 * time.Millisecond)
+		for id := range c.places {
+			if _, known := ends[id]; !known && id.Job == "small" {
+				runTime := 4 * time.Second
+				if id.Index%8 == 0 {
+					runTime = time.Hour
+				}
+				ends[id] = c.now.Add(runTime + time.Duration(id.Index%10)*100*time.Millisecond)
+			}
+		}
+		for id, at := range ends {
+			if _, left := c.evicted[id]; left || !c.now.Before(at) {
+				delete(ends, id)
+				delete(c.evicted, id)
+				c.release(id, !left)
+				c.handle(placer.TasksSubmitted{Job: small, Indices: []int{next}})
+				next++
+			}
+		}
+		if !submitted && c.now.Sub(start) > 6*time.Second {
+			submitted = true
+			c.submit(job("gang", describer.GangJob, describer.Standard, 4, size(4, 4)))
+		}
+	}
+	require.Equal(t, 4, c.placed("gang"))
+}
+
 // TestLearnedNeed guards against room that is kept by a wrong declaration, in both directions.
 func TestLearnedNeed(t *testing.T) {
 	for _, test := range []struct {
--- a/placer/preemption.go
+++ b/placer/preemption.go
@@ -104,11 +104,16 @@
 		}
 	}
 	return p.victims(now, s, missing.Plus(leaving), func(place *placement) bool {
-		description := place.job.description
-		return description.Class >= lowest && description.Policy != describer.ServiceJob && !place.waiting
+		return place.isPreemptible(lowest)
 	})
 }
 
+// isPreemptible reports whether the task may be evicted for urgent work that may evict a class and those below it.
+func (p *placement) isPreemptible(lowest describer.Class) bool {
+	description := p.job.description
+	return description.Class >= lowest && description.Policy != describer.ServiceJob && !p.waiting
+}
+
 // costOf is the work at risk when a task is evicted; a task of a gang job takes the whole gang with it.
 func (p *Placer) costOf(now time.Time, place *placement) float64 {
 	if !place.job.isGang() {
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -29,7 +29,9 @@
 	holder   *entry
 	startsAt time.Time
 	servers  []*server
-	evicted  bool
+	// due is true from the start time on, when no task may use the reserved room any more.
+	due     bool
+	evicted bool
 }
 
 // slotTime is the expected time at which a backend server has room for one more task of the holder.
@@ -181,6 +183,9 @@
 		return
 	}
 	holder := r.holder
+	if !r.due && !now.Before(r.startsAt) {
+		p.fallDue(r)
+	}
 	if r.isFree() {
 		p.cancelReservation()
 		count := holder.taskCount()
@@ -201,6 +206,18 @@
 	}
 }
 
+// fallDue counts the tasks that run longer than expected as late. Otherwise the room of each task that ends would be
+// given away again while they occupy the reserved room.
+func (p *Placer) fallDue(r *reservation) {
+	r.due = true
+	for _, s := range r.servers {
+		for _, place := range s.placements {
+			s.change(place, func() { place.late = !place.leaving })
+		}
+		p.refresh(s)
+	}
+}
+
 // isFree reports whether each backend server has the reserved room free.
 func (r *reservation) isFree() bool {
 	for _, s := range r.servers {
--- a/placer/usage.go
+++ b/placer/usage.go
@@ -35,7 +35,7 @@
 		place.used = usage.Used
 		p.resize(s, place)
 	}
-	p.announceWaiting(s)
+	p.serveWaiting(now, s)
 	p.relieve(now, s, total, e.SampledAt)
 }
 
