Measure cost of starts, rebuild and store writes

Cause: the two-year size has targets for computing time, rebuild and writes.

Change: measurements cost, rebuild and writes of egretring-measure tasks.

--- a/measurer/tasks.go
+++ b/measurer/tasks.go
@@ -10,7 +10,10 @@
 func TaskMeasurements() []Measurement {
 	return []Measurement{
 		{Name: "packing", Run: MeasurePacking},
+		{Name: "cost", Run: MeasureCost},
 		{Name: "urgent", Run: MeasureUrgent},
 		{Name: "gangs", Run: MeasureGangs},
+		{Name: "rebuild", Run: MeasureRebuild},
+		{Name: "writes", Run: MeasureWrites},
 	}
 }
