--- a/demonstrator/cell.go
+++ b/demonstrator/cell.go
@@ -38,9 +38,11 @@
 	logger   *slog.Logger
 	seed     uint64
 
-	mu       sync.Mutex
-	entries  []*Entry
-	isolated map[describer.AvailabilityZoneID]bool
+	mu      sync.Mutex
+	entries []*Entry
+	// processes are the entry instances that run as processes of their own.
+	processes []describer.Instance
+	isolated  map[describer.AvailabilityZoneID]bool
 }
 
 // CellOptions are the options of a cell.
@@ -51,6 +53,8 @@
 	Logs io.Writer
 	// Backend returns further options of the backend servers.
 	Backend []fakebackend.Option
+	// WithoutEntries starts no entry instances; they are added as processes with AddProcess.
+	WithoutEntries bool
 }
 
 // NewCell starts the stand-ins and the entry instances of a cell.
@@ -72,6 +76,10 @@
 		c.Close()
 		return nil, err
 	}
+	if options.WithoutEntries {
+		c.publish()
+		return c, nil
+	}
 	if err := c.startEntries(); err != nil {
 		c.Close()
 		return nil, err
@@ -147,11 +155,12 @@
 }
 
 func (c *Cell) settings(zone describer.AvailabilityZoneID, name string) loader.Settings {
+	store, list := c.Platform()
 	return loader.Settings{
 		Instance: name, AvailabilityZone: string(zone), Zones: c.topology.ZoneIDs(),
 		Listeners:         loader.Listeners{Callers: loopback, Operators: loopback, Peers: loopback, Relay: loopback},
-		Store:             "http://" + c.platform.storeAddress,
-		InstanceList:      "http://" + c.platform.listAddress,
+		Store:             store,
+		InstanceList:      list,
 		MaxRequestBytes:   1 << 20,
 		DefaultTimeout:    30 * time.Second,
 		MaxTimeout:        time.Minute,
@@ -175,6 +184,9 @@
 	c.mu.Lock()
 	listing := lister.Listing{BackendServers: slices.Clone(c.servers)}
 	c.mu.Unlock()
+	c.mu.Lock()
+	listing.Instances = slices.Clone(c.processes)
+	c.mu.Unlock()
 	for _, entry := range c.Entries() {
 		addresses := entry.Daemon.Addresses()
 		listing.Instances = append(listing.Instances, describer.Instance{
@@ -185,6 +197,36 @@
 	c.platform.list.Set(listing)
 }
 
+// AddProcess adds an entry instance that runs as a process of its own to the instance list. An instance with the same
+// name is replaced.
+func (c *Cell) AddProcess(instance describer.Instance) {
+	c.mu.Lock()
+	c.processes = slices.DeleteFunc(c.processes, func(known describer.Instance) bool { return known.ID == instance.ID })
+	c.processes = append(c.processes, instance)
+	c.mu.Unlock()
+	c.publish()
+}
+
+// Platform returns the base URLs of the store and of the instance list.
+func (c *Cell) Platform() (store, list string) {
+	return "http://" + c.platform.storeAddress, "http://" + c.platform.listAddress
+}
+
+// Ledger returns the counters of what ran.
+func (c *Cell) Ledger() *fakebackend.Ledger {
+	return c.ledger
+}
+
+// OverCapacity counts requests, connections and tasks above the capacity of a backend server.
+func (c *Cell) OverCapacity() int64 {
+	var over int64
+	for _, backend := range c.backends {
+		counters := backend.Counters()
+		over += counters.SlotsExceeded + counters.ConnectionsExceeded + counters.CapacityExceeded
+	}
+	return over
+}
+
 // Entries returns the running entry instances.
 func (c *Cell) Entries() []*Entry {
 	c.mu.Lock()
--- a/demonstrator/summary.go
+++ b/demonstrator/summary.go
@@ -34,10 +34,7 @@
 		result.Cancelled += class.Cancelled
 		result.Silent += class.Silent
 	}
-	for _, backend := range d.cell.backends {
-		counters := backend.Counters()
-		result.OverCapacity += counters.SlotsExceeded + counters.ConnectionsExceeded + counters.CapacityExceeded
-	}
+	result.OverCapacity = d.cell.OverCapacity()
 	if d.leaving != nil && d.leaving.Counters().LatestWhileLeaving > leavingNotice {
 		result.LateToLeaving = 1
 	}
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -102,7 +102,7 @@
 	d.callers.start(&d.tomb)
 	d.relay.start(&d.tomb)
 	d.operators.start(&d.tomb)
-	d.logger.Info("entry instance started", "Instance", d.self.ID, "Callers", d.callers.address())
+	d.logger.Info("entry instance started", "Instance", d.self.ID, "Listeners", d.Addresses())
 }
 
 // Addresses returns the bound addresses.
