dispatcher: give slots back to long work sooner after a swing

Cause: in the simulated swing the cap on long work kept slots idle for seconds after the short demand had fallen, and fewer requests were answered than with strict priority. Change: only the demand of Urgent falls over 2 s; other demands fall over 500 ms. The time after which a swing is expected to be over has its own name.

--- a/dispatcher/demand.go
+++ b/dispatcher/demand.go
@@ -9,10 +9,14 @@
 	// riseMemory is the time over which a growing demand is averaged: long enough to smooth the requests of a moment,
 	// and short against a swing.
 	riseMemory = 250 * time.Millisecond
-	// fallMemory keeps slots for a demand that swings, until the next swing.
-	fallMemory = 2 * time.Second
+	// urgentFall keeps slots for Urgent after its demand has fallen, because it may swing back.
+	urgentFall = 2 * time.Second
+	// otherFall gives the slots of other demands back sooner, because what they leave is used by long work.
+	otherFall = 500 * time.Millisecond
 	// slowMemory averages over several swings.
 	slowMemory = 10 * time.Second
+	// swingLength is the time after which a swing is expected to be over.
+	swingLength = 10 * time.Second
 )
 
 // demand is the recent average of a number of slots that a part of the work wants.
@@ -20,10 +24,15 @@
 	// fast follows a swing of the load; slow averages over swings.
 	fast    float64
 	slow    float64
+	fall    time.Duration
 	current float64
 	updated time.Time
 }
 
+func newDemand(fall time.Duration) demand {
+	return demand{fall: fall}
+}
+
 // observe sets the present value; the earlier one is taken to have lasted until now. Work beyond the number of slots
 // does not count, as the averages would otherwise remember a queue that is long gone.
 func (a *demand) observe(now time.Time, current, slots int) {
@@ -35,7 +44,7 @@
 // at returns the average that follows a swing.
 func (a *demand) at(now time.Time) float64 {
 	if a.current < a.fast {
-		return a.approach(now, a.fast, fallMemory)
+		return a.approach(now, a.fast, a.fall)
 	}
 	return a.approach(now, a.fast, riseMemory)
 }
@@ -48,7 +57,7 @@
 // within returns the demand to expect over a time from now on: over a short time the present swing goes on, over a
 // long one the load returns to its average.
 func (a *demand) within(now time.Time, horizon time.Duration) float64 {
-	part := min(horizon.Seconds()/slowMemory.Seconds(), 1)
+	part := min(horizon.Seconds()/swingLength.Seconds(), 1)
 	return (1-part)*a.at(now) + part*a.slowAt(now)
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -63,6 +63,7 @@
 		services:  make(map[describer.ServiceID]describer.Service),
 		requests:  make(map[describer.RequestID]*entry),
 		samples:   make(map[*estimator.Learner]int),
+		occupancy: newOccupancy(),
 	}
 }
 
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -31,6 +31,15 @@
 	shortDemand demand
 }
 
+func newOccupancy() occupancy {
+	o := occupancy{shortDemand: newDemand(otherFall)}
+	for class := range o.classDemand {
+		o.classDemand[class] = newDemand(otherFall)
+	}
+	o.classDemand[describer.Urgent] = newDemand(urgentFall)
+	return o
+}
+
 // reserved is the number of slots that only Urgent requests may take. It follows the recent demand, because a fixed
 // reserve is too small at the peak of a swing and idle otherwise.
 func (o *occupancy) reserved(now time.Time, slots int) int {
