picker: a late list does not bring a leaving server back

Change: each sign of leaving keeps new work away for a minute, unless the server was gone in between. Conclusion: TestLeavingServerGetsNoWork covers lists that come out of order.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -60,6 +60,9 @@
 		s := p.server(described.ID)
 		s.listed = described.State != describer.Gone
 		s.live = described.State == describer.Live
+		if described.State == describer.Leaving {
+			p.hold(now, s)
+		}
 	}
 	for _, s := range p.order {
 		// A server that was gone has restarted when it is listed again.
@@ -84,21 +87,40 @@
 // MarkLeaving stops new work on a server that announced its leaving before the instance list shows it.
 func (p *Picker) MarkLeaving(now time.Time, id describer.BackendServerID) {
 	s, known := p.servers[id]
-	if !known || !s.live {
+	if !known {
 		return
 	}
-	s.leavingUntil = now.Add(leavingHold)
-	heap.Push(&p.timers, timer{s.leavingUntil, s})
+	p.hold(now, s)
 	p.update(s)
 	p.limitEjected()
 }
 
-// Advance ends the ejections that are due. It must be called before Pick.
+// hold keeps new work from a leaving server, also when a later list calls it live: lists may come out of order.
+func (p *Picker) hold(now time.Time, s *server) {
+	if s.leavingUntil.IsZero() {
+		s.holdTimer = now.Add(leavingHold)
+		heap.Push(&p.timers, timer{s.holdTimer, s})
+	}
+	s.leavingUntil = now.Add(leavingHold)
+}
+
+// endHold ends the hold of a leaving server, or waits on if it has been extended.
+func (p *Picker) endHold(now time.Time, s *server) {
+	if now.Before(s.leavingUntil) {
+		s.holdTimer = s.leavingUntil
+		heap.Push(&p.timers, timer{s.holdTimer, s})
+		return
+	}
+	s.leavingUntil = time.Time{}
+}
+
+// Advance ends the ejections and holds that are due. It must be called before Pick.
 func (p *Picker) Advance(now time.Time) {
 	for len(p.timers) > 0 && !now.Before(p.timers[0].at) {
-		s := heap.Pop(&p.timers).(timer).server
-		if !s.leavingUntil.IsZero() && !now.Before(s.leavingUntil) {
-			s.leavingUntil = time.Time{}
+		due := heap.Pop(&p.timers).(timer)
+		s := due.server
+		if due.at.Equal(s.holdTimer) && !s.leavingUntil.IsZero() {
+			p.endHold(now, s)
 		}
 		if s.health == ejected && !now.Before(s.ejectedUntil) {
 			s.health = probing
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -166,9 +166,18 @@
 	p.SetServers(start.Add(3*time.Second), live)
 	_, ok = p.Pick(picker.Wish{})
 	require.True(t, ok, "the server has restarted")
-	p.SetServers(start, []describer.BackendServer{live[0].WithState(describer.Leaving)})
+	leaving := []describer.BackendServer{live[0].WithState(describer.Leaving)}
+	p.SetServers(start.Add(4*time.Second), leaving)
 	_, ok = p.Pick(picker.Wish{})
 	require.False(t, ok)
+	p.SetServers(start.Add(30*time.Second), leaving)
+	p.SetServers(start.Add(31*time.Second), live)
+	p.Advance(start.Add(80 * time.Second))
+	_, ok = p.Pick(picker.Wish{})
+	require.False(t, ok, "an older list came late")
+	p.Advance(start.Add(91 * time.Second))
+	_, ok = p.Pick(picker.Wish{})
+	require.True(t, ok, "the server does not leave after all")
 }
 
 // TestRetryAvoidsFailedServer guards against a retry on the server that has just failed while another one is free.
--- a/picker/server.go
+++ b/picker/server.go
@@ -32,8 +32,9 @@
 	id     describer.BackendServerID
 	listed bool
 	live   bool
-	// leavingUntil is set by an announcement of the server itself or of a peer.
+	// leavingUntil is set by the instance list and by announcements of the server itself or of a peer.
 	leavingUntil time.Time
+	holdTimer    time.Time
 	share        int
 	inUse        int
 
