--- /dev/null
+++ b/fakebackend/state.go
@@ -0,0 +1,201 @@
+package fakebackend
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/generator"
+)
+
+// streamOfServer separates the random values of backend servers from those of other users of a seed.
+const streamOfServer = 0x6261636b
+
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+	defaultUsageLag    = 2 * time.Second
+)
+
+var defaultRunTime = generator.RunTime{Median: 20 * time.Millisecond, Spread: 0.3}
+
+// Request is what a backend server is told about a request.
+type Request struct {
+	ID   string
+	Key  string
+	Kind describer.KindID
+	// RunTime overrides the run time of the kind when it is above zero.
+	RunTime time.Duration
+}
+
+// RunID names a run at one backend server; zero names none.
+type RunID int64
+
+// Decision is what a backend server does with a request.
+type Decision struct {
+	// Run is zero when the request is not run.
+	Run     RunID
+	RunTime time.Duration
+	// Mode is the mode that applies to this request.
+	Mode Mode
+	// AnswerDelay is how long after the end of the run the answer is sent.
+	AnswerDelay time.Duration
+	Leaving     bool
+}
+
+// State is the state of one backend server. It is not safe for concurrent use.
+type State struct {
+	id          describer.BackendServerID
+	slots       int
+	connections int
+	capacity    describer.Resources
+	runTimes    map[describer.KindID]generator.RunTime
+	taskRunTime generator.RunTime
+	lowestUse   float64
+	highestUse  float64
+	lag         time.Duration
+	random      *rand.Rand
+	ledger      *Ledger
+	faults      Faults
+	// leavingSince is when the mode became Leaving.
+	leavingSince time.Time
+	counters     Counters
+
+	lastRun RunID
+	runs    map[RunID]struct{}
+	tasks   map[describer.TaskID]*task
+	epoch   describer.Epoch
+	// history holds the state after each change, for reports with a lag.
+	history []forwarder.UsageReport
+}
+
+// NewState returns an idle backend server.
+func NewState(id describer.BackendServerID, options ...Option) *State {
+	s := &State{
+		id:          id,
+		slots:       defaultSlots,
+		connections: defaultConnections,
+		runTimes:    make(map[describer.KindID]generator.RunTime),
+		lowestUse:   1,
+		highestUse:  1,
+		lag:         defaultUsageLag,
+		random:      rand.New(rand.NewPCG(1, streamOfServer)),
+		ledger:      NewLedger(),
+		runs:        make(map[RunID]struct{}),
+		tasks:       make(map[describer.TaskID]*task),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// SetFaults replaces the faults.
+func (s *State) SetFaults(now time.Time, faults Faults) {
+	if faults.Mode == Leaving && s.faults.Mode != Leaving {
+		s.leavingSince = now
+	}
+	s.faults = faults
+}
+
+// Counters returns the counters.
+func (s *State) Counters() Counters {
+	return s.counters
+}
+
+// Begin decides on a request and occupies a slot when it is run.
+func (s *State) Begin(now time.Time, request Request) Decision {
+	s.advance(now)
+	decision := Decision{Mode: s.modeOfNext(), Leaving: s.faults.Mode == Leaving}
+	if !decision.Mode.runs() {
+		s.countNotRun(now, decision.Mode)
+		return decision
+	}
+	s.lastRun++
+	decision.Run = s.lastRun
+	decision.RunTime = s.runTime(request, decision.Mode)
+	if decision.Mode == AnswersLate {
+		decision.AnswerDelay = s.faults.Delay
+	}
+	s.occupy(now, decision.Run)
+	s.ledger.ran(s.id, request)
+	return decision
+}
+
+// End frees the slot of a run.
+func (s *State) End(now time.Time, run RunID) {
+	s.advance(now)
+	if _, ok := s.runs[run]; !ok {
+		return
+	}
+	delete(s.runs, run)
+	s.counters.BusySlots = len(s.runs)
+	s.record(now, false)
+}
+
+// Connected counts a new connection.
+func (s *State) Connected(now time.Time) {
+	s.advance(now)
+	s.counters.Connections++
+	if s.counters.Connections > s.connections {
+		s.counters.ConnectionsExceeded++
+	}
+	s.counters.HighestConnections = max(s.counters.HighestConnections, s.counters.Connections)
+	s.record(now, false)
+}
+
+// Disconnected counts the end of a connection.
+func (s *State) Disconnected(now time.Time) {
+	s.advance(now)
+	s.counters.Connections--
+	s.record(now, false)
+}
+
+func (s *State) occupy(now time.Time, run RunID) {
+	if len(s.runs) >= s.slots {
+		s.counters.SlotsExceeded++
+	}
+	s.runs[run] = struct{}{}
+	s.counters.Runs++
+	s.counters.BusySlots = len(s.runs)
+	s.counters.HighestBusySlots = max(s.counters.HighestBusySlots, len(s.runs))
+	s.record(now, false)
+}
+
+// modeOfNext draws whether the faults apply to the next request.
+func (s *State) modeOfNext() Mode {
+	drawn := s.random.Float64()
+	if s.faults.Mode == Leaving || s.faults.Share == 0 || drawn < s.faults.Share {
+		return s.faults.Mode
+	}
+	return Healthy
+}
+
+func (s *State) countNotRun(now time.Time, mode Mode) {
+	if mode == Leaving || mode == Refuses {
+		s.counters.Refused++
+	}
+	if mode == Leaving {
+		s.counters.LatestWhileLeaving = max(s.counters.LatestWhileLeaving, now.Sub(s.leavingSince))
+	}
+}
+
+func (s *State) runTime(request Request, mode Mode) time.Duration {
+	distribution, ok := s.runTimes[request.Kind]
+	if !ok {
+		distribution = defaultRunTime
+	}
+	runTime := distribution.Draw(s.random)
+	if request.RunTime > 0 {
+		runTime = request.RunTime
+	}
+	switch mode {
+	case FailsFast:
+		return 0
+	case Slow:
+		return time.Duration(float64(runTime) * s.faults.Factor)
+	default:
+		return runTime
+	}
+}
--- a/picker/server.go
+++ b/picker/server.go
@@ -36,7 +36,9 @@
 	leavingUntil time.Time
 	holdTimer    time.Time
 	share        int
-	inUse        int
+	// held is the part of inUse whose attempts have ended although the server may still run them.
+	held  int
+	inUse int
 
 	health       health
 	failures     int
