dispatcher: held slots in the state machine

Cause: slots held by attempts that may still run had no test in the core. Conclusion: P1 holds with held slots in generated orders of events.

--- a/dispatcher/machine_test.go
+++ b/dispatcher/machine_test.go
@@ -67,6 +67,7 @@
 			delete(m.takes, id)
 			m.handle(dispatcher.BackendServersLeaving{BackendServers: []describer.BackendServerID{id}})
 		},
+		"free": func(t *rapid.T) { m.freeHeld(serverID(rapid.IntRange(0, 3).Draw(t, "server"))) },
 		"peers": func(t *rapid.T) {
 			free := rapid.SliceOfN(rapid.IntRange(0, 3), 2, 2).Draw(t, "free")
 			m.handle(dispatcher.PeersReported{Loads: []dispatcher.PeerLoad{
@@ -112,8 +113,12 @@
 func endOne(t *rapid.T, m *model) {
 	id := drawID(t, m, (*tracked).inFlight)
 	evidence := rapid.SampledFrom(allEvidence).Draw(t, "evidence")
-	begun := evidence == describer.Answered || rapid.IntRange(0, 4).Draw(t, "begun") == 0
-	m.endFlight(id, evidence, begun, rapid.IntRange(0, 9).Draw(t, "leaving") == 0)
+	m.endFlight(id, ending{
+		evidence: evidence,
+		begun:    evidence == describer.Answered || rapid.IntRange(0, 4).Draw(t, "begun") == 0,
+		leaving:  rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+		held:     evidence == describer.Aborted && rapid.Bool().Draw(t, "held"),
+	})
 }
 
 // failAll lets each attempt fail at once for some rounds, so that servers are ejected.
@@ -126,7 +131,7 @@
 		}
 		for _, id := range append([]describer.RequestID(nil), m.ids...) {
 			if r, live := m.requests[id]; live && r.attemptRuns {
-				m.endFlight(id, describer.Failed, false, false)
+				m.endFlight(id, ending{evidence: describer.Failed})
 			}
 		}
 	}
@@ -140,7 +145,7 @@
 		}
 		for _, id := range append([]describer.RequestID(nil), m.ids...) {
 			if r, live := m.requests[id]; live && r.inFlight() {
-				m.endFlight(id, describer.Broken, false, false)
+				m.endFlight(id, ending{evidence: describer.Broken})
 			}
 		}
 		m.advance(100 * time.Millisecond)
--- a/dispatcher/model_test.go
+++ b/dispatcher/model_test.go
@@ -35,6 +35,7 @@
 	requests map[describer.RequestID]*tracked
 	ids      []describer.RequestID
 	used     map[describer.BackendServerID]int
+	held     map[describer.BackendServerID]int
 	shares   map[describer.BackendServerID]int
 	takes    map[describer.BackendServerID]bool
 	// conserving is true when no part of the policy may keep work waiting beside a free slot.
@@ -46,6 +47,7 @@
 		t: t, d: dispatcher.New(opts...), now: epoch, conserving: conserving,
 		requests: make(map[describer.RequestID]*tracked),
 		used:     make(map[describer.BackendServerID]int),
+		held:     make(map[describer.BackendServerID]int),
 	}
 	m.handle(dispatcher.ServicesChanged{Services: []describer.Service{{
 		ID: "tally", QueueLimit: 20, TeamLimits: map[describer.TeamID]int{"small": 3},
@@ -154,30 +156,47 @@
 	m.handle(dispatcher.RequestArrived{Request: request})
 }
 
+// ending says what is reported with the end of an attempt or relay.
+type ending struct {
+	evidence             describer.Evidence
+	begun, leaving, held bool
+}
+
 // endFlight ends the attempt or relay of a request.
-func (m *model) endFlight(id describer.RequestID, evidence describer.Evidence, begun, leaving bool) {
+func (m *model) endFlight(id describer.RequestID, e ending) {
 	r := m.requests[id]
 	attempt := r.attemptRuns
-	r.attemptRuns, r.relayRuns, r.answerBegun = false, false, begun
-	if !evidence.ProvesNotRun() || begun {
+	r.attemptRuns, r.relayRuns, r.answerBegun = false, false, e.begun
+	if !e.evidence.ProvesNotRun() || e.begun {
 		r.runs++
 	}
-	if evidence == describer.Answered {
+	if e.evidence == describer.Answered {
 		m.end(id)
 	}
 	if !attempt {
-		m.handle(dispatcher.RelayEnded{ID: id, Evidence: evidence, AnswerBegun: begun})
+		m.handle(dispatcher.RelayEnded{ID: id, Evidence: e.evidence, AnswerBegun: e.begun})
 		return
 	}
-	m.used[r.server]--
-	if leaving {
+	if e.held {
+		m.held[r.server]++
+	} else {
+		m.used[r.server]--
+	}
+	if e.leaving {
 		delete(m.takes, r.server)
 	}
 	m.handle(dispatcher.AttemptEnded{
-		ID: id, Attempt: r.attempts, Evidence: evidence, AnswerBegun: begun, ServerLeaving: leaving,
+		ID: id, Attempt: r.attempts, Evidence: e.evidence, AnswerBegun: e.begun, ServerLeaving: e.leaving, SlotHeld: e.held,
 	})
 }
 
+// freeHeld reports that a server runs nothing any more of the attempts that ended with a held slot.
+func (m *model) freeHeld(id describer.BackendServerID) {
+	m.used[id] -= m.held[id]
+	m.held[id] = 0
+	m.handle(dispatcher.SlotsFreed{BackendServer: id})
+}
+
 func (m *model) changeShares(slots []int) {
 	m.shares = make(map[describer.BackendServerID]int)
 	var shares []dispatcher.Share
