--- a/dispatcher/policy_test.go
+++ b/dispatcher/policy_test.go
@@ -23,7 +23,7 @@
 	return &driver{t: t, d: newReady(slots), now: epoch}
 }
 
-// arrive lets a request arrive and reports its ID and whether it was started at once.
+// arrive lets a request arrive and returns its ID and the commands.
 func (v *driver) arrive(kind describer.KindID, class describer.Class, patience time.Duration) (describer.RequestID, []dispatcher.Command) {
 	v.lastID++
 	event := arrival(v.lastID)
@@ -31,6 +31,7 @@
 	return event.Request.ID, v.d.Handle(v.now, event)
 }
 
+// starts lets a request arrive and reports whether it was started at once.
 func (v *driver) starts(kind describer.KindID, class describer.Class) bool {
 	_, commands := v.arrive(kind, class, time.Hour)
 	if len(commands) == 0 {
