Lose store answers in the fault test; adopt services in the rebuild

Cause: the fault test never lost the answer to a durable group, and the rebuild measurement left the services unassigned, so their tasks were stopped.

Change: a fault that makes groups durable without an answer; the measurement assigns services, and the write measurement warms up until ends are steady.

--- a/measurer/tasks_cost.go
+++ b/measurer/tasks_cost.go
@@ -28,9 +28,11 @@
 // costWorld keeps 220,000 tasks running, a fifth of services, and starts 1,200 batch tasks a second.
 type costWorld struct {
 	*cellRun
-	jobs   []describer.Job
-	next   int
-	starts int
+	jobs []describer.Job
+	// services are the jobs whose tasks do not end.
+	services []describer.Job
+	next     int
+	starts   int
 }
 
 func newCostWorld(seed uint64) (*costWorld, error) {
@@ -53,6 +55,7 @@
 			ID: describer.JobID(fmt.Sprintf("service-%03d", i)), Policy: describer.ServiceJob, Class: describer.Standard,
 			Tasks: costServices / costJobs, PerTask: each,
 		}
+		w.services = append(w.services, service)
 		w.handle(starter.TasksAssigned{Job: service, Count: service.Tasks})
 	}
 	for range costRunning - costServices {
@@ -182,6 +185,9 @@
 	for _, job := range w.jobs {
 		core.Handle(w.now, starter.TasksAssigned{Job: job, Count: w.next/costJobs + 1})
 	}
+	for _, service := range w.services {
+		core.Handle(w.now, starter.TasksAssigned{Job: service, Count: service.Tasks})
+	}
 	core.Handle(w.now, starter.RecordsRecovered(decoded))
 	adopt := time.Since(begun)
 
--- a/measurer/tasks_writes.go
+++ b/measurer/tasks_writes.go
@@ -13,7 +13,7 @@
 
 const (
 	writesZones  = 9
-	writesWarmUp = 200 * time.Second
+	writesWarmUp = 400 * time.Second
 	writesRun    = 300 * time.Second
 	// The writes of the other packages follow from the design page: one renewal for each of 72 members in 3 s, one of the
 	// planner, at most ten plan writes a second, and 13,000 tickets a day with a snapshot for each 500.
@@ -31,7 +31,7 @@
 		Title: "Store writes a second by key at 1,200 starts a second",
 		Notes: []string{
 			fmt.Sprintf("Nine zones with a journal each and 1,200 starts and 1,200 ends a second together, evenly spread, for 300 s "+
-				"of virtual time after 200 s; the store takes 5 to 20 ms, one call in a hundred 300 ms. Measured are the keys of "+
+				"of virtual time after 400 s; the store takes 5 to 20 ms, one call in a hundred 300 ms. Measured are the keys of "+
 				"the journals. The other keys are computed from the design page and not measured: Members %.1f, Cell/Planner "+
 				"%.2f, Cell/Plan at most %.0f, Configuration/Tickets %.2f, Configuration/Snapshots %.4f. Target: below 300.",
 				memberWrites, plannerWrites, planWrites, ticketWrites, snapshotWrites),
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -39,6 +39,7 @@
 			"takeOverFromLive": func(*rapid.T) { w.takeOver() },
 			"storeFails":       func(*rapid.T) { w.storeOff = true },
 			"storeReturns":     func(*rapid.T) { w.storeOff = false },
+			"storeAnswersLost": func(t *rapid.T) { w.loseStore = rapid.IntRange(1, 10).Draw(t, "groups") },
 			"answersLost":      func(t *rapid.T) { w.loseCall = rapid.IntRange(1, 20).Draw(t, "answers") },
 			"serverPartitions": func(t *rapid.T) { pick(t).partitioned = true },
 			"serverRejoins":    func(t *rapid.T) { pick(t).partitioned = false },
@@ -76,7 +77,7 @@
 
 func (w *world) heal() {
 	w.resume()
-	w.storeOff, w.loseCall = false, 0
+	w.storeOff, w.loseCall, w.loseStore = false, 0, 0
 	for _, b := range w.backends {
 		b.partitioned, b.failsAll = false, false
 		w.revive(b)
--- a/starter/world_test.go
+++ b/starter/world_test.go
@@ -27,6 +27,8 @@
 	epoch   describer.Epoch
 	paused  bool
 	pending []committer.Record
+	// unresolved are durable records whose answer was lost.
+	unresolved []committer.Record
 	// retired is true when the right is no longer renewed.
 	retired bool
 	// sealed is true after a newer member has taken over.
@@ -44,6 +46,8 @@
 	finished map[describer.TaskID]committer.Outcome
 	storeOff bool
 	loseCall int
+	// loseStore is how many of the next groups become durable without an answer.
+	loseStore int
 }
 
 func newWorld(t *rapid.T, servers int, jobs []describer.Job) *world {
@@ -77,7 +81,7 @@
 			w.step()
 		}
 		old.sealed = true
-		old.pending = nil
+		old.pending, old.unresolved = nil, nil
 	}
 	m := &member{core: starter.New(starter.WithLease(30 * time.Second)), epoch: describer.Epoch(len(w.members) + 1)}
 	w.members = append(w.members, m)
@@ -133,16 +137,29 @@
 	}
 }
 
-// flush makes the pending records durable and answers.
+// flush makes the pending records durable and answers. A lost answer is resolved at a later flush.
 func (w *world) flush() {
 	m := w.leader()
-	if w.storeOff || m.paused || len(m.pending) == 0 {
+	if w.storeOff || m.paused {
+		return
+	}
+	if len(m.unresolved) > 0 {
+		records := m.unresolved
+		m.unresolved = nil
+		w.send(m, starter.RecordsCommitted{Records: records})
 		return
 	}
 	records := m.pending
 	m.pending = nil
 	w.durable = append(w.durable, records...)
-	w.send(m, starter.RecordsCommitted{Records: records})
+	if w.loseStore > 0 {
+		w.loseStore--
+		m.unresolved = records
+		return
+	}
+	if len(records) > 0 {
+		w.send(m, starter.RecordsCommitted{Records: records})
+	}
 }
 
 // step moves the time on by half a second.
