--- a/starter/lifecycle_test.go
+++ b/starter/lifecycle_test.go
@@ -271,7 +271,7 @@
 	for i := range 1000 {
 		jobs = append(jobs, describer.Job{
 			ID: describer.JobID(fmt.Sprintf("job-%d", i)), Policy: describer.BatchJob, Class: describer.Standard,
-			Tasks: servers * 20 / 1000, PerTask: each,
+			Tasks: (servers*20 + 999) / 1000, PerTask: each,
 		})
 	}
 	next := 0
