Keep undelivered records when a placing member goes on under a later epoch

Cause: an epoch changes with each change of members, mostly without a change of the placing member, and its records that were not durable would be lost.

Change: Committer.Remaining gives them back after Stop, to be committed again.

Conclusion: no record is lost over an epoch change in TestEpochChange.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -56,6 +56,15 @@
 	return c.tomb.Wait()
 }
 
+// Remaining returns the records that are not known to be durable. It is called after Stop, when the same member goes on
+// under a later epoch: the records are committed again to the journal recovered for it. A record that is written twice
+// has the same effect as once.
+func (c *Committer) Remaining() []Record {
+	<-c.tomb.Dead()
+	c.drain()
+	return c.journal.Remaining()
+}
+
 // Dead is closed when the goroutine has ended, also after it was fenced.
 func (c *Committer) Dead() <-chan struct{} {
 	return c.tomb.Dead()
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -179,6 +179,37 @@
 	})
 }
 
+// TestEpochChange guards against a record that is lost when the same member goes on under a later epoch, also when the
+// answer to its last group was lost.
+func TestEpochChange(t *testing.T) {
+	for _, faults := range []fakekeeper.Faults{{}, {Down: true}, {LoseWriteAnswers: 1, Delay: 50 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			store := fakekeeper.New()
+			first, _ := open(t, store, 1)
+			store.SetFaults(faults)
+			durable := make(map[int]bool)
+			for i := range 10 {
+				require.NoError(t, first.Commit(started(i, 1, 1)))
+				time.Sleep(30 * time.Millisecond)
+			}
+			require.NoError(t, first.Stop())
+			drain(first, durable)
+			store.SetFaults(fakekeeper.Faults{})
+			second, _ := open(t, store, 2)
+			for _, record := range first.Remaining() {
+				require.NoError(t, second.Commit(record))
+				durable[record.Task.Index] = true
+			}
+			require.Len(t, durable, 10)
+			time.Sleep(5 * time.Second)
+			require.NoError(t, second.Stop())
+			third, state := open(t, store, 3)
+			require.Len(t, state.Records, 10)
+			require.NoError(t, third.Stop())
+		})
+	}
+}
+
 // TestHandoverUnderLoad guards against a record that is durable for its member and unknown to the next one, at any
 // moment of the handover, with faults of the store.
 func TestHandoverUnderLoad(t *testing.T) {
--- a/committer/journal.go
+++ b/committer/journal.go
@@ -96,6 +96,15 @@
 	j.changed[shard] = true
 }
 
+// Remaining returns the records that are not known to be durable, in order. The write under way may have taken effect.
+func (j *Journal) Remaining() []Record {
+	var records []Record
+	if j.underway != nil && j.underway.Group != nil {
+		records = append(records, j.underway.Group.Records...)
+	}
+	return append(records, j.queue...)
+}
+
 // Pending returns the number of records that are not durable.
 func (j *Journal) Pending() int {
 	pending := len(j.queue)
