--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -11,7 +11,7 @@
 	// spareShare of the slots is kept in addition to the recent demand, so that a demand that begins finds some.
 	spareShare = 0.03
 	// mostReserved is the largest share of the slots that is kept for Urgent requests.
-	mostReserved = 0.35
+	mostReserved = 0.2
 	// leastLong and mostLong bound the share of the slots that long work may occupy.
 	leastLong = 0.4
 	mostLong  = 0.75
@@ -31,6 +31,15 @@
 	shortDemand demand
 }
 
+func newOccupancy() occupancy {
+	o := occupancy{shortDemand: newDemand(otherFall)}
+	for class := range o.classDemand {
+		o.classDemand[class] = newDemand(otherFall)
+	}
+	o.classDemand[describer.Urgent] = newDemand(urgentFall)
+	return o
+}
+
 // reserved is the number of slots that only Urgent requests may take. It follows the recent demand, because a fixed
 // reserve is too small at the peak of a swing and idle otherwise.
 func (o *occupancy) reserved(now time.Time, slots int) int {
