Quiesce backend servers to end a quarantine under load

Cause: the slots of a dead or paused owner stayed quarantined for as long as the backend server had any other work, because usage reports do not tell owners apart. A process test with saturated servers waited without end for them. Ruled out: counting the other members' work from heartbeats (reports lag by seconds and a difference of zero can be chance); usage by owner (backend servers are the platform's). A clearance is remembered, since a stopped owner starts nothing more.

--- a/assigner/apply.go
+++ b/assigner/apply.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -102,6 +103,10 @@
 			delete(a.peers, owner)
 		}
 	}
+	maps.DeleteFunc(a.cleared, func(known clearance, _ bool) bool {
+		return !slices.ContainsFunc(a.record.Previous, func(held Holding) bool { return held.Owner == known.owner }) &&
+			!slices.ContainsFunc(a.adopted.Previous, func(held Holding) bool { return held.Owner == known.owner })
+	})
 }
 
 func (a *Assigner) endWrite(answer WriteAnswered) {
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -79,7 +79,10 @@
 	sharesVersion uint64
 	shares        []Share
 	quarantined   []describer.BackendServerID
-	wasReleased   ReleaseSlots
+	quiesce       quiesce
+	// cleared remembers the backend servers on which nothing of a stopped owner is left; it starts no more work there.
+	cleared     map[clearance]bool
+	wasReleased ReleaseSlots
 }
 
 // lease is the own store lease.
@@ -144,6 +147,7 @@
 		declared:    make(map[describer.InstanceID]describer.Incarnation),
 		servers:     make(map[describer.BackendServerID]*server),
 		usage:       make(map[describer.BackendServerID]UsageReported),
+		cleared:     make(map[clearance]bool),
 	}
 }
 
@@ -173,6 +177,7 @@
 	commands = append(commands, adopted...)
 	a.agree(now)
 	a.grant()
+	a.chooseQuiesced(now)
 	commands = append(commands, a.changeShares(now)...)
 	if len(adopted) > 0 {
 		a.releaseShares = a.sharesVersion
@@ -194,6 +199,7 @@
 		StillBusy:      a.stillBusy(),
 		StoreReachable: a.reachable,
 		HoldEpoch:      a.acknowledged,
+		Quiesced:       a.quiesce.servers,
 		Leaving:        a.leaving,
 	}
 }
--- a/assigner/heartbeat.go
+++ b/assigner/heartbeat.go
@@ -17,6 +17,8 @@
 	StoreReachable bool
 	// HoldEpoch is the newest epoch whose hold agreement the sender has acknowledged.
 	HoldEpoch describer.Epoch
+	// Quiesced are the backend servers on which no member is to start work now; only the placing member names any.
+	Quiesced []describer.BackendServerID `json:",omitempty"`
 	// Leaving is the sender's promise to start no more work.
 	Leaving bool
 }
--- a/assigner/quarantine.go
+++ b/assigner/quarantine.go
@@ -6,9 +6,27 @@
 	"egretring.example/egretring/describer"
 )
 
-// isCleared reports whether a usage report, sampled after a stopped holder lost its right to start work, shows that
+// clearance names a stopped owner and a backend server on which nothing of its work is left.
+type clearance struct {
+	owner  Owner
+	server describer.BackendServerID
+}
+
+// isCleared reports whether a usage report, sampled after a stopped holder lost its right to start work, has shown that
 // none of its work is left on a backend server.
 func (a *Assigner) isCleared(holding Holding, id describer.BackendServerID) bool {
+	known := clearance{owner: holding.Owner, server: id}
+	if holding.Stopped && a.cleared[known] {
+		return true
+	}
+	if !a.isReportedClear(holding, id) {
+		return false
+	}
+	a.cleared[known] = true
+	return true
+}
+
+func (a *Assigner) isReportedClear(holding Holding, id describer.BackendServerID) bool {
 	report, ok := a.usage[id]
 	if !ok || !holding.Stopped || !report.SampledAt.After(holding.Since.Add(SampleMargin)) {
 		return false
--- a/assigner/shares.go
+++ b/assigner/shares.go
@@ -80,11 +80,12 @@
 	if !a.MayStart(now) {
 		return nil
 	}
+	quiesced := a.quiesced(now)
 	var shares []Share
 	for _, id := range a.order {
 		known := a.servers[id]
 		slots := known.granted.Len()
-		if slots == 0 {
+		if slots == 0 || slices.Contains(quiesced, id) {
 			continue
 		}
 		connections := known.Connections / known.Slots * slots
--- a/cmd/egretringd/process_test.go
+++ b/cmd/egretringd/process_test.go
@@ -27,7 +27,12 @@
 // daemonVariable makes the test binary run as the daemon.
 const daemonVariable = "EGRETRINGD_TEST_PROCESS"
 
-const zone = "zone-a"
+const (
+	zone     = "zone-a"
+	shortRun = 5 * time.Millisecond
+	// longRun keeps all slots busy, so that one more request is above the capacity.
+	longRun = 200 * time.Millisecond
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(daemonVariable) != "" {
@@ -190,7 +195,7 @@
 	statuses map[int]int
 }
 
-func startLoad(name string, senders int, targets ...*process) *load {
+func startLoad(name string, senders int, runTime time.Duration, targets ...*process) *load {
 	l := &load{stop: make(chan struct{}), statuses: make(map[int]int)}
 	for sender := range senders {
 		l.running.Go(func() {
@@ -200,7 +205,8 @@
 					return
 				default:
 				}
-				status := targets[(sender+number)%len(targets)].send(fmt.Sprintf("%s-%d-%d", name, sender, number), 5*time.Millisecond)
+				id := fmt.Sprintf("%s-%d-%d", name, sender, number)
+				status := targets[(sender+number)%len(targets)].send(id, runTime)
 				l.mu.Lock()
 				l.statuses[status]++
 				l.mu.Unlock()
@@ -237,7 +243,7 @@
 		require.Equal(t, http.StatusOK, <-results)
 	}
 	require.NoError(t, <-processes[0].exited)
-	others := startLoad("after", 8, processes[1])
+	others := startLoad("after", 8, shortRun, processes[1])
 	poll(t, func() bool { return others.answered() > 200 })
 	others.end()
 	require.Zero(t, cell.OverCapacity())
@@ -246,14 +252,14 @@
 // TestKilledInstanceIsReplaced guards against slots of a killed process that are used twice or never again.
 func TestKilledInstanceIsReplaced(t *testing.T) {
 	cell, processes := newProcessCell(t, "entry-1", "entry-2")
-	running := startLoad("killed", 48, processes...)
+	running := startLoad("killed", 48, shortRun, processes...)
 	poll(t, func() bool { return running.answered() > 200 })
 	processes[0].signal(t, syscall.SIGKILL)
 	<-processes[0].exited
 	replacement := startProcess(t, cell, "entry-1")
 	poll(t, replacement.isHealthy)
 	running.end()
-	after := startLoad("replaced", 48, processes[1], replacement)
+	after := startLoad("replaced", 48, shortRun, processes[1], replacement)
 	poll(t, func() bool { return after.answered() > 500 })
 	after.end()
 	require.Zero(t, cell.OverCapacity())
@@ -264,13 +270,13 @@
 // another instance has taken over.
 func TestPausedInstanceStartsNothing(t *testing.T) {
 	cell, processes := newProcessCell(t, "entry-1", "entry-2")
-	running := startLoad("paused", 48, processes[1])
+	running := startLoad("paused", 48, longRun, processes[1])
 	poll(t, func() bool { return running.answered() > 200 })
 	processes[0].signal(t, syscall.SIGSTOP)
 	poll(t, func() bool { return ownedSlots(processes[1]) == 32 })
 	waiting := make(chan int, 48)
 	for i := range 48 {
-		go func() { waiting <- processes[0].send(fmt.Sprintf("woken-%d", i), 50*time.Millisecond) }()
+		go func() { waiting <- processes[0].send(fmt.Sprintf("woken-%d", i), longRun) }()
 	}
 	processes[0].signal(t, syscall.SIGCONT)
 	for range 48 {
