measurer: measure the request path in virtual time

Cause: no figures showed which parts of the request-path policy earn their place, or whether the targets are met. Subcommand requests and make measure print the tables.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,12 @@
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(TOOLS) staticcheck ./...
+
+COMMIT := $(shell git rev-parse --short HEAD)
+
+# measure runs all measurements in virtual time and writes their tables; the same commit gives the same tables, except
+# for the figures of cost, which are in wall time.
+measure:
+	mkdir -p docs/measurements
+	$(GO) run ./cmd/egretring-measure tasks -commit $(COMMIT) > docs/measurements/tasks.md
+	$(GO) run ./cmd/egretring-measure requests -commit $(COMMIT) > docs/measurements/requests.md
