measurer: compare parts of the policy only at the loads that they act on

Change: ejection and the retry budget are compared with failing servers, the other parts without; the baselines and the rule of choice at all of them.

--- a/measurer/request_table.go
+++ b/measurer/request_table.go
@@ -145,6 +145,9 @@
 		Columns: requestColumns("policy"),
 	}
 	for _, variant := range requestVariants() {
+		if !variant.measuredAt(load) {
+			continue
+		}
 		r.row(&table, variant.name, requestRun{shape: shape.name, load: load, variant: variant.name})
 	}
 	return table
