measurer: measure the added time on loopback; record the model

Cause: the time that an entry instance adds to a request was not measured, and the choices of the measurement model were not written down.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,9 @@
 COMMIT := $(shell git rev-parse --short HEAD)
 
 # measure runs all measurements in virtual time and writes their tables; the same commit gives the same tables, except
-# for the figures of cost, which are in wall time.
+# for the figures of cost and of loopback, which are in wall time.
 measure:
 	mkdir -p docs/measurements
 	$(GO) run ./cmd/egretring-measure tasks -commit $(COMMIT) > docs/measurements/tasks.md
 	$(GO) run ./cmd/egretring-measure requests -commit $(COMMIT) > docs/measurements/requests.md
+	$(GO) run ./cmd/egretring-measure loopback -commit $(COMMIT) > docs/measurements/loopback.md
