placer: keep the room that a backend server was told

Cause: the scheduler's fault test "zone is cut off and a backend server is lost" counted a task above a backend server's capacity. A new placing member adopted tasks with their declared size, although they had been started with a larger learned need; a need learned downwards has the same effect without a takeover.

Change: the room of a running task never falls below what the start named; TaskAdopted carries the resources of the start record.

Conclusion: P1 holds by the backend server's own sum; the packing it costs could be regained by naming the need in renewals.

--- a/placer/event.go
+++ b/placer/event.go
@@ -54,6 +54,8 @@
 	Index     int
 	Server    describer.BackendServerID
 	StartedAt time.Time
+	// Resources is the room that the backend server was told at the start.
+	Resources describer.Resources
 }
 
 // TaskStarted reports that a placed task runs.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -114,6 +114,7 @@
 		job:       j,
 		server:    s.number,
 		need:      j.need,
+		told:      j.need,
 		startedAt: now,
 		waiting:   waiting,
 	}
@@ -159,7 +160,9 @@
 	if !known || j.placements[e.Index] != nil {
 		return
 	}
-	p.put(e.StartedAt, j, e.Index, p.servers[number], false)
+	place := p.put(e.StartedAt, j, e.Index, p.servers[number], false)
+	place.told = larger(place.told, e.Resources)
+	p.resize(p.servers[number], place)
 }
 
 func (p *Placer) started(now time.Time, task describer.TaskID) {
--- a/placer/server.go
+++ b/placer/server.go
@@ -12,6 +12,9 @@
 	job    *job
 	server int
 	need   describer.Resources
+	// told is the room that the backend server was told at the start; less is never kept, so that the backend server's
+	// own sum stays within its capacity too.
+	told describer.Resources
 	// slot is the position in the list of the backend server.
 	slot      int
 	startedAt time.Time
--- a/placer/usage.go
+++ b/placer/usage.go
@@ -39,11 +39,12 @@
 	p.relieve(now, s, total, e.SampledAt)
 }
 
-// resize changes the room that is kept for a running task to the learned need, or to its own use when that is more.
+// resize changes the room that is kept for a running task to the learned need, or to its own use or the room told at its
+// start when that is more.
 func (p *Placer) resize(s *server, place *placement) {
 	need := place.job.need
 	used := describer.Resources{MilliCores: place.used.MilliCores, MemoryBytes: place.used.MemoryBytes}
-	need = larger(need, used)
+	need = larger(larger(need, used), place.told)
 	if need == place.need {
 		return
 	}
--- a/starter/recovery.go
+++ b/starter/recovery.go
@@ -80,6 +80,7 @@
 	on.tasks[t.id] = t
 	s.place(now, placer.TaskAdopted{
 		Job: t.job.description, Index: t.id.Index, Server: on.id, StartedAt: record.At,
+		Resources: record.Resources,
 	})
 	switch {
 	case on.lost:
