scheduler: run the task cores in an entry instance

Cause: planner, placer, starter and committer had no driver.

Change: package scheduler runs a starter as the zone's placing member under the assignment's epoch, and a planner as the planning member under the key Cell/Planner.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -92,6 +92,8 @@
 		}
 	case QuotasChanged:
 		p.changeQuotas(e.Quotas)
+	case PlanRestored:
+		p.restore(now, e)
 	case JobSubmitted:
 		p.submit(now, e.Job)
 	case JobWithdrawn:
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -139,6 +139,11 @@
 	return r.right.Load().Allows(time.Now())
 }
 
+// Right returns the present right to start work, for work that carries its own deadline.
+func (r *Registrar) Right() assigner.Right {
+	return *r.right.Load()
+}
+
 // Shares returns the present shares.
 func (r *Registrar) Shares() Shares {
 	r.mu.Lock()
--- /dev/null
+++ b/scheduler/plan_reader.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/keeper"
+)
+
+const (
+	// storeTimeout bounds a store call.
+	storeTimeout = time.Second
+	// planWatchTimeout bounds a watch of the plan, a pending call of the store.
+	planWatchTimeout = 30 * time.Second
+	// retryInterval is the time between two attempts at a store call.
+	retryInterval = time.Second
+)
+
+// planPart is one shard of the plan as it was read. It is replaced as a whole.
+type planPart struct {
+	revision int64
+	jobs     map[describer.JobID]PlannedJob
+}
+
+// planView is the whole plan; a missing part is nil.
+type planView [planShards]*planPart
+
+func (v *planView) job(id describer.JobID) (PlannedJob, bool) {
+	part := v[planShardOf(id)]
+	if part == nil {
+		return PlannedJob{}, false
+	}
+	job, ok := part.jobs[id]
+	return job, ok
+}
+
+// runPlanReader follows the plan. During an outage of the store the last plan stays.
+func (s *Scheduler) runPlanReader(ctx context.Context) error {
+	for ctx.Err() == nil {
+		revision, err := s.readPlan(ctx)
+		for err == nil && ctx.Err() == nil {
+			revision, err = s.followPlan(ctx, revision)
+		}
+		pause(ctx, retryInterval)
+	}
+	return nil
+}
+
+// followPlan applies the changes after a revision and returns the revision from which to go on.
+func (s *Scheduler) followPlan(ctx context.Context, revision int64) (int64, error) {
+	watch, cancel := context.WithTimeout(ctx, planWatchTimeout)
+	defer cancel()
+	changes, err := s.Store.Watch(watch, planPrefix, revision)
+	if watch.Err() != nil {
+		return revision, nil
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "follow the plan")
+	}
+	for _, change := range changes.Changes {
+		if err := s.setPlan(change.Entry); err != nil {
+			return 0, err
+		}
+	}
+	return changes.Revision, nil
+}
+
+// readPlan reads the whole plan and returns the revision at which it was read. Shards are never deleted.
+func (s *Scheduler) readPlan(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := s.Store.List(ctx, planPrefix)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the plan")
+	}
+	for _, entry := range page.Entries {
+		if err := s.setPlan(entry); err != nil {
+			return 0, err
+		}
+	}
+	return page.Revision, nil
+}
+
+// setPlan takes over a shard. The reader and a new term read independently; the later value stays.
+func (s *Scheduler) setPlan(entry keeper.Entry) error {
+	number, shard, err := decodeShard(entry)
+	if err != nil {
+		return err
+	}
+	part := &planPart{revision: entry.Revision, jobs: make(map[describer.JobID]PlannedJob, len(shard.Jobs))}
+	for _, job := range shard.Jobs {
+		part.jobs[job.Job.ID] = job
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.plan[number]; known == nil || known.revision < part.revision {
+		s.plan[number] = part
+		s.planVersion++
+	}
+	return nil
+}
+
+func decodeShard(entry keeper.Entry) (int, PlanShard, error) {
+	var shard PlanShard
+	number, err := strconv.Atoi(strings.TrimPrefix(entry.Key, planPrefix))
+	if err != nil || number < 0 || number >= planShards {
+		return 0, shard, errors.Errorf("key %q is not a plan shard", entry.Key)
+	}
+	return number, shard, errors.Wrapf(json.Unmarshal(entry.Value, &shard), "decode key %q", entry.Key)
+}
+
+func (s *Scheduler) currentPlan() (plan planView, version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan, s.planVersion
+}
+
+// pause waits for a time or until the context ends.
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,219 @@
+package scheduler_test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/fakebackend"
+	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/reporter"
+	"egretring.example/egretring/ticketer"
+)
+
+const (
+	zoneA describer.AvailabilityZoneID = "hala-a"
+	zoneB describer.AvailabilityZoneID = "hala-b"
+)
+
+func job(id describer.JobID, policy describer.JobPolicy, tasks int) describer.Job {
+	return describer.Job{
+		ID: id, Team: "floor", Class: describer.Standard, Policy: policy, Tasks: tasks,
+		PerTask: describer.Resources{MilliCores: 1000, MemoryBytes: 1 << 30},
+	}
+}
+
+// configured returns a state with a service, a batch and a gang job that together fill three quarters of one zone.
+func configured() ticketer.State {
+	var state ticketer.State
+	for _, each := range []describer.Job{
+		job("web", describer.ServiceJob, 4), job("night", describer.BatchJob, 4), job("train", describer.GangJob, 4),
+	} {
+		state = state.WithJob(each.ID, &each)
+	}
+	quota := describer.Quota{Team: "floor", Limit: describer.Resources{MilliCores: 12_000, MemoryBytes: 12 << 30}}
+	return state.WithQuota(quota.Team, &quota).WithApplied(1)
+}
+
+// moderateUse keeps the backend servers below the use at which a task has to give way.
+var moderateUse = fakebackend.WithTaskUse(0.6, 0.7)
+
+// fault is one fault of a case; it ends after Seconds.
+type fault struct {
+	AtSeconds int
+	Kind      string
+	Seconds   int
+	Count     int
+}
+
+type faultCase struct {
+	Name   string
+	Faults []fault
+}
+
+func readCases(t *testing.T) []faultCase {
+	content, err := os.ReadFile("testdata/faults.json")
+	require.NoError(t, err)
+	var cases []faultCase
+	require.NoError(t, json.Unmarshal(content, &cases))
+	return cases
+}
+
+// inject begins a fault and returns what ends it.
+func (c *cell) inject(t *testing.T, f fault) func() {
+	placing := c.placing(zoneA)
+	server := c.servers[0].ID
+	switch f.Kind {
+	case "Kill":
+		require.NotNil(t, placing)
+		placing.stop()
+	case "Pause":
+		require.NotNil(t, placing)
+		placing.pause()
+		return placing.resume
+	case "LoseWrites":
+		c.store.SetFaults(fakekeeper.Faults{LoseWriteAnswers: f.Count})
+	case "StoreDown":
+		c.store.SetFaults(fakekeeper.Faults{Down: true})
+		return func() { c.store.SetFaults(fakekeeper.Faults{}) }
+	case "StoreSlow":
+		c.store.SetFaults(fakekeeper.Faults{Delay: 5 * time.Second})
+		return func() { c.store.SetFaults(fakekeeper.Faults{}) }
+	case "ServerDown":
+		c.setDown(server, true)
+		return func() { c.setDown(server, false) }
+	case "CutZone":
+		c.cutZone(zoneA, true)
+		return func() { c.cutZone(zoneA, false) }
+	default:
+		require.Fail(t, "unknown fault", f.Kind)
+	}
+	return func() {}
+}
+
+func (c *cell) cutZone(zone describer.AvailabilityZoneID, cut bool) {
+	for _, m := range c.members {
+		if m.zone == zone {
+			m.setCut(cut)
+		}
+	}
+}
+
+// TestFaults guards against tasks that run twice, are lost, exceed a backend server, or of which a gang runs a part,
+// after each fault of the data file, with the faults during the run and during the first starts.
+func TestFaults(t *testing.T) {
+	all := map[describer.JobID]int{"web": 4, "night": 4, "train": 4}
+	for _, each := range readCases(t) {
+		t.Run(each.Name, func(t *testing.T) {
+			runCell(t, []describer.AvailabilityZoneID{zoneA}, configured(), func(t *testing.T, c *cell) {
+				require.Equal(t, all, c.running(), "before the faults")
+				began := time.Now()
+				for second := range 120 {
+					for _, f := range each.Faults {
+						if f.AtSeconds == second {
+							end := c.inject(t, f)
+							if f.Seconds > 0 {
+								time.AfterFunc(time.Duration(f.Seconds)*time.Second, end)
+							}
+						}
+					}
+					c.advance(time.Until(began.Add(time.Duration(second+1) * time.Second)))
+				}
+				c.advance(recoveryTime)
+				require.Equal(t, all, c.running(), "after the faults")
+			})
+		})
+	}
+}
+
+// TestCutZoneKeepsTasks guards against a zone without the store that lets the leases of its tasks expire or starts new
+// ones, and against one that starts nothing after it has rejoined.
+func TestCutZoneKeepsTasks(t *testing.T) {
+	runCell(t, []describer.AvailabilityZoneID{zoneA, zoneB}, configured(), func(t *testing.T, c *cell) {
+		before := c.started()
+		c.cutZone(zoneA, true)
+		c.advance(10 * time.Second)
+		added := job("more", describer.BatchJob, 2)
+		added.AvailabilityZones = []describer.AvailabilityZoneID{zoneA}
+		quota := describer.Quota{Team: "floor", Limit: describer.Resources{MilliCores: 20_000, MemoryBytes: 20 << 30}}
+		c.apply(func(s ticketer.State) ticketer.State { return s.WithJob(added.ID, &added).WithQuota("floor", &quota) })
+		c.advance(2 * time.Minute)
+		require.Equal(t, before, c.started())
+		require.Equal(t, map[describer.JobID]int{"web": 4, "night": 4, "train": 4}, c.running())
+		c.cutZone(zoneA, false)
+		c.advance(recoveryTime)
+		require.Equal(t, 2, c.running()["more"])
+		require.Equal(t, before+2, c.started())
+	}, moderateUse)
+}
+
+// TestJobWithdrawn guards against tasks that go on running after their job was deleted, also when the placing member of
+// their zone changes meanwhile, and against a job of the same name that does not start after that.
+func TestJobWithdrawn(t *testing.T) {
+	runCell(t, []describer.AvailabilityZoneID{zoneA}, configured(), func(t *testing.T, c *cell) {
+		c.placing(zoneA).stop()
+		c.apply(func(s ticketer.State) ticketer.State { return s.WithJob("web", nil) })
+		c.advance(recoveryTime)
+		require.Equal(t, map[describer.JobID]int{"night": 4, "train": 4}, c.running())
+		web := job("web", describer.ServiceJob, 2)
+		c.apply(func(s ticketer.State) ticketer.State { return s.WithJob("web", &web) })
+		c.advance(settleTime)
+		require.Equal(t, 2, c.running()["web"])
+	})
+}
+
+// TestDrainedZone guards against tasks that start in another zone before they have left a drained one, and against tasks
+// that stay there.
+func TestDrainedZone(t *testing.T) {
+	runCell(t, []describer.AvailabilityZoneID{zoneA, zoneB}, configured(), func(t *testing.T, c *cell) {
+		c.apply(func(s ticketer.State) ticketer.State { return s.WithDrainedZone(zoneA, &ticketer.DrainedZone{}) })
+		c.advance(recoveryTime)
+		require.Equal(t, map[describer.JobID]int{"web": 4, "night": 4, "train": 4}, c.running())
+		for _, server := range c.servers[:zoneServers] {
+			report, err := c.backends[server.ID].Usage(context.Background())
+			require.NoError(t, err)
+			for _, task := range report.Tasks {
+				require.False(t, task.State.IsActive(), "%s still runs %s", server.ID, task.Task)
+			}
+		}
+	})
+}
+
+// TestViews guards against members that cannot tell where the tasks of their zone run, and against a job that can never
+// run without a reason.
+func TestViews(t *testing.T) {
+	state := configured()
+	large := job("large", describer.BatchJob, 1)
+	large.PerTask.MilliCores = 64_000
+	runCell(t, []describer.AvailabilityZoneID{zoneA}, state.WithJob("large", &large), func(t *testing.T, c *cell) {
+		ctx := context.Background()
+		for _, m := range c.members {
+			tasks, err := m.scheduler.Tasks(ctx, reporter.TaskQuery{Job: "web"})
+			require.NoError(t, err)
+			require.Len(t, tasks, 4)
+			for _, task := range tasks {
+				require.Equal(t, "Running", task.State)
+				require.NotEmpty(t, task.BackendServer)
+			}
+			jobs, err := m.scheduler.Jobs(ctx)
+			require.NoError(t, err)
+			require.Len(t, jobs, 4)
+			require.Contains(t, jobs[0].NeverRuns, "NoServerLargeEnough")
+			require.Equal(t, 4, jobs[3].Running)
+			teams, err := m.scheduler.Teams(ctx)
+			require.NoError(t, err)
+			require.Equal(t, int64(12_000), teams[0].Used.MilliCores)
+			reasons, err := m.scheduler.Reasons(ctx, "large/0")
+			require.NoError(t, err)
+			require.Contains(t, reasons[0].Text, "can never run")
+		}
+		reasons, err := c.placing(zoneA).scheduler.Reasons(ctx, "web/1")
+		require.NoError(t, err)
+		require.Contains(t, reasons[0].Text, "Running on backend server")
+	})
+}
