server: place and plan tasks in the daemon

Cause: the daemon did not run the scheduler.

Change: server/tasks.go composes a scheduler.Scheduler with the registrar's right, the distributor's state and HTTP task clients, gives it the instance list with drained backend servers marked, and supplies the operators' views of jobs, tasks, teams and reasons. An unchanged instance list is not passed on.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 
 	"gopkg.in/tomb.v2"
@@ -98,6 +99,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slices.Equal(s.servers, servers) {
+		return
+	}
 	s.servers, s.own, s.ownByID = servers, own, ownByID
 	s.serversVersion++
 }
--- a/server/compose.go
+++ b/server/compose.go
@@ -53,6 +53,7 @@
 	d.membership = newMembership(d)
 	d.distributor = distributor.New(d.store, distributor.WithInstance(d.self.ID), distributor.WithLogger(d.logger),
 		distributor.WithSeed(d.seed), distributor.WithPeers(d.membership.peerSources))
+	d.tasks = newTasks(d)
 	d.core = dispatcher.New(dispatcher.WithSeed(d.seed))
 	d.runner = runner.New(d.core, runner.WithRight(d.membership.mayStart), runner.WithMeter(d.meter))
 	d.held = &heldSlots{usage: d.usage, freed: d.runner.Notify}
@@ -102,7 +103,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.meter.Handler())
 	mux.HandleFunc("/healthz", d.serveHealth)
-	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, reporter.WithInstance(d.self.ID))))
+	views := append(d.taskViews(), reporter.WithInstance(d.self.ID))
+	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, views...)))
 	return mux
 }
 
@@ -129,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	stops := []func() error{
-		d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close,
+		d.tasks.Stop, d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close,
 		func() error { return d.tracer.Shutdown(ctx) },
 		func() error {
 			d.tomb.Kill(nil)
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -23,6 +23,7 @@
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/router"
 	"egretring.example/egretring/runner"
+	"egretring.example/egretring/scheduler"
 	"egretring.example/egretring/ticketer"
 	"egretring.example/egretring/tracer"
 )
@@ -45,6 +46,7 @@
 	directory   *router.Directory
 	exchanger   *forwarder.Forwarder
 	distributor *distributor.Distributor
+	tasks       *scheduler.Scheduler
 	core        *dispatcher.Dispatcher
 	runner      *runner.Runner
 	router      *router.Router
@@ -92,6 +94,7 @@
 	d.distributor.Start()
 	d.runner.Start()
 	d.join()
+	d.tasks.Start()
 	ctx := d.tomb.Context(context.Background())
 	read := &poller{
 		list: d.list, interval: d.settings.ListInterval, logger: d.logger, meter: d.meter, onList: d.offerListing,
@@ -162,6 +165,7 @@
 			return nil
 		}
 		d.notifyServers(listing)
+		d.setTaskServers(listing.BackendServers)
 	}
 }
 
