demonstrator: run tasks during the faults

Cause: the demo showed requests only.

The result names the tasks wanted, running at the end and at the lowest, started, and the backend servers used against the bound by volume, all counted by the stand-ins. A debug line in the summary is gone.

--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -50,6 +50,7 @@
 	tally   *tally
 	load    generator.Load
 	events  []string
+	tasks   taskTally
 
 	leaving *fakebackend.Running
 	cut     atomic.Int64
@@ -71,6 +72,9 @@
 	if err := d.configure(ctx); err != nil {
 		return Result{}, err
 	}
+	if err := d.startTasks(ctx); err != nil {
+		return Result{}, err
+	}
 	return d.run(ctx)
 }
 
@@ -124,8 +128,14 @@
 	started := time.Now()
 	var running sync.WaitGroup
 	running.Go(func() { d.breakThings(ctx, started) })
+	watched, stopWatching := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	watching.Go(func() { d.watchTasks(watched) })
 	d.send(ctx, arrivals, started, &running)
 	running.Wait()
+	stopWatching()
+	watching.Wait()
+	d.countAtEnd(ctx)
 	return d.result(before, time.Since(started)), ctx.Err()
 }
 
--- a/demonstrator/result.go
+++ b/demonstrator/result.go
@@ -43,8 +43,23 @@
 	// CutDuringDrain counts requests that were cut off by the graceful stop.
 	CutDuringDrain int
 	Classes        []ClassResult
-	Control        Control
-	Events         []string
+	// TasksWanted is how many tasks the jobs have; none of them ends by itself.
+	TasksWanted int
+	// TasksRunning is how many run at the end, and TasksLowest the lowest number from the first starts to the end of the
+	// load.
+	TasksRunning int
+	TasksLowest  int
+	// TasksStarted counts starts, also repeated ones of tasks that had to move.
+	TasksStarted int64
+	Packing      Packing
+	Control      Control
+	Events       []string
+}
+
+// Packing compares the backend servers that run tasks at the end with how many could hold all tasks by volume.
+type Packing struct {
+	ServersUsed  int
+	ServersBound int
 }
 
 // Control is what the cell spent on control.
--- a/demonstrator/summary.go
+++ b/demonstrator/summary.go
@@ -9,12 +9,6 @@
 // result sums up what the stand-ins and the callers counted.
 func (d *demo) result(before fakekeeper.Calls, elapsed time.Duration) Result {
 	verdict := d.cell.ledger.Verdict()
-	for _, b := range d.cell.backends {
-		c := b.Counters()
-		if c.SlotsExceeded+c.ConnectionsExceeded > 0 {
-			println("DEBUG over", b.Address(), c.SlotsExceeded, c.ConnectionsExceeded, c.HighestBusySlots, c.HighestConnections)
-		}
-	}
 	result := Result{
 		Deployment: d.options.Deployment, Seed: d.options.Seed,
 		Lost:           verdict.Lost,
@@ -23,6 +17,11 @@
 		WrongAnswers:   d.tally.wrong,
 		CutDuringDrain: int(d.cut.Load()),
 		Classes:        d.tally.results(),
+		TasksWanted:    d.tasks.wanted,
+		TasksRunning:   d.tasks.running,
+		TasksLowest:    d.tasks.lowest,
+		TasksStarted:   d.tasks.started,
+		Packing:        d.tasks.packing,
 		Events:         d.events,
 	}
 	for _, class := range result.Classes {
--- a/printer/demo.go
+++ b/printer/demo.go
@@ -31,6 +31,17 @@
 		return err
 	}
 	fmt.Fprintln(w)
+	tasks := newTable(w, "TASKS", "COUNT")
+	tasks.row("wanted", result.TasksWanted)
+	tasks.row("running at the end", result.TasksRunning)
+	tasks.row("running at the lowest", result.TasksLowest)
+	tasks.row("started", result.TasksStarted)
+	tasks.row("backend servers used", result.Packing.ServersUsed)
+	tasks.row("backend servers needed by volume", result.Packing.ServersBound)
+	if err := tasks.flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
 	control := newTable(w, "CONTROL", "PER-SECOND")
 	control.row("store writes", fmt.Sprintf("%.1f", result.Control.StoreWritesPerSecond))
 	control.row("store reads", fmt.Sprintf("%.1f", result.Control.StoreReadsPerSecond))
