Split the parser of tickets from the configuration state

Change: the package parser reads tickets; ticketer keeps the state, apply, diff and conflicts. Conclusion: no change of behaviour.

--- a/cmd/egretring/ticket.go
+++ b/cmd/egretring/ticket.go
@@ -7,7 +7,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"egretring.example/egretring/classifier"
-	"egretring.example/egretring/ticketer"
+	"egretring.example/egretring/parser"
 )
 
 func ticketCommand(c *console) *ffcli.Command {
@@ -34,7 +34,7 @@
 		file = opened
 	}
 	defer file.Close()
-	text, err := io.ReadAll(io.LimitReader(file, ticketer.MaxTextBytes+1))
+	text, err := io.ReadAll(io.LimitReader(file, parser.MaxTextBytes+1))
 	if err != nil {
 		return nil, classifier.Wrap(err, classifier.BadRequest, "read ticket %s", name)
 	}
--- a/cmd/egretring/ticket_apply.go
+++ b/cmd/egretring/ticket_apply.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/parser"
 	"egretring.example/egretring/printer"
 	"egretring.example/egretring/reporter"
 	"egretring.example/egretring/requester"
@@ -46,7 +47,7 @@
 
 // rebased returns the ticket with the current number as its base.
 func rebased(ctx context.Context, client *requester.Client, text []byte) ([]byte, error) {
-	ticket, err := ticketer.Parse(text)
+	ticket, err := parser.Parse(text)
 	if err != nil {
 		return nil, err
 	}
--- a/handler/operator_test.go
+++ b/handler/operator_test.go
@@ -12,8 +12,8 @@
 	"egretring.example/egretring/distributor"
 	"egretring.example/egretring/fakekeeper"
 	"egretring.example/egretring/handler"
+	"egretring.example/egretring/parser"
 	"egretring.example/egretring/reporter"
-	"egretring.example/egretring/ticketer"
 )
 
 // TestOperatorErrors guards against an error answer with the wrong status, kind, outcome or retry time.
@@ -38,7 +38,7 @@
 		{name: "nothing to explain", method: "GET", path: "/v1/why/", kind: "BadRequest", status: 400},
 		{name: "bad ticket", method: "POST", path: "/v1/tickets", body: "{}", kind: "BadTicket", status: 422, message: "ID: is missing"},
 		{
-			name: "large ticket", method: "POST", path: "/v1/tickets", body: strings.Repeat(" ", ticketer.MaxTextBytes+1),
+			name: "large ticket", method: "POST", path: "/v1/tickets", body: strings.Repeat(" ", parser.MaxTextBytes+1),
 			kind: "RequestTooLarge", status: 413,
 		},
 		{name: "not ready", method: "GET", path: "/v1/services", kind: "NotReady", status: 503, starting: true, retry: true},
--- a/handler/operator_ticket.go
+++ b/handler/operator_ticket.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/parser"
 	"egretring.example/egretring/ticketer"
 )
 
@@ -25,14 +26,14 @@
 }
 
 func readTicket(w http.ResponseWriter, r *http.Request) (ticketer.Ticket, error) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, ticketer.MaxTextBytes))
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, parser.MaxTextBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return ticketer.Ticket{}, classifier.New(classifier.RequestTooLarge,
-			"the ticket has more than %d bytes; split it into several tickets", ticketer.MaxTextBytes)
+			"the ticket has more than %d bytes; split it into several tickets", parser.MaxTextBytes)
 	}
 	if err != nil {
 		return ticketer.Ticket{}, classifier.Wrap(err, classifier.BadRequest, "the body could not be read")
 	}
-	return ticketer.Parse(text)
+	return parser.Parse(text)
 }
--- a/measurer/tasks_packing.go
+++ b/measurer/tasks_packing.go
@@ -225,7 +225,7 @@
 			"96 backend servers of 64 cores and 256 GB; 300 batch jobs with 20 to 139 tasks, all submitted at the start; " +
 				"declared sizes are off by a factor of 0.5 to 4 for each job. Time until 95% of the core seconds are done, " +
 				"and its ratio to the bound by volume (real use). Overload is the share of server time in which the real " +
-				"use exceeds the capacity; first fit uses declared sizes and pays nothing for overload here. No target is set.",
+				"use exceeds the capacity; first fit uses declared sizes and pays nothing for overload here. Target: within 1.08 times the bound, and better than first fit.",
 		},
 		Columns: []string{"seed", "bound", "placer", "placer/bound", "first fit", "first fit/bound", "overload placer", "overload first fit", "evictions"},
 	}
--- a/ticketer/bounds.go
+++ b/parser/bounds.go
@@ -1,11 +1,9 @@
-package ticketer
+package parser
 
 // The bounds of ticket fields.
 const (
 	// MaxTextBytes keeps a stored ticket, in which left-out fields are written out, below the store's 1 MB per value.
 	MaxTextBytes = 256 << 10
-	// MaxRecordBytes leaves room below the store's 1 MB per value.
-	MaxRecordBytes = 1_000_000
 
 	maxCommentBytes = 4096
 	maxReasonBytes  = 1024
--- a/ticketer/depth.go
+++ b/parser/depth.go
@@ -1,4 +1,4 @@
-package ticketer
+package parser
 
 import "bytes"
 
--- a/ticketer/examples_test.go
+++ b/parser/examples_test.go
@@ -1,4 +1,4 @@
-package ticketer_test
+package parser_test
 
 import (
 	"os"
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/parser"
 	"egretring.example/egretring/ticketer"
 )
 
@@ -20,7 +21,7 @@
 			for i, name := range []string{"services.hujson", "jobs.hujson"} {
 				text, err := os.ReadFile(filepath.Join("..", "examples", deployment, name))
 				require.NoError(t, err)
-				ticket, err := ticketer.Parse(text)
+				ticket, err := parser.Parse(text)
 				require.NoError(t, err)
 				require.Equal(t, int64(i), ticket.Base)
 				require.NoError(t, ticketer.Check(state, ticket))
--- a/ticketer/fuzz_test.go
+++ b/parser/fuzz_test.go
@@ -1,4 +1,4 @@
-package ticketer_test
+package parser_test
 
 import (
 	"encoding/json"
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/parser"
 	"egretring.example/egretring/ticketer"
 )
 
@@ -21,7 +22,7 @@
 	f.Add([]byte(`{"ID":"a","Base":1,"Services":{"t":{"SlotsPerBackendServer":8,"ConnectionsPerBackendServer":64,` +
 		`"QueueLimit":9,"Kinds":{"k":{"Class":"Urgent","Repeatable":true}},"TeamLimits":{"red":3}}}}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		ticket, err := ticketer.Parse(text)
+		ticket, err := parser.Parse(text)
 		if err != nil {
 			require.True(t, classifier.IsErrKind(err, classifier.BadTicket))
 			require.NotEmpty(t, ticketer.FailuresOf(err))
@@ -29,7 +30,7 @@
 		}
 		encoded, err := json.Marshal(ticket)
 		require.NoError(t, err)
-		again, err := ticketer.Parse(encoded)
+		again, err := parser.Parse(encoded)
 		require.NoError(t, err)
 		require.Equal(t, ticket.Digest(), again.Digest())
 	})
--- a/ticketer/parse.go
+++ b/parser/parse.go
@@ -1,4 +1,5 @@
-package ticketer
+// Package parser reads a ticket from JSON with comments and checks every field.
+package parser
 
 import (
 	"fmt"
@@ -8,55 +9,56 @@
 	"github.com/tailscale/hujson"
 
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/ticketer"
 )
 
 // Parse reads a ticket from JSON with comments. Its error has the kind BadTicket and names the line, the field and
 // the allowed range of each fault.
-func Parse(text []byte) (Ticket, error) {
+func Parse(text []byte) (ticketer.Ticket, error) {
 	if failure, ok := checkText(text); !ok {
-		return Ticket{}, failuresError([]Failure{failure})
+		return ticketer.Ticket{}, ticketer.JoinFailures([]ticketer.Failure{failure})
 	}
 	value, err := hujson.Parse(text)
 	if err != nil {
-		return Ticket{}, failuresError([]Failure{syntaxFailure(err)})
+		return ticketer.Ticket{}, ticketer.JoinFailures([]ticketer.Failure{syntaxFailure(err)})
 	}
 	r := &reader{text: text}
 	ticket := r.ticket(value)
-	if err := failuresError(r.failures); err != nil {
-		return Ticket{}, err
+	if err := ticketer.JoinFailures(r.failures); err != nil {
+		return ticketer.Ticket{}, err
 	}
 	return ticket, nil
 }
 
-func checkText(text []byte) (Failure, bool) {
+func checkText(text []byte) (ticketer.Failure, bool) {
 	if len(text) > MaxTextBytes {
-		return Failure{
+		return ticketer.Failure{
 			Problem: fmt.Sprintf("the ticket has %d bytes", len(text)),
 			Allowed: fmt.Sprintf("at most %d bytes; split it into several tickets", MaxTextBytes),
 		}, false
 	}
 	if line, deep := tooDeep(text); deep {
-		return Failure{
+		return ticketer.Failure{
 			Line:    line,
 			Problem: "the nesting is too deep",
 			Allowed: fmt.Sprintf("at most %d levels", maxDepth),
 		}, false
 	}
-	return Failure{}, true
+	return ticketer.Failure{}, true
 }
 
 var syntaxLine = regexp.MustCompile(`line (\d+)`)
 
-func syntaxFailure(err error) Failure {
-	failure := Failure{Problem: err.Error(), Allowed: "JSON with comments and trailing commas"}
+func syntaxFailure(err error) ticketer.Failure {
+	failure := ticketer.Failure{Problem: err.Error(), Allowed: "JSON with comments and trailing commas"}
 	if match := syntaxLine.FindStringSubmatch(err.Error()); match != nil {
 		failure.Line, _ = strconv.Atoi(match[1])
 	}
 	return failure
 }
 
-func (r *reader) ticket(value hujson.Value) Ticket {
-	var ticket Ticket
+func (r *reader) ticket(value hujson.Value) ticketer.Ticket {
+	var ticket ticketer.Ticket
 	r.object("", value,
 		field{"ID", true, func(p string, v hujson.Value) { ticket.ID = r.name(p, v, plainName) }},
 		field{"Base", true, func(p string, v hujson.Value) { ticket.Base = r.whole(p, v, 0, maxNumber) }},
@@ -70,7 +72,7 @@
 		field{"DrainedZones", false, section(r, &ticket.DrainedZones, plainName, readDrainedZone)},
 		field{"DeadInstances", false, section(r, &ticket.DeadInstances, serverName, readDeadInstance)},
 	)
-	if len(r.failures) == 0 && len(ticket.touched()) == 0 {
+	if len(r.failures) == 0 && len(ticket.Touched()) == 0 {
 		r.fail(value, "", "the ticket changes nothing", "at least one object in any section")
 	}
 	return ticket
--- a/ticketer/parse_cell.go
+++ b/parser/parse_cell.go
@@ -1,13 +1,14 @@
-package ticketer
+package parser
 
 import (
 	"github.com/tailscale/hujson"
 
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/ticketer"
 )
 
-func readLimit(r *reader, path, name string, value hujson.Value) Limit {
-	limit := Limit{Team: describer.TeamID(name)}
+func readLimit(r *reader, path, name string, value hujson.Value) ticketer.Limit {
+	limit := ticketer.Limit{Team: describer.TeamID(name)}
 	r.object(path, value,
 		field{"Team", false, r.key(name)},
 		field{"RequestsInProgress", true, func(p string, v hujson.Value) {
@@ -17,8 +18,8 @@
 	return limit
 }
 
-func readRoute(r *reader, path, name string, value hujson.Value) Route {
-	route := Route{ID: RouteID(name)}
+func readRoute(r *reader, path, name string, value hujson.Value) ticketer.Route {
+	route := ticketer.Route{ID: ticketer.RouteID(name)}
 	r.object(path, value,
 		field{"ID", false, r.key(name)},
 		field{"Service", true, func(p string, v hujson.Value) {
@@ -29,8 +30,8 @@
 	return route
 }
 
-func readDrainedServer(r *reader, path, name string, value hujson.Value) DrainedServer {
-	drained := DrainedServer{BackendServer: describer.BackendServerID(name)}
+func readDrainedServer(r *reader, path, name string, value hujson.Value) ticketer.DrainedServer {
+	drained := ticketer.DrainedServer{BackendServer: describer.BackendServerID(name)}
 	r.object(path, value,
 		field{"BackendServer", false, r.key(name)},
 		field{"Reason", false, r.reason(&drained.Reason)},
@@ -38,8 +39,8 @@
 	return drained
 }
 
-func readDrainedZone(r *reader, path, name string, value hujson.Value) DrainedZone {
-	drained := DrainedZone{AvailabilityZone: describer.AvailabilityZoneID(name)}
+func readDrainedZone(r *reader, path, name string, value hujson.Value) ticketer.DrainedZone {
+	drained := ticketer.DrainedZone{AvailabilityZone: describer.AvailabilityZoneID(name)}
 	r.object(path, value,
 		field{"AvailabilityZone", false, r.key(name)},
 		field{"Reason", false, r.reason(&drained.Reason)},
@@ -47,8 +48,8 @@
 	return drained
 }
 
-func readDeadInstance(r *reader, path, name string, value hujson.Value) DeadInstance {
-	dead := DeadInstance{Instance: describer.InstanceID(name)}
+func readDeadInstance(r *reader, path, name string, value hujson.Value) ticketer.DeadInstance {
+	dead := ticketer.DeadInstance{Instance: describer.InstanceID(name)}
 	r.object(path, value,
 		field{"Instance", false, r.key(name)},
 		field{"Incarnation", true, func(p string, v hujson.Value) {
--- a/ticketer/reader.go
+++ b/parser/reader.go
@@ -1,4 +1,4 @@
-package ticketer
+package parser
 
 import (
 	"bytes"
@@ -8,12 +8,14 @@
 	"strings"
 
 	"github.com/tailscale/hujson"
+
+	"egretring.example/egretring/ticketer"
 )
 
 // reader reads values from a parsed text and collects every failure instead of ending at the first.
 type reader struct {
 	text     []byte
-	failures []Failure
+	failures []ticketer.Failure
 }
 
 // field is one allowed field of an object.
@@ -29,7 +31,7 @@
 }
 
 func (r *reader) fail(value hujson.Value, path, problem, allowed string) {
-	r.failures = append(r.failures, Failure{Line: r.lineOf(value), Field: path, Problem: problem, Allowed: allowed})
+	r.failures = append(r.failures, ticketer.Failure{Line: r.lineOf(value), Field: path, Problem: problem, Allowed: allowed})
 }
 
 func (r *reader) failType(value hujson.Value, path, allowed string) {
--- a/ticketer/check.go
+++ b/ticketer/check.go
@@ -5,6 +5,9 @@
 	"fmt"
 )
 
+// MaxRecordBytes is the largest encoded ticket; it leaves room below the store's 1 MB per value.
+const MaxRecordBytes = 1_000_000
+
 // Check reports whether a ticket may be applied to a state: what it refers to must exist afterwards, and its record
 // must fit into one value of the store. Its error has the kind BadTicket.
 func Check(state State, ticket Ticket) error {
@@ -25,7 +28,7 @@
 			Allowed: fmt.Sprintf("at most %d bytes; split it into several tickets", MaxRecordBytes),
 		})
 	}
-	return failuresError(failures)
+	return JoinFailures(failures)
 }
 
 func encodedSize(ticket Ticket) int {
--- a/ticketer/failure.go
+++ b/ticketer/failure.go
@@ -65,7 +65,8 @@
 	return nil
 }
 
-func failuresError(failures []Failure) error {
+// JoinFailures returns an error of kind BadTicket with all failures, or nil without any.
+func JoinFailures(failures []Failure) error {
 	if len(failures) == 0 {
 		return nil
 	}
