--- a/server/compose.go
+++ b/server/compose.go
@@ -59,6 +59,7 @@
 	d.distributor = distributor.New(d.store, distributor.WithInstance(d.self.ID), distributor.WithLogger(d.logger),
 		distributor.WithSeed(d.seed), distributor.WithPeers(d.membership.peerSources))
 	d.observer = newObserver(d)
+	d.tasks = newTasks(d)
 	d.core = dispatcher.New(dispatcher.WithSeed(d.seed))
 	d.runner = runner.New(d.core, runner.WithRight(d.membership.mayStart), runner.WithMeter(d.meter))
 	d.held = &heldSlots{usage: d.usage, freed: d.runner.Notify}
@@ -109,9 +110,10 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.meter.Handler())
 	mux.HandleFunc("/healthz", d.serveHealth)
-	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, reporter.WithInstance(d.self.ID),
-		reporter.WithInstances(d.observer), reporter.WithZones(d.observer), reporter.WithServers(d.observer),
-		reporter.WithServices(d.observer), reporter.WithReasons(d.observer))))
+	views := append(d.taskViews(), reporter.WithInstance(d.self.ID), reporter.WithInstances(d.observer),
+		reporter.WithZones(d.observer), reporter.WithServers(d.observer), reporter.WithServices(d.observer),
+		reporter.WithReasons(d.observer))
+	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, views...)))
 	return mux
 }
 
@@ -138,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	stops := []func() error{
-		d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close, d.reports.Close,
+		d.tasks.Stop, d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close, d.reports.Close,
 		func() error { return d.tracer.Shutdown(ctx) },
 		func() error {
 			d.tomb.Kill(nil)
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -25,6 +25,7 @@
 	"egretring.example/egretring/observer"
 	"egretring.example/egretring/router"
 	"egretring.example/egretring/runner"
+	"egretring.example/egretring/scheduler"
 	"egretring.example/egretring/ticketer"
 	"egretring.example/egretring/tracer"
 )
@@ -47,6 +48,7 @@
 	directory   *router.Directory
 	exchanger   *forwarder.Forwarder
 	distributor *distributor.Distributor
+	tasks       *scheduler.Scheduler
 	core        *dispatcher.Dispatcher
 	runner      *runner.Runner
 	router      *router.Router
@@ -97,6 +99,7 @@
 	d.distributor.Start()
 	d.runner.Start()
 	d.join()
+	d.tasks.Start()
 	ctx := d.tomb.Context(context.Background())
 	read := &poller{
 		list: d.list, interval: d.settings.ListInterval, logger: d.logger, meter: d.meter, onList: d.offerListing,
@@ -107,7 +110,7 @@
 	d.callers.start(&d.tomb)
 	d.relay.start(&d.tomb)
 	d.operators.start(&d.tomb)
-	d.logger.Info("entry instance started", "Instance", d.self.ID, "Callers", d.callers.address())
+	d.logger.Info("entry instance started", "Instance", d.self.ID, "Listeners", d.Addresses())
 }
 
 // Addresses returns the bound addresses.
@@ -168,6 +171,7 @@
 			return nil
 		}
 		d.notifyServers(listing)
+		d.setTaskServers(listing.BackendServers)
 	}
 }
 
