Apply team limits, routes and declared-dead instances of tickets

Cause: limits and routes were parsed and stored but not applied to requests, and DeclareDead was never called.

Change: a gate before the request path applies team limits and resolves routes; the router relays requests whose route excludes the own zone. Declarations reach the slot ownership, and a process that is declared dead starts no more work.

--- a/router/call.go
+++ b/router/call.go
@@ -14,6 +14,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Zones restricts the request to backend servers of these availability zones; empty means any.
+	Zones []describer.AvailabilityZoneID
 	// Attempt counts the caller's attempts from one; deduplicator.AttemptUnknown when the caller does not say.
 	Attempt int
 	// RelayedBy is the peer that relayed the request; it is empty for a request of a caller.
--- a/router/once.go
+++ b/router/once.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	o.call.Registered = true
-	err := o.router.runner.Run(ctx, o.call.Request, o.executor)
+	err := o.router.run(ctx, o.executor, true)
 	o.homes.end(o.key, evidenceOf(err), o.writer.status)
 	return err
 }
--- a/router/router.go
+++ b/router/router.go
@@ -119,7 +119,7 @@
 func (r *Router) serve(ctx context.Context, e *executor) error {
 	request := e.call.Request
 	if request.Repeatable || request.IdempotencyKey == "" || r.homes == nil || e.call.Registered {
-		return r.runner.Run(ctx, request, e)
+		return r.run(ctx, e, e.call.RelayedBy == "")
 	}
 	return r.serveOnce(ctx, e)
 }
--- a/server/compose.go
+++ b/server/compose.go
@@ -88,9 +88,10 @@
 		DefaultTimeout:  d.settings.DefaultTimeout,
 		MaxTimeout:      d.settings.MaxTimeout,
 	}
-	d.tracked = newTracker(handler.NewCaller(d.router, options, d.logger))
+	routes := newGate(d.router, d.distributor)
+	d.tracked = newTracker(handler.NewCaller(routes, options, d.logger))
 	options.Relayed = true
-	relayed := handler.NewCaller(d.router, options, d.logger)
+	relayed := handler.NewCaller(routes, options, d.logger)
 	var err error
 	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, nil); err != nil {
 		return err
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -163,6 +163,7 @@
 		case state := <-subscription.States():
 			d.meter.Set(meter.TicketApplied, state.Applied())
 			d.runner.Notify(dispatcher.ServicesChanged{Services: state.Services()})
+			d.declareDead(ctx, state)
 		case listing = <-d.listings:
 			d.listing.Store(&readListing{Listing: listing, at: time.Now()})
 			d.directory.SetServers(listing.BackendServers)
--- a/server/membership.go
+++ b/server/membership.go
@@ -159,7 +159,7 @@
 // mayStart reports whether this instance has the right to start work.
 func (m *membership) mayStart(time.Time) bool {
 	member := m.registrar.Load()
-	return member != nil && member.MayStart()
+	return member != nil && member.MayStart() && !m.isDeclaredDead(member.Owner())
 }
 
 // peerSources returns the peers that can be asked for tickets.
--- a/server/services.go
+++ b/server/services.go
@@ -23,6 +23,9 @@
 		return describer.Service{}, err
 	}
 	service, ok := state.Service(id)
+	if route, routed := state.Route(ticketer.RouteID(id)); routed && !ok {
+		service, ok = state.Service(route.Service)
+	}
 	if !ok {
 		return describer.Service{}, classifier.New(classifier.UnknownService, "service %q is not configured", id)
 	}
