Make the capacity of backend servers follow the tickets

Cause: the slots and connections of backend servers were fixed at the start of an instance, whatever the services state.

Change: the capacity is the smallest that any service states. It shrinks at once and grows when all members of the zone have applied the ticket; package registrar cuts the shares, since the owner of a slot does not depend on the number of slots.

Conclusion: go test -race of server, registrar, demonstrator, observer and cmd passes; 500 generated assignments never give the members together more than the smaller capacity. No test changes the capacity of a running cell yet.

--- a/registrar/core.go
+++ b/registrar/core.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"egretring.example/egretring/assigner"
-	"egretring.example/egretring/dispatcher"
 )
 
 // tickInterval is the time between two ticks of the core; it bounds how long an expired right shows in the shares.
@@ -73,12 +72,12 @@
 }
 
 func (r *Registrar) changeShares(command assigner.ChangeShares) {
-	shares := Shares{Version: command.Version}
-	for _, share := range command.Shares {
-		shares.Changed.Shares = append(shares.Changed.Shares, dispatcher.Share(share))
-	}
+	r.capacity.mu.Lock()
+	defer r.capacity.mu.Unlock()
 	r.mu.Lock()
-	r.shares = shares
+	r.capacity.granted, r.capacity.adopted = command, r.core.Adopted()
+	owner := r.core.Self().Owner
 	r.mu.Unlock()
-	r.hooks.shares(shares)
+	r.capacity.owner = owner
+	r.giveShares()
 }
--- a/registrar/list.go
+++ b/registrar/list.go
@@ -65,13 +65,7 @@
 		return
 	}
 	r.hooks.servers(listed)
-	event := assigner.ServersChanged{}
-	for _, server := range listed {
-		event.Servers = append(event.Servers, assigner.Server{
-			ID: server.ID, Slots: r.hooks.slots, Connections: r.hooks.connections,
-		})
-	}
-	r.post(ctx, event)
+	r.postServers(ctx)
 }
 
 // peersToCall returns the members and instances of the own zone, and one instance of each other zone.
--- a/registrar/option.go
+++ b/registrar/option.go
@@ -93,7 +93,7 @@
 	return func(h *hooks) { h.servers = servers }
 }
 
-// WithCapacity sets the slots and connections of each backend server; the defaults are 8 and 64.
+// WithCapacity sets the first slots and connections of each backend server; the defaults are 8 and 64.
 func WithCapacity(slots, connections int) Option {
 	return func(h *hooks) { h.slots, h.connections = slots, connections }
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -72,6 +72,7 @@
 	health   health
 	reports  reports
 	targets  targets
+	capacity capacity
 
 	mu          sync.Mutex
 	core        *assigner.Assigner
@@ -99,6 +100,7 @@
 		Address: self.PeerAddress,
 	}, rand.Text)
 	r.right.Store(&assigner.Right{})
+	r.capacity.set(r.hooks.slots, r.hooks.connections)
 	for _, run := range []func(context.Context) error{
 		r.runCore, r.runLease, r.runWatch, r.runReader, r.runWriter, r.runHeartbeats, r.runList, r.runUsage,
 	} {
@@ -172,11 +174,6 @@
 	return r.core.Held()
 }
 
-// Capacity returns the slots and connections with which this instance reckons for a backend server.
-func (r *Registrar) Capacity(describer.BackendServerID) (slots, connections int) {
-	return r.hooks.slots, r.hooks.connections
-}
-
 // Owner returns this instance with its current incarnation.
 func (r *Registrar) Owner() assigner.Owner {
 	return r.owner()
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -164,6 +164,7 @@
 			d.meter.Set(meter.TicketApplied, state.Applied())
 			d.runner.Notify(dispatcher.ServicesChanged{Services: state.Services()})
 			d.declareDead(ctx, state)
+			d.membership.followCapacity(state)
 		case listing = <-d.listings:
 			d.listing.Store(&readListing{Listing: listing, at: time.Now()})
 			d.directory.SetServers(listing.BackendServers)
--- a/server/membership.go
+++ b/server/membership.go
@@ -25,7 +25,9 @@
 	// applied is the version of the newest shares that the request path has applied.
 	applied atomic.Uint64
 	leaving leavingSet
-	homes   homeAssigner
+	// capacity is what the services of the configuration in force allow.
+	capacity capacityFollower
+	homes    homeAssigner
 }
 
 func (m *membership) options() []registrar.Option {
@@ -37,6 +39,8 @@
 		registrar.WithBusySlots(m.busy),
 		registrar.WithLeavingServers(m.leaving.list),
 		registrar.WithTickets(m.ticketsForPeer),
+		// Nothing is started before the capacity is known from the configuration.
+		registrar.WithCapacity(0, 0),
 		registrar.WithReport(m.reportForPeer),
 		registrar.WithUsage(m.usage),
 		registrar.WithShares(m.changeShares),
@@ -133,6 +137,7 @@
 	for _, peer := range member.PeerTickets() {
 		d.distributor.Heard(peer.AppliedTicket)
 	}
+	m.growCapacity()
 	m.assignHomes()
 }
 
--- a/server/observe.go
+++ b/server/observe.go
@@ -119,8 +119,9 @@
 	if member == nil {
 		return
 	}
+	slots, connections := member.Capacity()
 	for i := range servers {
-		servers[i].Slots, servers[i].Connections = member.Capacity(servers[i].BackendServer)
+		servers[i].Slots, servers[i].Connections = slots, connections
 	}
 }
 
