Authenticate operators and entry instances by certificates

Cause: the TLS settings were checked but not used.

Change: the listeners for callers, operators, relays and peers use the identities of the settings, as do relays and messages between instances. Certificates are read again each minute and at SIGHUP. Only the units of OperatorWriterGroups may apply tickets. The client has the flags -certificate, -key and -authorities.

--- a/cmd/egretring/root.go
+++ b/cmd/egretring/root.go
@@ -5,11 +5,13 @@
 	"flag"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"egretring.example/egretring/authenticator"
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/printer"
 	"egretring.example/egretring/requester"
@@ -27,6 +29,8 @@
 	instances string
 	json      bool
 	timeout   time.Duration
+	// files are the operator's certificate, its key and the authorities of the entry instances.
+	files authenticator.Files
 }
 
 func rootCommand(c *console) *ffcli.Command {
@@ -51,6 +55,10 @@
 	flags.SetOutput(c.stderr)
 	flags.StringVar(&c.instances, "instances", c.instances, "base URLs of entry instances, separated by commas")
 	flags.BoolVar(&c.json, "json", c.json, "write JSON for programs")
+	flags.StringVar(&c.files.Certificate, "certificate", c.files.Certificate, "PEM file of the operator's certificate")
+	flags.StringVar(&c.files.Key, "key", c.files.Key, "PEM file of the certificate's key")
+	flags.StringVar(&c.files.Authorities, "authorities", c.files.Authorities,
+		"PEM file of the authorities of the entry instances' certificates")
 	flags.DurationVar(&c.timeout, "timeout", time.Minute, "longest time of the command")
 	return flags
 }
@@ -68,7 +76,24 @@
 		return nil, classifier.New(classifier.BadRequest,
 			"no entry instance is given; set -instances or %s", instancesVariable)
 	}
-	return requester.New(bases, c.http), nil
+	transport, err := c.transport()
+	return requester.New(bases, transport), err
+}
+
+// transport returns the HTTP client, with the operator's certificate when one is given.
+func (c *console) transport() (*http.Client, error) {
+	given := []string{c.files.Certificate, c.files.Key, c.files.Authorities}
+	if strings.Join(given, "") == "" {
+		return c.http, nil
+	}
+	if slices.Contains(given, "") {
+		return nil, classifier.New(classifier.BadRequest, "-certificate, -key and -authorities must be given together")
+	}
+	identity, err := authenticator.New(c.files)
+	if err != nil {
+		return nil, classifier.Wrap(err, classifier.BadRequest, "operator's certificate")
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: identity.ClientConfig()}}, nil
 }
 
 // exec returns the function of a command with an exact number of arguments.
--- a/cmd/egretringd/main.go
+++ b/cmd/egretringd/main.go
@@ -84,7 +84,20 @@
 	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: least}))
 }
 
-// serve runs the daemon until a signal. The first signal drains; a second one ends the drain.
+// awaitStop reloads at each signal of the second kind until one of the first kind arrives.
+func awaitStop(stops, reloads <-chan os.Signal, reload func()) {
+	for {
+		select {
+		case <-stops:
+			return
+		case <-reloads:
+			reload()
+		}
+	}
+}
+
+// serve runs the daemon until a signal. SIGHUP reads the certificates again. The first SIGTERM or SIGINT drains; a
+// second one ends the drain.
 func serve(settings loader.Settings, logger *slog.Logger) error {
 	daemon, err := server.New(settings, server.WithLogger(logger))
 	if err != nil {
@@ -93,8 +106,11 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	daemon.Start()
-	<-signals
+	awaitStop(signals, reloads, daemon.ReloadCertificates)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
 	defer cancel()
 	go func() {
--- a/server/compose.go
+++ b/server/compose.go
@@ -37,7 +37,7 @@
 	options := []messenger.Option{
 		messenger.WithLogger(d.logger),
 		messenger.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
-			return d.dial(ctx, "tcp", address)
+			return d.dialInstance(ctx, "tcp", address)
 		}),
 	}
 	d.messages = messenger.NewClient(options...)
@@ -64,7 +64,9 @@
 	d.runner = runner.New(d.core, runner.WithRight(d.membership.mayStart), runner.WithMeter(d.meter))
 	d.held = &heldSlots{usage: d.usage, freed: d.runner.Notify}
 	d.exchanger = forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dial))
-	d.router = router.New(d.self.ID, services{d.distributor}, d.runner, d.exchanger, d.directory,
+	relays := forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dialInstance))
+	exchange := exchangers{servers: d.exchanger, instances: relays}
+	d.router = router.New(d.self.ID, services{d.distributor}, d.runner, exchange, d.directory,
 		router.WithMeter(d.meter), router.WithTracer(d.tracer), router.WithHomes(d.membership.homes.homes),
 		router.WithLeavingHook(d.membership.leaving.add), router.WithHeldHook(d.held.add),
 		router.WithEndHook(d.observer.Recent.Add))
@@ -93,13 +95,14 @@
 	options.Relayed = true
 	relayed := handler.NewCaller(routes, options, d.logger)
 	var err error
-	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, nil); err != nil {
+	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, serverConfig(d.identities.callers)); err != nil {
 		return err
 	}
-	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, nil); err != nil {
+	internal := serverConfig(d.identities.internal)
+	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, internal); err != nil {
 		return err
 	}
-	if d.operators, err = listen("operators", d.settings.Listeners.Operators, d.operatorPages(), nil); err != nil {
+	if d.operators, err = listen("operators", d.settings.Listeners.Operators, d.operatorPages(), internal); err != nil {
 		return err
 	}
 	d.peers, err = net.Listen("tcp", d.settings.Listeners.Peers)
@@ -114,7 +117,7 @@
 	views := append(d.taskViews(), reporter.WithInstance(d.self.ID), reporter.WithInstances(d.observer),
 		reporter.WithZones(d.observer), reporter.WithServers(d.observer), reporter.WithServices(d.observer),
 		reporter.WithReasons(d.observer))
-	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, views...)))
+	mux.Handle("/", d.onlyWriters(handler.NewOperator(reporter.New(d.distributor, views...))))
 	return mux
 }
 
@@ -132,7 +135,8 @@
 	d.self.RelayAddress = d.relay.address()
 	member := registrar.New(d.self, d.store, d.list, d.messages, d.membership.options()...)
 	d.membership.registrar.Store(member)
-	d.served = messenger.Serve(d.peers, member, messenger.WithLogger(d.logger))
+	d.served = messenger.Serve(d.peers, member, messenger.WithLogger(d.logger),
+		messenger.WithTLS(serverConfig(d.identities.internal)))
 }
 
 // Stop ends the daemon at once and breaks all connections.
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -41,6 +41,8 @@
 	list     lister.List
 	http     *http.Client
 
+	identities identities
+
 	self        describer.Instance
 	tomb        tomb.Tomb
 	meter       *meter.Meter
@@ -85,6 +87,10 @@
 	for _, option := range options {
 		option(d)
 	}
+	var err error
+	if d.identities, err = newIdentities(settings.TLS); err != nil {
+		return nil, err
+	}
 	d.connect()
 	d.compose()
 	if err := d.listen(); err != nil {
@@ -107,6 +113,7 @@
 	d.tomb.Go(func() error { return read.run(ctx) })
 	d.tomb.Go(func() error { return d.follow(ctx) })
 	d.tomb.Go(func() error { return d.held.run(ctx) })
+	d.tomb.Go(func() error { return d.reloadCertificates(ctx) })
 	d.callers.start(&d.tomb)
 	d.relay.start(&d.tomb)
 	d.operators.start(&d.tomb)
