--- a/runner/runner.go
+++ b/runner/runner.go
@@ -96,6 +96,11 @@
 	r.post(message{event: event, inspect: handled})
 }
 
+// Waiting returns how many events wait for the core.
+func (r *Runner) Waiting() int {
+	return len(r.inbox.Items())
+}
+
 // Inspect runs a function in the goroutine that owns the core and waits for it.
 func (r *Runner) Inspect(ctx context.Context, inspect func()) error {
 	done := make(chan struct{})
--- a/server/membership.go
+++ b/server/membership.go
@@ -131,6 +131,7 @@
 	if member == nil {
 		return
 	}
+	m.measure(member)
 	if leaving := member.LeavingServers(); len(leaving) > 0 {
 		d.runner.Notify(dispatcher.BackendServersLeaving{BackendServers: leaving})
 	}
@@ -141,6 +142,18 @@
 	m.assignHomes()
 }
 
+// measure sets the gauges of the membership.
+func (m *membership) measure(member *registrar.Registrar) {
+	ownership := member.Ownership()
+	reachable := int64(0)
+	if ownership.StoreReachable {
+		reachable = 1
+	}
+	m.daemon.meter.Set(meter.StoreReachable, reachable)
+	m.daemon.meter.Set(meter.AssignmentEpoch, int64(ownership.Epoch))
+	m.daemon.meter.Set(meter.EventsWaiting, int64(m.daemon.runner.Waiting()))
+}
+
 // leave gives up the positions of this instance.
 func (m *membership) leave(ctx context.Context) error {
 	return m.registrar.Load().Leave(ctx)
