--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -72,6 +72,7 @@
 	health   health
 	reports  reports
 	targets  targets
+	capacity capacity
 
 	mu          sync.Mutex
 	core        *assigner.Assigner
@@ -99,6 +100,7 @@
 		Address: self.PeerAddress,
 	}, rand.Text)
 	r.right.Store(&assigner.Right{})
+	r.capacity.set(r.hooks.slots, r.hooks.connections)
 	for _, run := range []func(context.Context) error{
 		r.runCore, r.runLease, r.runWatch, r.runReader, r.runWriter, r.runHeartbeats, r.runList, r.runUsage,
 	} {
@@ -158,6 +160,20 @@
 	return r.core.Adopted()
 }
 
+// Ownership returns the ownership part of the heartbeat of this instance.
+func (r *Registrar) Ownership() assigner.Heartbeat {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Heartbeat()
+}
+
+// Held reports whether this instance relies on a concluded hold agreement.
+func (r *Registrar) Held() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Held()
+}
+
 // Owner returns this instance with its current incarnation.
 func (r *Registrar) Owner() assigner.Owner {
 	return r.owner()
--- a/server/compose.go
+++ b/server/compose.go
@@ -34,10 +34,15 @@
 	if d.list == nil {
 		d.list = lister.NewClient(d.settings.InstanceList, d.http)
 	}
-	d.messages = messenger.NewClient(messenger.WithLogger(d.logger),
+	options := []messenger.Option{
+		messenger.WithLogger(d.logger),
 		messenger.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
-			return d.dial(ctx, "tcp", address)
-		}))
+			return d.dialInstance(ctx, "tcp", address)
+		}),
+	}
+	d.messages = messenger.NewClient(options...)
+	// A report that takes too long ends its connection, which must not be that of the heartbeats.
+	d.reports = messenger.NewClient(options...)
 }
 
 func (d *Daemon) compose() {
@@ -53,14 +58,18 @@
 	d.membership = newMembership(d)
 	d.distributor = distributor.New(d.store, distributor.WithInstance(d.self.ID), distributor.WithLogger(d.logger),
 		distributor.WithSeed(d.seed), distributor.WithPeers(d.membership.peerSources))
+	d.observer = newObserver(d)
 	d.tasks = newTasks(d)
 	d.core = dispatcher.New(dispatcher.WithSeed(d.seed))
 	d.runner = runner.New(d.core, runner.WithRight(d.membership.mayStart), runner.WithMeter(d.meter))
 	d.held = &heldSlots{usage: d.usage, freed: d.runner.Notify}
 	d.exchanger = forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dial))
-	d.router = router.New(d.self.ID, services{d.distributor}, d.runner, d.exchanger, d.directory,
+	relays := forwarder.New(forwarder.WithPropagator(d.tracer.Propagator()), forwarder.WithDial(d.dialInstance))
+	exchange := exchangers{servers: d.exchanger, instances: relays}
+	d.router = router.New(d.self.ID, services{d.distributor}, d.runner, exchange, d.directory,
 		router.WithMeter(d.meter), router.WithTracer(d.tracer), router.WithHomes(d.membership.homes.homes),
-		router.WithLeavingHook(d.membership.leaving.add), router.WithHeldHook(d.held.add))
+		router.WithLeavingHook(d.membership.leaving.add), router.WithHeldHook(d.held.add),
+		router.WithEndHook(d.observer.Recent.Add))
 }
 
 func newMembership(d *Daemon) *membership {
@@ -81,17 +90,19 @@
 		DefaultTimeout:  d.settings.DefaultTimeout,
 		MaxTimeout:      d.settings.MaxTimeout,
 	}
-	d.tracked = newTracker(handler.NewCaller(d.router, options, d.logger))
+	routes := newGate(d.router, d.distributor)
+	d.tracked = newTracker(handler.NewCaller(routes, options, d.logger))
 	options.Relayed = true
-	relayed := handler.NewCaller(d.router, options, d.logger)
+	relayed := handler.NewCaller(routes, options, d.logger)
 	var err error
-	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, nil); err != nil {
+	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, serverConfig(d.identities.callers)); err != nil {
 		return err
 	}
-	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, nil); err != nil {
+	internal := serverConfig(d.identities.internal)
+	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, internal); err != nil {
 		return err
 	}
-	if d.operators, err = listen("operators", d.settings.Listeners.Operators, d.operatorPages(), nil); err != nil {
+	if d.operators, err = listen("operators", d.settings.Listeners.Operators, d.operatorPages(), internal); err != nil {
 		return err
 	}
 	d.peers, err = net.Listen("tcp", d.settings.Listeners.Peers)
@@ -103,8 +114,10 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.meter.Handler())
 	mux.HandleFunc("/healthz", d.serveHealth)
-	views := append(d.taskViews(), reporter.WithInstance(d.self.ID))
-	mux.Handle("/", handler.NewOperator(reporter.New(d.distributor, views...)))
+	views := append(d.taskViews(), reporter.WithInstance(d.self.ID), reporter.WithInstances(d.observer),
+		reporter.WithZones(d.observer), reporter.WithServers(d.observer), reporter.WithServices(d.observer),
+		reporter.WithReasons(d.observer))
+	mux.Handle("/", d.onlyWriters(handler.NewOperator(reporter.New(d.distributor, views...))))
 	return mux
 }
 
@@ -122,7 +135,8 @@
 	d.self.RelayAddress = d.relay.address()
 	member := registrar.New(d.self, d.store, d.list, d.messages, d.membership.options()...)
 	d.membership.registrar.Store(member)
-	d.served = messenger.Serve(d.peers, member, messenger.WithLogger(d.logger))
+	d.served = messenger.Serve(d.peers, member, messenger.WithLogger(d.logger),
+		messenger.WithTLS(serverConfig(d.identities.internal)))
 }
 
 // Stop ends the daemon at once and breaks all connections.
@@ -131,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	stops := []func() error{
-		d.tasks.Stop, d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close,
+		d.tasks.Stop, d.membership.close, d.runner.Stop, d.distributor.Stop, d.messages.Close, d.reports.Close,
 		func() error { return d.tracer.Shutdown(ctx) },
 		func() error {
 			d.tomb.Kill(nil)
