measurer: keep quantiles instead of all waits of a run

Change: the quantiles are taken at the end of each run and the waits dropped. Conclusion: the tables use the same quantiles as before.

--- a/measurer/loopback.go
+++ b/measurer/loopback.go
@@ -122,9 +122,9 @@
 	row("through an entry instance", through)
 	row("direct", straight)
 	row("difference of neighbouring calls", added)
-	p99 := quantile(through, 0.99) - quantile(straight, 0.99)
+	difference := quantile(through, 0.99) - quantile(straight, 0.99)
 	table.Notes = append(table.Notes, fmt.Sprintf(
-		"p99 through an entry instance less p99 direct: %s; target below %s: %s.", p99.Round(time.Microsecond), mostAddedTime,
-		verdict(p99 < mostAddedTime)))
+		"p99 through an entry instance less p99 direct: %s; target below %s: %s.", difference.Round(time.Microsecond), mostAddedTime,
+		verdict(difference < mostAddedTime)))
 	return table
 }
--- a/measurer/request_cell.go
+++ b/measurer/request_cell.go
@@ -201,6 +201,7 @@
 
 // conclude checks the guarantees after the last request.
 func (c *requestCell) conclude() {
+	c.tally.conclude()
 	verdict := c.ledger.Verdict()
 	c.tally.lost = verdict.Lost + c.open
 	c.tally.doubled = verdict.DoubledKeys
--- a/measurer/request_table.go
+++ b/measurer/request_table.go
@@ -46,24 +46,27 @@
 	return fmt.Sprintf("%.2f / %.2f", s.median, s.worst)
 }
 
-var waitQuantiles = []struct {
+var waitQuantiles = [...]struct {
 	name string
 	q    float64
 }{{"p50", 0.5}, {"p99", 0.99}, {"p99.9", 0.999}}
 
-// waitOf returns a quantile of the waits of a class in seconds.
-func waitOf(tally *requestTally, class describer.Class, q float64) float64 {
-	if len(tally.waits[class]) == 0 {
+// p99 is the index of the 99th percentile in waitQuantiles.
+const p99 = 1
+
+// waitOf returns one of the waitQuantiles of a class in seconds.
+func waitOf(tally *requestTally, class describer.Class, index int) float64 {
+	if tally.begun[class] == 0 {
 		return math.NaN()
 	}
-	return quantile(tally.waits[class], q).Seconds()
+	return tally.quantiles[class][index].Seconds()
 }
 
 // ratioTo returns the 99th percentile of the wait of Urgent requests divided by that of a reference load.
 func (r *requestResults) ratioTo(only restriction) func(*requestTally, requestRun) float64 {
 	return func(tally *requestTally, run requestRun) float64 {
 		run.only, run.variant = only, chosenPolicy.name
-		return waitOf(tally, describer.Urgent, 0.99) / waitOf(r.runs[run], describer.Urgent, 0.99)
+		return waitOf(tally, describer.Urgent, p99) / waitOf(r.runs[run], describer.Urgent, p99)
 	}
 }
 
@@ -80,8 +83,8 @@
 func (r *requestResults) row(table *Table, name string, run requestRun) {
 	cells := []any{name}
 	for _, class := range describer.Classes() {
-		for _, quantile := range waitQuantiles {
-			values := r.each(run, func(t *requestTally, _ requestRun) float64 { return waitOf(t, class, quantile.q) })
+		for i := range waitQuantiles {
+			values := r.each(run, func(t *requestTally, _ requestRun) float64 { return waitOf(t, class, i) })
 			cells = append(cells, lowIsGood(values).milliseconds())
 		}
 	}
--- a/measurer/request_tally.go
+++ b/measurer/request_tally.go
@@ -1,6 +1,7 @@
 package measurer
 
 import (
+	"slices"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -10,10 +11,13 @@
 // requestTally counts at the callers and backend servers.
 type requestTally struct {
 	// waits are the times from the sending of a request to the begin of its first run.
-	waits    [describer.ClassCount][]time.Duration
-	sent     [describer.ClassCount]int
-	answered [describer.ClassCount]int
-	refused  [describer.ClassCount]int
+	waits [describer.ClassCount][]time.Duration
+	// quantiles are the waitQuantiles of the waits, which are dropped at the end of the run to save memory.
+	quantiles [describer.ClassCount][len(waitQuantiles)]time.Duration
+	begun     [describer.ClassCount]int
+	sent      [describer.ClassCount]int
+	answered  [describer.ClassCount]int
+	refused   [describer.ClassCount]int
 	// otherwise counts the requests that were told that they failed or may have run, or that were told nothing.
 	otherwise [describer.ClassCount]int
 	// useful is the time in the window during which requests ran that were answered before their deadline.
@@ -68,6 +72,18 @@
 	}
 }
 
+// conclude replaces the waits by their quantiles.
+func (t *requestTally) conclude() {
+	for class, waits := range t.waits {
+		slices.Sort(waits)
+		t.begun[class] = len(waits)
+		for i, wanted := range waitQuantiles {
+			t.quantiles[class][i] = quantileOfSorted(waits, wanted.q)
+		}
+		t.waits[class] = nil
+	}
+}
+
 // windowed returns the part of a time that lies in the counted window.
 func windowed(from, until time.Time) time.Duration {
 	first, last := epochStart.Add(requestWarmUp), epochStart.Add(requestDuration)
--- a/measurer/tasks_table.go
+++ b/measurer/tasks_table.go
@@ -52,10 +52,14 @@
 
 // quantile returns a quantile of durations by the nearest rank.
 func quantile(durations []time.Duration, q float64) time.Duration {
-	if len(durations) == 0 {
+	return quantileOfSorted(slices.Sorted(slices.Values(durations)), q)
+}
+
+// quantileOfSorted returns a quantile of sorted durations by the nearest rank.
+func quantileOfSorted(ordered []time.Duration, q float64) time.Duration {
+	if len(ordered) == 0 {
 		return 0
 	}
-	ordered := slices.Sorted(slices.Values(durations))
 	return ordered[min(len(ordered)-1, int(q*float64(len(ordered))))]
 }
 
