Test the process signals with a capacity that only the tickets name

Change: the process tests use 4 slots and 32 connections. Conclusion: the configured capacity reaches the slot ownership.

--- a/cmd/egretringd/process_test.go
+++ b/cmd/egretringd/process_test.go
@@ -149,7 +149,7 @@
 
 const ticketText = `{
   "ID": "first", "Base": 0, "Comment": "first",
-  "Services": {"tally": {"SlotsPerBackendServer": 8, "ConnectionsPerBackendServer": 64, "QueueLimit": 1000,
+  "Services": {"tally": {"SlotsPerBackendServer": 4, "ConnectionsPerBackendServer": 32, "QueueLimit": 1000,
     "Kinds": {"count": {"Class": "Urgent", "ExpectedMilliseconds": 5}}}},
 }`
 
@@ -158,7 +158,7 @@
 	t.Helper()
 	cell, err := demonstrator.NewCell(demonstrator.CellOptions{
 		Seed: 1, WithoutEntries: true,
-		Topology: demonstrator.Topology{Service: "tally", Slots: 8, Conns: 64, Zones: []demonstrator.ZoneTopology{
+		Topology: demonstrator.Topology{Service: "tally", Slots: 4, Conns: 32, Zones: []demonstrator.ZoneTopology{
 			{ID: zone, BackendServers: 4, ServersPerRack: 2},
 		}},
 	})
@@ -273,7 +273,7 @@
 	running := startLoad("paused", 48, longRun, processes[1])
 	poll(t, func() bool { return running.answered() > 200 })
 	processes[0].signal(t, syscall.SIGSTOP)
-	poll(t, func() bool { return ownedSlots(processes[1]) == 32 })
+	poll(t, func() bool { return ownedSlots(processes[1]) == 16 })
 	waiting := make(chan int, 48)
 	for i := range 48 {
 		go func() { waiting <- processes[0].send(fmt.Sprintf("woken-%d", i), longRun) }()
