--- a/server/daemon.go
+++ b/server/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
@@ -21,6 +22,7 @@
 	"egretring.example/egretring/loader"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
+	"egretring.example/egretring/observer"
 	"egretring.example/egretring/router"
 	"egretring.example/egretring/runner"
 	"egretring.example/egretring/scheduler"
@@ -39,6 +41,8 @@
 	list     lister.List
 	http     *http.Client
 
+	identities identities
+
 	self        describer.Instance
 	tomb        tomb.Tomb
 	meter       *meter.Meter
@@ -51,6 +55,9 @@
 	runner      *runner.Runner
 	router      *router.Router
 	messages    *messenger.Client
+	reports     *messenger.Client
+	observer    *observer.Observer
+	listing     atomic.Pointer[readListing]
 	membership  *membership
 	held        *heldSlots
 	listings    chan lister.Listing
@@ -80,6 +87,10 @@
 	for _, option := range options {
 		option(d)
 	}
+	var err error
+	if d.identities, err = newIdentities(settings.TLS); err != nil {
+		return nil, err
+	}
 	d.connect()
 	d.compose()
 	if err := d.listen(); err != nil {
@@ -102,6 +113,7 @@
 	d.tomb.Go(func() error { return read.run(ctx) })
 	d.tomb.Go(func() error { return d.follow(ctx) })
 	d.tomb.Go(func() error { return d.held.run(ctx) })
+	d.tomb.Go(func() error { return d.reloadCertificates(ctx) })
 	d.callers.start(&d.tomb)
 	d.relay.start(&d.tomb)
 	d.operators.start(&d.tomb)
@@ -158,7 +170,10 @@
 		case state := <-subscription.States():
 			d.meter.Set(meter.TicketApplied, state.Applied())
 			d.runner.Notify(dispatcher.ServicesChanged{Services: state.Services()})
+			d.declareDead(ctx, state)
+			d.membership.followCapacity(state)
 		case listing = <-d.listings:
+			d.listing.Store(&readListing{Listing: listing, at: time.Now()})
 			d.directory.SetServers(listing.BackendServers)
 			d.directory.SetPeers(listing.Instances)
 		case <-ctx.Done():
--- a/server/membership.go
+++ b/server/membership.go
@@ -25,7 +25,9 @@
 	// applied is the version of the newest shares that the request path has applied.
 	applied atomic.Uint64
 	leaving leavingSet
-	homes   homeAssigner
+	// capacity is what the services of the configuration in force allow.
+	capacity capacityFollower
+	homes    homeAssigner
 }
 
 func (m *membership) options() []registrar.Option {
@@ -37,6 +39,9 @@
 		registrar.WithBusySlots(m.busy),
 		registrar.WithLeavingServers(m.leaving.list),
 		registrar.WithTickets(m.ticketsForPeer),
+		// Nothing is started before the capacity is known from the configuration.
+		registrar.WithCapacity(0, 0),
+		registrar.WithReport(m.reportForPeer),
 		registrar.WithUsage(m.usage),
 		registrar.WithShares(m.changeShares),
 		registrar.WithPeers(m.reportPeers),
@@ -126,15 +131,29 @@
 	if member == nil {
 		return
 	}
+	m.measure(member)
 	if leaving := member.LeavingServers(); len(leaving) > 0 {
 		d.runner.Notify(dispatcher.BackendServersLeaving{BackendServers: leaving})
 	}
 	for _, peer := range member.PeerTickets() {
 		d.distributor.Heard(peer.AppliedTicket)
 	}
+	m.growCapacity()
 	m.assignHomes()
 }
 
+// measure sets the gauges of the membership.
+func (m *membership) measure(member *registrar.Registrar) {
+	ownership := member.Ownership()
+	reachable := int64(0)
+	if ownership.StoreReachable {
+		reachable = 1
+	}
+	m.daemon.meter.Set(meter.StoreReachable, reachable)
+	m.daemon.meter.Set(meter.AssignmentEpoch, int64(ownership.Epoch))
+	m.daemon.meter.Set(meter.EventsWaiting, int64(m.daemon.runner.Waiting()))
+}
+
 // leave gives up the positions of this instance.
 func (m *membership) leave(ctx context.Context) error {
 	return m.registrar.Load().Leave(ctx)
@@ -158,7 +177,7 @@
 // mayStart reports whether this instance has the right to start work.
 func (m *membership) mayStart(time.Time) bool {
 	member := m.registrar.Load()
-	return member != nil && member.MayStart()
+	return member != nil && member.MayStart() && !m.isDeclaredDead(member.Owner())
 }
 
 // peerSources returns the peers that can be asked for tickets.
