Measure the capacity of each role

The cost of the roles at the two-year size was known only for task placement. The subcommand capacity of egretring-measure measures processor time, memory and bytes of each role at four or more sizes, and fits a line to each figure.

The tests of the new files pass: go test -race -count=1 -run 'TestFitLine|TestOwnershipZone|TestPlacementZone|TestRecordStore|TestKeysRun' ./measurer

--- a/cmd/egretring-measure/main.go
+++ b/cmd/egretring-measure/main.go
@@ -14,7 +14,7 @@
 func main() {
 	root := &ffcli.Command{
 		ShortUsage:  "egretring-measure <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{newTasksCommand()},
+		Subcommands: []*ffcli.Command{newTasksCommand(), newCapacityCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
--- /dev/null
+++ b/measurer/capacity_test.go
@@ -0,0 +1,52 @@
+package measurer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestFitLine guards against a line that does not go through exact points, or that hides its largest error.
+func TestFitLine(t *testing.T) {
+	exact := fitLine([]float64{1, 2, 4, 8}, []float64{5, 7, 11, 19})
+	require.InDelta(t, 2, exact.slope, 1e-9)
+	require.InDelta(t, 3, exact.intercept, 1e-9)
+	require.InDelta(t, 0, exact.worst, 1e-9)
+	// The line is 0.2 + 1.2x, which gives 2.6 instead of 1 at 2.
+	bent := fitLine([]float64{0, 1, 2, 3}, []float64{1, 1, 1, 5})
+	require.InDelta(t, 1.6, bent.worst, 1e-9)
+}
+
+// TestOwnershipZoneSettles guards against measuring members that are not in the record or have no right to start work,
+// which costs less than normal operation.
+func TestOwnershipZoneSettles(t *testing.T) {
+	for _, members := range []int{1, 3, 8} {
+		zone := newOwnershipZone(members, 16)
+		require.True(t, zone.settled(), "members: %d", members)
+		require.Empty(t, zone.record.Previous, "members: %d", members)
+	}
+}
+
+// TestPlacementZoneFills guards against measuring starts on servers that are emptier than the figure says.
+func TestPlacementZoneFills(t *testing.T) {
+	zone := newPlacementZone(16, 16*tasksPerServer)
+	require.Len(t, zone.running, 16*tasksPerServer)
+	zone.endOldest()
+	zone.assign()
+	zone.tick()
+	require.Len(t, zone.running, 16*tasksPerServer)
+}
+
+// TestRecordStoreHoldsAllTasks guards against shards that are measured before all records are in them.
+func TestRecordStoreHoldsAllTasks(t *testing.T) {
+	few, many := newRecordStore(500), newRecordStore(1_000)
+	require.InDelta(t, 2, many.total()/few.total(), 0.4)
+	require.Greater(t, few.total(), 500.0*200)
+}
+
+// TestKeysRun guards against measuring keys that are rejected, which costs less than running them.
+func TestKeysRun(t *testing.T) {
+	records := newRecords(100)
+	runKeys(records, keyTexts(100))
+	require.Equal(t, 100, records.Len())
+}
