Measure usage reports at task counts that fit a backend server

A backend server of the measurement holds 24 tasks, so the report of 40 tasks measured a full zone with waiting tasks (51.9 µs). The sizes are now 5 to 20.

--- a/measurer/capacity_placement.go
+++ b/measurer/capacity_placement.go
@@ -44,8 +44,8 @@
 			},
 		},
 		{
-			"µs a usage report in starter and placer", "tasks in the report, 305 backend servers",
-			[]int{5, 10, 20, 40},
+			"µs a usage report in starter and placer", "tasks of the backend server, 305 backend servers",
+			[]int{5, 10, 15, 20},
 			tasksPerServer, tasksPerServer, usageHandlingTime,
 		},
 		{
--- a/measurer/capacity_request.go
+++ b/measurer/capacity_request.go
@@ -49,7 +49,7 @@
 			"µs a change of all shares", "backend servers of the zone", servers, serversInZoneToday, serversInZoneLater,
 			func(size int) float64 {
 				core, shares := newCapacityDispatcher(seed, size), sharesOf(size)
-				return microsecondsEach(20, func(int) { core.Handle(epochStart, dispatcher.SharesChanged{Shares: shares}) })
+				return microsecondsEach(200, func(int) { core.Handle(epochStart, dispatcher.SharesChanged{Shares: shares}) })
 			},
 		},
 		{
