--- a/cmd/egretring-measure/main.go
+++ b/cmd/egretring-measure/main.go
@@ -13,9 +13,11 @@
 
 func main() {
 	root := &ffcli.Command{
-		ShortUsage:  "egretring-measure <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{newTasksCommand(), newRequestsCommand(), newLoopbackCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		ShortUsage: "egretring-measure <subcommand> [flags]",
+		Subcommands: []*ffcli.Command{
+			newTasksCommand(), newRequestsCommand(), newLoopbackCommand(), newCapacityCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
