--- a/registrar/capacity.go
+++ b/registrar/capacity.go
@@ -13,7 +13,9 @@
 // not depend on the number of slots, so that a cut needs no agreement with other members.
 type capacity struct {
 	// mu orders the changes of the shares.
-	mu          sync.Mutex
+	mu sync.Mutex
+	// posting orders the events to the slot ownership; otherwise one with an earlier capacity could come last.
+	posting     sync.Mutex
 	slots       int
 	connections int
 	largest     int
@@ -94,6 +96,8 @@
 
 // postServers passes the zone's backend servers to the slot ownership.
 func (r *Registrar) postServers(ctx context.Context) {
+	r.capacity.posting.Lock()
+	defer r.capacity.posting.Unlock()
 	r.capacity.mu.Lock()
 	slots, connections := r.capacity.largest, r.capacity.connections
 	r.capacity.mu.Unlock()
--- a/server/capacity.go
+++ b/server/capacity.go
@@ -45,12 +45,18 @@
 	current capacityOfServer
 	// ticket is the number of the ticket that changed wanted last.
 	ticket int64
+	// seen is the number of the newest ticket that was followed.
+	seen int64
 }
 
 // follow takes over the capacity after a ticket and returns the one to use now.
 func (f *capacityFollower) follow(wanted capacityOfServer, ticket int64) capacityOfServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if ticket < f.seen {
+		return f.current
+	}
+	f.seen = ticket
 	if wanted != f.wanted {
 		f.wanted, f.ticket = wanted, ticket
 	}
--- a/server/membership.go
+++ b/server/membership.go
@@ -138,7 +138,9 @@
 	for _, peer := range member.PeerTickets() {
 		d.distributor.Heard(peer.AppliedTicket)
 	}
-	m.growCapacity()
+	if state, err := d.distributor.State(); err == nil {
+		m.followCapacity(state)
+	}
 	m.assignHomes()
 }
 
