Read the instance list once for all users and watch only the assignment

Change: lister.Cache is shared by the registrar and the daemon, the default ListInterval is 2 s, and the registrar watches Zones/<zone>/Assignment.

--- a/lister/client.go
+++ b/lister/client.go
@@ -36,17 +36,18 @@
 
 // BackendServers implements List.
 func (c *Client) BackendServers(ctx context.Context) ([]describer.BackendServer, error) {
-	listing, err := c.get(ctx)
+	listing, err := c.Listing(ctx)
 	return listing.BackendServers, err
 }
 
 // Instances implements List.
 func (c *Client) Instances(ctx context.Context) ([]describer.Instance, error) {
-	listing, err := c.get(ctx)
+	listing, err := c.Listing(ctx)
 	return listing.Instances, err
 }
 
-func (c *Client) get(ctx context.Context) (Listing, error) {
+// Listing implements Reader.
+func (c *Client) Listing(ctx context.Context) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathList, nil)
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -41,7 +41,7 @@
 			Purpose: "Address of the platform's instance list.",
 		}, func(s *Settings) *string { return &s.InstanceList }, checkURL),
 		durationField(Field{
-			Path: "ListInterval", Default: `"1s"`,
+			Path: "ListInterval", Default: `"2s"`,
 			Purpose: "Time between two reads of the instance list.",
 		}, func(s *Settings) *time.Duration { return &s.ListInterval }, 100*time.Millisecond, time.Minute),
 	}
--- a/registrar/value.go
+++ b/registrar/value.go
@@ -24,12 +24,8 @@
 	return "Members/" + string(zone) + "/"
 }
 
-func zonePrefix(zone describer.AvailabilityZoneID) string {
-	return "Zones/" + string(zone) + "/"
-}
-
 func assignmentKey(zone describer.AvailabilityZoneID) string {
-	return zonePrefix(zone) + "Assignment"
+	return "Zones/" + string(zone) + "/Assignment"
 }
 
 func decodeAssignment(entry keeper.Entry) (assigner.Assignment, error) {
--- a/registrar/zone.go
+++ b/registrar/zone.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,7 +11,8 @@
 	"egretring.example/egretring/keeper"
 )
 
-// runWatch waits for changes below Zones/<zone>/ and has the zone read after each.
+// runWatch waits for changes of the assignment and has the zone read after each. Only that key is watched, because the
+// task records below Zones/<zone>/ change several times a second.
 func (r *Registrar) runWatch(ctx context.Context) error {
 	var revision int64
 	for ctx.Err() == nil {
@@ -26,24 +26,18 @@
 			continue
 		}
 		revision = changes.Revision
-		if slices.ContainsFunc(changes.Changes, r.concernsAssignment) {
+		if len(changes.Changes) > 0 {
 			request(r.readNow)
 		}
 	}
 	return nil
 }
 
-// concernsAssignment tells the assignment from the task records below the same prefix, which change several times a
-// second.
-func (r *Registrar) concernsAssignment(change keeper.Change) bool {
-	return change.Entry.Key == assignmentKey(r.self.AvailabilityZone)
-}
-
 // watch bounds a watch, so that one whose connection was lost without notice begins anew.
 func (r *Registrar) watch(ctx context.Context, revision int64) (keeper.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	return r.store.Watch(ctx, zonePrefix(r.self.AvailabilityZone), revision)
+	return r.store.Watch(ctx, assignmentKey(r.self.AvailabilityZone), revision)
 }
 
 // runReader reads the zone after changes and at intervals.
--- a/server/compose.go
+++ b/server/compose.go
@@ -32,7 +32,8 @@
 		d.store = keeper.NewClient(d.settings.Store, d.http)
 	}
 	if d.list == nil {
-		d.list = lister.NewClient(d.settings.InstanceList, d.http)
+		client := lister.NewClient(d.settings.InstanceList, d.http)
+		d.list = lister.NewCache(client, d.settings.ListInterval*9/10)
 	}
 	options := []messenger.Option{
 		messenger.WithLogger(d.logger),
