Keep the promise 'not run' from retries that are refused early

Cause: a retry with an idempotency key that was refused before its home was asked (instance not ready, service unknown, deadline passed) was told 'not run' although an earlier attempt may have run. Change: such refusals become OutcomeUnknown unless the attempt is marked as the first; a table of bad input for the callers' listener.

--- a/handler/caller.go
+++ b/handler/caller.go
@@ -11,7 +11,9 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/deduplicator"
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
 	"egretring.example/egretring/router"
 )
 
@@ -49,6 +51,8 @@
 	call, err := c.parse(w, r)
 	if err == nil {
 		err = c.service.Route(r.Context(), call, w)
+	} else {
+		err = beforeHome(r.Header, err)
 	}
 	if err == nil {
 		return
@@ -61,6 +65,23 @@
 	WriteError(w, err)
 }
 
+// beforeHome returns the error of a request that was refused before the home of its idempotency key was asked. For a
+// retry the promise "not run" would be wrong, because an earlier attempt may have run. Faults of the request itself
+// keep their kind.
+func beforeHome(header http.Header, err error) error {
+	kind := classifier.KindOf(err)
+	if header.Get(forwarder.HeaderIdempotencyKey) == "" || kind == classifier.BadRequest || kind == classifier.RequestTooLarge {
+		return err
+	}
+	// A header that cannot be parsed does not prove a first attempt.
+	attempt, _ := deduplicator.ParseAttempt(header.Get(HeaderAttempt))
+	outside := deduplicator.KindOutsideHome(kind, attempt)
+	if outside == kind {
+		return err
+	}
+	return classifier.Wrap(err, outside, "this attempt was not run, but an earlier one may have been")
+}
+
 func (c *Caller) log(r *http.Request, call router.Call, err error) {
 	kind := classifier.KindOf(err)
 	c.logger.LogAttrs(r.Context(), slog.LevelWarn, "request ended with an error",
--- /dev/null
+++ b/handler/caller_test.go
@@ -0,0 +1,76 @@
+package handler_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/describer"
+	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/handler"
+	"egretring.example/egretring/router"
+)
+
+// fixedRoutes knows one service and answers each request of it.
+type fixedRoutes struct{}
+
+func (fixedRoutes) Service(id describer.ServiceID) (describer.Service, error) {
+	switch id {
+	case "tally":
+		return describer.Service{ID: id}, nil
+	case "early":
+		return describer.Service{}, classifier.New(classifier.NotReady, "no tickets were read yet")
+	}
+	return describer.Service{}, classifier.New(classifier.UnknownService, "service %q is not configured", id)
+}
+
+func (fixedRoutes) Route(_ context.Context, _ router.Call, w http.ResponseWriter) error {
+	w.WriteHeader(http.StatusOK)
+	return nil
+}
+
+// TestCallerInput guards against bad input that is served, that gets an answer without its kind, or that is told "not
+// run" although an earlier attempt with the same key may have run.
+func TestCallerInput(t *testing.T) {
+	var cases []struct {
+		Name, Path, Body string
+		Headers          map[string]string
+		Status           int
+		Kind, Outcome    string
+	}
+	data, err := os.ReadFile("testdata/caller.json")
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(data, &cases))
+	subject := handler.NewCaller(fixedRoutes{}, handler.CallerOptions{
+		MaxRequestBytes: 5, DefaultTimeout: time.Second, MaxTimeout: time.Hour,
+	}, slog.New(slog.DiscardHandler))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			request := httptest.NewRequest(http.MethodPost, c.Path, strings.NewReader(c.Body))
+			for name, value := range c.Headers {
+				request.Header.Set(name, value)
+			}
+			recorder := httptest.NewRecorder()
+			subject.ServeHTTP(recorder, request)
+			require.Equal(t, c.Status, recorder.Code, recorder.Body.String())
+			require.Equal(t, c.Kind, recorder.Header().Get(forwarder.HeaderKind))
+			require.Equal(t, c.Outcome, recorder.Header().Get(forwarder.HeaderOutcome))
+			if c.Kind == "" {
+				return
+			}
+			var body handler.ErrorBody
+			require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &body))
+			require.Equal(t, c.Kind, body.Kind)
+			require.NotEmpty(t, body.Message)
+		})
+	}
+}
