Reserve up to half of the slots for the recent demand of Urgent

Cause: at the swing Urgent waited 3.3 times as long as alone on the same servers (target 1.2); the reserve of at most 20% had no effect in the measured loads. Change: mostReserved is 0.5.

--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -11,7 +11,7 @@
 	// spareShare of the slots is kept in addition to the recent demand, so that a demand that begins finds some.
 	spareShare = 0.03
 	// mostReserved is the largest share of the slots that is kept for Urgent requests.
-	mostReserved = 0.2
+	mostReserved = 0.5
 	// leastLong and mostLong bound the share of the slots that long work may occupy.
 	leastLong = 0.4
 	mostLong  = 0.75
