End the daemon when one of its goroutines fails

Cause: found in the read-through: after a failed listener the process waited for a signal without serving, so that no supervisor would restart it. Change: egretringd ends with the error when the daemon's goroutines die. Conclusion: a daemon that cannot serve ends with code 1.

--- a/cmd/egretringd/main.go
+++ b/cmd/egretringd/main.go
@@ -84,12 +84,15 @@
 	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: least}))
 }
 
-// awaitStop reloads at each signal of the second kind until one of the first kind arrives.
-func awaitStop(stops, reloads <-chan os.Signal, reload func()) {
+// awaitStop reloads at each signal of the second kind until one of the first kind arrives, or the daemon has failed. It
+// reports whether a signal ended it.
+func awaitStop(stops, reloads <-chan os.Signal, failed <-chan struct{}, reload func()) bool {
 	for {
 		select {
 		case <-stops:
-			return
+			return true
+		case <-failed:
+			return false
 		case <-reloads:
 			reload()
 		}
@@ -110,7 +113,9 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
 	daemon.Start()
-	awaitStop(signals, reloads, daemon.ReloadCertificates)
+	if !awaitStop(signals, reloads, daemon.Dying(), daemon.ReloadCertificates) {
+		return daemon.Stop()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
 	defer cancel()
 	go func() {
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -120,6 +120,11 @@
 	d.logger.Info("entry instance started", "Instance", d.self.ID, "Listeners", d.Addresses())
 }
 
+// Dying returns a channel that is closed when a goroutine of the daemon has failed, for example a listener.
+func (d *Daemon) Dying() <-chan struct{} {
+	return d.tomb.Dying()
+}
+
 // Addresses returns the bound addresses.
 func (d *Daemon) Addresses() loader.Listeners {
 	return loader.Listeners{
