--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOLS := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: test format lint measure fuzz
+.PHONY: test format lint measure
 
 # test runs the formatter check, the linters and all tests with the race detector. Tests that KNOWN-RED.txt lists, with
 # lines "test: PACKAGE NAME", are printed and not run.
@@ -28,3 +28,4 @@
 	$(GO) run ./cmd/egretring-measure tasks -commit $(COMMIT) > docs/measurements/tasks.md
 	$(GO) run ./cmd/egretring-measure requests -commit $(COMMIT) > docs/measurements/requests.md
 	$(GO) run ./cmd/egretring-measure loopback -commit $(COMMIT) > docs/measurements/loopback.md
+	$(GO) run ./cmd/egretring-measure capacity -commit $(COMMIT) > docs/measurements/capacity.md
