--- a/cmd/egretring/demo.go
+++ b/cmd/egretring/demo.go
@@ -15,7 +15,7 @@
 )
 
 // demoDuration is the default length of the load; start and end take a few seconds more.
-const demoDuration = 17 * time.Second
+const demoDuration = 15 * time.Second
 
 func demoCommand(c *console) *ffcli.Command {
 	flags := c.flags("demo")
