--- a/cmd/egretring-measure/capacity.go
+++ b/cmd/egretring-measure/capacity.go
@@ -38,13 +38,13 @@
 
 func printCapacity(seeds []uint64, only, commit string) error {
 	fmt.Printf("# Measurements of capacity\n\nCommand: `egretring-measure %s`. Commit: %s. Seed: %d. Processors: %d. "+
-		"Load averages at the start: %s.\n\n", strings.Join(os.Args[1:], " "), commit, seeds[0], runtime.NumCPU(), loadAverages())
+		"Load averages at the start: %s.\n\n", strings.Join(os.Args[1:], " "), commit, seeds[0], runtime.NumCPU(), loadAverage())
 	fmt.Print("Times are processor time of the whole process with its garbage collector, because the machine is shared and " +
 		"wall time follows its other load. Each line is a least-squares fit to all sizes; the worst error is relative to " +
 		"the measured figure. The last two columns evaluate the line, at sizes below the smallest measured one also beyond " +
 		"the range.\n\n")
 	for _, measurement := range measurer.CapacityMeasurements() {
-		if only != "" && !strings.Contains(","+only+",", ","+measurement.Name+",") {
+		if !isSelected(measurement.Name, only) {
 			continue
 		}
 		began := time.Now()
@@ -54,16 +54,6 @@
 		}
 		fmt.Fprintf(os.Stderr, "%s: %s\n", measurement.Name, time.Since(began).Round(time.Millisecond))
 	}
-	fmt.Printf("Load averages at the end: %s.\n", loadAverages())
+	fmt.Printf("Load averages at the end: %s.\n", loadAverage())
 	return nil
 }
-
-// loadAverages returns the load averages of the machine as Linux reports them.
-func loadAverages() string {
-	text, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return "unknown"
-	}
-	fields := strings.Fields(string(text))
-	return strings.Join(fields[:min(3, len(fields))], ", ")
-}
--- a/cmd/egretring-measure/loopback.go
+++ b/cmd/egretring-measure/loopback.go
@@ -40,13 +40,3 @@
 		},
 	}
 }
-
-// loadAverage returns the load averages of the machine over 1, 5 and 15 minutes, where the system gives them.
-func loadAverage() string {
-	content, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return "unknown"
-	}
-	fields := strings.Fields(string(content))
-	return strings.Join(fields[:min(3, len(fields))], " ")
-}
--- a/cmd/egretring-measure/tasks.go
+++ b/cmd/egretring-measure/tasks.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"strconv"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -35,23 +34,11 @@
 	}
 }
 
-func parseSeeds(text string) ([]uint64, error) {
-	var seeds []uint64
-	for _, field := range strings.Split(text, ",") {
-		seed, err := strconv.ParseUint(strings.TrimSpace(field), 10, 64)
-		if err != nil {
-			return nil, errors.Wrapf(err, "seed %q", field)
-		}
-		seeds = append(seeds, seed)
-	}
-	return seeds, nil
-}
-
 func printTasks(seeds []uint64, only, commit string) error {
 	fmt.Printf("# Measurements of tasks\n\nCommand: `egretring-measure %s`. Commit: %s. Seeds: %v.\n\n",
 		strings.Join(os.Args[1:], " "), commit, seeds)
 	for _, measurement := range measurer.TaskMeasurements() {
-		if only != "" && !strings.Contains(","+only+",", ","+measurement.Name+",") {
+		if !isSelected(measurement.Name, only) {
 			continue
 		}
 		table := measurement.Run(seeds)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,8 +13,8 @@
 	"egretring.example/egretring/meter"
 )
 
-// defaultQueueLength bounds the events that wait for the core.
-const defaultQueueLength = 4096
+// queueLength bounds the events that wait for the core.
+const queueLength = 4096
 
 // Core is the request-path core.
 type Core interface {
@@ -55,18 +55,13 @@
 	return func(r *Runner) { r.meter = m }
 }
 
-// WithQueueLength sets how many events may wait for the core.
-func WithQueueLength(length int) Option {
-	return func(r *Runner) { r.inbox = buffer.NewQueue[message](length) }
-}
-
 // New returns a runner of a core.
 func New(core Core, options ...Option) *Runner {
 	r := &Runner{
 		core:     core,
 		mayStart: func(time.Time) bool { return true },
 		meter:    meter.New(),
-		inbox:    buffer.NewQueue[message](defaultQueueLength),
+		inbox:    buffer.NewQueue[message](queueLength),
 		calls:    make(map[describer.RequestID]*call),
 	}
 	for _, option := range options {
