Bound the connections also when the addresses come after the shares

Cause: found in the read-through: the limit of connections to a backend server was set only when the shares changed; shares that came before the instance list left the default of 64 for each instance. Change: one function sets the limits after a change of shares or of addresses. Conclusion: idle connections are bounded by the share in either order.

--- a/server/daemon.go
+++ b/server/daemon.go
@@ -181,6 +181,7 @@
 			d.listing.Store(&readListing{Listing: listing, at: time.Now()})
 			d.directory.SetServers(listing.BackendServers)
 			d.directory.SetPeers(listing.Instances)
+			d.membership.limitConnections(d.membership.registrar.Load().Shares())
 		case <-ctx.Done():
 			return nil
 		}
--- a/server/membership.go
+++ b/server/membership.go
@@ -55,11 +55,9 @@
 	owned := 0
 	for _, share := range shares.Changed.Shares {
 		owned += share.Slots
-		if server, ok := d.directory.Server(share.BackendServer); ok {
-			d.exchanger.SetConnections(server.Address, max(1, share.Connections))
-		}
 	}
 	d.meter.Set(meter.SlotsOwned, int64(owned))
+	m.limitConnections(shares)
 	d.runner.NotifyThen(shares.Changed, func() {
 		m.applied.Store(shares.Version)
 		d.observeServing()
@@ -67,6 +65,16 @@
 	m.assignHomes()
 }
 
+// limitConnections bounds the connections to each backend server by its share. It is called when the shares change and
+// when the addresses do, because the first shares can come before the addresses.
+func (m *membership) limitConnections(shares registrar.Shares) {
+	for _, share := range shares.Changed.Shares {
+		if server, ok := m.daemon.directory.Server(share.BackendServer); ok {
+			m.daemon.exchanger.SetConnections(server.Address, max(1, share.Connections))
+		}
+	}
+}
+
 // busy counts the occupied slots. While the request path does not answer, it reports no version, so that nothing is
 // released.
 func (m *membership) busy() assigner.BusyChanged {
