--- /dev/null
+++ b/cmd/egretring-platform/serve.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	goji "goji.io"
+	"goji.io/pat"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/coordinator"
+	"egretring.example/egretring/logger"
+	"egretring.example/egretring/meter"
+	"egretring.example/egretring/platform"
+	"egretring.example/egretring/timekeeper"
+)
+
+const (
+	// drainTime is how long requests are still taken after a stop signal; the load balancer notices within two seconds.
+	drainTime = 2500 * time.Millisecond
+	// shutdownTime bounds the wait for the last answers.
+	shutdownTime = 2 * time.Second
+	// headerTimeout and idleTimeout bound connections of callers.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// stateMargin is added to the time that final states must be known.
+	stateMargin = 30 * time.Second
+	// memoryShare of the limit is where the garbage collector begins to work harder.
+	memoryShare = 0.6
+	// garbagePercent trades memory for processor time: the instances have little of both.
+	garbagePercent = 100
+)
+
+// process is what serve starts and stops.
+type process struct {
+	settings platform.Settings
+	logger   *slog.Logger
+	meter    *meter.Meter
+	cell     *coordinator.Coordinator
+	servers  []*http.Server
+	failed   chan error
+}
+
+// serve runs an instance until a signal.
+func serve(path string, settings platform.Settings, out io.Writer) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+		return errors.Wrap(err, "field LogLevel")
+	}
+	log, lines := logger.New(out, level)
+	defer lines.Close()
+	debug.SetGCPercent(garbagePercent)
+	if settings.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes<<20) * memoryShare))
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
+	defer signal.Stop(signals)
+	p := &process{
+		settings: settings, logger: log.With("Instance", settings.Instance), meter: meter.New(), failed: make(chan error, 4),
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	p.logger.Info("instance started", "AvailabilityZone", settings.AvailabilityZone, "Callers", settings.CallerAddress)
+	for {
+		select {
+		case err := <-p.failed:
+			return err
+		case received := <-signals:
+			if received == syscall.SIGHUP || received == syscall.SIGPIPE {
+				p.reload(path, received)
+				continue
+			}
+			p.logger.Info("instance stops", "Signal", received.String())
+			return p.stop()
+		}
+	}
+}
+
+// reload checks the settings file again. All settings are addresses and bounds that hold until the next start.
+func (p *process) reload(path string, received os.Signal) {
+	if received != syscall.SIGHUP {
+		return
+	}
+	changed, err := platform.LoadSettings(path)
+	switch {
+	case err != nil:
+		p.logger.Error("settings cannot be read again; the old ones stay", "Error", err.Error())
+	case changed != p.settings:
+		p.logger.Warn("settings changed; they take effect at the next start")
+	default:
+		p.logger.Info("settings read again without changes")
+	}
+}
+
+func (p *process) start() error {
+	clock := timekeeper.NewSteadyClock()
+	peers, err := net.Listen("tcp", p.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for other instances")
+	}
+	outside := platform.Connect(p.settings, clock, p.logger)
+	p.cell, err = coordinator.New(peers,
+		coordinator.WithStore(outside.Store), coordinator.WithBackendServers(outside.BackendServers),
+		coordinator.WithDirectory(outside.Directory), coordinator.WithAdvice(outside.Advice),
+		coordinator.WithClock(clock), coordinator.WithLogger(p.logger), coordinator.WithMeter(p.meter),
+		coordinator.WithInstance(p.settings.Instance, p.settings.PeerAddress),
+		coordinator.WithConductor(
+			conductor.WithMaximumLease(p.settings.MaximumLease()),
+			conductor.WithFinalStateKept(time.Duration(p.settings.StateKeptSeconds)*time.Second+stateMargin),
+		),
+	)
+	if err != nil {
+		return err
+	}
+	p.cell.Start()
+	for address, handler := range p.handlers() {
+		if err := p.listen(address, handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *process) handlers() map[string]http.Handler {
+	readiness := goji.NewMux()
+	readiness.HandleFunc(pat.Get("/readiness"), p.readiness)
+	handlers := map[string]http.Handler{
+		p.settings.CallerAddress:    platform.NewIngress(p.cell, p.logger),
+		p.settings.ReadinessAddress: readiness,
+	}
+	if p.settings.MetricsAddress != "" {
+		metrics := goji.NewMux()
+		metrics.Handle(pat.Get("/metrics"), p.meter.Handler())
+		handlers[p.settings.MetricsAddress] = metrics
+	}
+	return handlers
+}
+
+func (p *process) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !p.cell.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (p *process) listen(address string, handler http.Handler) error {
+	accept, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(accept); !errors.Is(err, http.ErrServerClosed) {
+			p.failed <- errors.Wrapf(err, "serve %s", address)
+		}
+	}()
+	return nil
+}
+
+// stop hands over the ownership, answers what still arrives, and ends.
+func (p *process) stop() error {
+	p.cell.Drain()
+	time.Sleep(drainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	for _, server := range p.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			p.logger.Warn("connections were still open at the end", "Error", err.Error())
+		}
+	}
+	err := p.cell.Stop()
+	p.logger.Info("instance stopped")
+	return err
+}
--- /dev/null
+++ b/conductor/advice.go
@@ -0,0 +1,203 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// advisor is an instance that makes advice calls, one at a time.
+type advisor struct {
+	name string
+	// busyUntil is zero when the advisor is free.
+	busyUntil time.Time
+	long      bool
+}
+
+// advice is what is known about the servers that may run a step.
+type advice struct {
+	// granted has the ticket of each server that may run the step; refused servers may not.
+	granted map[specifier.ServerID]ticket
+	refused map[specifier.ServerID]bool
+	// askedUntil is set while a call is under way.
+	askedUntil time.Time
+}
+
+type ticket struct {
+	text       string
+	validUntil time.Time
+}
+
+func (j *job) adviceFor(id specifier.StepID) *advice {
+	known := j.advice[id]
+	if known == nil {
+		known = &advice{granted: make(map[specifier.ServerID]ticket), refused: make(map[specifier.ServerID]bool)}
+		j.advice[id] = known
+	}
+	return known
+}
+
+func (j *job) ticket(step specifier.StepID, server specifier.ServerID) string {
+	if known := j.advice[step]; known != nil {
+		return known.granted[server].text
+	}
+	return ""
+}
+
+func (c *Conductor) dropTicket(step specifier.StepID, server specifier.ServerID) {
+	j := c.jobs[step.Job]
+	if j == nil || j.advice[step] == nil {
+		return
+	}
+	if known, ok := j.advice[step].granted[server]; ok {
+		known.validUntil = time.Time{}
+		j.advice[step].granted[server] = known
+	}
+}
+
+// granted returns the servers with a ticket that is still valid for long enough.
+func (c *Conductor) granted(now time.Time, u *unit, servers []*session) []*session {
+	known := u.job.adviceFor(u.step.ID)
+	return slices.DeleteFunc(servers, func(s *session) bool {
+		return known.granted[s.server.ID].validUntil.Before(now.Add(ticketMargin))
+	})
+}
+
+// requestAdvice asks for tickets when too few servers that could take the step have one.
+func (c *Conductor) requestAdvice(now time.Time, u *unit, servers []*session) {
+	known := u.job.adviceFor(u.step.ID)
+	if now.Before(known.askedUntil) {
+		return
+	}
+	names := u.serversToAsk(now, known, servers)
+	if len(names) == 0 {
+		return
+	}
+	cost := u.job.queue.Advice
+	expected := cost.Fixed + time.Duration(len(names))*cost.PerServer
+	free := c.freeAdvisor(now, expected > longAdvice)
+	if free == nil {
+		return
+	}
+	free.busyUntil = now.Add(expected + adviceTimeout)
+	free.long = expected > longAdvice
+	known.askedUntil = free.busyUntil
+	c.emit(Advise{Advisor: free.name, Step: u.step.ID, Servers: names, ExpectedTime: expected})
+}
+
+// serversToAsk returns the servers to name in the next call for a step, or none when tickets suffice.
+func (u *unit) serversToAsk(now time.Time, known *advice, servers []*session) []specifier.ServerID {
+	var ready, expired, unknown []*session
+	room := 0
+	for _, s := range servers {
+		t, granted := known.granted[s.server.ID]
+		switch {
+		case known.refused[s.server.ID]:
+		case !granted:
+			unknown = append(unknown, s)
+		case t.validUntil.After(now.Add(2 * ticketMargin)):
+			ready = append(ready, s)
+			room += u.fits(s)
+		default:
+			expired = append(expired, s)
+		}
+	}
+	wanted := len(u.waiting)
+	if room >= wanted {
+		return nil
+	}
+	byRoom := func(a, b *session) int {
+		return cmp.Or(cmp.Compare(b.room().MilliCores, a.room().MilliCores), cmp.Compare(a.server.ID, b.server.ID))
+	}
+	slices.SortFunc(expired, byRoom)
+	slices.SortFunc(unknown, byRoom)
+	var names []specifier.ServerID
+	for _, s := range expired {
+		if room >= 2*wanted {
+			break
+		}
+		names = append(names, s.server.ID)
+		room += u.fits(s)
+	}
+	if room >= wanted {
+		return names
+	}
+	limit := len(unknown)
+	cost := u.job.queue.Advice
+	if time.Duration(limit)*cost.PerServer > longAdvice {
+		limit = min(limit, adviceServers)
+	}
+	for _, s := range unknown[:limit] {
+		names = append(names, s.server.ID)
+	}
+	return names
+}
+
+func (c *Conductor) freeAdvisor(now time.Time, long bool) *advisor {
+	var free *advisor
+	longCalls := 0
+	for _, a := range c.advisors {
+		if now.Before(a.busyUntil) {
+			if a.long {
+				longCalls++
+			}
+			continue
+		}
+		if free == nil {
+			free = a
+		}
+	}
+	if long && longCalls >= max(1, len(c.advisors)-2) {
+		return nil
+	}
+	return free
+}
+
+// advised takes over the answer to a call.
+func (c *Conductor) advised(now time.Time, e Advised) {
+	for _, a := range c.advisors {
+		if a.name == e.Advisor {
+			a.busyUntil = time.Time{}
+			if e.Failed {
+				a.busyUntil = now.Add(adviceRetry)
+			}
+		}
+	}
+	j := c.jobs[e.Step.Job]
+	if j == nil || j.State().Final() {
+		return
+	}
+	known := j.adviceFor(e.Step)
+	known.askedUntil = time.Time{}
+	if e.Failed {
+		return
+	}
+	for _, grant := range e.Grants {
+		known.granted[grant.Server] = ticket{text: grant.Ticket, validUntil: e.ValidUntil}
+	}
+	for _, server := range e.Servers {
+		if _, granted := known.granted[server]; !granted {
+			known.refused[server] = true
+		}
+	}
+}
+
+// adviceRetry is the pause of an advisor after a failed call.
+const adviceRetry = 500 * time.Millisecond
+
+func (c *Conductor) advisorsChanged(names []string) {
+	old := make(map[string]*advisor, len(c.advisors))
+	for _, a := range c.advisors {
+		old[a.name] = a
+	}
+	c.advisors = c.advisors[:0:0]
+	for _, name := range names {
+		if known := old[name]; known != nil {
+			c.advisors = append(c.advisors, known)
+			continue
+		}
+		c.advisors = append(c.advisors, &advisor{name: name})
+	}
+}
--- /dev/null
+++ b/conductor/event.go
@@ -0,0 +1,71 @@
+package conductor
+
+import (
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// JobArrived reports an accepted job from the store.
+type JobArrived struct{ Job specifier.Job }
+
+// JobCancelled reports a stored cancellation.
+type JobCancelled struct{ Job specifier.JobID }
+
+// CommitEnded reports that the records of a Commit command are in the store.
+type CommitEnded struct{ Lane int }
+
+// OrderEnded reports the result of a Start or Stop command.
+type OrderEnded struct {
+	Server specifier.ServerID
+	Born   int64
+	Task   specifier.TaskID
+	Run    int
+	Fence  int64
+	Stop   bool
+	Result specifier.OrderResult
+}
+
+// HoldEnded reports the result of a Hold command.
+type HoldEnded struct {
+	Server specifier.ServerID
+	// Sequence is that of the command.
+	Sequence int
+	Fence    int64
+	SentAt   time.Time
+	Result   specifier.OrderResult
+	Report   specifier.ServerReport
+}
+
+// ServersListed reports all registered backend servers.
+type ServersListed struct{ Servers []specifier.Server }
+
+// Configured reports the configuration in force.
+type Configured struct{ Configuration specifier.Configuration }
+
+// AdvisorsChanged reports the instances that can make advice calls.
+type AdvisorsChanged struct{ Advisors []string }
+
+// Advised reports the answer to an Advise command.
+type Advised struct {
+	Step    specifier.StepID
+	Advisor string
+	Servers []specifier.ServerID
+	Grants  []specifier.Grant
+	// ValidUntil is when the tickets expire.
+	ValidUntil time.Time
+	Failed     bool
+}
+
+func (JobArrived) event()      {}
+func (JobCancelled) event()    {}
+func (CommitEnded) event()     {}
+func (OrderEnded) event()      {}
+func (HoldEnded) event()       {}
+func (ServersListed) event()   {}
+func (Configured) event()      {}
+func (AdvisorsChanged) event() {}
+func (Advised) event()         {}
--- /dev/null
+++ b/conductor/option.go
@@ -0,0 +1,64 @@
+package conductor
+
+import "time"
+
+const (
+	// defaultLease is how long runs go on without renewal. A successor takes over within three seconds, and runs on a
+	// lost server start again this much later.
+	defaultLease = 6 * time.Second
+	// startLease bounds how long after its sending a start order may still take effect.
+	startLease = 2500 * time.Millisecond
+	// leaseDrift is by how much the clock of a backend server may be slow; the platform states 2%.
+	leaseDrift = 0.03
+	// leaseMargin covers the delay between a lease's end and the end of the runs.
+	leaseMargin = 300 * time.Millisecond
+	// holdWait is how long a server may wait for an end before it answers a hold; the platform allows two seconds.
+	holdWait = 1500 * time.Millisecond
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 250 * time.Millisecond
+	// uncommittedHold is how often the lease is renewed while ends wait for the store.
+	uncommittedHold = time.Second
+	// stopRetry is how long an unanswered stop, or one whose end is not listed, waits before it is sent again.
+	stopRetry = 500 * time.Millisecond
+	// commitLanes bounds the writes to the store at the same time.
+	commitLanes = 4
+	// commitBatch bounds the records of one write; the store admits 32 entries.
+	commitBatch = 28
+	// extraLaneAfter is how long a write may take before another one begins beside it.
+	extraLaneAfter = 15 * time.Millisecond
+	// ticketMargin is how long a ticket must still be valid for a placement: the time of the commit and of the start.
+	ticketMargin = 150 * time.Millisecond
+	// adviceTimeout is added to the expected time of an advice call before its advisor is taken as lost.
+	adviceTimeout = 3 * time.Second
+	// adviceServers is the number of servers that the first call of a step names when each adds much time.
+	adviceServers = 30
+	// longAdvice is the time above which a call counts as long; long calls never occupy the last two advisors.
+	longAdvice = 200 * time.Millisecond
+	// majorityPatience is how long an owner may fail to reach half of the servers before it resigns.
+	majorityPatience = 1500 * time.Millisecond
+	// handoverGrace is how long after a takeover an earlier owner may still have renewed the lease of a server that this
+	// owner does not reach.
+	handoverGrace = 8 * time.Second
+)
+
+type settings struct {
+	lease     time.Duration
+	keepFinal time.Duration
+}
+
+// Option configures a Conductor.
+type Option func(*settings)
+
+// WithMaximumLease bounds the lease of runs by what backend servers accept.
+func WithMaximumLease(limit time.Duration) Option {
+	return func(s *settings) {
+		if limit > 0 {
+			s.lease = min(s.lease, limit)
+		}
+	}
+}
+
+// WithFinalStateKept sets how long the final state of a job is kept.
+func WithFinalStateKept(keep time.Duration) Option {
+	return func(s *settings) { s.keepFinal = keep }
+}
--- /dev/null
+++ b/conductor/place.go
@@ -0,0 +1,200 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// pass is one attempt to place all waiting steps.
+type pass struct {
+	now time.Time
+	// heldFor are servers whose room a gang of this priority waits for.
+	heldFor map[specifier.ServerID]int
+}
+
+// place starts what fits, in the order of the waiting steps, and asks for the advice that they need.
+func (c *Conductor) place(now time.Time) {
+	p := &pass{now: now, heldFor: make(map[specifier.ServerID]int)}
+	for _, u := range c.ordered(now) {
+		candidates := c.candidates(now, u)
+		if u.job.queue.Advice.Needed {
+			c.requestAdvice(now, u, candidates)
+			candidates = c.granted(now, u, candidates)
+		}
+		candidates = p.withoutHeld(u, candidates)
+		if u.step.Spec.Gang {
+			c.placeGang(p, u, candidates)
+			continue
+		}
+		c.placeTasks(p, u, candidates)
+	}
+}
+
+// withoutHeld drops the servers that a more important gang waits for.
+func (p *pass) withoutHeld(u *unit, candidates []*session) []*session {
+	if len(p.heldFor) == 0 {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(s *session) bool {
+		priority, held := p.heldFor[s.server.ID]
+		return held && u.job.queue.Priority >= priority
+	})
+}
+
+// fits returns how many tasks of the step the server can take now.
+func (u *unit) fits(s *session) int {
+	limit := len(u.waiting)
+	if bound := u.step.Spec.MaxPerServer; bound > 0 {
+		limit = min(limit, bound-s.countOf(u.step.ID))
+	}
+	if limit <= 0 {
+		return 0
+	}
+	return u.need().Count(s.room(), limit)
+}
+
+func (s *session) countOf(step specifier.StepID) int {
+	count := 0
+	for id := range s.allocations {
+		if id.StepID == step {
+			count++
+		}
+	}
+	return count
+}
+
+// sortByPreference puts the servers first that suit the step best: near its data, without earlier failures of the job,
+// and with the least room left over, so that wide room stays for large tasks.
+func (u *unit) sortByPreference(servers []*session) {
+	slices.SortFunc(servers, func(a, b *session) int {
+		return cmp.Or(
+			compareBool(a.server.HasLabel(u.step.Spec.PreferredRack), b.server.HasLabel(u.step.Spec.PreferredRack)),
+			compareBool(!u.job.avoid[a.server.ID], !u.job.avoid[b.server.ID]),
+			cmp.Compare(a.room().MilliCores, b.room().MilliCores),
+			cmp.Compare(a.server.ID, b.server.ID),
+		)
+	})
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (c *Conductor) placeTasks(p *pass, u *unit, servers []*session) {
+	servers = slices.DeleteFunc(servers, func(s *session) bool { return u.fits(s) == 0 })
+	u.sortByPreference(servers)
+	waiting := u.waiting
+	var placed int
+	for _, index := range waiting {
+		for _, s := range servers {
+			if u.fits(s) > 0 && !placedOn(s, u.step, index) {
+				c.reserve(u, s, index, u.step.NextRun(index))
+				placed++
+				break
+			}
+		}
+	}
+	if placed > 0 {
+		c.changed(u.job)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (c *Conductor) placeGang(p *pass, u *unit, servers []*session) {
+	chosen := u.chooseForGang(servers)
+	if chosen == nil {
+		if u.tier == onTime && len(servers) > 0 {
+			p.holdRoom(u, servers)
+		}
+		return
+	}
+	run := u.step.NextRun(0)
+	for i, s := range chosen {
+		c.reserve(u, s, u.waiting[i], run)
+	}
+	c.changed(u.job)
+}
+
+// chooseForGang returns a server for each task, or nil when not all fit.
+func (u *unit) chooseForGang(servers []*session) []*session {
+	if !u.step.Spec.SameRack {
+		return u.fill(servers)
+	}
+	racks := make(map[string][]*session)
+	for _, s := range servers {
+		for _, label := range s.server.Labels {
+			racks[label] = append(racks[label], s)
+		}
+	}
+	for _, rack := range sortedKeys(racks) {
+		if chosen := u.fill(racks[rack]); chosen != nil {
+			return chosen
+		}
+	}
+	return u.fill(servers)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (u *unit) fill(servers []*session) []*session {
+	u.sortByPreference(servers)
+	var chosen []*session
+	for _, s := range servers {
+		for range min(u.fits(s), len(u.waiting)-len(chosen)) {
+			chosen = append(chosen, s)
+		}
+		if len(chosen) == len(u.waiting) {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// holdRoom keeps the servers with the most room for a gang that does not fit yet.
+func (p *pass) holdRoom(u *unit, servers []*session) {
+	slices.SortFunc(servers, func(a, b *session) int {
+		return cmp.Or(cmp.Compare(b.room().MilliCores, a.room().MilliCores), cmp.Compare(a.server.ID, b.server.ID))
+	})
+	expected := 0
+	for _, s := range servers {
+		if expected >= len(u.waiting) {
+			return
+		}
+		expected += u.need().Count(s.server.Capacity, len(u.waiting))
+		if _, held := p.heldFor[s.server.ID]; !held {
+			p.heldFor[s.server.ID] = u.job.queue.Priority
+		}
+	}
+}
+
+// reserve decides the start of a run; it is sent once its record is in the store.
+func (c *Conductor) reserve(u *unit, s *session, index, run int) {
+	u.job.Place(u.step, index, run, s.server.ID)
+	a := &allocation{
+		task: u.step.ID.Task(index), run: run, need: u.need(), state: reserved, version: u.job.Version(),
+		order: specifier.StartOrder{
+			Task: u.step.ID.Task(index), Run: run, Spec: u.job.Spec.Spec, Checkpoint: u.step.SharedCheckpoint(index),
+			Ticket: u.job.ticket(u.step.ID, s.server.ID),
+		},
+	}
+	s.add(a)
+	u.job.reserved = append(u.job.reserved, &reservation{session: s, allocation: a})
+	c.decide("RunPlaced", a.task, run, s.server.ID, "")
+}
--- /dev/null
+++ b/coordinator/caller.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"context"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/specifier"
+)
+
+// Queue returns the queue of a host and path. Its error is NotReady before there is a configuration, and NotFound when
+// no queue matches.
+func (c *Coordinator) Queue(host, path string) (specifier.Queue, error) {
+	configuration := c.configuration.Load()
+	if configuration == nil {
+		return specifier.Queue{}, classifier.New(classifier.NotReady, "no configuration has been read yet")
+	}
+	queue, ok := configuration.QueueFor(host, path)
+	if !ok {
+		return specifier.Queue{}, classifier.New(classifier.NotFound, "no queue matches host %q and path %q", host, path)
+	}
+	return queue, nil
+}
+
+// MaxBodyBytes returns the configured limit of a request's body; zero means no limit.
+func (c *Coordinator) MaxBodyBytes() int64 {
+	if configuration := c.configuration.Load(); configuration != nil {
+		return configuration.MaxBodyBytes
+	}
+	return 0
+}
+
+// Submit accepts a job. The context's deadline is the time until which the caller waits.
+func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
+	job.AcceptedAt = c.settings.clock.Now()
+	return c.intaker.Accept(ctx, job)
+}
+
+// Cancel cancels a job. It reports whether there is such a job.
+func (c *Coordinator) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
+	return c.intaker.Cancel(ctx, id)
+}
+
+// State returns the state of a job and reports whether there is such a job.
+func (c *Coordinator) State(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
+	if state, known := c.askOwner(ctx, id); known {
+		return state, true, nil
+	}
+	return c.storedState(ctx, id)
+}
+
+func (c *Coordinator) askOwner(ctx context.Context, id specifier.JobID) (specifier.JobState, bool) {
+	if o := c.owner.Load(); o != nil {
+		return o.state(ctx, id)
+	}
+	current := c.elector.Current()
+	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance {
+		return specifier.Queued, false
+	}
+	reply, err := messenger.Call[jobStateRequest, jobStateReply](
+		ctx, c.questions, current.Owner.Address, methodJobState, jobStateRequest{Job: id},
+	)
+	if err != nil {
+		c.settings.logger.Warn("owner does not answer; the store is read", "Job", string(id),
+			"Owner", current.Owner.Instance, "Error", err.Error())
+		return specifier.Queued, false
+	}
+	return reply.State, reply.Known
+}
+
+// storedState reads the state of a job that the owner does not know, or when there is no owner.
+func (c *Coordinator) storedState(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
+	entry, err := c.settings.store.Get(ctx, stateKey(id))
+	if err != nil {
+		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read state of job %s", id)
+	}
+	if entry.Revision != 0 {
+		record, err := lifecycler.DecodeRecord(entry.Value)
+		if err != nil {
+			return specifier.Queued, false, err
+		}
+		if !record.State.Final() {
+			return specifier.Running, true, nil
+		}
+		return record.State, true, nil
+	}
+	submitted, err := c.settings.store.Get(ctx, intaker.JobKey(id))
+	if err != nil {
+		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
+	}
+	return specifier.Queued, submitted.Revision != 0, nil
+}
+
+// Waiting returns the number of accepted jobs of a queue of which no task has started.
+func (c *Coordinator) Waiting(ctx context.Context, queue specifier.Queue) (int, error) {
+	if o := c.owner.Load(); o != nil {
+		var waiting int
+		if o.query(ctx, func(core *conductor.Conductor) { waiting = core.Waiting(queue.Name) }) {
+			return waiting, nil
+		}
+	}
+	current := c.elector.Current()
+	if current.Epoch == 0 {
+		return 0, classifier.New(classifier.NotReady, "no instance owns the jobs of the cell")
+	}
+	reply, err := messenger.Call[waitingRequest, waitingReply](
+		ctx, c.questions, current.Owner.Address, methodWaiting, waitingRequest{Queue: queue.Name},
+	)
+	if err != nil || !reply.Owner {
+		return 0, classifier.New(classifier.NotReady, "owner %s does not answer", current.Owner.Instance)
+	}
+	return reply.Waiting, nil
+}
--- /dev/null
+++ b/coordinator/configuration.go
@@ -0,0 +1,53 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/specifier"
+)
+
+// followConfiguration reads the configuration until the context ends. An older one never replaces a newer one.
+func (c *Coordinator) followConfiguration(ctx context.Context) error {
+	failed := false
+	for ctx.Err() == nil {
+		configuration, found, err := c.settings.directory.Configuration(ctx)
+		c.intaker.Observe(err == nil)
+		switch {
+		case err != nil && !failed:
+			c.settings.logger.Warn("configuration cannot be read", "Error", err.Error())
+		case err == nil && found:
+			c.configure(configuration)
+		}
+		failed = err != nil
+		wait := configurationInterval
+		if c.configuration.Load() == nil {
+			wait = retryInterval
+		}
+		sleep(ctx, wait)
+	}
+	return nil
+}
+
+func (c *Coordinator) configure(configuration specifier.Configuration) {
+	old := c.configuration.Load()
+	if old != nil && old.Revision >= configuration.Revision {
+		return
+	}
+	c.configuration.Store(&configuration)
+	c.settings.logger.Info("configuration in force", "Version", configuration.Version, "Revision", configuration.Revision,
+		"Queues", len(configuration.Queues))
+	if o := c.owner.Load(); o != nil {
+		o.post(conductor.Configured{Configuration: configuration})
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,101 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"egretring.example/egretring/elector"
+	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/meter"
+	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
+)
+
+// Coordinator runs one instance.
+type Coordinator struct {
+	settings settings
+	tomb     tomb.Tomb
+	elector  *elector.Elector
+	intaker  *intaker.Intaker
+	listener *messenger.Listener
+	// questions and advice are calls to other instances; a late advice call must not end the other's connection.
+	questions *messenger.Client
+	advice    *messenger.Client
+
+	configuration atomic.Pointer[specifier.Configuration]
+	owner         atomic.Pointer[owner]
+	draining      atomic.Bool
+}
+
+// New returns a coordinator that is not started. It answers the calls of other instances on the listener.
+func New(accept net.Listener, options ...Option) (*Coordinator, error) {
+	s := settings{clock: timekeeper.WallClock{}, logger: slog.Default(), meter: meter.New()}
+	for _, option := range options {
+		option(&s)
+	}
+	if s.store == nil || s.servers == nil || s.directory == nil || s.advice == nil || s.instance == "" {
+		return nil, errors.New("a coordinator needs a store, backend servers, a directory, an advice service and a name")
+	}
+	c := &Coordinator{
+		settings:  s,
+		intaker:   intaker.New(s.store, s.logger),
+		questions: messenger.NewClient(messenger.WithLogger(s.logger), messenger.WithCallTimeout(stateTimeout)),
+		advice:    messenger.NewClient(messenger.WithLogger(s.logger), messenger.WithCallTimeout(longestAdvice)),
+	}
+	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
+	c.elector = elector.New(s.store, self, c.own, s.clock, s.logger)
+	c.listener = messenger.ServeMethods(accept, c.methods(), messenger.WithLogger(s.logger))
+	return c, nil
+}
+
+// Start begins to take part in the cell.
+func (c *Coordinator) Start() {
+	ctx := c.tomb.Context(context.Background())
+	c.tomb.Go(func() error { return c.followConfiguration(ctx) })
+	c.tomb.Go(func() error { return c.keepMembership(ctx) })
+	c.tomb.Go(func() error {
+		c.elector.Run(ctx)
+		return nil
+	})
+}
+
+// Drain gives up the ownership and reports not ready; requests are still answered until Stop.
+func (c *Coordinator) Drain() {
+	c.draining.Store(true)
+	c.elector.Resign("instance stops")
+}
+
+// Stop ends the coordinator.
+func (c *Coordinator) Stop() error {
+	c.tomb.Kill(nil)
+	err := c.tomb.Wait()
+	if closeErr := c.listener.Close(); err == nil {
+		err = closeErr
+	}
+	if closeErr := c.intaker.Close(); err == nil {
+		err = closeErr
+	}
+	if closeErr := c.questions.Close(); err == nil {
+		err = closeErr
+	}
+	if closeErr := c.advice.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// Ready reports whether callers should be sent to this instance.
+func (c *Coordinator) Ready() bool {
+	return c.configuration.Load() != nil && !c.draining.Load() && c.intaker.Reachable()
+}
+
+// Draining reports whether the instance is about to stop.
+func (c *Coordinator) Draining() bool {
+	return c.draining.Load()
+}
--- /dev/null
+++ b/coordinator/execute.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/keeper"
+)
+
+// execute carries out a command. What waits for an answer runs in a goroutine and posts an event.
+func (o *owner) execute(ctx context.Context, command conductor.Command) {
+	switch c := command.(type) {
+	case conductor.Commit:
+		go o.write(ctx, c)
+	case conductor.Start:
+		go o.start(ctx, c)
+	case conductor.Stop:
+		go o.stop(ctx, c)
+	case conductor.Hold:
+		go o.hold(ctx, c)
+	case conductor.Advise:
+		go o.advise(ctx, c, o.members[c.Advisor])
+	case conductor.Resign:
+		o.elector.Resign(c.Reason)
+	case conductor.Decision:
+		o.log(c)
+	}
+}
+
+func (o *owner) log(d conductor.Decision) {
+	o.settings.meter.Count("Decisions."+d.Name, 1)
+	o.settings.logger.Info("decision", "Decision", d.Name, "Job", string(d.Task.Job), "Task", d.Task.String(), "Run", d.Run,
+		"Server", string(d.Server), "Detail", d.Detail, "Epoch", o.ownership.Epoch)
+}
+
+func (o *owner) start(ctx context.Context, c conductor.Start) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	result := o.settings.servers.Start(ctx, c)
+	o.settings.meter.Observe("Orders.StartMicroseconds", time.Since(startedAt))
+	o.post(conductor.OrderEnded{
+		Server: c.Server.ID, Born: c.Server.Born, Task: c.Order.Task, Run: c.Order.Run, Fence: c.Order.Fence, Result: result,
+	})
+}
+
+func (o *owner) stop(ctx context.Context, c conductor.Stop) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result := o.settings.servers.Stop(ctx, c)
+	o.post(conductor.OrderEnded{
+		Server: c.Server.ID, Born: c.Server.Born, Task: c.Task, Run: c.Run, Fence: c.Fence, Stop: true, Result: result,
+	})
+}
+
+func (o *owner) hold(ctx context.Context, c conductor.Hold) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+holdTimeout)
+	defer cancel()
+	sentAt := o.settings.clock.Now()
+	report, result := o.settings.servers.Hold(ctx, c)
+	o.post(conductor.HoldEnded{
+		Server: c.Server.ID, Sequence: c.Sequence, Fence: c.Fence, SentAt: sentAt, Result: result, Report: report,
+	})
+}
+
+// write commits records until the outcome is known. A write that is repeated has the same lane token, so that the store
+// shows whether an earlier attempt took effect.
+func (o *owner) write(ctx context.Context, c conductor.Commit) {
+	lane := laneKey(c.Lane)
+	transaction := keeper.Transaction{Conditions: []keeper.Condition{
+		o.ownership.Condition(), {Key: lane, Revision: o.laneRevisions[c.Lane]},
+	}}
+	token := strconv.FormatInt(o.ownership.Epoch, 10) + "/" + strconv.FormatInt(o.settings.clock.Now().UnixNano(), 10)
+	transaction.Writes = append(transaction.Writes, keeper.Write{Key: lane, Value: []byte(token)})
+	for _, change := range c.Changes {
+		transaction.Writes = append(transaction.Writes, keeper.Write{Key: stateKey(change.Job), Value: change.Value})
+	}
+	startedAt := time.Now()
+	for ctx.Err() == nil {
+		revision, err := o.settings.store.Commit(ctx, transaction)
+		var conflict *keeper.ConflictError
+		if errors.As(err, &conflict) {
+			if conflict.EntryOf(o.ownership.Condition().Key).Revision != o.ownership.Epoch {
+				o.elector.Resign("another instance owns the cell, or the owner's key is gone")
+				return
+			}
+			entry := conflict.EntryOf(lane)
+			if string(entry.Value) == token {
+				revision, err = entry.Revision, nil
+			} else {
+				transaction.Conditions[1].Revision = entry.Revision
+				o.settings.logger.Warn("lane was written by an earlier attempt", "Lane", c.Lane, "Revision", entry.Revision)
+				continue
+			}
+		}
+		if err == nil {
+			o.laneRevisions[c.Lane] = revision
+			o.settings.meter.Observe("Store.CommitMicroseconds", time.Since(startedAt))
+			o.post(conductor.CommitEnded{Lane: c.Lane})
+			return
+		}
+		o.settings.meter.Count("Store.CommitRetries", 1)
+		sleep(ctx, retryInterval)
+	}
+}
--- /dev/null
+++ b/coordinator/member.go
@@ -0,0 +1,66 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/keeper"
+)
+
+// member is the value of an instance's key.
+type member struct {
+	Instance string
+	Address  string
+}
+
+// keepMembership keeps the key of this instance under a lease, so that the owner can ask it for advice calls.
+func (c *Coordinator) keepMembership(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lease, err := c.join(ctx)
+		if err != nil {
+			sleep(ctx, retryInterval*4)
+			continue
+		}
+		for ctx.Err() == nil {
+			sleep(ctx, memberRenewal)
+			if err := c.settings.store.Renew(ctx, lease); keeper.IsErrLeaseLapsed(err) {
+				break
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) join(ctx context.Context) (keeper.LeaseID, error) {
+	lease, err := c.settings.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: memberLife})
+	if err != nil {
+		return 0, err
+	}
+	value, err := json.Marshal(member{Instance: c.settings.instance, Address: c.settings.address})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode member")
+	}
+	_, err = c.settings.store.Commit(ctx, keeper.Transaction{
+		Writes: []keeper.Write{{Key: memberKey(c.settings.instance), Value: value, Lease: lease}},
+	})
+	return lease, err
+}
+
+// members returns the addresses of all instances that can make advice calls.
+func (c *Coordinator) members(ctx context.Context) ([]member, error) {
+	page, err := c.settings.store.List(ctx, memberPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var members []member
+	for _, entry := range page.Entries {
+		var m member
+		if err := json.Unmarshal(entry.Value, &m); err != nil {
+			return nil, errors.Wrapf(err, "decode member %s", entry.Key)
+		}
+		members = append(members, m)
+	}
+	return members, nil
+}
--- /dev/null
+++ b/coordinator/option.go
@@ -0,0 +1,104 @@
+package coordinator
+
+import (
+	"log/slog"
+	"time"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/meter"
+	"egretring.example/egretring/timekeeper"
+)
+
+const (
+	// configurationInterval is how often the configuration is read; operators expect it in force within seconds.
+	configurationInterval = 450 * time.Millisecond
+	// listInterval is how often the owner reads the registered backend servers.
+	listInterval = 300 * time.Millisecond
+	// memberInterval is how often the owner reads the members, and memberRenewal how often members renew their lease.
+	memberInterval = 700 * time.Millisecond
+	memberRenewal  = time.Second
+	memberLife     = 4 * time.Second
+	// intakePause is the pause between two watches of submissions: each answered watch is a call to the store.
+	intakePause = 15 * time.Millisecond
+	// intakeWait is how long a watch waits for submissions.
+	intakeWait = 5 * time.Second
+	// planInterval is the longest time between two plans of the owner.
+	planInterval = 25 * time.Millisecond
+	// orderTimeout bounds a start or stop; a healthy server answers within a few milliseconds.
+	orderTimeout = 600 * time.Millisecond
+	// holdTimeout is added to the wait of a hold.
+	holdTimeout = 700 * time.Millisecond
+	// retryInterval is the pause after a store call without success.
+	retryInterval = 60 * time.Millisecond
+	// adviceCallTimeout is added to the expected time of an advice call.
+	adviceCallTimeout = 1500 * time.Millisecond
+	// stateTimeout bounds a question to the owner; after it the store is read.
+	stateTimeout = 250 * time.Millisecond
+	// events bounds the events that wait for the owner's goroutine.
+	queuedEvents = 8192
+	// plannedEvents bounds the events that are applied before the next plan.
+	plannedEvents = 512
+)
+
+type settings struct {
+	store     keeper.TransactionalStore
+	servers   BackendServers
+	directory Directory
+	advice    AdviceService
+	clock     timekeeper.Clock
+	logger    *slog.Logger
+	meter     *meter.Meter
+	conductor []conductor.Option
+	instance  string
+	// address is where other instances call this one.
+	address string
+}
+
+// Option configures a Coordinator.
+type Option func(*settings)
+
+// WithStore sets the store.
+func WithStore(store keeper.TransactionalStore) Option {
+	return func(s *settings) { s.store = store }
+}
+
+// WithBackendServers sets what carries orders to backend servers.
+func WithBackendServers(servers BackendServers) Option {
+	return func(s *settings) { s.servers = servers }
+}
+
+// WithDirectory sets the reader of configuration and backend servers.
+func WithDirectory(directory Directory) Option {
+	return func(s *settings) { s.directory = directory }
+}
+
+// WithAdvice sets the advice service.
+func WithAdvice(advice AdviceService) Option {
+	return func(s *settings) { s.advice = advice }
+}
+
+// WithClock replaces the clock.
+func WithClock(clock timekeeper.Clock) Option {
+	return func(s *settings) { s.clock = clock }
+}
+
+// WithLogger sets the logger.
+func WithLogger(logger *slog.Logger) Option {
+	return func(s *settings) { s.logger = logger }
+}
+
+// WithMeter sets the registry of metrics.
+func WithMeter(m *meter.Meter) Option {
+	return func(s *settings) { s.meter = m }
+}
+
+// WithConductor sets options of the owner's core.
+func WithConductor(options ...conductor.Option) Option {
+	return func(s *settings) { s.conductor = options }
+}
+
+// WithInstance names the instance and the address on which other instances call it.
+func WithInstance(name, address string) Option {
+	return func(s *settings) { s.instance, s.address = name, address }
+}
--- /dev/null
+++ b/coordinator/owner.go
@@ -0,0 +1,154 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/elector"
+	"egretring.example/egretring/specifier"
+)
+
+// owner carries out the duty of the elected instance.
+type owner struct {
+	*Coordinator
+	ownership elector.Ownership
+	core      *conductor.Conductor
+	events    chan conductor.Event
+	queries   chan func(*conductor.Conductor)
+	// laneRevisions are the revisions of the lanes' keys.
+	laneRevisions [16]int64
+	members       map[string]string
+	done          <-chan struct{}
+	intakeAfter   int64
+}
+
+// own is the duty of the elector.
+func (c *Coordinator) own(ctx context.Context, ownership elector.Ownership) {
+	o := &owner{
+		Coordinator: c, ownership: ownership,
+		events: make(chan conductor.Event, queuedEvents), queries: make(chan func(*conductor.Conductor)),
+		members: make(map[string]string), done: ctx.Done(),
+	}
+	startedAt := c.settings.clock.Now()
+	for {
+		err := o.recover(ctx)
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		c.settings.logger.Warn("jobs cannot be read from the store", "Epoch", ownership.Epoch, "Error", err.Error())
+		sleep(ctx, retryInterval)
+	}
+	c.settings.logger.Info("ownership begins", "Epoch", ownership.Epoch,
+		"RecoveryTime", c.settings.clock.Now().Sub(startedAt).String())
+	c.owner.Store(o)
+	defer c.owner.Store(nil)
+	go o.watchIntake(ctx)
+	go o.followServers(ctx)
+	go o.followMembers(ctx)
+	o.run(ctx)
+}
+
+// post hands an event to the owner's goroutine.
+func (o *owner) post(event conductor.Event) {
+	select {
+	case o.events <- event:
+	case <-o.done:
+	}
+}
+
+// query runs a function on the core and waits for it. It reports whether the function ran.
+func (o *owner) query(ctx context.Context, ask func(*conductor.Conductor)) bool {
+	answered := make(chan struct{})
+	wrapped := func(core *conductor.Conductor) {
+		ask(core)
+		close(answered)
+	}
+	select {
+	case o.queries <- wrapped:
+	case <-o.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	<-answered
+	return true
+}
+
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ask := <-o.queries:
+			ask(o.core)
+			continue
+		case event := <-o.events:
+			o.core.Handle(o.settings.clock.Now(), event)
+			o.handleWaiting()
+		case <-ticker.C:
+		}
+		for _, command := range o.core.Plan(o.settings.clock.Now()) {
+			o.execute(ctx, command)
+		}
+	}
+}
+
+func (o *owner) handleWaiting() {
+	for range plannedEvents {
+		select {
+		case event := <-o.events:
+			o.core.Handle(o.settings.clock.Now(), event)
+		default:
+			return
+		}
+	}
+}
+
+func (o *owner) followServers(ctx context.Context) {
+	for ctx.Err() == nil {
+		servers, err := o.settings.directory.Servers(ctx)
+		if err == nil {
+			o.post(conductor.ServersListed{Servers: servers})
+			sleep(ctx, listInterval)
+			continue
+		}
+		sleep(ctx, retryInterval)
+	}
+}
+
+func (o *owner) followMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		members, err := o.Coordinator.members(ctx)
+		if err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		addresses := make(map[string]string, len(members))
+		names := []string{o.settings.instance}
+		for _, m := range members {
+			if m.Instance != o.settings.instance {
+				names = append(names, m.Instance)
+				addresses[m.Instance] = m.Address
+			}
+		}
+		o.post(conductor.AdvisorsChanged{Advisors: names})
+		o.query(ctx, func(*conductor.Conductor) { o.members = addresses })
+		sleep(ctx, memberInterval)
+	}
+}
+
+// state returns the state of a job as the core knows it.
+func (o *owner) state(ctx context.Context, id specifier.JobID) (specifier.JobState, bool) {
+	var state specifier.JobState
+	var known bool
+	if !o.query(ctx, func(core *conductor.Conductor) { state, known = core.State(id) }) {
+		return state, false
+	}
+	return state, known
+}
--- /dev/null
+++ b/coordinator/peer.go
@@ -0,0 +1,112 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/specifier"
+)
+
+// The methods that instances answer to each other.
+const (
+	methodJobState = "JobState"
+	methodWaiting  = "Waiting"
+	methodAdvise   = "Advise"
+)
+
+// longestAdvice bounds an advice call through another instance.
+const longestAdvice = 4 * time.Second
+
+// jobStateRequest asks the owner for the state of a job.
+type jobStateRequest struct {
+	Job specifier.JobID
+}
+
+type jobStateReply struct {
+	Known bool
+	State specifier.JobState
+}
+
+// waitingRequest asks the owner how many jobs of a queue have not begun.
+type waitingRequest struct {
+	Queue string
+}
+
+type waitingReply struct {
+	// Owner is false when the instance does not own the cell.
+	Owner   bool
+	Waiting int
+}
+
+// adviseRequest asks an instance to call the advice service.
+type adviseRequest struct {
+	Step    specifier.StepID
+	Servers []specifier.ServerID
+}
+
+type adviseReply struct {
+	Grants []specifier.Grant
+	// ValidFor is how long the tickets are still valid.
+	ValidFor time.Duration
+}
+
+func (c *Coordinator) methods() messenger.Methods {
+	return messenger.Methods{
+		methodJobState: messenger.NewMethod(c.answerJobState),
+		methodWaiting:  messenger.NewMethod(c.answerWaiting),
+		methodAdvise:   messenger.NewMethod(c.answerAdvise),
+	}
+}
+
+func (c *Coordinator) answerJobState(ctx context.Context, request jobStateRequest) (jobStateReply, error) {
+	o := c.owner.Load()
+	if o == nil {
+		return jobStateReply{}, nil
+	}
+	state, known := o.state(ctx, request.Job)
+	return jobStateReply{Known: known, State: state}, nil
+}
+
+func (c *Coordinator) answerWaiting(ctx context.Context, request waitingRequest) (waitingReply, error) {
+	o := c.owner.Load()
+	if o == nil {
+		return waitingReply{}, nil
+	}
+	var waiting int
+	owns := o.query(ctx, func(core *conductor.Conductor) { waiting = core.Waiting(request.Queue) })
+	return waitingReply{Owner: owns, Waiting: waiting}, nil
+}
+
+func (c *Coordinator) answerAdvise(ctx context.Context, request adviseRequest) (adviseReply, error) {
+	advice, err := c.settings.advice.Advise(ctx, request.Step, request.Servers)
+	if err != nil {
+		return adviseReply{}, err
+	}
+	return adviseReply{Grants: advice.Grants, ValidFor: advice.ValidUntil.Sub(c.settings.clock.Now())}, nil
+}
+
+// advise makes an advice call, through another instance if the command names one.
+func (o *owner) advise(ctx context.Context, c conductor.Advise, address string) {
+	event := conductor.Advised{Step: c.Step, Advisor: c.Advisor, Servers: c.Servers}
+	ctx, cancel := context.WithTimeout(ctx, c.ExpectedTime+adviceCallTimeout)
+	defer cancel()
+	request := adviseRequest{Step: c.Step, Servers: c.Servers}
+	askedAt := time.Now()
+	var reply adviseReply
+	var err error
+	if c.Advisor == o.settings.instance {
+		reply, err = o.answerAdvise(ctx, request)
+	} else {
+		reply, err = messenger.Call[adviseRequest, adviseReply](ctx, o.advice, address, methodAdvise, request)
+	}
+	o.settings.meter.Observe("Advice.Microseconds", time.Since(askedAt))
+	if err != nil {
+		o.settings.logger.Warn("advice call failed", "Step", c.Step.String(), "Advisor", c.Advisor, "Error", err.Error())
+		event.Failed = true
+	}
+	event.Grants = reply.Grants
+	event.ValidUntil = o.settings.clock.Now().Add(reply.ValidFor)
+	o.post(event)
+}
--- /dev/null
+++ b/coordinator/port.go
@@ -0,0 +1,36 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/specifier"
+)
+
+// BackendServers carries orders to backend servers.
+type BackendServers interface {
+	Start(ctx context.Context, order conductor.Start) specifier.OrderResult
+	Stop(ctx context.Context, order conductor.Stop) specifier.OrderResult
+	Hold(ctx context.Context, order conductor.Hold) (specifier.ServerReport, specifier.OrderResult)
+}
+
+// Directory reads what operators and backend servers wrote to the store.
+type Directory interface {
+	// Servers returns the registered backend servers.
+	Servers(ctx context.Context) ([]specifier.Server, error)
+	// Configuration returns the newest configuration; it reports false when there is none yet.
+	Configuration(ctx context.Context) (specifier.Configuration, bool, error)
+}
+
+// Advice is the answer of the advice service.
+type Advice struct {
+	Grants []specifier.Grant
+	// ValidUntil is when the tickets expire, on the clock of the instance that asked.
+	ValidUntil time.Time
+}
+
+// AdviceService tells which backend servers may run a step.
+type AdviceService interface {
+	Advise(ctx context.Context, step specifier.StepID, servers []specifier.ServerID) (Advice, error)
+}
--- /dev/null
+++ b/coordinator/recovery.go
@@ -0,0 +1,158 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/specifier"
+)
+
+// recover builds the core from the store. The writes of an earlier owner fail from the moment of the election, so what
+// is read now is complete.
+func (o *owner) recover(ctx context.Context) error {
+	now := o.settings.clock.Now()
+	o.core = conductor.New(now, o.ownership.Epoch, o.settings.conductor...)
+	if configuration := o.configuration.Load(); configuration != nil {
+		o.core.Handle(now, conductor.Configured{Configuration: *configuration})
+	}
+	if err := o.readLanes(ctx); err != nil {
+		return err
+	}
+	records, err := o.readRecords(ctx)
+	if err != nil {
+		return err
+	}
+	intake, err := o.settings.store.List(ctx, intaker.Prefix)
+	if err != nil {
+		return errors.Wrap(err, "list submitted jobs")
+	}
+	o.intakeAfter = intake.Revision
+	servers, err := o.settings.directory.Servers(ctx)
+	if err != nil {
+		return errors.Wrap(err, "list backend servers")
+	}
+	o.core.Handle(now, conductor.ServersListed{Servers: servers})
+	for _, entry := range intake.Entries {
+		o.restore(entry, records)
+	}
+	for _, entry := range intake.Entries {
+		if kind, id := intaker.ParseKey(entry.Key); kind == intaker.Cancellation {
+			o.core.Handle(now, conductor.JobCancelled{Job: id})
+		}
+	}
+	return nil
+}
+
+func (o *owner) restore(entry keeper.Entry, records map[specifier.JobID]lifecycler.Record) {
+	kind, id := intaker.ParseKey(entry.Key)
+	if kind != intaker.SubmittedJob {
+		return
+	}
+	var spec specifier.Job
+	if err := json.Unmarshal(entry.Value, &spec); err != nil {
+		o.settings.logger.Error("submitted job cannot be read", "Job", id, "Error", err.Error())
+		return
+	}
+	job, err := lifecycler.Restore(spec, records[id])
+	if err != nil {
+		o.settings.logger.Error("record of job cannot be used", "Job", id, "Error", err.Error())
+		return
+	}
+	o.core.Restore(o.settings.clock.Now(), job)
+}
+
+func (o *owner) readRecords(ctx context.Context) (map[specifier.JobID]lifecycler.Record, error) {
+	page, err := o.settings.store.List(ctx, statePrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list job records")
+	}
+	records := make(map[specifier.JobID]lifecycler.Record, len(page.Entries))
+	for _, entry := range page.Entries {
+		record, err := lifecycler.DecodeRecord(entry.Value)
+		if err != nil {
+			o.settings.logger.Error("record of job cannot be read", "Key", entry.Key, "Error", err.Error())
+			continue
+		}
+		records[jobOfState(entry.Key)] = record
+	}
+	return records, nil
+}
+
+func (o *owner) readLanes(ctx context.Context) error {
+	page, err := o.settings.store.List(ctx, lanePrefix)
+	if err != nil {
+		return errors.Wrap(err, "list lanes")
+	}
+	o.laneRevisions = [len(o.laneRevisions)]int64{}
+	for _, entry := range page.Entries {
+		lane, err := strconv.Atoi(strings.TrimPrefix(entry.Key, lanePrefix))
+		if err == nil && lane >= 0 && lane < len(o.laneRevisions) {
+			o.laneRevisions[lane] = entry.Revision
+		}
+	}
+	return nil
+}
+
+// watchIntake hands new submissions and cancellations to the core.
+func (o *owner) watchIntake(ctx context.Context) {
+	after := o.intakeAfter
+	for ctx.Err() == nil {
+		changes, err := o.settings.store.Watch(ctx, keeper.WatchOptions{
+			Prefix: intaker.Prefix, AfterRevision: after, Wait: intakeWait,
+		})
+		switch {
+		case keeper.IsErrCompacted(err):
+			o.settings.logger.Warn("store forgot its history; submissions are listed again", "AfterRevision", after)
+			after = o.relist(ctx, after)
+			continue
+		case err != nil:
+			sleep(ctx, retryInterval)
+			continue
+		}
+		for _, change := range changes.Changes {
+			if !change.Deleted {
+				o.take(change.Entry)
+			}
+		}
+		after = max(after, changes.Revision)
+		sleep(ctx, intakePause)
+	}
+}
+
+// relist reads all submissions and returns the revision from which to watch on.
+func (o *owner) relist(ctx context.Context, after int64) int64 {
+	page, err := o.settings.store.List(ctx, intaker.Prefix)
+	if err != nil {
+		sleep(ctx, retryInterval)
+		return after
+	}
+	for _, entry := range page.Entries {
+		if entry.Revision > o.intakeAfter {
+			o.take(entry)
+		}
+	}
+	return page.Revision
+}
+
+func (o *owner) take(entry keeper.Entry) {
+	kind, id := intaker.ParseKey(entry.Key)
+	switch kind {
+	case intaker.SubmittedJob:
+		var spec specifier.Job
+		if err := json.Unmarshal(entry.Value, &spec); err != nil {
+			o.settings.logger.Error("submitted job cannot be read", "Job", id, "Error", err.Error())
+			return
+		}
+		o.post(conductor.JobArrived{Job: spec})
+	case intaker.Cancellation:
+		o.post(conductor.JobCancelled{Job: id})
+	}
+}
--- /dev/null
+++ b/intaker/doc.go
@@ -0,0 +1,3 @@
+// Package intaker stores callers' jobs and cancellations before they are acknowledged. Submissions that arrive together
+// are written in one transaction.
+package intaker
--- /dev/null
+++ b/keeper/lease_options.go
@@ -0,0 +1,16 @@
+package keeper
+
+import "time"
+
+// LeaseOptions are the options of a new lease.
+type LeaseOptions struct {
+	TimeToLive time.Duration
+}
+
+// WatchOptions are the options of a watch.
+type WatchOptions struct {
+	Prefix        string
+	AfterRevision int64
+	// Wait is how long the store waits for a change before it answers without one.
+	Wait time.Duration
+}
--- /dev/null
+++ b/keeper/transaction.go
@@ -0,0 +1,87 @@
+package keeper
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// ErrRefused is returned when the store turned a call away; nothing was done.
+var ErrRefused = errors.New("store refused the call")
+
+// IsErrNothingDone reports whether a call certainly had no effect.
+func IsErrNothingDone(err error) bool {
+	return errors.Is(err, ErrRefused) || errors.Is(err, ErrRateLimited)
+}
+
+// IsErrCompacted reports whether a watch asked for changes that the store no longer has.
+func IsErrCompacted(err error) bool {
+	return errors.Is(err, ErrCompacted)
+}
+
+// MaxTransactionEntries bounds the conditions, writes and deletions of a transaction together.
+const MaxTransactionEntries = 32
+
+// Condition is a revision that a key must have; zero means that the key must not exist.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// Write is a key to set.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Transaction changes several keys at once, or none.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Write
+	Deletes    []string
+}
+
+// ConflictError is returned when a condition of a transaction does not hold. It has the present state of all keys that
+// the conditions name.
+type ConflictError struct {
+	Current []Entry
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return ErrConflict.Error()
+}
+
+// Is makes the error an ErrConflict.
+func (e *ConflictError) Is(target error) bool {
+	return target == ErrConflict
+}
+
+// EntryOf returns the present state of a key; a key that does not exist has revision zero.
+func (e *ConflictError) EntryOf(key string) Entry {
+	for _, entry := range e.Current {
+		if entry.Key == key {
+			return entry
+		}
+	}
+	return Entry{Key: key}
+}
+
+// TransactionalStore is a configuration store whose keys are compared by revision and written in transactions.
+type TransactionalStore interface {
+	// Get returns a key; a key that does not exist has revision zero.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns all keys with a prefix, ordered by key, and a revision from which a watch misses nothing.
+	List(ctx context.Context, prefix string) (Page, error)
+	// Commit applies a transaction and returns its revision.
+	Commit(ctx context.Context, transaction Transaction) (int64, error)
+	// Grant creates a lease that lapses when it is not renewed before its time to live has passed.
+	Grant(ctx context.Context, options LeaseOptions) (LeaseID, error)
+	// Renew renews a lease.
+	Renew(ctx context.Context, lease LeaseID) error
+	// Revoke ends a lease and deletes the keys attached to it.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Watch waits until a key with the prefix changes after the revision, or the wait ends.
+	Watch(ctx context.Context, options WatchOptions) (Changes, error)
+}
--- /dev/null
+++ b/lifecycler/record.go
@@ -0,0 +1,134 @@
+package lifecycler
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/specifier"
+)
+
+// Record is what the store keeps of a job's progress.
+type Record struct {
+	State specifier.JobState
+	// FinalAt is set with a final state.
+	FinalAt time.Time    `json:",omitzero"`
+	Steps   []StepRecord `json:",omitempty"`
+}
+
+// StepRecord is the progress of a step.
+type StepRecord struct {
+	Occurrence int `json:",omitempty"`
+	Step       int `json:",omitempty"`
+	// Done says that all tasks are done; then no tasks are listed.
+	Done  bool         `json:",omitempty"`
+	Tasks []TaskRecord `json:",omitempty"`
+}
+
+// TaskRecord is the progress of a task that was started at least once.
+type TaskRecord struct {
+	Index      int `json:",omitempty"`
+	State      TaskState
+	Run        int
+	Failures   int                `json:",omitempty"`
+	FailedRun  int                `json:",omitempty"`
+	Server     specifier.ServerID `json:",omitempty"`
+	Checkpoint string             `json:",omitempty"`
+}
+
+// Record returns the job's progress as a record.
+func (j *Job) Record() Record {
+	record := Record{State: j.state, FinalAt: j.finalAt}
+	for occurrence := range j.next {
+		known := j.rounds[occurrence]
+		if known == nil {
+			continue
+		}
+		for i, step := range known.steps {
+			if kept, ok := step.record(occurrence, i); ok {
+				record.Steps = append(record.Steps, kept)
+			}
+		}
+	}
+	return record
+}
+
+func (s *Step) record(occurrence, index int) (StepRecord, bool) {
+	kept := StepRecord{Occurrence: occurrence, Step: index, Done: s.Finished()}
+	if kept.Done {
+		return kept, true
+	}
+	for i, task := range s.Tasks {
+		if task.Run == 0 {
+			continue
+		}
+		kept.Tasks = append(kept.Tasks, TaskRecord{
+			Index: i, State: task.State, Run: task.Run, Failures: task.Failures, FailedRun: task.FailedRun,
+			Server: task.Server, Checkpoint: task.Checkpoint,
+		})
+	}
+	return kept, len(kept.Tasks) > 0
+}
+
+// Encode returns the record's value for the store.
+func (r Record) Encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	return value, errors.Wrap(err, "encode job record")
+}
+
+// DecodeRecord reads a record's value from the store.
+func DecodeRecord(value []byte) (Record, error) {
+	var record Record
+	err := json.Unmarshal(value, &record)
+	return record, errors.Wrap(err, "decode job record")
+}
+
+// Restore returns a job with the progress that the store has.
+func Restore(spec specifier.Job, record Record) (*Job, error) {
+	j := New(spec)
+	if record.State.Final() {
+		j.state, j.shown, j.finalAt = record.State, record.State, record.FinalAt
+		j.begun = true
+		return j, nil
+	}
+	for _, kept := range record.Steps {
+		if kept.Step >= len(spec.Steps) || kept.Step < 0 || kept.Occurrence < 0 || kept.Occurrence >= spec.Rounds() {
+			return nil, errors.Errorf("record of job %s names step %d of occurrence %d", spec.ID, kept.Step, kept.Occurrence)
+		}
+		step := j.round(kept.Occurrence).steps[kept.Step]
+		if err := step.restore(kept); err != nil {
+			return nil, err
+		}
+		j.begun = true
+	}
+	for _, known := range j.rounds {
+		if known.finished() {
+			j.finished++
+		}
+	}
+	return j, nil
+}
+
+func (s *Step) restore(kept StepRecord) error {
+	if kept.Done {
+		for i := range s.Tasks {
+			s.Tasks[i].State = Done
+		}
+		s.done = len(s.Tasks)
+		return nil
+	}
+	for _, task := range kept.Tasks {
+		if task.Index < 0 || task.Index >= len(s.Tasks) {
+			return errors.Errorf("record of step %s names task %d of %d", s.ID, task.Index, len(s.Tasks))
+		}
+		s.Tasks[task.Index] = Task{
+			State: task.State, Run: task.Run, Failures: task.Failures, FailedRun: task.FailedRun, Server: task.Server,
+			Checkpoint: task.Checkpoint,
+		}
+		if task.State == Done {
+			s.done++
+		}
+	}
+	return nil
+}
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -107,8 +107,13 @@
 	if l.settings.tls != nil {
 		conn = tls.Server(conn, l.settings.tls)
 	}
-	requests := newRequests(l.handler)
 	logger := jsonrpc2.SetLogger(protocolLog{l.settings.logger})
+	if l.settings.methods != nil {
+		peer := jsonrpc2.NewConn(l.ctx, l.settings.stream(conn), newConcurrent(l.settings.methods), logger)
+		<-peer.DisconnectNotify()
+		return
+	}
+	requests := newRequests(l.handler)
 	peer := jsonrpc2.NewConn(l.ctx, l.settings.stream(conn), requests, logger)
 	requests.run(l.ctx, peer)
 }
--- a/messenger/option.go
+++ b/messenger/option.go
@@ -37,6 +37,7 @@
 	dial         Dial
 	jitter       func() float64
 	logger       *slog.Logger
+	methods      Methods
 }
 
 // Option configures a Listener or a Client.
@@ -77,6 +78,10 @@
 	return func(s *settings) { s.logger = logger }
 }
 
+func withMethods(methods Methods) Option {
+	return func(s *settings) { s.methods = methods }
+}
+
 func newSettings(options []Option) settings {
 	dialer := &net.Dialer{}
 	s := settings{
--- /dev/null
+++ b/specifier/job.go
@@ -0,0 +1,86 @@
+package specifier
+
+import "time"
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count int
+	Need  Resources
+	// Estimate is the submitter's rough run time of a task.
+	Estimate time.Duration `json:",omitempty"`
+	// After lists earlier steps whose tasks must all be done first.
+	After         []int `json:",omitempty"`
+	Gang          bool  `json:",omitempty"`
+	SameRack      bool  `json:",omitempty"`
+	Checkpointing bool  `json:",omitempty"`
+	// AllowDuplicates permits copies of a task to run at the same time.
+	AllowDuplicates bool `json:",omitempty"`
+	LongRunning     bool `json:",omitempty"`
+	// RequiredLabel is a label that the backend server must have.
+	RequiredLabel string `json:",omitempty"`
+	// PreferredRack is the rack of the step's data.
+	PreferredRack string `json:",omitempty"`
+	// MaxPerServer bounds the step's tasks on one backend server; zero means no bound.
+	MaxPerServer int    `json:",omitempty"`
+	Image        string `json:",omitempty"`
+	// TargetLatency is the tail latency that serving tasks of the step must stay below.
+	TargetLatency time.Duration `json:",omitempty"`
+	// Fills says that the tasks only use processors that others leave unused.
+	Fills bool `json:",omitempty"`
+	// MaxUnavailable bounds the tasks that the scheduler may make unavailable at the same time.
+	MaxUnavailable int `json:",omitempty"`
+}
+
+// Occupies returns what a task of the step takes from a backend server's capacity.
+func (s Step) Occupies() Resources {
+	need := s.Need
+	if s.Fills {
+		need.MilliCores = 0
+	}
+	return need
+}
+
+// Job is a job that a caller submitted.
+type Job struct {
+	ID JobID
+	// Queue is the queue at the time of submission.
+	Queue Queue
+	// Spec is passed on to the tasks unchanged.
+	Spec       string
+	Steps      []Step
+	AcceptedAt time.Time
+	// Occurrences is the number of times that the steps run on a schedule; zero means once, at once.
+	Occurrences int           `json:",omitempty"`
+	First       time.Time     `json:",omitzero"`
+	Interval    time.Duration `json:",omitempty"`
+}
+
+// Rounds returns how often the steps run.
+func (j Job) Rounds() int {
+	return max(j.Occurrences, 1)
+}
+
+// DueAt returns when an occurrence may start.
+func (j Job) DueAt(occurrence int) time.Time {
+	if j.Occurrences == 0 {
+		return j.AcceptedAt
+	}
+	return j.First.Add(time.Duration(occurrence) * j.Interval)
+}
+
+// JobState is the state of a job as callers see it.
+type JobState int
+
+// The states of a job.
+const (
+	Queued JobState = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// Final reports whether the state is final.
+func (s JobState) Final() bool {
+	return s >= Completed
+}
--- /dev/null
+++ b/specifier/resources.go
@@ -0,0 +1,39 @@
+package specifier
+
+// Resources is an amount of what tasks occupy on a backend server.
+type Resources struct {
+	MilliCores   int64 `json:",omitempty"`
+	MemoryMB     int64 `json:",omitempty"`
+	Accelerators int64 `json:",omitempty"`
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(other Resources) Resources {
+	return Resources{r.MilliCores + other.MilliCores, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
+}
+
+// Minus returns the difference.
+func (r Resources) Minus(other Resources) Resources {
+	return Resources{r.MilliCores - other.MilliCores, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
+}
+
+// Fits reports whether the amount is available in room.
+func (r Resources) Fits(room Resources) bool {
+	return r.MilliCores <= room.MilliCores && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
+}
+
+// Count returns how many times the amount is available in room, at most limit.
+func (r Resources) Count(room Resources, limit int) int {
+	count := limit
+	for _, pair := range [...][2]int64{
+		{r.MilliCores, room.MilliCores}, {r.MemoryMB, room.MemoryMB}, {r.Accelerators, room.Accelerators},
+	} {
+		if pair[1] < 0 {
+			return 0
+		}
+		if pair[0] > 0 {
+			count = min(count, int(pair[1]/pair[0]))
+		}
+	}
+	return count
+}
