Plan only what changed; count leases from their sending

Change: passes run after a change, with the usable servers and the order computed once; leases count from the moment a hold is sent.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -135,6 +135,16 @@
 	return names
 }
 
+func (c *Conductor) freeAdvisors(now time.Time) int {
+	free := 0
+	for _, a := range c.advisors {
+		if !now.Before(a.busyUntil) {
+			free++
+		}
+	}
+	return free
+}
+
 func (c *Conductor) freeAdvisor(now time.Time, long bool) *advisor {
 	var free *advisor
 	longCalls := 0
@@ -165,6 +175,7 @@
 			}
 		}
 	}
+	c.replan = true
 	j := c.jobs[e.Step.Job]
 	if j == nil || j.State().Final() {
 		return
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -100,6 +100,7 @@
 	a.order.Fence = s.fence
 	a.fence = s.fence
 	a.order.LeaseEnd = s.serverTime(now) + startLease
+	s.extendLease(now.Add(startLease + leaseMargin))
 	c.emit(Start{Server: s.server, Order: a.order})
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -25,6 +25,12 @@
 	advisors []*advisor
 
 	commands []Command
+	// scheduled are the jobs with occurrences that have not begun.
+	scheduled map[specifier.JobID]*job
+	// replan is set when a waiting step may have become placeable; placeAgainAt bounds the time without a pass.
+	replan       bool
+	placeAgainAt time.Time
+	expireAt     time.Time
 	// reachableAt is when half of the listed servers were last reachable.
 	reachableAt time.Time
 	resigned    bool
@@ -41,8 +47,7 @@
 	units    []*unit
 	advice   map[specifier.StepID]*advice
 	// avoid are servers on which a run of the job failed.
-	avoid     map[specifier.ServerID]bool
-	objective time.Time
+	avoid map[specifier.ServerID]bool
 }
 
 type reservation struct {
@@ -60,6 +65,7 @@
 		jobs:        make(map[specifier.JobID]*job),
 		sessions:    make(map[specifier.ServerID]*session),
 		units:       make(map[specifier.StepID]*unit),
+		scheduled:   make(map[specifier.JobID]*job),
 	}
 	for _, option := range options {
 		option(&c.settings)
@@ -138,6 +144,9 @@
 		j.queue = newer
 	}
 	c.jobs[restored.Spec.ID] = j
+	if restored.Spec.Occurrences > 0 && !restored.State().Final() {
+		c.scheduled[restored.Spec.ID] = j
+	}
 	return j
 }
 
@@ -174,8 +183,13 @@
 
 // beginDue begins occurrences of scheduled jobs.
 func (c *Conductor) beginDue(now time.Time) {
-	for _, j := range c.jobs {
-		if due, ok := j.NextDue(); ok && !due.After(now) {
+	for id, j := range c.scheduled {
+		due, ok := j.NextDue()
+		if !ok {
+			delete(c.scheduled, id)
+			continue
+		}
+		if !due.After(now) {
 			j.BeginDue(now)
 			c.refresh(j)
 		}
@@ -184,6 +198,10 @@
 
 // expire forgets jobs that have been final for long.
 func (c *Conductor) expire(now time.Time) {
+	if now.Before(c.expireAt) {
+		return
+	}
+	c.expireAt = now.Add(expireInterval)
 	for id, j := range c.jobs {
 		if j.State().Final() && !j.dirty && !j.inFlight && now.Sub(j.FinalAt()) > c.settings.keepFinal {
 			delete(c.jobs, id)
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -92,6 +92,8 @@
 	command := Hold{Server: s.server, Sequence: s.holdSequence, Fence: s.fence, Acknowledged: s.acknowledged}
 	if s.clockKnown {
 		command.LeaseEnd = s.serverTime(now) + c.settings.lease
+		// The server may renew the lease although its answer is lost.
+		s.extendLease(now.Add(c.longestLease()))
 	}
 	if s.known && s.holdFailures == 0 && len(s.pending) == 0 && s.settledFence == s.fence {
 		command.Wait = holdWait
@@ -99,6 +101,11 @@
 	c.emit(command)
 }
 
+// longestLease returns how long a lease may last on the clock of the owner.
+func (c *Conductor) longestLease() time.Duration {
+	return time.Duration(float64(c.settings.lease)*(1+leaseDrift)) + leaseMargin
+}
+
 func (c *Conductor) holdEnded(now time.Time, e HoldEnded) {
 	s := c.sessions[e.Server]
 	if s == nil {
@@ -158,10 +165,9 @@
 	}
 	s.holdFailures = 0
 	s.clock, s.clockAt, s.clockKnown = e.Report.Clock, now, true
-	renewed := time.Duration(float64(c.settings.lease)*(1+leaseDrift)) + leaseMargin
-	// Before the first answer an earlier owner may have renewed the lease; after it the fencing token rules that out.
-	if end := e.SentAt.Add(renewed); !s.known || end.After(s.leaseEnd) {
-		s.leaseEnd = end
+	if !s.known {
+		// Until its first answer an earlier owner may have renewed the lease; now the fencing token rules that out.
+		s.leaseEnd = now.Add(c.longestLease())
 	}
 	running := make(map[specifier.TaskID]specifier.RunningTask, len(e.Report.Running))
 	for _, r := range e.Report.Running {
@@ -175,6 +181,9 @@
 		}
 	}
 	c.compare(now, s, e, running, ended)
+	if !s.known || len(e.Report.Ended) > 0 {
+		c.replan = true
+	}
 	s.known = true
 	s.settledFence = max(s.settledFence, e.Fence)
 }
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -32,6 +32,12 @@
 	adviceTimeout = 3 * time.Second
 	// adviceServers is the number of servers that the first call of a step names when each adds much time.
 	adviceServers = 30
+	// advisableSteps is the number of waiting steps, for each free advisor, that are looked at for advice in a pass.
+	advisableSteps = 4
+	// placeInterval is the longest time between two passes over the waiting steps.
+	placeInterval = 50 * time.Millisecond
+	// expireInterval is how often old final jobs are looked for.
+	expireInterval = time.Second
 	// longAdvice is the time above which a call counts as long; long calls never occupy the last two advisors.
 	longAdvice = 200 * time.Millisecond
 	// majorityPatience is how long an owner may fail to reach half of the servers before it resigns.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -11,25 +11,85 @@
 // pass is one attempt to place all waiting steps.
 type pass struct {
 	now time.Time
+	// usable are the servers of each service that may get new runs.
+	usable map[string][]*session
 	// heldFor are servers whose room a gang of this priority waits for.
 	heldFor map[specifier.ServerID]int
+	// advisable is the number of further steps for which advice may be requested.
+	advisable int
+}
+
+func (c *Conductor) newPass(now time.Time) *pass {
+	p := &pass{
+		now: now, usable: make(map[string][]*session), heldFor: make(map[specifier.ServerID]int),
+		advisable: c.freeAdvisors(now) * advisableSteps,
+	}
+	for _, s := range c.sessions {
+		if s.usable(now) {
+			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
+		}
+	}
+	for _, servers := range p.usable {
+		slices.SortFunc(servers, func(a, b *session) int { return cmp.Compare(a.server.ID, b.server.ID) })
+	}
+	return p
+}
+
+// candidates returns the servers that may run the unit's step as far as no advice is needed.
+func (p *pass) candidates(u *unit) []*session {
+	var found []*session
+	for _, s := range p.usable[u.job.queue.Service] {
+		if s.server.HasLabel(u.step.Spec.RequiredLabel) {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// anyRoom reports whether a task of the unit fits on any usable server.
+func (p *pass) anyRoom(u *unit) bool {
+	need := u.need()
+	for _, s := range p.usable[u.job.queue.Service] {
+		if need.Fits(s.room()) {
+			return true
+		}
+	}
+	return false
 }
 
 // place starts what fits, in the order of the waiting steps, and asks for the advice that they need.
 func (c *Conductor) place(now time.Time) {
-	p := &pass{now: now, heldFor: make(map[specifier.ServerID]int)}
+	if !c.replan && now.Before(c.placeAgainAt) {
+		return
+	}
+	c.replan, c.placeAgainAt = false, now.Add(placeInterval)
+	p := c.newPass(now)
 	for _, u := range c.ordered(now) {
-		candidates := c.candidates(now, u)
-		if u.job.queue.Advice.Needed {
-			c.requestAdvice(now, u, candidates)
-			candidates = c.granted(now, u, candidates)
-		}
-		candidates = p.withoutHeld(u, candidates)
-		if u.step.Spec.Gang {
-			c.placeGang(p, u, candidates)
-			continue
+		c.placeUnit(p, u)
+	}
+}
+
+func (c *Conductor) placeUnit(p *pass, u *unit) {
+	room := p.anyRoom(u)
+	advice := u.job.queue.Advice.Needed
+	if !room && (!advice || p.advisable <= 0) {
+		return
+	}
+	candidates := p.candidates(u)
+	if advice {
+		if p.advisable > 0 {
+			p.advisable--
+			c.requestAdvice(p.now, u, candidates)
 		}
-		c.placeTasks(p, u, candidates)
+		candidates = c.granted(p.now, u, candidates)
+	}
+	candidates = p.withoutHeld(u, candidates)
+	if u.step.Spec.Gang {
+		c.placeGang(p, u, candidates)
+		return
+	}
+	if room {
+		c.placeTasks(u, candidates)
 	}
 }
 
@@ -90,7 +150,7 @@
 	}
 }
 
-func (c *Conductor) placeTasks(p *pass, u *unit, servers []*session) {
+func (c *Conductor) placeTasks(u *unit, servers []*session) {
 	servers = slices.DeleteFunc(servers, func(s *session) bool { return u.fits(s) == 0 })
 	u.sortByPreference(servers)
 	waiting := u.waiting
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -110,3 +110,10 @@
 func (s *session) usable(now time.Time) bool {
 	return s.known && s.listed && s.clockKnown && !s.server.Draining && s.holdFailures == 0 && s.health.admits(now, len(s.allocations))
 }
+
+// extendLease notes that the lease may last until a time.
+func (s *session) extendLease(end time.Time) {
+	if end.After(s.leaseEnd) {
+		s.leaseEnd = end
+	}
+}
--- a/conductor/unit.go
+++ b/conductor/unit.go
@@ -14,8 +14,11 @@
 	job     *job
 	step    *lifecycler.Step
 	waiting []int
-	tier    tier
-	slack   time.Duration
+	// latestStart is when the step has to start for its job to meet its objective.
+	latestStart time.Time
+	// worthlessAt is when the result of the job has no value to its caller any more.
+	worthlessAt time.Time
+	tier        tier
 }
 
 // tier groups waiting steps by what their job still gives its caller.
@@ -42,12 +45,18 @@
 		delete(c.units, u.step.ID)
 	}
 	j.units = j.units[:0]
+	c.replan = true
+	allowed := objectiveOf(j)
 	for _, step := range j.ReadySteps() {
 		waiting := step.WaitingTasks()
 		if len(waiting) == 0 {
 			continue
 		}
-		u := &unit{job: j, step: step, waiting: waiting}
+		due := j.Spec.DueAt(step.ID.Occurrence)
+		u := &unit{
+			job: j, step: step, waiting: waiting, worthlessAt: due.Add(worthlessAfter * allowed),
+			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)),
+		}
 		j.units = append(j.units, u)
 		c.units[step.ID] = u
 	}
@@ -62,18 +71,15 @@
 	return time.Duration(float64(chain)*max(j.queue.Stretch, 1)) + j.queue.TargetLatency
 }
 
-// rank computes what orders a waiting step.
-func (u *unit) rank(now time.Time) {
-	allowed := objectiveOf(u.job)
-	due := u.job.Spec.DueAt(u.step.ID.Occurrence)
-	u.slack = due.Add(allowed).Sub(now) - u.job.RemainingTime(u.step.ID.Step)
+// rank returns the tier of a waiting step.
+func (u *unit) rank(now time.Time) tier {
 	switch {
-	case u.slack >= 0:
-		u.tier = onTime
-	case now.Before(due.Add(worthlessAfter * allowed)):
-		u.tier = overdue
+	case !now.After(u.latestStart):
+		return onTime
+	case now.Before(u.worthlessAt):
+		return overdue
 	default:
-		u.tier = worthless
+		return worthless
 	}
 }
 
@@ -81,31 +87,22 @@
 func (c *Conductor) ordered(now time.Time) []*unit {
 	units := make([]*unit, 0, len(c.units))
 	for _, u := range c.units {
-		u.rank(now)
+		u.tier = u.rank(now)
 		units = append(units, u)
 	}
 	slices.SortFunc(units, func(a, b *unit) int {
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			cmp.Compare(a.slack, b.slack),
-			cmp.Compare(a.step.ID.String(), b.step.ID.String()),
+			a.latestStart.Compare(b.latestStart),
+			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID),
+			cmp.Compare(a.step.ID.Step, b.step.ID.Step),
+			cmp.Compare(a.step.ID.Occurrence, b.step.ID.Occurrence),
 		)
 	})
 	return units
 }
 
-// server returns the session that a placement may use.
-func (c *Conductor) candidates(now time.Time, u *unit) []*session {
-	var found []*session
-	for _, s := range c.sessions {
-		if s.server.Service == u.job.queue.Service && s.usable(now) && s.server.HasLabel(u.step.Spec.RequiredLabel) {
-			found = append(found, s)
-		}
-	}
-	return found
-}
-
 // need returns what a task of the unit's step occupies.
 func (u *unit) need() specifier.Resources {
 	return u.step.Spec.Occupies()
