Count each failed run once; let the lease of a silent server end

Change: the record keeps the failed runs; a silent server is only asked; early cancellations wait for their job.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -25,6 +25,8 @@
 	advisors []*advisor
 
 	commands []Command
+	// cancelledEarly are cancellations that were read before their jobs.
+	cancelledEarly map[specifier.JobID]bool
 	// scheduled are the jobs with occurrences that have not begun.
 	scheduled map[specifier.JobID]*job
 	// replan is set when a waiting step may have become placeable; placeAgainAt bounds the time without a pass.
@@ -66,6 +68,8 @@
 		sessions:    make(map[specifier.ServerID]*session),
 		units:       make(map[specifier.StepID]*unit),
 		scheduled:   make(map[specifier.JobID]*job),
+
+		cancelledEarly: make(map[specifier.JobID]bool),
 	}
 	for _, option := range options {
 		option(&c.settings)
@@ -158,13 +162,22 @@
 	j.BeginDue(now)
 	c.refresh(j)
 	c.decide("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
+	if c.cancelledEarly[spec.ID] {
+		delete(c.cancelledEarly, spec.ID)
+		c.cancel(now, spec.ID)
+	}
 }
 
 func (c *Conductor) cancel(now time.Time, id specifier.JobID) {
 	j := c.jobs[id]
-	if j == nil || !j.Cancel(now) {
+	if j == nil {
+		c.cancelledEarly[id] = true
+		return
+	}
+	if !j.Cancel(now) {
 		return
 	}
+	c.decide("JobCancelled", specifier.TaskID{StepID: specifier.StepID{Job: id}}, 0, "", "")
 	c.changed(j)
 	c.stopAll(now, j)
 }
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -90,9 +90,10 @@
 	s.holdSequence++
 	s.holdInFlight = true
 	command := Hold{Server: s.server, Sequence: s.holdSequence, Fence: s.fence, Acknowledged: s.acknowledged}
-	if s.clockKnown {
+	if s.clockKnown && s.holdFailures == 0 {
 		command.LeaseEnd = s.serverTime(now) + c.settings.lease
-		// The server may renew the lease although its answer is lost.
+		// The server may renew the lease although its answer is lost. A server that does not answer is only asked, so
+		// that its lease ends and its tasks can start elsewhere.
 		s.extendLease(now.Add(c.longestLease()))
 	}
 	if s.known && s.holdFailures == 0 && len(s.pending) == 0 && s.settledFence == s.fence {
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -31,8 +31,7 @@
 	Index      int `json:",omitempty"`
 	State      TaskState
 	Run        int
-	Failures   int                `json:",omitempty"`
-	FailedRun  int                `json:",omitempty"`
+	FailedRuns []int              `json:",omitempty"`
 	Server     specifier.ServerID `json:",omitempty"`
 	Checkpoint string             `json:",omitempty"`
 }
@@ -64,7 +63,7 @@
 			continue
 		}
 		kept.Tasks = append(kept.Tasks, TaskRecord{
-			Index: i, State: task.State, Run: task.Run, Failures: task.Failures, FailedRun: task.FailedRun,
+			Index: i, State: task.State, Run: task.Run, FailedRuns: task.FailedRuns,
 			Server: task.Server, Checkpoint: task.Checkpoint,
 		})
 	}
@@ -123,7 +122,7 @@
 			return errors.Errorf("record of step %s names task %d of %d", s.ID, task.Index, len(s.Tasks))
 		}
 		s.Tasks[task.Index] = Task{
-			State: task.State, Run: task.Run, Failures: task.Failures, FailedRun: task.FailedRun, Server: task.Server,
+			State: task.State, Run: task.Run, FailedRuns: task.FailedRuns, Server: task.Server,
 			Checkpoint: task.Checkpoint,
 		}
 		if task.State == Done {
--- a/lifecycler/step.go
+++ b/lifecycler/step.go
@@ -1,6 +1,10 @@
 package lifecycler
 
-import "egretring.example/egretring/specifier"
+import (
+	"slices"
+
+	"egretring.example/egretring/specifier"
+)
 
 // Step is a step of one occurrence of a job.
 type Step struct {
@@ -80,21 +84,21 @@
 
 // attempts returns how many runs of a task, or of the gang, have failed.
 func (s *Step) attempts(index int) int {
-	return s.Tasks[index].Failures
+	return len(s.budget(index).FailedRuns)
 }
 
-// fail counts a failed run once; for a gang the run counts for all members.
+// fail counts a failed run once; for a gang the run counts once for all members.
 func (s *Step) fail(index, run int) {
-	if !s.Spec.Gang {
-		s.Tasks[index].Failures++
-		s.Tasks[index].FailedRun = run
-		return
-	}
-	if s.Tasks[0].FailedRun >= run {
-		return
+	task := s.budget(index)
+	if !slices.Contains(task.FailedRuns, run) {
+		task.FailedRuns = append(task.FailedRuns, run)
 	}
-	for i := range s.Tasks {
-		s.Tasks[i].Failures++
-		s.Tasks[i].FailedRun = run
+}
+
+// budget returns the task with which failed runs are kept.
+func (s *Step) budget(index int) *Task {
+	if s.Spec.Gang {
+		return &s.Tasks[0]
 	}
+	return &s.Tasks[index]
 }
--- a/lifecycler/task.go
+++ b/lifecycler/task.go
@@ -20,10 +20,9 @@
 	State TaskState
 	// Run is the number of the newest run; it grows with each start.
 	Run int
-	// Failures counts the runs that ended as failed.
-	Failures int
-	// FailedRun is the newest run that ended as failed.
-	FailedRun int
+	// FailedRuns are the runs that ended as failed. A server may list the same end again to a later owner. The failed
+	// runs of a gang are kept with its first task.
+	FailedRuns []int
 	// Server carries or carried the newest run.
 	Server     specifier.ServerID
 	Checkpoint string
