--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -146,6 +146,7 @@
 	case specifier.OrderDone:
 		a.state = confirmed
 		a.resolvedAt = now
+		c.begin(a.task.Job)
 		return
 	case specifier.OrderUnknown:
 		a.state = doubtful
@@ -256,3 +257,10 @@
 		}
 	}
 }
+
+// begin notes that a run of a job is known to have started.
+func (c *Conductor) begin(id specifier.JobID) {
+	if j := c.jobs[id]; j != nil {
+		j.Begin()
+	}
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -261,6 +261,7 @@
 }
 
 func (c *Conductor) observe(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
+	c.begin(a.task.Job)
 	if a.state == doubtful || a.state == sent {
 		a.state = confirmed
 		a.resolvedAt = now
--- /dev/null
+++ b/conductor/rule_test.go
@@ -0,0 +1,192 @@
+package conductor_test
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+func (w *world) jobOf(id specifier.JobID) specifier.Job {
+	for _, job := range w.submitted {
+		if job.ID == id {
+			return job
+		}
+	}
+	w.breakRule("UNASKED: job %s was never submitted", id)
+	return specifier.Job{}
+}
+
+// begin starts a run and checks the rules of starts.
+func (w *world) begin(s *fakeServer, o specifier.StartOrder) {
+	w.starts++
+	job := w.jobOf(o.Task.Job)
+	if o.Task.Step >= len(job.Steps) {
+		return
+	}
+	step := job.Steps[o.Task.Step]
+	r := &fakeRun{task: o.Task, run: o.Run, server: s, job: job, begunAt: w.now, need: step.Occupies()}
+	used := r.need
+	for _, other := range s.runs {
+		used = used.Plus(other.need)
+	}
+	if !used.Fits(s.server.Capacity) {
+		w.breakRule("LIMIT: %s on %s takes %v of %v", o.Task, s.server.ID, used, s.server.Capacity)
+	}
+	for _, other := range w.runs {
+		if other.task == o.Task && !other.ended {
+			w.breakRule("TWICE: %s runs on %s (run %d) and %s (run %d)", o.Task, other.server.server.ID, other.run,
+				s.server.ID, o.Run)
+		}
+	}
+	if w.done[o.Task] {
+		w.breakRule("TWICE: %s starts again after its end was acknowledged", o.Task)
+	}
+	if w.failures[o.Task] >= job.Queue.MaxAttempts {
+		w.breakRule("BUDGET: %s starts after %d failed runs", o.Task, w.failures[o.Task])
+	}
+	if job.Queue.Advice.Needed && o.Ticket == "" {
+		w.breakRule("TICKET: %s starts without a ticket", o.Task)
+	}
+	for _, before := range step.After {
+		for i := range job.Steps[before].Count {
+			if id := o.Task.StepID; !w.finished[specifier.StepID{Job: id.Job, Occurrence: id.Occurrence, Step: before}.Task(i)] {
+				w.breakRule("ORDER: %s starts before step %d is done", o.Task, before)
+			}
+		}
+	}
+	s.runs[o.Task] = r
+	w.runs = append(w.runs, r)
+	if !step.Gang {
+		w.work(r)
+		return
+	}
+	w.joinGang(r, step)
+}
+
+// work lets a run end by itself. Tasks whose job's spec says so fail; so does everything on a failing server.
+func (w *world) work(r *fakeRun) {
+	step := r.job.Steps[r.task.Step]
+	if step.LongRunning {
+		return
+	}
+	duration, reason := step.Estimate, specifier.RunDone
+	if w.now.Before(r.server.failsUntil) || strings.HasPrefix(r.job.Spec, "fails") {
+		duration, reason = duration/4, specifier.RunFailed
+	}
+	w.after(duration, func() {
+		if r.ended {
+			return
+		}
+		if reason == specifier.RunDone {
+			w.finish(r, step)
+		}
+		r.server.end(w, r, reason)
+	})
+}
+
+func (w *world) finish(r *fakeRun, step specifier.Step) {
+	if !step.Gang {
+		return
+	}
+	for _, other := range w.members(r) {
+		if other != r {
+			other.server.end(w, other, specifier.RunDone)
+		}
+	}
+}
+
+// members returns the present runs of a gang.
+func (w *world) members(r *fakeRun) []*fakeRun {
+	var members []*fakeRun
+	for _, other := range w.runs {
+		if other.task.StepID == r.task.StepID && other.run == r.run && !other.ended {
+			members = append(members, other)
+		}
+	}
+	return members
+}
+
+func (w *world) joinGang(r *fakeRun, step specifier.Step) {
+	members := w.members(r)
+	if len(members) == step.Count {
+		w.work(members[0])
+		for _, member := range members {
+			member.present = true
+		}
+		return
+	}
+	w.after(gangWait, func() {
+		if !r.ended && !r.present {
+			r.server.end(w, r, specifier.RunAlone)
+		}
+	})
+}
+
+// noteEnd keeps what the rules need of an end. A gang breaks when a member ends otherwise than done.
+func (w *world) noteEnd(r *fakeRun, reason specifier.EndReason) {
+	step := r.job.Steps[r.task.Step]
+	switch reason {
+	case specifier.RunDone:
+		w.finished[r.task] = true
+		return
+	case specifier.RunFailed:
+		w.failures[r.task]++
+	}
+	if !step.Gang {
+		return
+	}
+	for _, other := range w.members(r) {
+		other.server.end(w, other, specifier.RunBroken)
+	}
+}
+
+// jobOptions describe a job of a script.
+type jobOptions struct {
+	Tasks      int
+	MilliCores int64
+	Seconds    float64
+	Steps      int
+	Gang       bool
+	Advice     bool
+	Priority   int
+	Attempts   int
+	Spec       string
+}
+
+func newJob(number int, o jobOptions) specifier.Job {
+	queue := specifier.Queue{
+		Name: "q" + strconv.Itoa(o.Priority), Service: "s", Priority: o.Priority, MaxAttempts: max(o.Attempts, 1), Stretch: 2,
+		TargetLatency: time.Second,
+	}
+	if o.Advice {
+		queue.Advice = specifier.AdviceCost{Needed: true, Fixed: 70 * time.Millisecond, PerServer: time.Millisecond}
+	}
+	job := specifier.Job{ID: specifier.JobID("job" + strconv.Itoa(number)), Queue: queue, Spec: o.Spec}
+	for i := range max(o.Steps, 1) {
+		step := specifier.Step{
+			Count: max(o.Tasks, 1), Need: specifier.Resources{MilliCores: o.MilliCores, MemoryMB: 100}, Gang: o.Gang,
+			Estimate: time.Duration(o.Seconds * float64(time.Second)),
+		}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	return job
+}
+
+// noteAcknowledged checks that a task whose end as done was acknowledged has not started since that end. One end of a
+// gang represents all its members.
+func (w *world) noteAcknowledged(end specifier.EndedTask, endedAt time.Time) {
+	if end.Reason != specifier.RunDone {
+		return
+	}
+	w.done[end.Task] = true
+	for _, r := range w.runs {
+		if r.task == end.Task && r.begunAt.After(endedAt) {
+			w.breakRule("TWICE: %s started on %s after an end that was acknowledged", r.task, r.server.server.ID)
+		}
+	}
+}
--- /dev/null
+++ b/conductor/script_test.go
@@ -0,0 +1,110 @@
+package conductor_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tailscale/hujson"
+
+	"egretring.example/egretring/specifier"
+)
+
+// script is a case of testdata/scripts.hujson.
+type script struct {
+	Name    string
+	Guards  string
+	Servers int
+	Jobs    []struct {
+		At  float64
+		Job jobOptions
+	}
+	Events []scriptEvent
+	// Until is the length of the case in seconds.
+	Until float64
+	// Want are the states of the jobs at the end.
+	Want []string
+	// MinStarts and MaxStarts bound the runs that began.
+	MinStarts int
+	MaxStarts int
+}
+
+type scriptEvent struct {
+	At     float64
+	Kind   string
+	Server string
+	For    float64
+	Job    int
+}
+
+var stateNames = map[specifier.JobState]string{
+	specifier.Queued: "Queued", specifier.Running: "Running", specifier.Completed: "Completed", specifier.Failed: "Failed",
+	specifier.Cancelled: "Cancelled",
+}
+
+func seconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Second))
+}
+
+func (w *world) schedule(e scriptEvent) {
+	w.at(w.start.Add(seconds(e.At)), func() {
+		until := w.now.Add(seconds(e.For))
+		s := w.servers[specifier.ServerID(e.Server)]
+		switch e.Kind {
+		case "Silent":
+			s.silentUntil = until
+		case "Crash":
+			s.crash(w, seconds(e.For))
+		case "LoseAnswers":
+			s.loseAnswers = until
+		case "DelayStarts":
+			s.delayStarts = until
+		case "Fails":
+			s.failsUntil = until
+		case "Drain":
+			s.server.Draining = true
+		case "StoreDown":
+			w.storeDown = until
+		case "LoseOwner":
+			w.loseOwner()
+		case "Cancel":
+			w.cancelJob(w.submitted[e.Job].ID)
+		default:
+			w.t.Fatalf("event %q is unknown", e.Kind)
+		}
+	})
+}
+
+// TestScripts guards against the failures that each case names: rules broken or jobs left behind under faults.
+func TestScripts(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("testdata", "scripts.hujson"))
+	require.NoError(t, err)
+	text, err = hujson.Standardize(text)
+	require.NoError(t, err)
+	var scripts []script
+	require.NoError(t, json.Unmarshal(text, &scripts))
+	for _, s := range scripts {
+		t.Run(s.Name, func(t *testing.T) {
+			w := newWorld(t, 1, s.Servers)
+			for i, submission := range s.Jobs {
+				job := newJob(i, submission.Job)
+				w.at(w.start.Add(seconds(submission.At)), func() { w.submit(job) })
+			}
+			for _, event := range s.Events {
+				w.schedule(event)
+			}
+			w.runUntil(seconds(s.Until))
+			require.Empty(t, w.broken, s.Guards)
+			for i, want := range s.Want {
+				require.Equal(t, want, stateNames[w.state(w.submitted[i].ID)], "job %d: %s", i, s.Guards)
+			}
+			require.GreaterOrEqual(t, w.starts, s.MinStarts, s.Guards)
+			if s.MaxStarts > 0 {
+				require.LessOrEqual(t, w.starts, s.MaxStarts, s.Guards)
+			}
+		})
+	}
+}
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -12,10 +12,14 @@
 	task.State = Placed
 	task.Run = run
 	task.Server = server
-	j.begun = true
 	j.version++
 }
 
+// Begin notes that a run of the job was seen on a backend server.
+func (j *Job) Begin() {
+	j.begun = true
+}
+
 // Unplace notes that the newest run of a task is known not to run.
 func (j *Job) Unplace(task specifier.TaskID, run int) {
 	step, ok := j.Step(task.StepID)
@@ -47,6 +51,7 @@
 		return false
 	}
 	j.version++
+	j.begun = true
 	step.setCheckpoint(ended.Task.Index, ended.Checkpoint)
 	if ended.Reason == specifier.RunDone && !step.Spec.LongRunning {
 		step.finish(ended.Task.Index)
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -54,7 +54,7 @@
 	return j.finalAt
 }
 
-// Begun reports whether any task was ever started.
+// Begun reports whether any task is known to have started.
 func (j *Job) Begun() bool {
 	return j.begun
 }
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -99,7 +99,7 @@
 		if err := step.restore(kept); err != nil {
 			return nil, err
 		}
-		j.begun = true
+		j.begun = j.begun || step.hasEnds()
 	}
 	for _, known := range j.rounds {
 		if known.finished() {
@@ -131,3 +131,13 @@
 	}
 	return nil
 }
+
+// hasEnds reports whether the record shows that a task has run.
+func (s *Step) hasEnds() bool {
+	for _, task := range s.Tasks {
+		if task.State == Done || len(task.FailedRuns) > 0 || task.Checkpoint != "" {
+			return true
+		}
+	}
+	return false
+}
