Keep passes apart under a backlog; name at most 100 servers in a call

Cause: a deployment with 120 servers had all advice calls rejected (over 100 names); with more tasks the owner's passes took its whole processor. Change: passes keep a distance that grows with the backlog, skip steps that no server has room or ticket for; calls are bounded; an order in the test world does not survive its server's crash (the late orders of the platform are carried out by the process that received them).

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -23,6 +23,13 @@
 	refused map[specifier.ServerID]bool
 	// askedUntil is set while a call is under way.
 	askedUntil time.Time
+	// validUntil is when the last ticket expires.
+	validUntil time.Time
+}
+
+// usable reports whether any ticket is still valid for long enough.
+func (a *advice) usable(now time.Time) bool {
+	return a.validUntil.After(now.Add(ticketMargin))
 }
 
 type ticket struct {
@@ -115,7 +122,7 @@
 	slices.SortFunc(unknown, byRoom)
 	var names []specifier.ServerID
 	for _, s := range expired {
-		if room >= 2*wanted {
+		if room >= 2*wanted || len(names) == mostAdviceServers {
 			break
 		}
 		names = append(names, s.server.ID)
@@ -124,7 +131,7 @@
 	if room >= wanted {
 		return names
 	}
-	limit := len(unknown)
+	limit := max(0, min(len(unknown), mostAdviceServers-len(names)))
 	cost := u.job.queue.Advice
 	if time.Duration(limit)*cost.PerServer > longAdvice {
 		limit = min(limit, adviceServers)
@@ -185,6 +192,9 @@
 	if e.Failed {
 		return
 	}
+	if len(e.Grants) > 0 && e.ValidUntil.After(known.validUntil) {
+		known.validUntil = e.ValidUntil
+	}
 	for _, grant := range e.Grants {
 		known.granted[grant.Server] = ticket{text: grant.Ticket, validUntil: e.ValidUntil}
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -32,7 +32,9 @@
 	// replan is set when a waiting step may have become placeable; placeAgainAt bounds the time without a pass.
 	replan       bool
 	placeAgainAt time.Time
-	expireAt     time.Time
+	// placeNotBefore keeps passes apart.
+	placeNotBefore time.Time
+	expireAt       time.Time
 	// reachableAt is when half of the listed servers were last reachable.
 	reachableAt time.Time
 	resigned    bool
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -81,8 +81,10 @@
 		case !s.reachable(w):
 			lost()
 		case w.now.Before(s.delayStarts):
+			// The process that received the order carries it out; an order does not survive a crash.
+			born := s.server.Born
 			w.after(time.Duration(2+w.random.IntN(10))*time.Second, func() {
-				if s.deadUntil.IsZero() {
+				if s.deadUntil.IsZero() && s.server.Born == born {
 					apply(s)
 				}
 			})
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -32,10 +32,16 @@
 	adviceTimeout = 3 * time.Second
 	// adviceServers is the number of servers that the first call of a step names when each adds much time.
 	adviceServers = 30
+	// mostAdviceServers is the number of servers that the advice service accepts in a call.
+	mostAdviceServers = 100
 	// advisableSteps is the number of waiting steps, for each free advisor, that are looked at for advice in a pass.
 	advisableSteps = 4
 	// placeInterval is the longest time between two passes over the waiting steps.
 	placeInterval = 50 * time.Millisecond
+	// shortestPassInterval gathers the events of a few milliseconds into one pass.
+	shortestPassInterval = 3 * time.Millisecond
+	// passTimePerStep keeps the passes to about a tenth of a core: a waiting step costs about two microseconds in a pass.
+	passTimePerStep = 25 * time.Microsecond
 	// expireInterval is how often old final jobs are looked for.
 	expireInterval = time.Second
 	// longAdvice is the time above which a call counts as long; long calls never occupy the last two advisors.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -15,6 +15,8 @@
 	usable map[string][]*session
 	// heldFor are servers whose room a gang of this priority waits for.
 	heldFor map[specifier.ServerID]int
+	// widest is, for each service, the most room of each kind that any usable server has.
+	widest map[string]specifier.Resources
 	// advisable is the number of further steps for which advice may be requested.
 	advisable int
 }
@@ -22,15 +24,16 @@
 func (c *Conductor) newPass(now time.Time) *pass {
 	p := &pass{
 		now: now, usable: make(map[string][]*session), heldFor: make(map[specifier.ServerID]int),
-		advisable: c.freeAdvisors(now) * advisableSteps,
+		widest: make(map[string]specifier.Resources), advisable: c.freeAdvisors(now) * advisableSteps,
 	}
 	for _, s := range c.sessions {
 		if s.usable(now) {
 			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
 		}
 	}
-	for _, servers := range p.usable {
+	for service, servers := range p.usable {
 		slices.SortFunc(servers, func(a, b *session) int { return cmp.Compare(a.server.ID, b.server.ID) })
+		p.measure(service)
 	}
 	return p
 }
@@ -46,50 +49,64 @@
 	return found
 }
 
-// anyRoom reports whether a task of the unit fits on any usable server.
-func (p *pass) anyRoom(u *unit) bool {
-	need := u.need()
-	for _, s := range p.usable[u.job.queue.Service] {
-		if need.Fits(s.room()) {
-			return true
-		}
+// measure finds the widest room on the usable servers of a service.
+func (p *pass) measure(service string) {
+	var widest specifier.Resources
+	for _, s := range p.usable[service] {
+		widest = widest.Widest(s.room())
 	}
-	return false
+	p.widest[service] = widest
 }
 
-// place starts what fits, in the order of the waiting steps, and asks for the advice that they need.
+// place starts what fits, in the order of the waiting steps, and asks for the advice that they need. Passes keep a
+// distance that grows with the number of waiting steps, so that a backlog does not take the whole processor.
 func (c *Conductor) place(now time.Time) {
-	if !c.replan && now.Before(c.placeAgainAt) {
+	if now.Before(c.placeNotBefore) || (!c.replan && now.Before(c.placeAgainAt)) {
 		return
 	}
 	c.replan, c.placeAgainAt = false, now.Add(placeInterval)
+	c.placeNotBefore = now.Add(min(max(time.Duration(len(c.units))*passTimePerStep, shortestPassInterval), placeInterval))
 	p := c.newPass(now)
 	for _, u := range c.ordered(now) {
 		c.placeUnit(p, u)
 	}
 }
 
+// NextPass returns when the next pass over the waiting steps is due, if one is.
+func (c *Conductor) NextPass() (time.Time, bool) {
+	return c.placeNotBefore, c.replan
+}
+
 func (c *Conductor) placeUnit(p *pass, u *unit) {
-	room := p.anyRoom(u)
+	service := u.job.queue.Service
+	room := u.need().Fits(p.widest[service])
 	advice := u.job.queue.Advice.Needed
 	if !room && (!advice || p.advisable <= 0) {
 		return
 	}
+	if advice && p.advisable <= 0 && !u.job.adviceFor(u.step.ID).usable(p.now) {
+		return
+	}
 	candidates := p.candidates(u)
 	if advice {
 		if p.advisable > 0 {
 			p.advisable--
 			c.requestAdvice(p.now, u, candidates)
 		}
+		if !room {
+			return
+		}
 		candidates = c.granted(p.now, u, candidates)
 	}
 	candidates = p.withoutHeld(u, candidates)
+	placed := false
 	if u.step.Spec.Gang {
-		c.placeGang(p, u, candidates)
-		return
+		placed = c.placeGang(p, u, candidates)
+	} else if room {
+		placed = c.placeTasks(u, candidates)
 	}
-	if room {
-		c.placeTasks(u, candidates)
+	if placed {
+		p.measure(service)
 	}
 }
 
@@ -150,7 +167,8 @@
 	}
 }
 
-func (c *Conductor) placeTasks(u *unit, servers []*session) {
+// placeTasks places as many waiting tasks as fit, and reports whether it placed any.
+func (c *Conductor) placeTasks(u *unit, servers []*session) bool {
 	servers = slices.DeleteFunc(servers, func(s *session) bool { return u.fits(s) == 0 })
 	u.sortByPreference(servers)
 	waiting := u.waiting
@@ -167,22 +185,24 @@
 	if placed > 0 {
 		c.changed(u.job)
 	}
+	return placed > 0
 }
 
-// placeGang places all tasks of a gang or none.
-func (c *Conductor) placeGang(p *pass, u *unit, servers []*session) {
+// placeGang places all tasks of a gang or none, and reports whether it did.
+func (c *Conductor) placeGang(p *pass, u *unit, servers []*session) bool {
 	chosen := u.chooseForGang(servers)
 	if chosen == nil {
 		if u.tier == onTime && len(servers) > 0 {
 			p.holdRoom(u, servers)
 		}
-		return
+		return false
 	}
 	run := u.step.NextRun(0)
 	for i, s := range chosen {
 		c.reserve(u, s, u.waiting[i], run)
 	}
 	c.changed(u.job)
+	return true
 }
 
 // chooseForGang returns a server for each task, or nil when not all fit.
--- a/conductor/random_test.go
+++ b/conductor/random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,7 +11,7 @@
 )
 
 const (
-	randomWorlds = 60
+	randomWorlds = 150
 	randomJobs   = 40
 )
 
@@ -23,6 +24,9 @@
 			w.addRandomJobs()
 			w.addRandomFaults()
 			w.runUntil(seconds(120))
+			if len(w.broken) > 0 {
+				t.Log(strings.Join(w.decisions, "\n"))
+			}
 			require.Empty(t, w.broken)
 			for _, job := range w.submitted {
 				state := w.state(job.ID)
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -36,6 +36,8 @@
 	epoch     int64
 	core      *conductor.Conductor
 	storeDown time.Time
+	planned   bool
+	decisions []string
 
 	// runs are all runs that were begun, to check that no task runs twice or after its end.
 	runs []*fakeRun
@@ -172,6 +174,16 @@
 	for _, command := range w.core.Plan(w.now) {
 		w.execute(epoch, command)
 	}
+	if w.core == nil {
+		return
+	}
+	if next, due := w.core.NextPass(); due && !w.planned {
+		w.planned = true
+		w.at(next, func() {
+			w.planned = false
+			w.plan()
+		})
+	}
 }
 
 func (w *world) execute(epoch int64, command conductor.Command) {
@@ -205,6 +217,8 @@
 				Step: c.Step, Advisor: c.Advisor, Servers: c.Servers, Grants: grants, ValidUntil: w.now.Add(2 * time.Second),
 			})
 		})
+	case conductor.Decision:
+		w.trace(c)
 	case conductor.Resign:
 		w.loseOwner()
 	}
@@ -249,3 +263,9 @@
 	state, _ := w.core.State(id)
 	return state
 }
+
+// trace prints the decisions about a job when the test fails.
+func (w *world) trace(c conductor.Decision) {
+	w.decisions = append(w.decisions, fmt.Sprintf("%7.3f s: epoch %d %s %s run %d on %s %s", w.now.Sub(w.start).Seconds(),
+		w.epoch, c.Name, c.Task, c.Run, c.Server, c.Detail))
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -79,8 +79,8 @@
 }
 
 func (o *owner) run(ctx context.Context) {
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(planInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,11 +91,17 @@
 		case event := <-o.events:
 			o.core.Handle(o.settings.clock.Now(), event)
 			o.handleWaiting()
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		for _, command := range o.core.Plan(o.settings.clock.Now()) {
+		now := o.settings.clock.Now()
+		for _, command := range o.core.Plan(now) {
 			o.execute(ctx, command)
 		}
+		wait := planInterval
+		if next, due := o.core.NextPass(); due {
+			wait = min(wait, max(next.Sub(now), time.Millisecond))
+		}
+		timer.Reset(wait)
 	}
 }
 
--- a/specifier/resources.go
+++ b/specifier/resources.go
@@ -22,6 +22,13 @@
 	return r.MilliCores <= room.MilliCores && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
 }
 
+// Widest returns the larger amount of each kind.
+func (r Resources) Widest(other Resources) Resources {
+	return Resources{
+		max(r.MilliCores, other.MilliCores), max(r.MemoryMB, other.MemoryMB), max(r.Accelerators, other.Accelerators),
+	}
+}
+
 // Count returns how many times the amount is available in room, at most limit.
 func (r Resources) Count(room Resources, limit int) int {
 	count := limit
