Let a new life decide what it runs; count advice calls, not looks, against advisors

Trial with all features of steps: steps that need no advice used up the slots of steps that do, so that these never started (LOST). Change: after a restart the next answer under a higher token decides; a slot is used only by a call.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -25,6 +25,8 @@
 	askedUntil time.Time
 	// validUntil is when the last ticket expires.
 	validUntil time.Time
+	// lookAgainAt is when it is looked again for servers to ask about, after none was found.
+	lookAgainAt time.Time
 }
 
 // usable reports whether any ticket is still valid for long enough.
@@ -72,26 +74,28 @@
 	})
 }
 
-// requestAdvice asks for tickets when too few servers that could take the step have one.
-func (c *Conductor) requestAdvice(now time.Time, u *unit, servers []*session) {
+// requestAdvice asks for tickets when too few servers that could take the step have one. It reports whether it asked.
+func (c *Conductor) requestAdvice(now time.Time, u *unit, servers []*session) bool {
 	known := u.job.adviceFor(u.step.ID)
-	if now.Before(known.askedUntil) {
-		return
+	if now.Before(known.askedUntil) || now.Before(known.lookAgainAt) {
+		return false
 	}
 	names := u.serversToAsk(now, known, servers)
 	if len(names) == 0 {
-		return
+		known.lookAgainAt = now.Add(adviceLookInterval)
+		return false
 	}
 	cost := u.job.queue.Advice
 	expected := cost.Fixed + time.Duration(len(names))*cost.PerServer
 	free := c.freeAdvisor(now, expected > longAdvice)
 	if free == nil {
-		return
+		return false
 	}
 	free.busyUntil = now.Add(expected + adviceTimeout)
 	free.long = expected > longAdvice
 	known.askedUntil = free.busyUntil
 	c.emit(Advise{Advisor: free.name, Step: u.step.ID, Servers: names, ExpectedTime: expected})
+	return true
 }
 
 // serversToAsk returns the servers to name in the next call for a step, or none when tickets suffice.
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -46,10 +46,15 @@
 	}
 }
 
-// reborn notes that a server was started again: nothing of its earlier life runs any more.
+// reborn notes that a server was started again. A run may have been ordered from the new life before it was noticed, so
+// the next answer under a higher fencing token decides which runs are lost.
 func (c *Conductor) reborn(now time.Time, s *session) {
-	c.decide("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs lost", len(s.allocations)))
-	c.loseRuns(now, s)
+	c.decide("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs in doubt", len(s.allocations)))
+	for _, a := range s.allocations {
+		if a.state != reserved {
+			a.state = doubtful
+		}
+	}
 	s.known, s.clockKnown = false, false
 	s.endsSeen, s.acknowledged, s.pending = 0, 0, nil
 	s.holdInFlight, s.nextHoldAt, s.holdFailures = false, now, 0
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -34,8 +34,8 @@
 	adviceServers = 30
 	// mostAdviceServers is the number of servers that the advice service accepts in a call.
 	mostAdviceServers = 100
-	// advisableSteps is the number of waiting steps, for each free advisor, that are looked at for advice in a pass.
-	advisableSteps = 4
+	// adviceLookInterval keeps steps that need no further advice from being looked at in each pass.
+	adviceLookInterval = 100 * time.Millisecond
 	// placeInterval is the longest time between two passes over the waiting steps.
 	placeInterval = 50 * time.Millisecond
 	// shortestPassInterval gathers the events of a few milliseconds into one pass.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -17,14 +17,14 @@
 	heldFor map[specifier.ServerID]int
 	// widest is, for each service, the most room of each kind that any usable server has.
 	widest map[string]specifier.Resources
-	// advisable is the number of further steps for which advice may be requested.
+	// advisable is the number of advisors that are still free.
 	advisable int
 }
 
 func (c *Conductor) newPass(now time.Time) *pass {
 	p := &pass{
 		now: now, usable: make(map[string][]*session), heldFor: make(map[specifier.ServerID]int),
-		widest: make(map[string]specifier.Resources), advisable: c.freeAdvisors(now) * advisableSteps,
+		widest: make(map[string]specifier.Resources), advisable: c.freeAdvisors(now),
 	}
 	for _, s := range c.sessions {
 		if s.usable(now) {
@@ -89,9 +89,8 @@
 	}
 	candidates := p.candidates(u)
 	if advice {
-		if p.advisable > 0 {
+		if p.advisable > 0 && c.requestAdvice(p.now, u, candidates) {
 			p.advisable--
-			c.requestAdvice(p.now, u, candidates)
 		}
 		if !room {
 			return
