Keep occurrences that have no record yet across a change of owner

Cause: trial with scheduled jobs: an occurrence that had not started, older than one with a record, was forgotten by the next owner (LOST after the final fault).

--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -101,8 +101,9 @@
 		}
 		j.begun = j.begun || step.hasEnds()
 	}
-	for _, known := range j.rounds {
-		if known.finished() {
+	// An occurrence without a record may be older than one with a record.
+	for occurrence := range j.next {
+		if j.round(occurrence).finished() {
 			j.finished++
 		}
 	}
