--- /dev/null
+++ b/coordinator/cell_test.go
@@ -0,0 +1,212 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/coordinator"
+	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/specifier"
+)
+
+const runTime = 500 * time.Millisecond
+
+// cell is a few instances over a fake store, fake backend servers and a fake advice service.
+type cell struct {
+	t         *testing.T
+	store     *fakekeeper.Transactional
+	network   *network
+	instances []*coordinator.Coordinator
+	servers   *fakeServers
+	mu        sync.Mutex
+	current   specifier.Configuration
+}
+
+func newCell(t *testing.T, instances int) *cell {
+	c := &cell{
+		t: t, store: fakekeeper.NewTransactional(), network: newNetwork(), servers: newFakeServers(),
+		current: specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{{
+			Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second,
+			Advice: specifier.AdviceCost{Needed: true, Fixed: 20 * time.Millisecond},
+		}}},
+	}
+	c.store.SetFaults(fakekeeper.Faults{Delay: 4 * time.Millisecond})
+	for i := range instances {
+		name := fmt.Sprintf("instance-%d", i)
+		instance, err := coordinator.New(c.network.listen(name),
+			coordinator.WithStore(c.store), coordinator.WithBackendServers(c.servers), coordinator.WithDirectory(c),
+			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.dial),
+			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+		require.NoError(t, err)
+		instance.Start()
+		c.instances = append(c.instances, instance)
+		// The first instance becomes the owner.
+		time.Sleep(200 * time.Millisecond)
+	}
+	return c
+}
+
+func (c *cell) stop() {
+	for _, instance := range c.instances {
+		if instance != nil {
+			require.NoError(c.t, instance.Stop())
+		}
+	}
+	// Connections between instances end after their last message.
+	time.Sleep(time.Minute)
+}
+
+// Servers implements coordinator.Directory.
+func (c *cell) Servers(context.Context) ([]specifier.Server, error) {
+	return []specifier.Server{c.servers.server}, nil
+}
+
+// Configuration implements coordinator.Directory.
+func (c *cell) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
+	if _, err := c.store.Get(ctx, "op"); err != nil {
+		return specifier.Configuration{}, false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current, true, nil
+}
+
+// Advise implements coordinator.AdviceService.
+func (c *cell) Advise(
+	_ context.Context, _ specifier.StepID, servers []specifier.ServerID,
+) (coordinator.Advice, error) {
+	time.Sleep(20 * time.Millisecond)
+	advice := coordinator.Advice{ValidUntil: time.Now().Add(2 * time.Second)}
+	for _, id := range servers {
+		advice.Grants = append(advice.Grants, specifier.Grant{Server: id, Ticket: "t"})
+	}
+	return advice, nil
+}
+
+func (c *cell) submit(instance int, id specifier.JobID) error {
+	queue, err := c.instances[instance].Queue("h", "/q/x")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
+	defer cancel()
+	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{{
+		Count: 2, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
+	}}})
+}
+
+func (c *cell) state(instance int, id specifier.JobID) specifier.JobState {
+	state, known, err := c.instances[instance].State(c.t.Context(), id)
+	require.NoError(c.t, err)
+	require.True(c.t, known, "job %s is not known", id)
+	return state
+}
+
+// fakeServers is one backend server that runs each task for the same time.
+type fakeServers struct {
+	mu     sync.Mutex
+	server specifier.Server
+	runs   map[specifier.TaskID]int
+	ended  []specifier.EndedTask
+	starts map[specifier.TaskID]int
+	number int64
+	fence  int64
+	begun  time.Time
+	change chan struct{}
+}
+
+func newFakeServers() *fakeServers {
+	return &fakeServers{
+		server: specifier.Server{
+			ID: "i-1", Service: "s", Address: "i-1", Born: 1, Capacity: specifier.Resources{MilliCores: 64000},
+		},
+		runs: make(map[specifier.TaskID]int), starts: make(map[specifier.TaskID]int), begun: time.Now(),
+		change: make(chan struct{}),
+	}
+}
+
+// Start implements coordinator.BackendServers.
+func (f *fakeServers) Start(_ context.Context, c conductor.Start) specifier.OrderResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.Order.Fence < f.fence {
+		return specifier.OrderFenced
+	}
+	f.fence = c.Order.Fence
+	f.runs[c.Order.Task] = c.Order.Run
+	f.starts[c.Order.Task]++
+	time.AfterFunc(runTime, func() { f.end(c.Order.Task, c.Order.Run) })
+	return specifier.OrderDone
+}
+
+func (f *fakeServers) end(task specifier.TaskID, run int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.number++
+	delete(f.runs, task)
+	f.ended = append(f.ended, specifier.EndedTask{Number: f.number, Task: task, Run: run, Reason: specifier.RunDone})
+	close(f.change)
+	f.change = make(chan struct{})
+}
+
+// Stop implements coordinator.BackendServers.
+func (f *fakeServers) Stop(context.Context, conductor.Stop) specifier.OrderResult {
+	return specifier.OrderDone
+}
+
+// Hold implements coordinator.BackendServers.
+func (f *fakeServers) Hold(ctx context.Context, c conductor.Hold) (specifier.ServerReport, specifier.OrderResult) {
+	f.mu.Lock()
+	if c.Fence < f.fence {
+		f.mu.Unlock()
+		return specifier.ServerReport{}, specifier.OrderFenced
+	}
+	f.fence = c.Fence
+	for len(f.ended) > 0 && f.ended[0].Number <= c.Acknowledged {
+		f.ended = f.ended[1:]
+	}
+	change, wait := f.change, c.Wait
+	if len(f.ended) > 0 {
+		wait = 0
+	}
+	f.mu.Unlock()
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-change:
+		case <-timer.C:
+		case <-ctx.Done():
+			return specifier.ServerReport{}, specifier.OrderUnknown
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report := specifier.ServerReport{Born: 1, Clock: time.Since(f.begun)}
+	for task, run := range f.runs {
+		report.Running = append(report.Running, specifier.RunningTask{Task: task, Run: run, Percent: 100, Gauge: 1000})
+	}
+	report.Ended = append(report.Ended, f.ended...)
+	return report, specifier.OrderDone
+}
+
+// doubled returns the tasks that were started more than once.
+func (f *fakeServers) doubled() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var doubled []string
+	for task, starts := range f.starts {
+		if starts > 1 {
+			doubled = append(doubled, task.String())
+		}
+	}
+	return doubled
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
@@ -45,8 +46,8 @@
 	c := &Coordinator{
 		settings:  s,
 		intaker:   intaker.New(s.store, s.logger),
-		questions: messenger.NewClient(messenger.WithLogger(s.logger), messenger.WithCallTimeout(stateTimeout)),
-		advice:    messenger.NewClient(messenger.WithLogger(s.logger), messenger.WithCallTimeout(longestAdvice)),
+		questions: s.client(stateTimeout),
+		advice:    s.client(longestAdvice),
 	}
 	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
 	c.elector = elector.New(s.store, self, c.own, s.clock, s.logger)
@@ -54,6 +55,15 @@
 	return c, nil
 }
 
+// client returns a pool of connections to other instances.
+func (s settings) client(timeout time.Duration) *messenger.Client {
+	options := []messenger.Option{messenger.WithLogger(s.logger), messenger.WithCallTimeout(timeout)}
+	if s.dial != nil {
+		options = append(options, messenger.WithDial(s.dial))
+	}
+	return messenger.NewClient(options...)
+}
+
 // Start begins to take part in the cell.
 func (c *Coordinator) Start() {
 	ctx := c.tomb.Context(context.Background())
--- /dev/null
+++ b/coordinator/network_test.go
@@ -0,0 +1,80 @@
+package coordinator_test
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// network joins instances in memory, so that virtual time passes while they wait for each other.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	cut       map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{listeners: make(map[string]*pipeListener), cut: make(map[string]bool)}
+}
+
+func (n *network) listen(address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &pipeListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, cut := n.listeners[address], n.cut[address]
+	n.mu.Unlock()
+	if l == nil || cut {
+		<-ctx.Done()
+		return nil, errors.Wrapf(ctx.Err(), "dial %s", address)
+	}
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errors.Errorf("dial %s: closed", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type pipeListener struct {
+	address  string
+	accepted chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr {
+	return pipeAddress(l.address)
+}
+
+type pipeAddress string
+
+func (pipeAddress) Network() string  { return "pipe" }
+func (a pipeAddress) String() string { return string(a) }
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -6,6 +6,7 @@
 
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/timekeeper"
 )
@@ -53,6 +54,7 @@
 	instance  string
 	// address is where other instances call this one.
 	address string
+	dial    messenger.Dial
 }
 
 // Option configures a Coordinator.
@@ -102,3 +104,8 @@
 func WithInstance(name, address string) Option {
 	return func(s *settings) { s.instance, s.address = name, address }
 }
+
+// WithDial replaces the way in which other instances are called.
+func WithDial(dial messenger.Dial) Option {
+	return func(s *settings) { s.dial = dial }
+}
--- a/fakekeeper/faults.go
+++ b/fakekeeper/faults.go
@@ -13,6 +13,10 @@
 	Down bool
 	// LoseWriteAnswers is how many of the next writes take effect but give no answer.
 	LoseWriteAnswers int
+	// LateBy is how much later the writes without an answer take effect; only transactions are late.
+	LateBy time.Duration
+	// Refuse makes each call fail without effect, and say so.
+	Refuse bool
 	// Delay is how long each call takes.
 	Delay time.Duration
 	// WritesPerSecond and ReadsPerSecond limit the calls; zero means no limit.
@@ -81,13 +85,16 @@
 // begin counts a call and applies the faults that precede its effect.
 func (s *Store) begin(ctx context.Context, kind callKind) (fate, error) {
 	s.mu.Lock()
-	down, delay := s.faults.Down, s.faults.Delay
+	down, delay, refuse := s.faults.Down, s.faults.Delay, s.faults.Refuse
 	allowed := s.count(kind)
-	lost := kind == writeCall && allowed && !down && s.faults.LoseWriteAnswers > 0
+	lost := kind == writeCall && allowed && !down && !refuse && s.faults.LoseWriteAnswers > 0
 	if lost {
 		s.faults.LoseWriteAnswers--
 	}
 	s.mu.Unlock()
+	if refuse {
+		return fate{}, keeper.ErrRefused
+	}
 	if down {
 		return fate{}, keeper.ErrUnavailable
 	}
--- a/fakekeeper/store.go
+++ b/fakekeeper/store.go
@@ -20,10 +20,12 @@
 	leases   map[keeper.LeaseID]*lease
 	history  []keeper.Change
 	revision int64
-	lastID   keeper.LeaseID
-	changed  chan struct{}
-	faults   Faults
-	calls    Calls
+	// compactedAt is the revision up to which the history was dropped.
+	compactedAt int64
+	lastID      keeper.LeaseID
+	changed     chan struct{}
+	faults      Faults
+	calls       Calls
 }
 
 type lease struct {
@@ -175,6 +177,11 @@
 // record applies a change, appends it to the history and wakes the watches.
 func (s *Store) record(change keeper.Change) keeper.Entry {
 	s.revision++
+	return s.recordAt(change)
+}
+
+// recordAt is record at the present revision.
+func (s *Store) recordAt(change keeper.Change) keeper.Entry {
 	change.Entry.Revision = s.revision
 	if change.Deleted {
 		delete(s.entries, change.Entry.Key)
--- /dev/null
+++ b/fakekeeper/transactional.go
@@ -0,0 +1,162 @@
+package fakekeeper
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"egretring.example/egretring/keeper"
+)
+
+// Transactional shows a Store as a keeper.TransactionalStore: keys are compared by revision, and several change at once.
+type Transactional struct {
+	store *Store
+}
+
+var _ keeper.TransactionalStore = (*Transactional)(nil)
+
+// NewTransactional returns an empty store and its transactional view.
+func NewTransactional() *Transactional {
+	return &Transactional{store: New()}
+}
+
+// SetFaults replaces the faults of the store.
+func (t *Transactional) SetFaults(faults Faults) {
+	t.store.SetFaults(faults)
+}
+
+// Calls returns how many calls the store has had.
+func (t *Transactional) Calls() Calls {
+	return t.store.Calls()
+}
+
+// Compact drops the history: watches from an older revision fail.
+func (t *Transactional) Compact() {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	t.store.history = nil
+	t.store.compactedAt = t.store.revision
+}
+
+// TakeAway deletes a key without ending its lease, as a store may do unasked.
+func (t *Transactional) TakeAway(key string) {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	if entry, ok := t.store.entries[key]; ok {
+		t.store.record(keeper.Change{Entry: entry, Deleted: true})
+	}
+}
+
+// Get implements keeper.TransactionalStore.
+func (t *Transactional) Get(ctx context.Context, key string) (keeper.Entry, error) {
+	return t.store.Get(ctx, key)
+}
+
+// List implements keeper.TransactionalStore.
+func (t *Transactional) List(ctx context.Context, prefix string) (keeper.Page, error) {
+	return t.store.List(ctx, prefix)
+}
+
+// Commit implements keeper.TransactionalStore.
+func (t *Transactional) Commit(ctx context.Context, transaction keeper.Transaction) (int64, error) {
+	fate, err := t.store.begin(ctx, writeCall)
+	if err != nil {
+		return 0, err
+	}
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	if late := t.store.faults.LateBy; fate.lost && late > 0 {
+		time.AfterFunc(late, func() {
+			t.store.mu.Lock()
+			defer t.store.mu.Unlock()
+			// Nobody hears of the result of a late write.
+			_, _ = t.store.apply(transaction)
+		})
+		return 0, keeper.ErrUnavailable
+	}
+	revision, err := t.store.apply(transaction)
+	return revision, fate.orLost(err)
+}
+
+// apply changes all keys of a transaction, or none.
+func (s *Store) apply(transaction keeper.Transaction) (int64, error) {
+	s.expire()
+	conflict := &keeper.ConflictError{}
+	holds := true
+	for _, condition := range transaction.Conditions {
+		entry, ok := s.entries[condition.Key]
+		if ok {
+			conflict.Current = append(conflict.Current, copied(entry))
+		}
+		holds = holds && entry.Revision == condition.Revision
+	}
+	if !holds {
+		return 0, conflict
+	}
+	for _, write := range transaction.Writes {
+		if write.Lease != 0 && s.leases[write.Lease] == nil {
+			return 0, keeper.ErrLeaseLapsed
+		}
+	}
+	s.revision++
+	for _, write := range transaction.Writes {
+		entry := keeper.Entry{
+			Key: write.Key, Value: append([]byte(nil), write.Value...), Version: s.entries[write.Key].Version + 1,
+			Lease: write.Lease,
+		}
+		s.recordAt(keeper.Change{Entry: entry})
+	}
+	for _, key := range transaction.Deletes {
+		if entry, ok := s.entries[key]; ok {
+			s.recordAt(keeper.Change{Entry: entry, Deleted: true})
+		}
+	}
+	return s.revision, nil
+}
+
+// Grant implements keeper.TransactionalStore.
+func (t *Transactional) Grant(ctx context.Context, options keeper.LeaseOptions) (keeper.LeaseID, error) {
+	return t.store.Grant(ctx, options.TimeToLive)
+}
+
+// Renew implements keeper.TransactionalStore.
+func (t *Transactional) Renew(ctx context.Context, lease keeper.LeaseID) error {
+	return t.store.Renew(ctx, lease)
+}
+
+// Revoke implements keeper.TransactionalStore.
+func (t *Transactional) Revoke(ctx context.Context, lease keeper.LeaseID) error {
+	return t.store.Revoke(ctx, lease)
+}
+
+// Watch implements keeper.TransactionalStore.
+func (t *Transactional) Watch(ctx context.Context, options keeper.WatchOptions) (keeper.Changes, error) {
+	t.store.mu.Lock()
+	compacted := options.AfterRevision < t.store.compactedAt
+	t.store.mu.Unlock()
+	if compacted {
+		return keeper.Changes{}, keeper.ErrCompacted
+	}
+	waiting, cancel := context.WithTimeout(ctx, options.Wait)
+	defer cancel()
+	changes, err := t.store.Watch(waiting, options.Prefix, options.AfterRevision)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		return keeper.Changes{Revision: options.AfterRevision}, nil
+	}
+	return changes, err
+}
+
+// Keys returns all keys with a prefix, in order.
+func (t *Transactional) Keys(prefix string) []string {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	var keys []string
+	for key := range t.store.entries {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -41,7 +41,6 @@
 	mu sync.Mutex
 	// failingSince is when the store began to give no answers; zero while it answers.
 	failingSince time.Time
-	probing      bool
 }
 
 type submission struct {
@@ -74,7 +73,7 @@
 	if err != nil {
 		return classifier.Wrap(err, classifier.Internal, "encode job %s", job.ID)
 	}
-	if !i.admit() {
+	if !i.Reachable() {
 		return classifier.New(classifier.Overloaded, "store does not answer; job %s was not accepted", job.ID)
 	}
 	deadline, ok := ctx.Deadline()
@@ -117,28 +116,15 @@
 	}
 }
 
-// admit reports whether a submission may try the store. While the store gives no answers one submission at a time does.
-func (i *Intaker) admit() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.failingSince.IsZero() || time.Since(i.failingSince) < brokenAfter {
-		return true
-	}
-	if i.probing {
-		return false
-	}
-	i.probing = true
-	return true
-}
-
-// Reachable reports whether the store answers this instance.
+// Reachable reports whether the store answers this instance. Submissions are refused at once while it does not; the
+// next Observe of an answered call ends that.
 func (i *Intaker) Reachable() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.failingSince.IsZero() || time.Since(i.failingSince) < brokenAfter
 }
 
-// Observe notes whether a call to the store was answered.
+// Observe notes whether a call to the store was answered. Other users of the store report their calls, too.
 func (i *Intaker) Observe(answered bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -148,12 +134,9 @@
 			i.logger.Info("store answers again", "FailingSince", i.failingSince)
 		}
 		i.failingSince = time.Time{}
-		i.probing = false
 	case i.failingSince.IsZero():
 		i.failingSince = time.Now()
 		i.logger.Warn("store gave no answer")
-	default:
-		i.probing = false
 	}
 }
 
