Tell the owner of submissions; ask silent servers and their zone at once

Change: accepting instances tell the owner, the watch and a list are the second and third way; two silent servers of a zone make the owner ask the others; long calls take two thirds of the instances.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -170,7 +170,7 @@
 			free = a
 		}
 	}
-	if long && longCalls >= max(1, len(c.advisors)-2) {
+	if long && longCalls >= max(1, len(c.advisors)*longAdviceShare/100) {
 		return nil
 	}
 	return free
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -159,7 +159,11 @@
 			a.state = doubtful
 			return
 		}
-	case specifier.OrderUnhealthy, specifier.OrderInvalid:
+	case specifier.OrderUnhealthy:
+		c.suspect(now, s)
+		c.suspectZone(now, s.server.Zone)
+		s.health.exclude(now)
+	case specifier.OrderInvalid:
 		s.health.exclude(now)
 	case specifier.OrderNoTicket:
 		c.dropTicket(a.task.StepID, s.server.ID)
@@ -176,10 +180,36 @@
 	if s.fence == fence {
 		s.fence++
 	}
+	c.suspect(now, s)
+	c.suspectZone(now, s.server.Zone)
+}
+
+// suspect asks a server at once whether it still answers; until then it gets no new runs.
+func (c *Conductor) suspect(now time.Time, s *session) {
+	s.suspect = true
 	s.holdInFlight = false
 	s.nextHoldAt = now
 }
 
+// suspectZone asks all servers of an availability zone in which several gave no answer, because a partition cuts them
+// off together.
+func (c *Conductor) suspectZone(now time.Time, zone string) {
+	silent := 0
+	for _, s := range c.sessions {
+		if s.server.Zone == zone && s.listed && (s.suspect || s.holdFailures > 0) {
+			silent++
+		}
+	}
+	if silent < silentServersOfPartition {
+		return
+	}
+	for _, s := range c.sessions {
+		if s.server.Zone == zone && s.listed && !s.suspect && s.holdFailures == 0 && now.Sub(s.clockAt) > freshReport {
+			c.suspect(now, s)
+		}
+	}
+}
+
 // vanish gives back the room of a run that is known not to run and lets its task wait again.
 func (c *Conductor) vanish(now time.Time, s *session, a *allocation) {
 	s.release(a.task)
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -101,7 +101,7 @@
 		// that its lease ends and its tasks can start elsewhere.
 		s.extendLease(now.Add(c.longestLease()))
 	}
-	if s.known && s.holdFailures == 0 && len(s.pending) == 0 && s.settledFence == s.fence {
+	if s.known && !s.suspect && s.holdFailures == 0 && len(s.pending) == 0 && s.settledFence == s.fence {
 		command.Wait = holdWait
 	}
 	c.emit(command)
@@ -133,6 +133,7 @@
 			s.holdFailures++
 			s.nextHoldAt = now.Add(holdRetry)
 			if s.holdFailures == 1 {
+				c.suspectZone(now, s.server.Zone)
 				c.decide("ServerSilent", specifier.TaskID{}, 0, s.server.ID, e.Result.String())
 			}
 		}
@@ -169,7 +170,7 @@
 	if s.holdFailures > 0 {
 		c.decide("ServerAnswers", specifier.TaskID{}, 0, s.server.ID, "")
 	}
-	s.holdFailures = 0
+	s.holdFailures, s.suspect = 0, false
 	s.clock, s.clockAt, s.clockKnown = e.Report.Clock, now, true
 	if !s.known {
 		// Until its first answer an earlier owner may have renewed the lease; now the fencing token rules that out.
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -44,8 +44,14 @@
 	passTimePerStep = 25 * time.Microsecond
 	// expireInterval is how often old final jobs are looked for.
 	expireInterval = time.Second
-	// longAdvice is the time above which a call counts as long; long calls never occupy the last two advisors.
-	longAdvice = 200 * time.Millisecond
+	// longAdvice is the time above which a call counts as long, and longAdviceShare the percentage of advisors that long
+	// calls may occupy; short calls for urgent work would wait behind them.
+	longAdvice      = 200 * time.Millisecond
+	longAdviceShare = 67
+	// silentServersOfPartition is the number of silent servers in an availability zone from which on a partition is
+	// suspected, and freshReport is how young a report clears a server of that suspicion.
+	silentServersOfPartition = 2
+	freshReport              = 100 * time.Millisecond
 	// majorityPatience is how long an owner may fail to reach half of the servers before it resigns.
 	majorityPatience = 1500 * time.Millisecond
 	// handoverGrace is how long after a takeover an earlier owner may still have renewed the lease of a server that this
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -70,6 +70,8 @@
 	holdInFlight bool
 	nextHoldAt   time.Time
 	holdFailures int
+	// suspect servers gave no answer to an order; they get no new runs before their next answer.
+	suspect bool
 
 	endsSeen     int64
 	acknowledged int64
@@ -108,7 +110,7 @@
 
 // usable reports whether new runs may be placed on the server.
 func (s *session) usable(now time.Time) bool {
-	return s.known && s.listed && s.clockKnown && !s.server.Draining && s.holdFailures == 0 && s.health.admits(now, len(s.allocations))
+	return s.known && s.listed && s.clockKnown && !s.server.Draining && !s.suspect && s.holdFailures == 0 && s.health.admits(now, len(s.allocations))
 }
 
 // extendLease notes that the lease may last until a time.
--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -36,12 +36,20 @@
 // Submit accepts a job. The context's deadline is the time until which the caller waits.
 func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
 	job.AcceptedAt = c.settings.clock.Now()
-	return c.intaker.Accept(ctx, job)
+	if err := c.intaker.Accept(ctx, job); err != nil {
+		return err
+	}
+	go c.tellOwner(takeRequest{Job: &job})
+	return nil
 }
 
 // Cancel cancels a job. It reports whether there is such a job.
 func (c *Coordinator) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
-	return c.intaker.Cancel(ctx, id)
+	known, err := c.intaker.Cancel(ctx, id)
+	if err == nil && known {
+		go c.tellOwner(takeRequest{Cancelled: id})
+	}
+	return known, err
 }
 
 // State returns the state of a job and reports whether there is such a job.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -140,11 +140,27 @@
 // TestOwnerOutOfReach guards against unknown states and wrong counts while an instance cannot call the owner.
 func TestOwnerOutOfReach(t *testing.T) {
 	play(t, 2, func(t *testing.T, c *cell) {
-		require.NoError(t, c.submit(1, "a"))
-		time.Sleep(3 * runTime)
 		c.network.cut["instance-0"] = true
+		require.NoError(t, c.submit(1, "a"))
+		time.Sleep(4 * runTime)
 		require.Equal(t, specifier.Completed, c.state(1, "a"))
 		_, err := c.instances[1].Waiting(t.Context(), specifier.Queue{Name: "q"})
 		require.Equal(t, classifier.NotReady, classifier.KindOf(err))
 	})
 }
+
+// TestMuteWatch guards against submissions and cancellations that nobody hears of while the store keeps changes from its
+// watches and the instance that took them cannot call the owner.
+func TestMuteWatch(t *testing.T) {
+	play(t, 2, func(t *testing.T, c *cell) {
+		c.network.cut["instance-0"] = true
+		c.store.SetFaults(fakekeeper.Faults{MuteWatches: true})
+		require.NoError(t, c.submit(1, "a"))
+		require.NoError(t, c.submit(1, "b"))
+		_, err := c.instances[1].Cancel(t.Context(), "b")
+		require.NoError(t, err)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, specifier.Completed, c.state(1, "a"))
+		require.Equal(t, specifier.Cancelled, c.state(1, "b"))
+	})
+}
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -20,10 +20,12 @@
 	memberInterval = 700 * time.Millisecond
 	memberRenewal  = time.Second
 	memberLife     = 4 * time.Second
-	// intakePause is the pause between two watches of submissions: each answered watch is a call to the store.
-	intakePause = 15 * time.Millisecond
-	// intakeWait is how long a watch waits for submissions.
-	intakeWait = 5 * time.Second
+	// intakePause is the pause between two watches of submissions: each answered watch is a call to the store, and the
+	// accepting instances tell the owner of submissions anyway.
+	intakePause = 100 * time.Millisecond
+	// intakeWait is how long a watch waits for submissions. When it brings none, submissions are listed, because a store
+	// that is about to forget its history may keep changes from its watches.
+	intakeWait = 1500 * time.Millisecond
 	// planInterval is the longest time between two plans of the owner.
 	planInterval = 25 * time.Millisecond
 	// orderTimeout bounds a start or stop; a healthy server answers within a few milliseconds.
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -14,6 +14,7 @@
 	methodJobState = "JobState"
 	methodWaiting  = "Waiting"
 	methodAdvise   = "Advise"
+	methodTake     = "Take"
 )
 
 // longestAdvice bounds an advice call through another instance.
@@ -52,11 +53,28 @@
 	ValidFor time.Duration
 }
 
+// takeRequest tells the owner of a stored submission or cancellation before its watch does.
+type takeRequest struct {
+	Job       *specifier.Job  `json:",omitempty"`
+	Cancelled specifier.JobID `json:",omitempty"`
+}
+
+// event returns what the request tells the owner's core.
+func (r takeRequest) event() conductor.Event {
+	if r.Job != nil {
+		return conductor.JobArrived{Job: *r.Job}
+	}
+	return conductor.JobCancelled{Job: r.Cancelled}
+}
+
+type takeReply struct{}
+
 func (c *Coordinator) methods() messenger.Methods {
 	return messenger.Methods{
 		methodJobState: messenger.NewMethod(c.answerJobState),
 		methodWaiting:  messenger.NewMethod(c.answerWaiting),
 		methodAdvise:   messenger.NewMethod(c.answerAdvise),
+		methodTake:     messenger.NewMethod(c.answerTake),
 	}
 }
 
@@ -69,6 +87,33 @@
 	return jobStateReply{Known: known, State: state}, nil
 }
 
+func (c *Coordinator) answerTake(_ context.Context, request takeRequest) (takeReply, error) {
+	if o := c.owner.Load(); o != nil {
+		o.post(request.event())
+	}
+	return takeReply{}, nil
+}
+
+// tellOwner tells the owner of a stored submission or cancellation. The owner's watch of the store finds what does not
+// arrive.
+func (c *Coordinator) tellOwner(request takeRequest) {
+	if o := c.owner.Load(); o != nil {
+		o.post(request.event())
+		return
+	}
+	current := c.elector.Current()
+	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance {
+		return
+	}
+	_, err := messenger.Call[takeRequest, takeReply](
+		context.Background(), c.questions, current.Owner.Address, methodTake, request,
+	)
+	if err != nil {
+		c.settings.logger.Info("owner was not told; its watch finds the change", "Owner", current.Owner.Instance,
+			"Error", err.Error())
+	}
+}
+
 func (c *Coordinator) answerWaiting(ctx context.Context, request waitingRequest) (waitingReply, error) {
 	o := c.owner.Load()
 	if o == nil {
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -117,6 +117,10 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
+		if len(changes.Changes) == 0 {
+			after = o.relist(ctx, after)
+			continue
+		}
 		for _, change := range changes.Changes {
 			if !change.Deleted {
 				o.take(change.Entry)
@@ -139,9 +143,11 @@
 			o.take(entry)
 		}
 	}
+	o.intakeAfter = page.Revision
 	return page.Revision
 }
 
+// take hands a submission or cancellation to the core, which ignores what it knows already.
 func (o *owner) take(entry keeper.Entry) {
 	kind, id := intaker.ParseKey(entry.Key)
 	switch kind {
--- a/fakekeeper/faults.go
+++ b/fakekeeper/faults.go
@@ -15,6 +15,8 @@
 	LoseWriteAnswers int
 	// LateBy is how much later the writes without an answer take effect; only transactions are late.
 	LateBy time.Duration
+	// MuteWatches makes watches end without the changes that there are.
+	MuteWatches bool
 	// Refuse makes each call fail without effect, and say so.
 	Refuse bool
 	// Delay is how long each call takes.
--- a/fakekeeper/transactional.go
+++ b/fakekeeper/transactional.go
@@ -134,7 +134,11 @@
 func (t *Transactional) Watch(ctx context.Context, options keeper.WatchOptions) (keeper.Changes, error) {
 	t.store.mu.Lock()
 	compacted := options.AfterRevision < t.store.compactedAt
+	mute := t.store.faults.MuteWatches
 	t.store.mu.Unlock()
+	if mute {
+		return keeper.Changes{Revision: options.AfterRevision}, wait(ctx, options.Wait)
+	}
 	if compacted {
 		return keeper.Changes{}, keeper.ErrCompacted
 	}
