--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -33,9 +33,19 @@
 	return 0
 }
 
-// Submit accepts a job. The context's deadline is the time until which the caller waits.
+// Submit accepts a job. The context's deadline is the time until which the caller waits. An instance that the store
+// turns away lets the owner store the job.
 func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
 	job.AcceptedAt = c.settings.clock.Now()
+	if !c.intaker.Reachable() {
+		if _, tried, err := c.acceptThroughOwner(ctx, acceptRequest{Job: &job}); tried {
+			return err
+		}
+	}
+	return c.accept(ctx, job)
+}
+
+func (c *Coordinator) accept(ctx context.Context, job specifier.Job) error {
 	if err := c.intaker.Accept(ctx, job); err != nil {
 		return err
 	}
@@ -45,6 +55,15 @@
 
 // Cancel cancels a job. It reports whether there is such a job.
 func (c *Coordinator) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
+	if !c.intaker.Reachable() {
+		if reply, tried, err := c.acceptThroughOwner(ctx, acceptRequest{Cancelled: id}); tried {
+			return reply.Known, err
+		}
+	}
+	return c.cancel(ctx, id)
+}
+
+func (c *Coordinator) cancel(ctx context.Context, id specifier.JobID) (bool, error) {
 	known, err := c.intaker.Cancel(ctx, id)
 	if err == nil && known {
 		go c.tellOwner(takeRequest{Cancelled: id})
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
 )
 
@@ -25,6 +27,7 @@
 	store     *fakekeeper.Transactional
 	network   *network
 	instances []*coordinator.Coordinator
+	gates     []*gate
 	servers   *fakeServers
 	mu        sync.Mutex
 	current   specifier.Configuration
@@ -41,8 +44,11 @@
 	c.store.SetFaults(fakekeeper.Faults{Delay: 4 * time.Millisecond})
 	for i := range instances {
 		name := fmt.Sprintf("instance-%d", i)
+		entrance := &gate{TransactionalStore: c.store}
+		c.gates = append(c.gates, entrance)
 		instance, err := coordinator.New(c.network.listen(name),
-			coordinator.WithStore(c.store), coordinator.WithBackendServers(c.servers), coordinator.WithDirectory(c),
+			coordinator.WithStore(entrance), coordinator.WithBackendServers(c.servers),
+			coordinator.WithDirectory(&directory{cell: c, store: entrance}),
 			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.dial),
 			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 		require.NoError(t, err)
@@ -64,19 +70,47 @@
 	time.Sleep(time.Minute)
 }
 
+// gate is the store as one instance sees it; a closed gate refuses transactions and reads.
+type gate struct {
+	keeper.TransactionalStore
+	closed atomic.Bool
+}
+
+// Get implements keeper.TransactionalStore.
+func (g *gate) Get(ctx context.Context, key string) (keeper.Entry, error) {
+	if g.closed.Load() {
+		return keeper.Entry{}, keeper.ErrRefused
+	}
+	return g.TransactionalStore.Get(ctx, key)
+}
+
+// Commit implements keeper.TransactionalStore.
+func (g *gate) Commit(ctx context.Context, transaction keeper.Transaction) (int64, error) {
+	if g.closed.Load() {
+		return 0, keeper.ErrRefused
+	}
+	return g.TransactionalStore.Commit(ctx, transaction)
+}
+
+// directory reads through the gate of an instance.
+type directory struct {
+	cell  *cell
+	store *gate
+}
+
 // Servers implements coordinator.Directory.
-func (c *cell) Servers(context.Context) ([]specifier.Server, error) {
-	return []specifier.Server{c.servers.server}, nil
+func (d *directory) Servers(context.Context) ([]specifier.Server, error) {
+	return []specifier.Server{d.cell.servers.server}, nil
 }
 
 // Configuration implements coordinator.Directory.
-func (c *cell) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
-	if _, err := c.store.Get(ctx, "op"); err != nil {
+func (d *directory) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
+	if _, err := d.store.Get(ctx, "op"); err != nil {
 		return specifier.Configuration{}, false, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current, true, nil
+	d.cell.mu.Lock()
+	defer d.cell.mu.Unlock()
+	return d.cell.current, true, nil
 }
 
 // Advise implements coordinator.AdviceService.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,26 @@
 		require.Equal(t, specifier.Cancelled, c.state(1, "b"))
 	})
 }
+
+// TestStoreTurnsOneInstanceAway guards against submissions and cancellations that are refused although another instance
+// reaches the store.
+func TestStoreTurnsOneInstanceAway(t *testing.T) {
+	play(t, 2, func(t *testing.T, c *cell) {
+		c.gates[1].closed.Store(true)
+		time.Sleep(2 * time.Second)
+		require.False(t, c.instances[1].Ready())
+		require.NoError(t, c.submit(1, "a"))
+		require.NoError(t, c.submit(1, "b"))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		known, err := c.instances[1].Cancel(ctx, "b")
+		require.NoError(t, err)
+		require.True(t, known)
+		time.Sleep(3 * runTime)
+		require.Equal(t, specifier.Completed, c.state(1, "a"))
+		require.Equal(t, specifier.Cancelled, c.state(1, "b"))
+		c.gates[1].closed.Store(false)
+		time.Sleep(time.Second)
+		require.True(t, c.instances[1].Ready())
+	})
+}
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -38,7 +38,9 @@
 	adviceCallTimeout = 1500 * time.Millisecond
 	// stateTimeout bounds a question to the owner; after it the store is read.
 	stateTimeout = 250 * time.Millisecond
-	// events bounds the events that wait for the owner's goroutine.
+	// relayMargin leaves time for the answer of the owner to travel back.
+	relayMargin = 30 * time.Millisecond
+	// queuedEvents bounds the events that wait for the owner's goroutine.
 	queuedEvents = 8192
 	// plannedEvents bounds the events that are applied before the next plan.
 	plannedEvents = 512
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/specifier"
@@ -15,6 +16,7 @@
 	methodWaiting  = "Waiting"
 	methodAdvise   = "Advise"
 	methodTake     = "Take"
+	methodAccept   = "Accept"
 )
 
 // longestAdvice bounds an advice call through another instance.
@@ -69,12 +71,29 @@
 
 type takeReply struct{}
 
+// acceptRequest asks the owner to store a submission or cancellation for an instance that the store turns away.
+type acceptRequest struct {
+	Job       *specifier.Job  `json:",omitempty"`
+	Cancelled specifier.JobID `json:",omitempty"`
+	// Patience is how long the caller still waits; clocks of instances may differ, so that no deadline can be sent.
+	Patience time.Duration
+}
+
+// acceptReply has the kind and message of an error; an empty kind means success.
+type acceptReply struct {
+	Kind    string `json:",omitempty"`
+	Message string `json:",omitempty"`
+	// Known is false for the cancellation of a job that does not exist.
+	Known bool `json:",omitempty"`
+}
+
 func (c *Coordinator) methods() messenger.Methods {
 	return messenger.Methods{
 		methodJobState: messenger.NewMethod(c.answerJobState),
 		methodWaiting:  messenger.NewMethod(c.answerWaiting),
 		methodAdvise:   messenger.NewMethod(c.answerAdvise),
 		methodTake:     messenger.NewMethod(c.answerTake),
+		methodAccept:   messenger.NewMethod(c.answerAccept),
 	}
 }
 
@@ -87,6 +106,48 @@
 	return jobStateReply{Known: known, State: state}, nil
 }
 
+func (c *Coordinator) answerAccept(ctx context.Context, request acceptRequest) (acceptReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Patience)
+	defer cancel()
+	reply := acceptReply{Known: true}
+	var err error
+	if request.Job != nil {
+		err = c.accept(ctx, *request.Job)
+	} else {
+		reply.Known, err = c.cancel(ctx, request.Cancelled)
+	}
+	if err != nil {
+		reply.Kind, reply.Message = classifier.AnswerOf(classifier.KindOf(err)).Name, err.Error()
+	}
+	return reply, nil
+}
+
+// acceptThroughOwner lets the owner store a submission or cancellation. It reports false when there is no other owner.
+func (c *Coordinator) acceptThroughOwner(ctx context.Context, request acceptRequest) (acceptReply, bool, error) {
+	current := c.elector.Current()
+	deadline, limited := ctx.Deadline()
+	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance || !limited {
+		return acceptReply{}, false, nil
+	}
+	request.Patience = time.Until(deadline) - relayMargin
+	if request.Patience <= 0 {
+		return acceptReply{}, false, nil
+	}
+	reply, err := messenger.Call[acceptRequest, acceptReply](
+		ctx, c.advice, current.Owner.Address, methodAccept, request,
+	)
+	if messenger.IsErrBackoff(err) || messenger.IsErrRefused(err) {
+		return reply, false, nil
+	}
+	if err != nil {
+		return reply, true, classifier.Wrap(err, classifier.OutcomeUnknown, "owner %s did not confirm", current.Owner.Instance)
+	}
+	if kind, known := classifier.KindNamed(reply.Kind); known {
+		return reply, true, classifier.New(kind, "owner %s: %s", current.Owner.Instance, reply.Message)
+	}
+	return reply, true, nil
+}
+
 func (c *Coordinator) answerTake(_ context.Context, request takeRequest) (takeReply, error) {
 	if o := c.owner.Load(); o != nil {
 		o.post(request.event())
