--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -100,7 +100,7 @@
 
 // serversToAsk returns the servers to name in the next call for a step, or none when tickets suffice.
 func (u *unit) serversToAsk(now time.Time, known *advice, servers []*session) []specifier.ServerID {
-	var ready, expired, unknown []*session
+	var expired, unknown []*session
 	room := 0
 	for _, s := range servers {
 		t, granted := known.granted[s.server.ID]
@@ -109,7 +109,6 @@
 		case !granted:
 			unknown = append(unknown, s)
 		case t.validUntil.After(now.Add(2 * ticketMargin)):
-			ready = append(ready, s)
 			room += u.fits(s)
 		default:
 			expired = append(expired, s)
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -36,12 +36,11 @@
 }
 
 type fakeRun struct {
-	task   specifier.TaskID
-	run    int
-	server *fakeServer
-	job    specifier.Job
-	begunAt,
-	worksSince time.Time
+	task    specifier.TaskID
+	run     int
+	server  *fakeServer
+	job     specifier.Job
+	begunAt time.Time
 	need    specifier.Resources
 	ended   bool
 	present bool
