Hand over from an owner that has become slow

Trial with debug output: the highest age of an event in each half second is 45 to 334 ms then, under 10 ms otherwise. Change: three slow windows in a row make the owner hand over, at most once in 8 s.

--- /dev/null
+++ b/coordinator/lag_test.go
@@ -0,0 +1,37 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLag guards against an owner on a slow instance that holds up the whole cell, and against ownership that moves on
+// for a short delay or right after it began.
+func TestLag(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	const slow, fast = 50 * time.Millisecond, 8 * time.Millisecond
+	// Each age is the highest of a window; the first window ends with the first event.
+	cases := []struct {
+		name  string
+		owned time.Duration
+		ages  []time.Duration
+		want  bool
+	}{
+		{"healthy", time.Minute, []time.Duration{fast, fast, fast, fast, fast}, false},
+		{"slow", time.Minute, []time.Duration{fast, slow, slow, slow}, true},
+		{"short delays", time.Minute, []time.Duration{slow, slow, fast, slow, slow, fast}, false},
+		{"new owner", time.Second, []time.Duration{slow, slow, slow, slow}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := lag{beganAt: start.Add(-c.owned)}
+			handOver := false
+			for i, age := range c.ages {
+				handOver = l.observe(start.Add(time.Duration(i)*lagWindow), age)
+			}
+			require.Equal(t, c.want, handOver)
+		})
+	}
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -14,7 +15,7 @@
 	*Coordinator
 	ownership elector.Ownership
 	core      *conductor.Conductor
-	events    chan conductor.Event
+	events    chan posted
 	queries   chan func(*conductor.Conductor)
 	// laneRevisions are the revisions of the lanes' keys.
 	laneRevisions [16]int64
@@ -23,11 +24,17 @@
 	intakeAfter   int64
 }
 
+// posted is an event and when it was handed over.
+type posted struct {
+	event conductor.Event
+	at    time.Time
+}
+
 // own is the duty of the elector.
 func (c *Coordinator) own(ctx context.Context, ownership elector.Ownership) {
 	o := &owner{
 		Coordinator: c, ownership: ownership,
-		events: make(chan conductor.Event, queuedEvents), queries: make(chan func(*conductor.Conductor)),
+		events: make(chan posted, queuedEvents), queries: make(chan func(*conductor.Conductor)),
 		members: make(map[string]string), done: ctx.Done(),
 	}
 	startedAt := c.settings.clock.Now()
@@ -55,7 +62,7 @@
 // post hands an event to the owner's goroutine.
 func (o *owner) post(event conductor.Event) {
 	select {
-	case o.events <- event:
+	case o.events <- posted{event: event, at: o.settings.clock.Now()}:
 	case <-o.done:
 	}
 }
@@ -81,6 +88,7 @@
 func (o *owner) run(ctx context.Context) {
 	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
+	l := lag{beganAt: o.settings.clock.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -88,8 +96,12 @@
 		case ask := <-o.queries:
 			ask(o.core)
 			continue
-		case event := <-o.events:
-			o.core.Handle(o.settings.clock.Now(), event)
+		case next := <-o.events:
+			now := o.settings.clock.Now()
+			if age := now.Sub(next.at); l.observe(now, age) {
+				o.elector.Resign(fmt.Sprintf("instance is slow: an event waited for %s", age))
+			}
+			o.core.Handle(now, next.event)
 			o.handleWaiting()
 		case <-timer.C:
 		}
@@ -108,8 +120,8 @@
 func (o *owner) handleWaiting() {
 	for range plannedEvents {
 		select {
-		case event := <-o.events:
-			o.core.Handle(o.settings.clock.Now(), event)
+		case next := <-o.events:
+			o.core.Handle(o.settings.clock.Now(), next.event)
 		default:
 			return
 		}
