Start the runs of lost servers again after 4.5 s

Cause: runs on servers that crash or are cut off waited for a lease of six seconds, longer than the urgent objective allows. A scripted test showed that a run which a restarted server took before its restart was noticed may have a longer lease, counted on the clock of the earlier life; the longest lease is waited for then.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -62,7 +62,7 @@
 // New returns the core of an owner whose ownership began at a time under an epoch.
 func New(now time.Time, epoch int64, options ...Option) *Conductor {
 	c := &Conductor{
-		settings:    settings{lease: defaultLease, keepFinal: 3 * time.Minute},
+		settings:    settings{lease: defaultLease, longestLease: 2 * defaultLease, keepFinal: 3 * time.Minute},
 		firstFence:  epoch * fencesPerOwner,
 		startedAt:   now,
 		reachableAt: now,
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -26,7 +26,7 @@
 		present[server.ID] = true
 		s := c.session(server.ID)
 		if s.server.Born != 0 && server.Born > s.server.Born {
-			c.reborn(now, s)
+			c.reborn(now, s, server.Born)
 		}
 		if server.Born >= s.server.Born {
 			if server.Draining && !s.server.Draining {
@@ -47,12 +47,18 @@
 }
 
 // reborn notes that a server was started again. A run may have been ordered from the new life before it was noticed, so
-// the next answer under a higher fencing token decides which runs are lost.
-func (c *Conductor) reborn(now time.Time, s *session) {
+// the next answer under a higher fencing token decides which runs are lost. The lease of such an order is on the clock
+// of the earlier life, so that the new one may keep the run for the longest lease there is.
+func (c *Conductor) reborn(now time.Time, s *session, born int64) {
 	c.decide("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs in doubt", len(s.allocations)))
+	earliest := time.UnixMilli(born).Add(-birthSkew)
 	for _, a := range s.allocations {
-		if a.state != reserved {
-			a.state = doubtful
+		if a.state == reserved {
+			continue
+		}
+		a.state = doubtful
+		if a.startedAt.After(earliest) {
+			s.extendLease(now.Add(time.Duration(float64(c.settings.longestLease)*(1+leaseDrift)) + leaseMargin))
 		}
 	}
 	s.known, s.clockKnown = false, false
@@ -144,7 +150,7 @@
 	}
 	if e.Report.Born > s.server.Born {
 		if s.server.Born != 0 {
-			c.reborn(now, s)
+			c.reborn(now, s, e.Report.Born)
 		}
 		s.server.Born = e.Report.Born
 	}
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -5,15 +5,17 @@
 const (
 	// defaultLease is how long runs go on without renewal. A successor takes over within three seconds, and runs on a
 	// lost server start again this much later.
-	defaultLease = 6 * time.Second
+	defaultLease = 4500 * time.Millisecond
 	// startLease bounds how long after its sending a start order may still take effect.
 	startLease = 2500 * time.Millisecond
 	// leaseDrift is by how much the clock of a backend server may be slow; the platform states 2%.
 	leaseDrift = 0.03
+	// birthSkew is by how much the time of day of a backend server may differ from that of the owner.
+	birthSkew = 2 * time.Second
 	// leaseMargin covers the delay between a lease's end and the end of the runs.
 	leaseMargin = 300 * time.Millisecond
 	// holdWait is how long a server may wait for an end before it answers a hold; the platform allows two seconds.
-	holdWait = 1500 * time.Millisecond
+	holdWait = time.Second
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
 	// uncommittedHold is how often the lease is renewed while ends wait for the store.
@@ -72,6 +74,7 @@
 	return func(s *settings) {
 		if limit > 0 {
 			s.lease = min(s.lease, limit)
+			s.longestLease = limit
 		}
 	}
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -16,9 +16,9 @@
 
 const (
 	// timeToLive is the life of the owner's lease without renewal; it bounds how long a dead owner is missed.
-	timeToLive = 1500 * time.Millisecond
+	timeToLive = 1200 * time.Millisecond
 	// renewInterval leaves time for two more renewals before the lease ends.
-	renewInterval = 400 * time.Millisecond
+	renewInterval = 300 * time.Millisecond
 	// retryInterval is the pause after a call without success.
 	retryInterval = 150 * time.Millisecond
 	// checkInterval is how often an owner reads its key, because a store may take keys away without ending the lease.
