--- a/conductor/option.go
+++ b/conductor/option.go
@@ -62,8 +62,10 @@
 )
 
 type settings struct {
-	lease     time.Duration
-	keepFinal time.Duration
+	lease time.Duration
+	// longestLease is the longest lease that backend servers grant.
+	longestLease time.Duration
+	keepFinal    time.Duration
 }
 
 // Option configures a Conductor.
