--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -14,6 +14,7 @@
 		return known
 	}
 	created := newSession(specifier.Server{ID: id}, c.firstFence)
+	created.inherited = true
 	created.leaseEnd = c.startedAt.Add(handoverGrace + c.settings.lease)
 	c.sessions[id] = created
 	return created
@@ -178,8 +179,9 @@
 	}
 	s.holdFailures, s.suspect = 0, false
 	s.clock, s.clockAt, s.clockKnown = e.Report.Clock, now, true
-	if !s.known {
+	if s.inherited {
 		// Until its first answer an earlier owner may have renewed the lease; now the fencing token rules that out.
+		s.inherited = false
 		s.leaseEnd = now.Add(c.longestLease())
 	}
 	running := make(map[specifier.TaskID]specifier.RunningTask, len(e.Report.Running))
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -64,6 +64,8 @@
 	clockKnown bool
 	// leaseEnd is when everything on the server has certainly ended unless the lease is renewed.
 	leaseEnd time.Time
+	// inherited is set until the server's first answer to this owner.
+	inherited bool
 
 	holdSequence int
 	answeredHold int
