--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -87,6 +87,9 @@
 			kept = append(kept, r)
 		case j.State().Final():
 			r.session.release(r.task)
+		case !r.session.clockKnown:
+			// The server has restarted since the placement; a lease on the clock of its earlier life means nothing now.
+			c.vanish(now, r.session, r.allocation)
 		default:
 			c.send(now, r.session, r.allocation)
 		}
