--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -23,6 +23,9 @@
 
 // commit writes the records of changed jobs. A second lane is used only while a write takes long.
 func (c *Conductor) commit(now time.Time) {
+	if now.Before(c.commitNotBefore) && len(c.dirty) < commitBatch {
+		return
+	}
 	for i := range c.lanes {
 		if len(c.dirty) == 0 {
 			return
@@ -60,6 +63,7 @@
 		return
 	}
 	l.busy, l.sentAt = true, now
+	c.commitNotBefore = now.Add(commitInterval)
 	c.emit(write)
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -34,7 +34,9 @@
 	placeAgainAt time.Time
 	// placeNotBefore keeps passes apart.
 	placeNotBefore time.Time
-	expireAt       time.Time
+	// commitNotBefore keeps commits apart.
+	commitNotBefore time.Time
+	expireAt        time.Time
 	// reachableAt is when half of the listed servers were last reachable.
 	reachableAt time.Time
 	resigned    bool
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -24,6 +24,8 @@
 	stopRetry = 500 * time.Millisecond
 	// commitLanes bounds the writes to the store at the same time.
 	commitLanes = 4
+	// commitInterval gathers the changes of a few milliseconds into one write, because each call to the store is paid for.
+	commitInterval = 15 * time.Millisecond
 	// commitBatch bounds the records of one write; the store admits 32 entries.
 	commitBatch = 28
 	// extraLaneAfter is how long a write may take before another one begins beside it.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -72,9 +72,13 @@
 	}
 }
 
-// NextPass returns when the next pass over the waiting steps is due, if one is.
-func (c *Conductor) NextPass() (time.Time, bool) {
-	return c.placeNotBefore, c.replan
+// NextPlan returns when Plan should be called again for a pass or a commit that was put off, if there is one.
+func (c *Conductor) NextPlan() (time.Time, bool) {
+	next, due := c.placeNotBefore, c.replan
+	if len(c.dirty) > 0 && (!due || c.commitNotBefore.Before(next)) {
+		next, due = c.commitNotBefore, true
+	}
+	return next, due
 }
 
 func (c *Conductor) placeUnit(p *pass, u *unit) {
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -13,7 +13,7 @@
 
 const (
 	// configurationInterval is how often the configuration is read; operators expect it in force within seconds.
-	configurationInterval = 450 * time.Millisecond
+	configurationInterval = 600 * time.Millisecond
 	// listInterval is how often the owner reads the registered backend servers.
 	listInterval = 300 * time.Millisecond
 	// memberInterval is how often the owner reads the members, and memberRenewal how often members renew their lease.
@@ -28,6 +28,8 @@
 	intakeWait = 1500 * time.Millisecond
 	// planInterval is the longest time between two plans of the owner.
 	planInterval = 25 * time.Millisecond
+	// shortestWait keeps a plan that waits for the store from being repeated all the time.
+	shortestWait = 3 * time.Millisecond
 	// orderTimeout bounds a start or stop; a healthy server answers within a few milliseconds.
 	orderTimeout = 600 * time.Millisecond
 	// holdTimeout is added to the wait of a hold.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -98,8 +98,8 @@
 			continue
 		case next := <-o.events:
 			now := o.settings.clock.Now()
-			if age := now.Sub(next.at); l.observe(now, age) {
-				o.elector.Resign(fmt.Sprintf("instance is slow: an event waited for %s", age))
+			if l.observe(now, now.Sub(next.at)) {
+				o.elector.Resign(fmt.Sprintf("instance is slow: in %d half seconds an event waited for over %s", l.slow, slowAge))
 			}
 			o.core.Handle(now, next.event)
 			o.handleWaiting()
@@ -110,8 +110,8 @@
 			o.execute(ctx, command)
 		}
 		wait := planInterval
-		if next, due := o.core.NextPass(); due {
-			wait = min(wait, max(next.Sub(now), time.Millisecond))
+		if next, due := o.core.NextPlan(); due {
+			wait = min(wait, max(next.Sub(now), shortestWait))
 		}
 		timer.Reset(wait)
 	}
