Ask refused callers to come back after as long as the store has been failing

Change: Retry-After grows with the outage, from 1 to 4 s. Conclusion: kept for the callers; no gain is claimed.

--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/messenger"
@@ -83,6 +85,8 @@
 type acceptReply struct {
 	Kind    string `json:",omitempty"`
 	Message string `json:",omitempty"`
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration `json:",omitempty"`
 	// Known is false for the cancellation of a job that does not exist.
 	Known bool `json:",omitempty"`
 }
@@ -118,6 +122,10 @@
 	}
 	if err != nil {
 		reply.Kind, reply.Message = classifier.AnswerOf(classifier.KindOf(err)).Name, err.Error()
+		var refusal *classifier.Error
+		if errors.As(err, &refusal) && !refusal.RetryAt().IsZero() {
+			reply.RetryAfter = time.Until(refusal.RetryAt())
+		}
 	}
 	return reply, nil
 }
@@ -143,7 +151,11 @@
 		return reply, true, classifier.Wrap(err, classifier.OutcomeUnknown, "owner %s did not confirm", current.Owner.Instance)
 	}
 	if kind, known := classifier.KindNamed(reply.Kind); known {
-		return reply, true, classifier.New(kind, "owner %s: %s", current.Owner.Instance, reply.Message)
+		refusal := classifier.New(kind, "owner %s: %s", current.Owner.Instance, reply.Message)
+		if reply.RetryAfter > 0 {
+			refusal = refusal.WithRetryAt(time.Now().Add(reply.RetryAfter))
+		}
+		return reply, true, refusal
 	}
 	return reply, true, nil
 }
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -27,6 +27,9 @@
 	retryInterval = 60 * time.Millisecond
 	// refusalPatience is how long a store that refuses calls is tried before a submission is refused.
 	refusalPatience = 300 * time.Millisecond
+	// shortestRetry and longestRetry bound the time after which refused callers are asked to come back.
+	shortestRetry = time.Second
+	longestRetry  = 4 * time.Second
 	// brokenAfter is how long the store must have given no answer before submissions are refused at once.
 	brokenAfter = 700 * time.Millisecond
 )
@@ -74,7 +77,8 @@
 		return classifier.Wrap(err, classifier.Internal, "encode job %s", job.ID)
 	}
 	if !i.Reachable() {
-		return classifier.New(classifier.Overloaded, "store does not answer; job %s was not accepted", job.ID)
+		return classifier.New(classifier.Overloaded, "store does not answer; job %s was not accepted", job.ID).
+			WithRetryAt(i.retryAt())
 	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -124,6 +128,18 @@
 	return i.failingSince.IsZero() || time.Since(i.failingSince) < brokenAfter
 }
 
+// retryAt returns when refused callers should come back: after as long again as the store has been failing, so that the
+// few attempts that callers have outlast an outage.
+func (i *Intaker) retryAt() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	wait := shortestRetry
+	if !i.failingSince.IsZero() {
+		wait = min(max(time.Since(i.failingSince), shortestRetry), longestRetry)
+	}
+	return time.Now().Add(wait)
+}
+
 // Observe notes whether a call to the store was answered. Other users of the store report their calls, too.
 func (i *Intaker) Observe(answered bool) {
 	i.mu.Lock()
@@ -183,7 +199,7 @@
 			continue
 		case keeper.IsErrNothingDone(err):
 			if !doubtful && time.Since(startedAt) > refusalPatience {
-				finish(batch, classifier.Wrap(err, classifier.Overloaded, "job was not accepted"))
+				finish(batch, classifier.Wrap(err, classifier.Overloaded, "job was not accepted").WithRetryAt(i.retryAt()))
 				return
 			}
 		default:
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -134,3 +134,28 @@
 		require.Contains(t, store.Keys(intaker.Prefix), intaker.CancelKey("a"))
 	})
 }
+
+// TestRetryOutlastsOutage guards against callers who use up their few retries within an outage: one who comes back when
+// told to, four times at most, has to be accepted after five seconds without a store.
+func TestRetryOutlastsOutage(t *testing.T) {
+	play(t, func(t *testing.T, store *fakekeeper.Transactional, subject *intaker.Intaker) {
+		store.SetFaults(fakekeeper.Faults{Refuse: true})
+		time.AfterFunc(5*time.Second, func() {
+			store.SetFaults(fakekeeper.Faults{})
+			subject.Observe(true)
+		})
+		subject.Observe(false)
+		const retries = 4
+		for range retries {
+			err := accept(t, subject, "a")
+			var refusal *classifier.Error
+			require.ErrorAs(t, err, &refusal)
+			require.True(t, refusal.RetryAt().After(time.Now()))
+			time.Sleep(time.Until(refusal.RetryAt()))
+			if accept(t, subject, "a") == nil {
+				return
+			}
+		}
+		t.Fatal("outage outlasted the retries")
+	})
+}
