Wait for the store's answers as long as it usually takes

Change: the first wait is 150 ms or three times the last answer, doubled each attempt; a repeated write is found by its condition.

--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -67,6 +67,18 @@
 	})
 }
 
+// try makes one attempt at a transaction and waits for its answer as long as the store usually takes.
+func (o *owner) try(ctx context.Context, transaction keeper.Transaction, attempt int) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.patience.Timeout(attempt))
+	defer cancel()
+	askedAt := time.Now()
+	revision, err := o.settings.store.Commit(ctx, transaction)
+	if err == nil || errors.Is(err, keeper.ErrConflict) {
+		o.patience.Observe(time.Since(askedAt))
+	}
+	return revision, err
+}
+
 // write commits records until the outcome is known. A write that is repeated has the same lane token, so that the store
 // shows whether an earlier attempt took effect.
 func (o *owner) write(ctx context.Context, c conductor.Commit) {
@@ -80,8 +92,8 @@
 		transaction.Writes = append(transaction.Writes, keeper.Write{Key: stateKey(change.Job), Value: change.Value})
 	}
 	startedAt := time.Now()
-	for ctx.Err() == nil {
-		revision, err := o.settings.store.Commit(ctx, transaction)
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		revision, err := o.try(ctx, transaction, attempt)
 		var conflict *keeper.ConflictError
 		if errors.As(err, &conflict) {
 			if conflict.EntryOf(o.ownership.Condition().Key).Revision != o.ownership.Epoch {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -7,6 +7,7 @@
 
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/elector"
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
 )
 
@@ -21,6 +22,7 @@
 	laneRevisions [16]int64
 	members       map[string]string
 	done          <-chan struct{}
+	patience      keeper.Patience
 	intakeAfter   int64
 }
 
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -40,6 +40,8 @@
 	queue  *buffer.Queue[*submission]
 	logger *slog.Logger
 	tomb   tomb.Tomb
+	// patience bounds the wait for the store's answers.
+	patience keeper.Patience
 
 	mu sync.Mutex
 	// failingSince is when the store began to give no answers; zero while it answers.
@@ -186,8 +188,8 @@
 	ctx := i.tomb.Context(context.Background())
 	startedAt := time.Now()
 	doubtful := false
-	for len(batch) > 0 {
-		_, err := i.store.Commit(ctx, transactionOf(batch))
+	for attempt := 0; len(batch) > 0; attempt++ {
+		err := i.try(ctx, transactionOf(batch), attempt)
 		i.Observe(err == nil || errors.Is(err, keeper.ErrConflict))
 		var conflict *keeper.ConflictError
 		switch {
@@ -214,6 +216,18 @@
 	}
 }
 
+// try makes one attempt at a transaction and waits for its answer as long as the store usually takes.
+func (i *Intaker) try(ctx context.Context, transaction keeper.Transaction, attempt int) error {
+	ctx, cancel := context.WithTimeout(ctx, i.patience.Timeout(attempt))
+	defer cancel()
+	askedAt := time.Now()
+	_, err := i.store.Commit(ctx, transaction)
+	if err == nil || errors.Is(err, keeper.ErrConflict) {
+		i.patience.Observe(time.Since(askedAt))
+	}
+	return err
+}
+
 func transactionOf(batch []*submission) keeper.Transaction {
 	var transaction keeper.Transaction
 	named := make(map[string]bool, len(batch))
