Delete the keys of old jobs, and know the jobs until then

Cause: reading the diff: final jobs left the owner's memory after their time, but their keys stayed; the next list of submissions would have started them again, and the store would have grown without end.

--- a/conductor/command.go
+++ b/conductor/command.go
@@ -60,6 +60,9 @@
 // Resign asks to give up the ownership of the cell.
 type Resign struct{ Reason string }
 
+// Forget asks to delete the keys of jobs that have been final for long.
+type Forget struct{ Jobs []specifier.JobID }
+
 // Decision describes a decision for the log.
 type Decision struct {
 	Name   string
@@ -75,4 +78,5 @@
 func (Hold) command()     {}
 func (Advise) command()   {}
 func (Resign) command()   {}
+func (Forget) command()   {}
 func (Decision) command() {}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -48,6 +48,8 @@
 	queue    specifier.Queue
 	dirty    bool
 	inFlight bool
+	// forgetting is set while the keys of the job are being deleted.
+	forgetting bool
 	// reserved are the runs that wait for a commit.
 	reserved []*reservation
 	units    []*unit
@@ -102,6 +104,8 @@
 		c.advisorsChanged(e.Advisors)
 	case Advised:
 		c.advised(now, e)
+	case Forgotten:
+		c.forgotten(e)
 	}
 }
 
@@ -213,15 +217,37 @@
 	}
 }
 
-// expire forgets jobs that have been final for long.
+// expire asks to forget jobs that have been final for long. They stay known until their keys are gone, because a job
+// that is listed again and not known would start again.
 func (c *Conductor) expire(now time.Time) {
 	if now.Before(c.expireAt) {
 		return
 	}
 	c.expireAt = now.Add(expireInterval)
+	var old []specifier.JobID
 	for id, j := range c.jobs {
-		if j.State().Final() && !j.dirty && !j.inFlight && now.Sub(j.FinalAt()) > c.settings.keepFinal {
+		if len(old) == forgetBatch {
+			break
+		}
+		if j.State().Final() && !j.dirty && !j.inFlight && !j.forgetting && now.Sub(j.FinalAt()) > c.settings.keepFinal {
+			j.forgetting = true
+			old = append(old, id)
+		}
+	}
+	if len(old) > 0 {
+		c.emit(Forget{Jobs: old})
+	}
+}
+
+func (c *Conductor) forgotten(e Forgotten) {
+	for _, id := range e.Jobs {
+		j := c.jobs[id]
+		switch {
+		case j == nil:
+		case e.Done:
 			delete(c.jobs, id)
+		default:
+			j.forgetting = false
 		}
 	}
 }
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -60,6 +60,14 @@
 	Failed     bool
 }
 
+// Forgotten reports the result of a Forget command.
+type Forgotten struct {
+	Jobs []specifier.JobID
+	// Done is false when the keys may still be in the store.
+	Done bool
+}
+
+func (Forgotten) event()       {}
 func (JobArrived) event()      {}
 func (JobCancelled) event()    {}
 func (CommitEnded) event()     {}
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -46,8 +46,10 @@
 	shortestPassInterval = 3 * time.Millisecond
 	// passTimePerStep keeps the passes to about a tenth of a core: a waiting step costs about two microseconds in a pass.
 	passTimePerStep = 25 * time.Microsecond
-	// expireInterval is how often old final jobs are looked for.
-	expireInterval = time.Second
+	// expireInterval is how often old final jobs are looked for, and forgetBatch how many are forgotten at a time; each has
+	// three keys, and the store admits 32 entries. At the two-year size two jobs a second end.
+	expireInterval = 200 * time.Millisecond
+	forgetBatch    = 10
 	// longAdvice is the time above which a call counts as long, and longAdviceShare the percentage of advisors that long
 	// calls may occupy; short calls for urgent work would wait behind them.
 	longAdvice      = 200 * time.Millisecond
--- a/conductor/script_test.go
+++ b/conductor/script_test.go
@@ -1,16 +1,13 @@
 package conductor_test
 
 import (
-	"encoding/json"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/tailscale/hujson"
 
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/tester"
 )
 
 // script is a case of testdata/scripts.hujson.
@@ -80,13 +77,7 @@
 
 // TestScripts guards against the failures that each case names: rules broken or jobs left behind under faults.
 func TestScripts(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join("testdata", "scripts.hujson"))
-	require.NoError(t, err)
-	text, err = hujson.Standardize(text)
-	require.NoError(t, err)
-	var scripts []script
-	require.NoError(t, json.Unmarshal(text, &scripts))
-	for _, s := range scripts {
+	for _, s := range tester.ReadCases[script](t, "scripts.hujson") {
 		t.Run(s.Name, func(t *testing.T) {
 			w := newWorld(t, 1, s.Servers)
 			for i, submission := range s.Jobs {
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -24,6 +24,8 @@
 	// longJob is a job whose tasks run for longRunTime.
 	longJob     = "long"
 	longRunTime = 10 * time.Second
+	// finalStateKept is how long the state of a finished job is known.
+	finalStateKept = 30 * time.Second
 )
 
 // cell is a few instances over a fake store, fake backend servers and a fake advice service.
@@ -55,6 +57,7 @@
 			coordinator.WithStore(entrance), coordinator.WithBackendServers(c.servers),
 			coordinator.WithDirectory(&directory{cell: c, store: entrance}),
 			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.dial),
+			coordinator.WithConductor(conductor.WithFinalStateKept(finalStateKept)),
 			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 		require.NoError(t, err)
 		instance.Start()
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -188,3 +188,22 @@
 		require.True(t, c.instances[1].Ready())
 	})
 }
+
+// TestOldJobsAreForgotten guards against keys of finished jobs that stay in the store for ever, and against a finished
+// job that starts again once it is no longer known.
+func TestOldJobsAreForgotten(t *testing.T) {
+	play(t, 2, func(t *testing.T, c *cell) {
+		for i := range 25 {
+			require.NoError(t, c.submit(1, specifier.JobID(rune('a'+i))))
+		}
+		time.Sleep(finalStateKept)
+		require.Equal(t, specifier.Completed, c.state(1, "a"))
+		c.store.SetFaults(fakekeeper.Faults{Delay: 4 * time.Millisecond, LoseWriteAnswers: 1})
+		time.Sleep(finalStateKept)
+		require.Empty(t, c.store.Keys("egretring/intake/"))
+		require.Empty(t, c.store.Keys("egretring/states/"))
+		_, known, err := c.instances[1].State(t.Context(), "a")
+		require.NoError(t, err)
+		require.False(t, known)
+	})
+}
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/keeper"
 )
 
@@ -24,6 +25,8 @@
 		go o.hold(ctx, c)
 	case conductor.Advise:
 		go o.advise(ctx, c, o.members[c.Advisor])
+	case conductor.Forget:
+		go o.forget(ctx, c)
 	case conductor.Resign:
 		o.elector.Resign(c.Reason)
 	case conductor.Decision:
@@ -119,3 +122,16 @@
 		sleep(ctx, retryInterval)
 	}
 }
+
+// forget deletes the keys of old jobs.
+func (o *owner) forget(ctx context.Context, c conductor.Forget) {
+	transaction := keeper.Transaction{Conditions: []keeper.Condition{o.ownership.Condition()}}
+	for _, id := range c.Jobs {
+		transaction.Deletes = append(transaction.Deletes, intaker.JobKey(id), intaker.CancelKey(id), stateKey(id))
+	}
+	_, err := o.settings.store.Commit(ctx, transaction)
+	if err != nil {
+		o.settings.logger.Warn("old jobs were not deleted; they are tried again", "Jobs", len(c.Jobs), "Error", err.Error())
+	}
+	o.post(conductor.Forgotten{Jobs: c.Jobs, Done: err == nil})
+}
--- a/lifecycler/script_test.go
+++ b/lifecycler/script_test.go
@@ -1,17 +1,14 @@
 package lifecycler_test
 
 import (
-	"encoding/json"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/tailscale/hujson"
 
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/tester"
 )
 
 // script is a case of testdata/scripts.hujson.
@@ -90,13 +87,7 @@
 
 // TestScripts guards against the failures that each case names.
 func TestScripts(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join("testdata", "scripts.hujson"))
-	require.NoError(t, err)
-	text, err = hujson.Standardize(text)
-	require.NoError(t, err)
-	var scripts []script
-	require.NoError(t, json.Unmarshal(text, &scripts))
-	for _, s := range scripts {
+	for _, s := range tester.ReadCases[script](t, "scripts.hujson") {
 		t.Run(s.Name, func(t *testing.T) {
 			job := lifecycler.New(s.spec())
 			for _, a := range s.Actions {
