--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -208,9 +208,6 @@
 	}
 }
 
-// adviceRetry is the pause of an advisor after a failed call.
-const adviceRetry = 500 * time.Millisecond
-
 func (c *Conductor) advisorsChanged(names []string) {
 	old := make(map[string]*advisor, len(c.advisors))
 	for _, a := range c.advisors {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -123,7 +123,7 @@
 	return commands
 }
 
-// Reconcile lets a restored job take the room of its recorded runs.
+// restoreAllocations lets a restored job take the room of its recorded runs.
 func (c *Conductor) restoreAllocations(j *job) {
 	for _, step := range j.ReadySteps() {
 		for i := range step.Tasks {
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -257,7 +257,7 @@
 		r, runs := running[a.task]
 		switch {
 		case runs && r.Run == a.run:
-			c.observe(now, s, a, r)
+			c.observe(now, a, r)
 		case a.state == reserved:
 		case e.Fence > a.fence, !a.resolvedAt.IsZero() && a.resolvedAt.Before(e.SentAt):
 			vanished = append(vanished, a)
@@ -274,7 +274,8 @@
 	}
 }
 
-func (c *Conductor) observe(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
+// observe notes that a run is at work.
+func (c *Conductor) observe(now time.Time, a *allocation, r specifier.RunningTask) {
 	c.begin(a.task.Job)
 	if a.state == doubtful || a.state == sent {
 		a.state = confirmed
@@ -283,7 +284,6 @@
 	if j := c.jobs[a.task.Job]; j != nil && r.Checkpoint != "" {
 		j.SetCheckpoint(a.task, r.Checkpoint)
 	}
-	c.observeProgress(now, s, a, r)
 }
 
 // adoptOrphan stops a run that no job needs; its room counts until its end is listed.
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -34,6 +34,8 @@
 	ticketMargin = 150 * time.Millisecond
 	// adviceTimeout is added to the expected time of an advice call before its advisor is taken as lost.
 	adviceTimeout = 3 * time.Second
+	// adviceRetry is the pause of an advisor after a failed call.
+	adviceRetry = 500 * time.Millisecond
 	// adviceServers is the number of servers that the first call of a step names when each adds much time.
 	adviceServers = 30
 	// mostAdviceServers is the number of servers that the advice service accepts in a call.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -35,8 +35,6 @@
 	stopping   bool
 	stopSentAt time.Time
 	startedAt  time.Time
-	// idleSince is when the run was last seen without using a processor; zero while it works.
-	idleSince time.Time
 }
 
 // pendingEnd is an end that the server lists until it is acknowledged.
