--- /dev/null
+++ b/conductor/order.go
@@ -0,0 +1,195 @@
+package conductor
+
+import (
+	"fmt"
+	"time"
+
+	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/specifier"
+)
+
+func (c *Conductor) send(now time.Time, s *session, a *allocation) {
+	a.state = sent
+	a.startedAt = now
+	a.order.Fence = s.fence
+	a.fence = s.fence
+	a.order.LeaseEnd = s.serverTime(now) + startLease
+	s.extendLease(now.Add(startLease + leaseMargin))
+	c.emit(Start{Server: s.server, Order: a.order})
+}
+
+// orderEnded applies the result of a start or a stop.
+func (c *Conductor) orderEnded(now time.Time, e OrderEnded) {
+	s := c.sessions[e.Server]
+	if s == nil || s.server.Born != e.Born {
+		return
+	}
+	a := s.allocations[e.Task]
+	if a == nil || a.run != e.Run {
+		return
+	}
+	if e.Stop {
+		if e.Result == specifier.OrderDone || e.Result == specifier.OrderObsolete {
+			a.resolvedAt = now
+		}
+		return
+	}
+	c.startEnded(now, s, a, e)
+}
+
+func (c *Conductor) startEnded(now time.Time, s *session, a *allocation, e OrderEnded) {
+	if a.state != sent || e.Fence != a.fence {
+		return
+	}
+	switch e.Result {
+	case specifier.OrderDone:
+		a.state = confirmed
+		a.resolvedAt = now
+		c.begin(a.task.Job)
+		return
+	case specifier.OrderUnknown:
+		a.state = doubtful
+		c.doubt(now, s, a.fence)
+		c.decide("StartDoubtful", a.task, a.run, s.server.ID, "")
+		return
+	case specifier.OrderFenced:
+		if e.Fence == s.fence {
+			c.resign(fmt.Sprintf("backend server %s has seen a higher fencing token", s.server.ID))
+			a.state = doubtful
+			return
+		}
+	case specifier.OrderUnhealthy:
+		c.suspect(now, s)
+		c.suspectZone(now, s.server.Zone)
+		s.health.exclude(now)
+	case specifier.OrderInvalid:
+		s.health.exclude(now)
+	case specifier.OrderNoTicket:
+		c.dropTicket(a.task.StepID, s.server.ID)
+	case specifier.OrderNoRoom, specifier.OrderOtherLife:
+		c.doubt(now, s, a.fence)
+	}
+	c.decide("StartRefused", a.task, a.run, s.server.ID, e.Result.String())
+	c.vanish(now, s, a)
+}
+
+// doubt raises the fencing token of a server above that of an order, so that the order takes no effect after the
+// server's next answer.
+func (c *Conductor) doubt(now time.Time, s *session, fence int64) {
+	if s.fence == fence {
+		s.fence++
+	}
+	c.suspect(now, s)
+	c.suspectZone(now, s.server.Zone)
+}
+
+// suspect asks a server at once whether it still answers; until then it gets no new runs.
+func (c *Conductor) suspect(now time.Time, s *session) {
+	s.suspect = true
+	s.holdInFlight = false
+	s.nextHoldAt = now
+}
+
+// suspectZone asks all servers of an availability zone in which several gave no answer, because a partition cuts them
+// off together.
+func (c *Conductor) suspectZone(now time.Time, zone string) {
+	silent := 0
+	for _, s := range c.sessions {
+		if s.server.Zone == zone && s.listed && (s.suspect || s.holdFailures > 0) {
+			silent++
+		}
+	}
+	if silent < silentServersOfPartition {
+		return
+	}
+	for _, s := range c.sessions {
+		if s.server.Zone == zone && s.listed && !s.suspect && s.holdFailures == 0 && now.Sub(s.clockAt) > freshReport {
+			c.suspect(now, s)
+		}
+	}
+}
+
+// vanish gives back the room of a run that is known not to run and lets its task wait again.
+func (c *Conductor) vanish(now time.Time, s *session, a *allocation) {
+	s.release(a.task)
+	j := c.jobs[a.task.Job]
+	if j == nil || j.State().Final() {
+		return
+	}
+	j.Unplace(a.task, a.run)
+	c.stopGang(now, j, a.task.StepID, a.run)
+	c.changed(j)
+}
+
+// stopGang stops the other members of a gang's run after one of them was lost.
+func (c *Conductor) stopGang(now time.Time, j *job, id specifier.StepID, run int) {
+	step, ok := j.Step(id)
+	if !ok || !step.Spec.Gang {
+		return
+	}
+	for i := range step.Tasks {
+		task := step.Tasks[i]
+		if task.State != lifecycler.Placed || task.Run != run {
+			continue
+		}
+		s := c.sessions[task.Server]
+		if s == nil {
+			continue
+		}
+		if a := s.allocations[id.Task(i)]; a != nil {
+			c.stop(now, s, a)
+		}
+	}
+}
+
+// stop orders the end of a run; a run that was not ordered yet is taken back.
+func (c *Conductor) stop(now time.Time, s *session, a *allocation) {
+	if a.stopping {
+		return
+	}
+	if a.state == reserved {
+		s.release(a.task)
+		if j := c.jobs[a.task.Job]; j != nil {
+			j.Unplace(a.task, a.run)
+			c.changed(j)
+		}
+		return
+	}
+	a.stopping = true
+	c.sendStop(now, s, a)
+}
+
+func (c *Conductor) sendStop(now time.Time, s *session, a *allocation) {
+	a.stopSentAt = now
+	c.emit(Stop{Server: s.server, Task: a.task, Run: a.run, Fence: s.fence})
+}
+
+func (c *Conductor) stopAll(now time.Time, j *job) {
+	for _, s := range c.sessions {
+		for _, a := range s.allocations {
+			if a.task.Job == j.Spec.ID {
+				c.stop(now, s, a)
+			}
+		}
+	}
+}
+
+func (c *Conductor) resendStops(now time.Time) {
+	for _, s := range c.sessions {
+		if s.holdFailures > 0 {
+			continue
+		}
+		for _, a := range s.allocations {
+			if a.stopping && now.Sub(a.stopSentAt) >= stopRetry {
+				c.sendStop(now, s, a)
+			}
+		}
+	}
+}
+
+// begin notes that a run of a job is known to have started.
+func (c *Conductor) begin(id specifier.JobID) {
+	if j := c.jobs[id]; j != nil {
+		j.Begin()
+	}
+}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
 
@@ -281,3 +282,8 @@
 	u.job.reserved = append(u.job.reserved, &reservation{session: s, allocation: a})
 	c.decide("RunPlaced", a.task, run, s.server.ID, "")
 }
+
+// placedOn reports whether a task has room on a server.
+func placedOn(s *session, step *lifecycler.Step, index int) bool {
+	return s.allocations[step.ID.Task(index)] != nil
+}
