Tie a resignation to its epoch; a draining instance never stands again

Cause: read-through: a resignation from an earlier ownership could end the next one of the same instance, and an instance that drains for over four seconds could be elected. Change: resignations name their epoch; Retire ends both. The lanes' number stands once.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -63,6 +63,7 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes<<20) * memoryShare))
 	}
 	signals := make(chan os.Signal, 2)
+	// A write to a closed connection raises SIGPIPE here; the error of the write is enough.
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
 	defer signal.Stop(signals)
 	p := &process{
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -20,7 +20,7 @@
 	jobs     map[specifier.JobID]*job
 	sessions map[specifier.ServerID]*session
 	units    map[specifier.StepID]*unit
-	lanes    [commitLanes]lane
+	lanes    [CommitLanes]lane
 	dirty    []*job
 	advisors []*advisor
 
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -22,8 +22,8 @@
 	uncommittedHold = time.Second
 	// stopRetry is how long an unanswered stop, or one whose end is not listed, waits before it is sent again.
 	stopRetry = 500 * time.Millisecond
-	// commitLanes bounds the writes to the store at the same time.
-	commitLanes = 4
+	// CommitLanes bounds the writes to the store at the same time.
+	CommitLanes = 4
 	// commitInterval gathers the changes of a few milliseconds into one write, because each call to the store is paid for.
 	commitInterval = 15 * time.Millisecond
 	// commitBatch bounds the records of one write; the store admits 32 entries.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -78,7 +78,7 @@
 // Drain gives up the ownership and reports not ready; requests are still answered until Stop.
 func (c *Coordinator) Drain() {
 	c.draining.Store(true)
-	c.elector.Resign("instance stops")
+	c.elector.Retire()
 }
 
 // Stop ends the coordinator.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -49,7 +49,13 @@
 		c.instances[0].Drain()
 		require.False(t, c.instances[0].Ready())
 		require.NoError(t, c.submit(1, "b"))
+		// An instance that drains for long must not become the owner again.
+		time.Sleep(6 * time.Second)
+		c.store.TakeAway(elector.OwnerKey)
 		time.Sleep(time.Second)
+		entry, err := c.store.Get(t.Context(), elector.OwnerKey)
+		require.NoError(t, err)
+		require.NotContains(t, string(entry.Value), "instance-0")
 		require.NoError(t, c.instances[0].Stop())
 		c.instances[0] = nil
 		time.Sleep(2 * time.Second)
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -28,7 +28,7 @@
 	case conductor.Forget:
 		go o.forget(ctx, c)
 	case conductor.Resign:
-		o.elector.Resign(c.Reason)
+		o.elector.Resign(o.ownership.Epoch, c.Reason)
 	case conductor.Decision:
 		o.log(c)
 	}
@@ -100,7 +100,7 @@
 		var conflict *keeper.ConflictError
 		if errors.As(err, &conflict) {
 			if conflict.EntryOf(o.ownership.Condition().Key).Revision != o.ownership.Epoch {
-				o.elector.Resign("another instance owns the cell, or the owner's key is gone")
+				o.elector.Resign(o.ownership.Epoch, "another instance owns the cell, or the owner's key is gone")
 				return
 			}
 			entry := conflict.EntryOf(lane)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -19,7 +19,7 @@
 	events    chan posted
 	queries   chan func(*conductor.Conductor)
 	// laneRevisions are the revisions of the lanes' keys.
-	laneRevisions [16]int64
+	laneRevisions [conductor.CommitLanes]int64
 	members       map[string]string
 	done          <-chan struct{}
 	patience      keeper.Patience
@@ -101,7 +101,7 @@
 		case next := <-o.events:
 			now := o.settings.clock.Now()
 			if l.observe(now, now.Sub(next.at)) {
-				o.elector.Resign(fmt.Sprintf("instance is slow: in %d half seconds an event waited for over %s", l.slow, slowAge))
+				o.elector.Resign(o.ownership.Epoch, fmt.Sprintf("instance is slow: in %d half seconds an event waited for over %s", l.slow, slowAge))
 			}
 			o.core.Handle(now, next.event)
 			o.handleWaiting()
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,13 +48,21 @@
 
 	mu       sync.Mutex
 	current  Ownership
-	resigned chan string
+	resigned chan resignation
+	// retired instances no longer stand.
+	retired  atomic.Bool
 	pauseEnd time.Time
 }
 
+// resignation ends one ownership.
+type resignation struct {
+	epoch  int64
+	reason string
+}
+
 // New returns an elector.
 func New(store keeper.TransactionalStore, self Owner, duty Duty, clock timekeeper.Clock, logger *slog.Logger) *Elector {
-	return &Elector{store: store, self: self, duty: duty, clock: clock, logger: logger, resigned: make(chan string, 1)}
+	return &Elector{store: store, self: self, duty: duty, clock: clock, logger: logger, resigned: make(chan resignation, 1)}
 }
 
 // Current returns the owner as far as this instance knows; its epoch is zero when there is none.
@@ -63,14 +72,21 @@
 	return e.current
 }
 
-// Resign gives up the ownership.
-func (e *Elector) Resign(reason string) {
+// Resign gives up the ownership of an epoch. Later ownerships of this instance are not touched.
+func (e *Elector) Resign(epoch int64, reason string) {
 	select {
-	case e.resigned <- reason:
+	case e.resigned <- resignation{epoch: epoch, reason: reason}:
 	default:
+		// One resignation waits already.
 	}
 }
 
+// Retire gives up the ownership, if this instance has it, and never stands again.
+func (e *Elector) Retire() {
+	e.retired.Store(true)
+	e.Resign(e.Current().Epoch, "instance stops")
+}
+
 // Run takes part in elections until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -117,8 +133,8 @@
 
 // stand tries to become the owner in place of none, or of an earlier process of the same instance.
 func (e *Elector) stand(ctx context.Context, before Ownership) {
-	if wait := e.pauseEnd.Sub(e.clock.Now()); wait > 0 {
-		pause(ctx, min(wait, renewInterval))
+	if wait := e.pauseEnd.Sub(e.clock.Now()); wait > 0 || e.retired.Load() {
+		pause(ctx, renewInterval)
 		return
 	}
 	if before.Epoch == 0 {
@@ -151,11 +167,10 @@
 
 // own carries out the duty while the lease holds.
 func (e *Elector) own(ctx context.Context, ownership Ownership, lease keeper.LeaseID, renewedAt time.Time) {
-	select {
-	case <-e.resigned:
-	default:
-	}
 	e.note(ownership)
+	if e.retired.Load() {
+		e.Resign(ownership.Epoch, "instance stops")
+	}
 	dutyContext, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -181,9 +196,12 @@
 		select {
 		case <-ctx.Done():
 			return "instance stops"
-		case reason := <-e.resigned:
+		case r := <-e.resigned:
+			if r.epoch != ownership.Epoch {
+				continue
+			}
 			e.pauseEnd = e.clock.Now().Add(resignPause)
-			return reason
+			return r.reason
 		case <-time.After(renewInterval):
 		}
 		askedAt := e.clock.Now()
