Run no inspection after its caller has stopped waiting

Runner.Inspect returned when its context ended, and the function ran later and wrote what the caller read; the report of an instance's load was affected. Change: the caller and the owning goroutine claim the function; who comes second leaves it. Figures: TestInspectAfterGivingUp fails before and passes after, with the race detector.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -96,24 +97,35 @@
 	return len(r.inbox.Items())
 }
 
-// Inspect runs a function in the goroutine that owns the core and waits for it.
+// Inspect runs a function in the goroutine that owns the core and waits for it. After an error the function was not run
+// and never will be, so that its caller may go on with what the function shares.
 func (r *Runner) Inspect(ctx context.Context, inspect func()) error {
 	done := make(chan struct{})
+	// claimed is set by who comes first: the goroutine that runs the function, or the caller who gives up.
+	var claimed atomic.Bool
 	m := message{inspect: func() {
-		defer close(done)
-		inspect()
+		if claimed.CompareAndSwap(false, true) {
+			defer close(done)
+			inspect()
+		}
 	}}
 	if err := r.inbox.Put(ctx, m); err != nil {
 		return err
 	}
+	var err error
 	select {
 	case <-done:
 		return nil
 	case <-r.tomb.Dying():
-		return tomb.ErrDying
+		err = tomb.ErrDying
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
+	}
+	if claimed.CompareAndSwap(false, true) {
+		return err
 	}
+	<-done
+	return nil
 }
 
 // Run serves one request and returns nil when its whole answer has been sent.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -139,3 +139,27 @@
 		require.True(t, classifier.IsErrKind(<-result, classifier.OutcomeUnknown))
 	})
 }
+
+// TestInspectAfterGivingUp guards against a function that runs after its caller has stopped waiting for it, beside what
+// the caller does next: a data race in the load that instances report to each other.
+func TestInspectAfterGivingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		subject := runner.New(&scriptedCore{respond: startFirst})
+		subject.Start()
+		release := make(chan struct{})
+		blocked := make(chan error, 1)
+		go func() {
+			blocked <- subject.Inspect(t.Context(), func() { <-release })
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		inspected := false
+		require.ErrorIs(t, subject.Inspect(ctx, func() { inspected = true }), context.DeadlineExceeded)
+		close(release)
+		require.NoError(t, <-blocked)
+		require.NoError(t, subject.Inspect(t.Context(), func() {}))
+		require.False(t, inspected)
+		require.NoError(t, subject.Stop())
+	})
+}
