--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -152,9 +152,7 @@
 
 func (c *Conductor) adopt(restored *lifecycler.Job) *job {
 	j := &job{Job: restored, queue: restored.Spec.Queue, advice: make(map[specifier.StepID]*advice)}
-	if newer, ok := c.configuration.QueueNamed(j.queue.Name); ok {
-		j.queue = newer
-	}
+	j.follow(&c.configuration)
 	c.jobs[restored.Spec.ID] = j
 	if restored.Spec.Occurrences > 0 && !restored.State().Final() {
 		c.scheduled[restored.Spec.ID] = j
@@ -196,9 +194,14 @@
 	}
 	c.configuration = configuration
 	for _, j := range c.jobs {
-		if newer, ok := configuration.QueueNamed(j.queue.Name); ok {
-			j.queue = newer
-		}
+		j.follow(&configuration)
+	}
+}
+
+// follow takes over the present settings of the job's queue, unless the queue was removed.
+func (j *job) follow(configuration *specifier.Configuration) {
+	if newer, ok := configuration.QueueNamed(j.queue.Name); ok {
+		j.queue = newer
 	}
 }
 
@@ -217,41 +220,6 @@
 	}
 }
 
-// expire asks to forget jobs that have been final for long. They stay known until their keys are gone, because a job
-// that is listed again and not known would start again.
-func (c *Conductor) expire(now time.Time) {
-	if now.Before(c.expireAt) {
-		return
-	}
-	c.expireAt = now.Add(expireInterval)
-	var old []specifier.JobID
-	for id, j := range c.jobs {
-		if len(old) == forgetBatch {
-			break
-		}
-		if j.State().Final() && !j.dirty && !j.inFlight && !j.forgetting && now.Sub(j.FinalAt()) > c.settings.keepFinal {
-			j.forgetting = true
-			old = append(old, id)
-		}
-	}
-	if len(old) > 0 {
-		c.emit(Forget{Jobs: old})
-	}
-}
-
-func (c *Conductor) forgotten(e Forgotten) {
-	for _, id := range e.Jobs {
-		j := c.jobs[id]
-		switch {
-		case j == nil:
-		case e.Done:
-			delete(c.jobs, id)
-		default:
-			j.forgetting = false
-		}
-	}
-}
-
 // changed marks a job for a commit and updates its waiting steps.
 func (c *Conductor) changed(j *job) {
 	c.markDirty(j)
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -58,7 +58,7 @@
 		}
 		a.state = doubtful
 		if a.startedAt.After(earliest) {
-			s.extendLease(now.Add(time.Duration(float64(c.settings.longestLease)*(1+leaseDrift)) + leaseMargin))
+			s.extendLease(now.Add(leaseBound(c.settings.longestLease)))
 		}
 	}
 	s.known, s.clockKnown = false, false
@@ -105,7 +105,7 @@
 		command.LeaseEnd = s.serverTime(now) + c.settings.lease
 		// The server may renew the lease although its answer is lost. A server that does not answer is only asked, so
 		// that its lease ends and its tasks can start elsewhere.
-		s.extendLease(now.Add(c.longestLease()))
+		s.extendLease(now.Add(leaseBound(c.settings.lease)))
 	}
 	if s.known && !s.suspect && s.holdFailures == 0 && len(s.pending) == 0 && s.settledFence == s.fence {
 		command.Wait = holdWait
@@ -113,9 +113,9 @@
 	c.emit(command)
 }
 
-// longestLease returns how long a lease may last on the clock of the owner.
-func (c *Conductor) longestLease() time.Duration {
-	return time.Duration(float64(c.settings.lease)*(1+leaseDrift)) + leaseMargin
+// leaseBound returns how long a lease may last on the clock of the owner.
+func leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+leaseDrift)) + leaseMargin
 }
 
 func (c *Conductor) holdEnded(now time.Time, e HoldEnded) {
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -16,7 +16,7 @@
 	if s.inherited {
 		// Until its first answer an earlier owner may have renewed the lease; now the fencing token rules that out.
 		s.inherited = false
-		s.leaseEnd = now.Add(c.longestLease())
+		s.leaseEnd = now.Add(leaseBound(c.settings.lease))
 	}
 	running := make(map[specifier.TaskID]specifier.RunningTask, len(e.Report.Running))
 	for _, r := range e.Report.Running {
