Ask earlier owners whether they have stopped; bound inherited leases by that

Cause: after a takeover, runs on servers that a successor does not reach counted as alive for 12.5 s, because an earlier owner might go on renewing leases for 7.5 s. Change: each term is recorded in the store. An owner that has stopped says so in its last write; of another one the successor asks its instance, which gives the duty up, or says that the process has ended. Then unconfirmed leases end 4.9 s later. The new conductor script fails without the change.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -12,10 +12,12 @@
 
 // Conductor is the core of the owner. It is not safe for concurrent use.
 type Conductor struct {
-	settings      settings
-	firstFence    int64
-	startedAt     time.Time
-	configuration specifier.Configuration
+	settings   settings
+	firstFence int64
+	startedAt  time.Time
+	// inheritedUntil is when leases that earlier owners renewed have certainly ended.
+	inheritedUntil time.Time
+	configuration  specifier.Configuration
 
 	jobs     map[specifier.JobID]*job
 	sessions map[specifier.ServerID]*session
@@ -80,6 +82,7 @@
 	for _, option := range options {
 		option(&c.settings)
 	}
+	c.inheritedUntil = now.Add(handoverGrace + c.settings.lease)
 	return c
 }
 
@@ -106,6 +109,8 @@
 		c.advised(now, e)
 	case Forgotten:
 		c.forgotten(e)
+	case PredecessorsStopped:
+		c.predecessorsStopped(now)
 	}
 }
 
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -60,6 +60,9 @@
 	Failed     bool
 }
 
+// PredecessorsStopped reports that no earlier owner renews leases any more.
+type PredecessorsStopped struct{}
+
 // Forgotten reports the result of a Forget command.
 type Forgotten struct {
 	Jobs []specifier.JobID
@@ -67,13 +70,14 @@
 	Done bool
 }
 
-func (Forgotten) event()       {}
-func (JobArrived) event()      {}
-func (JobCancelled) event()    {}
-func (CommitEnded) event()     {}
-func (OrderEnded) event()      {}
-func (HoldEnded) event()       {}
-func (ServersListed) event()   {}
-func (Configured) event()      {}
-func (AdvisorsChanged) event() {}
-func (Advised) event()         {}
+func (Forgotten) event()           {}
+func (PredecessorsStopped) event() {}
+func (JobArrived) event()          {}
+func (JobCancelled) event()        {}
+func (CommitEnded) event()         {}
+func (OrderEnded) event()          {}
+func (HoldEnded) event()           {}
+func (ServersListed) event()       {}
+func (Configured) event()          {}
+func (AdvisorsChanged) event()     {}
+func (Advised) event()             {}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -14,11 +14,26 @@
 	}
 	created := newSession(specifier.Server{ID: id}, c.firstFence)
 	created.inherited = true
-	created.leaseEnd = c.startedAt.Add(handoverGrace + c.settings.lease)
+	created.leaseEnd = c.inheritedUntil
 	c.sessions[id] = created
 	return created
 }
 
+// predecessorsStopped bounds the leases of the servers that have not answered yet: nobody but this owner renews them now.
+func (c *Conductor) predecessorsStopped(now time.Time) {
+	end := now.Add(leaseBound(c.settings.lease))
+	if !end.Before(c.inheritedUntil) {
+		return
+	}
+	c.decide("PredecessorsStopped", specifier.TaskID{}, 0, "", "leases not confirmed end at "+end.Format(time.RFC3339Nano))
+	c.inheritedUntil = end
+	for _, s := range c.sessions {
+		if s.inherited && !s.strayLease && s.leaseEnd.After(end) {
+			s.leaseEnd = end
+		}
+	}
+}
+
 // listed takes over the list of registered servers.
 func (c *Conductor) listed(now time.Time, servers []specifier.Server) {
 	present := make(map[specifier.ServerID]bool, len(servers))
@@ -58,6 +73,7 @@
 		}
 		a.state = doubtful
 		if a.startedAt.After(earliest) {
+			s.strayLease = true
 			s.extendLease(now.Add(leaseBound(c.settings.longestLease)))
 		}
 	}
--- a/conductor/random_test.go
+++ b/conductor/random_test.go
@@ -52,7 +52,7 @@
 }
 
 func (w *world) addRandomFaults() {
-	kinds := []string{"Silent", "Crash", "LoseAnswers", "DelayStarts", "StoreDown", "LoseOwner", "Silent", "LoseOwner"}
+	kinds := []string{"Silent", "Crash", "LoseAnswers", "DelayStarts", "StoreDown", "LoseOwner", "Silent", "LoseOwner", "CrashOwner"}
 	for range 8 {
 		w.schedule(scriptEvent{
 			At: 2 + 22*w.random.Float64(), Kind: kinds[w.random.IntN(len(kinds))],
--- a/conductor/script_test.go
+++ b/conductor/script_test.go
@@ -67,6 +67,8 @@
 			w.storeDown = until
 		case "LoseOwner":
 			w.loseOwner()
+		case "CrashOwner":
+			w.crashOwner()
 		case "Cancel":
 			w.cancelJob(w.submitted[e.Job].ID)
 		default:
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -64,6 +64,8 @@
 	leaseEnd time.Time
 	// inherited is set until the server's first answer to this owner.
 	inherited bool
+	// strayLease is set when a run may be held on the clock of an earlier life, for the longest lease there is.
+	strayLease bool
 
 	holdSequence int
 	answeredHold int
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -18,6 +18,8 @@
 	orderTimeout = 600 * time.Millisecond
 	tick         = 25 * time.Millisecond
 	takeoverTime = 1500 * time.Millisecond
+	// askTime is how long a successor takes to find that the earlier owner has stopped.
+	askTime = 50 * time.Millisecond
 )
 
 // world plays an owner, its store and backend servers in virtual time, and checks the rules that hold at every moment.
@@ -147,6 +149,13 @@
 	w.after(takeoverTime, w.elect)
 }
 
+// crashOwner ends the owner; the one that follows learns that it has stopped.
+func (w *world) crashOwner() {
+	w.loseOwner()
+	epoch := w.epoch + 1
+	w.after(takeoverTime+askTime, func() { w.tell(epoch, conductor.PredecessorsStopped{}) })
+}
+
 func (w *world) list() {
 	var listed []specifier.Server
 	for _, s := range w.servers {
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -40,6 +40,11 @@
 	adviceCallTimeout = 1500 * time.Millisecond
 	// stateTimeout bounds a question to the owner; after it the store is read.
 	stateTimeout = 250 * time.Millisecond
+	// stoppedInterval is the pause between two questions to an earlier owner that has not stopped or does not answer.
+	stoppedInterval = 250 * time.Millisecond
+	// longestRelay bounds the wait for an owner that stores a submission for this instance; a slow store takes about 250 ms.
+	// Callers of an owner that does not answer still have time to submit elsewhere.
+	longestRelay = 700 * time.Millisecond
 	// relayMargin leaves time for the answer of the owner to travel back.
 	relayMargin = 30 * time.Millisecond
 	// queuedEvents bounds the events that wait for the owner's goroutine.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -15,9 +15,11 @@
 type owner struct {
 	*Coordinator
 	ownership elector.Ownership
-	core      *conductor.Conductor
-	events    chan posted
-	queries   chan func(*conductor.Conductor)
+	// predecessors are earlier owners that may still renew leases of runs.
+	predecessors []elector.Owner
+	core         *conductor.Conductor
+	events       chan posted
+	queries      chan func(*conductor.Conductor)
 	// laneRevisions are the revisions of the lanes' keys.
 	laneRevisions [conductor.CommitLanes]int64
 	members       map[string]string
@@ -33,9 +35,10 @@
 }
 
 // own is the duty of the elector.
-func (c *Coordinator) own(ctx context.Context, ownership elector.Ownership) {
+func (c *Coordinator) own(ctx context.Context, term elector.Term) {
+	ownership := term.Ownership
 	o := &owner{
-		Coordinator: c, ownership: ownership,
+		Coordinator: c, ownership: ownership, predecessors: term.Predecessors,
 		events: make(chan posted, queuedEvents), queries: make(chan func(*conductor.Conductor)),
 		members: make(map[string]string), done: ctx.Done(),
 	}
@@ -58,6 +61,7 @@
 	go o.watchIntake(ctx)
 	go o.followServers(ctx)
 	go o.followMembers(ctx)
+	go o.awaitPredecessors(ctx)
 	o.run(ctx)
 }
 
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -19,6 +19,7 @@
 	methodAdvise   = "Advise"
 	methodTake     = "Take"
 	methodAccept   = "Accept"
+	methodStopped  = "Stopped"
 )
 
 // longestAdvice bounds an advice call through another instance.
@@ -98,6 +99,7 @@
 		methodAdvise:   messenger.NewMethod(c.answerAdvise),
 		methodTake:     messenger.NewMethod(c.answerTake),
 		methodAccept:   messenger.NewMethod(c.answerAccept),
+		methodStopped:  messenger.NewMethod(c.answerStopped),
 	}
 }
 
@@ -137,10 +139,12 @@
 	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance || !limited {
 		return acceptReply{}, false, nil
 	}
-	request.Patience = time.Until(deadline) - relayMargin
+	request.Patience = min(time.Until(deadline)-relayMargin, longestRelay)
 	if request.Patience <= 0 {
 		return acceptReply{}, false, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, request.Patience+relayMargin)
+	defer cancel()
 	reply, err := messenger.Call[acceptRequest, acceptReply](
 		ctx, c.advice, current.Owner.Address, methodAccept, request,
 	)
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -33,10 +34,12 @@
 	// holdingGrace is how long an owner that no longer reaches the store goes on renewing the leases of runs. A
 	// successor waits for longer before it takes runs on unreachable servers as ended.
 	holdingGrace = 6 * time.Second
+	// LongestDutyWithoutStore is how long an owner that no longer reaches the store may go on with its duty.
+	LongestDutyWithoutStore = timeToLive + holdingGrace + renewInterval
 )
 
 // Duty is what an instance does while it is the owner. It ends when the context ends.
-type Duty func(ctx context.Context, ownership Ownership)
+type Duty func(ctx context.Context, term Term)
 
 // Elector runs the election of one instance.
 type Elector struct {
@@ -46,9 +49,13 @@
 	clock  timekeeper.Clock
 	logger *slog.Logger
 
-	mu       sync.Mutex
-	current  Ownership
-	resigned chan resignation
+	mu      sync.Mutex
+	current Ownership
+	// onDuty is the epoch of the duty that is being carried out, or zero.
+	onDuty int64
+	// predecessors are the owners before this one that may still carry out their duty.
+	predecessors []Owner
+	resigned     chan resignation
 	// retired instances no longer stand.
 	retired  atomic.Bool
 	pauseEnd time.Time
@@ -81,6 +88,43 @@
 	}
 }
 
+// Stopped reports that a process of this instance carries out no duty of an earlier epoch, and gives such a duty up. A
+// process other than this one has ended.
+func (e *Elector) Stopped(incarnation, before int64) bool {
+	if incarnation != e.self.Incarnation {
+		return true
+	}
+	e.mu.Lock()
+	epoch := e.onDuty
+	e.mu.Unlock()
+	if epoch == 0 || epoch >= before {
+		return true
+	}
+	e.Resign(epoch, fmt.Sprintf("a later owner has epoch %d", before))
+	return false
+}
+
+// PredecessorsStopped notes that all owners before an epoch are known to have stopped, so that a successor need not ask
+// again.
+func (e *Elector) PredecessorsStopped(ctx context.Context, ownership Ownership) {
+	e.mu.Lock()
+	current := e.onDuty == ownership.Epoch
+	if current {
+		e.predecessors = nil
+	}
+	e.mu.Unlock()
+	if !current {
+		return
+	}
+	transaction, err := termTransaction(ownership, termRecord{Owner: e.self})
+	if err == nil {
+		_, err = e.store.Commit(ctx, transaction)
+	}
+	if err != nil {
+		e.logger.Info("a successor has to ask earlier owners again", "Epoch", ownership.Epoch, "Error", err.Error())
+	}
+}
+
 // Retire gives up the ownership, if this instance has it, and never stands again.
 func (e *Elector) Retire() {
 	e.retired.Store(true)
@@ -140,6 +184,15 @@
 	if before.Epoch == 0 {
 		pause(ctx, time.Duration(rand.Int64N(int64(candidateJitter))))
 	}
+	entry, err := e.store.Get(ctx, TermKey)
+	if err != nil {
+		pause(ctx, retryInterval)
+		return
+	}
+	predecessors, err := predecessorsOf(entry)
+	if err != nil {
+		e.logger.Error("term cannot be read; its owner is taken as still at work", "Error", err.Error())
+	}
 	askedAt := e.clock.Now()
 	lease, err := e.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: timeToLive})
 	if err != nil {
@@ -151,9 +204,14 @@
 		e.logger.Error("owner cannot be encoded", "Error", err.Error())
 		return
 	}
+	record, err := json.Marshal(termRecord{Owner: e.self, Predecessors: predecessors})
+	if err != nil {
+		e.logger.Error("term cannot be encoded", "Error", err.Error())
+		return
+	}
 	epoch, err := e.store.Commit(ctx, keeper.Transaction{
-		Conditions: []keeper.Condition{{Key: OwnerKey, Revision: before.Epoch}},
-		Writes:     []keeper.Write{{Key: OwnerKey, Value: value, Lease: lease}},
+		Conditions: []keeper.Condition{{Key: OwnerKey, Revision: before.Epoch}, {Key: TermKey, Revision: entry.Revision}},
+		Writes:     []keeper.Write{{Key: OwnerKey, Value: value, Lease: lease}, {Key: TermKey, Value: record}},
 	})
 	if err != nil {
 		// A write without an answer is found by the next read, as an owner with this instance's name.
@@ -162,29 +220,54 @@
 		}
 		return
 	}
-	e.own(ctx, Ownership{Owner: e.self, Epoch: epoch}, lease, askedAt)
+	term := Term{Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors}
+	e.own(ctx, term, lease, askedAt)
 }
 
 // own carries out the duty while the lease holds.
-func (e *Elector) own(ctx context.Context, ownership Ownership, lease keeper.LeaseID, renewedAt time.Time) {
-	e.note(ownership)
+func (e *Elector) own(ctx context.Context, term Term, lease keeper.LeaseID, renewedAt time.Time) {
+	e.note(term.Ownership)
 	if e.retired.Load() {
-		e.Resign(ownership.Epoch, "instance stops")
+		e.Resign(term.Epoch, "instance stops")
 	}
+	e.setDuty(term.Epoch, term.Predecessors)
 	dutyContext, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		e.duty(dutyContext, ownership)
+		e.duty(dutyContext, term)
 	}()
-	reason := e.keep(ctx, ownership, lease, renewedAt)
+	reason := e.keep(ctx, term.Ownership, lease, renewedAt)
 	cancel()
 	<-done
-	e.logger.Warn("ownership ended", "Epoch", ownership.Epoch, "Reason", reason)
+	predecessors := e.setDuty(0, nil)
+	e.logger.Warn("ownership ended", "Epoch", term.Epoch, "Reason", reason)
 	e.note(Ownership{})
-	release, stop := context.WithTimeout(context.WithoutCancel(ctx), renewInterval)
-	defer stop()
-	if err := e.store.Revoke(release, lease); err != nil {
+	e.release(context.WithoutCancel(ctx), term.Ownership, lease, predecessors)
+}
+
+// setDuty notes the epoch on duty, and returns the predecessors of the former one that were not found to have stopped.
+func (e *Elector) setDuty(epoch int64, predecessors []Owner) []Owner {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	former := e.predecessors
+	e.onDuty, e.predecessors = epoch, predecessors
+	return former
+}
+
+// release ends the term in the store, so that a successor knows that this owner has stopped.
+func (e *Elector) release(ctx context.Context, ownership Ownership, lease keeper.LeaseID, predecessors []Owner) {
+	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	defer cancel()
+	transaction, err := termTransaction(ownership, termRecord{Owner: e.self, Ended: true, Predecessors: predecessors})
+	if err == nil {
+		transaction.Deletes = []string{OwnerKey}
+		_, err = e.store.Commit(ctx, transaction)
+	}
+	if err != nil {
+		e.logger.Warn("end of the term was not stored", "Epoch", ownership.Epoch, "Error", err.Error())
+	}
+	if err := e.store.Revoke(ctx, lease); err != nil {
 		e.logger.Warn("owner's lease was not given back and lapses by itself", "Error", err.Error())
 	}
 }
--- /dev/null
+++ b/elector/term.go
@@ -0,0 +1,53 @@
+package elector
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"egretring.example/egretring/keeper"
+)
+
+// TermKey is the key of the newest term. It has no lease, so that a successor can read it after the owner is gone.
+const TermKey = "egretring/term"
+
+// Term is one instance's time as the owner.
+type Term struct {
+	Ownership
+	// Predecessors are earlier owners that may still carry out their duty. The zero Owner stands for an unknown one.
+	Predecessors []Owner
+}
+
+// termRecord is the value of the term's key.
+type termRecord struct {
+	Owner Owner
+	// Ended is set by an owner that has stopped carrying out its duty.
+	Ended bool `json:",omitempty"`
+	// Predecessors are earlier owners that had not been found to have stopped.
+	Predecessors []Owner `json:",omitempty"`
+}
+
+// predecessorsOf returns the owners that may still carry out their duty when another instance is elected.
+func predecessorsOf(entry keeper.Entry) ([]Owner, error) {
+	unknown := []Owner{{}}
+	if entry.Revision == 0 {
+		return unknown, nil
+	}
+	var record termRecord
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		return unknown, errors.Wrap(err, "decode term")
+	}
+	if record.Ended {
+		return record.Predecessors, nil
+	}
+	return append(record.Predecessors, record.Owner), nil
+}
+
+// termTransaction returns the change of the term's key while an owner has its ownership.
+func termTransaction(ownership Ownership, record termRecord) (keeper.Transaction, error) {
+	value, err := json.Marshal(record)
+	return keeper.Transaction{
+		Conditions: []keeper.Condition{ownership.Condition()},
+		Writes:     []keeper.Write{{Key: TermKey, Value: value}},
+	}, errors.Wrap(err, "encode term")
+}
