--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -34,7 +34,7 @@
 }
 
 // Submit accepts a job. The context's deadline is the time until which the caller waits. An instance that the store
-// turns away lets the owner store the job.
+// turns away or does not answer lets the owner store the job.
 func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
 	job.AcceptedAt = c.settings.clock.Now()
 	if !c.intaker.Reachable() {
@@ -42,7 +42,15 @@
 			return err
 		}
 	}
-	return c.accept(ctx, job)
+	err := c.accept(ctx, job)
+	if classifier.KindOf(err) != classifier.OutcomeUnknown || ctx.Err() != nil {
+		return err
+	}
+	if _, tried, relayErr := c.acceptThroughOwner(ctx, acceptRequest{Job: &job}); tried && relayErr == nil {
+		return nil
+	}
+	// A refusal by the owner says nothing of the first attempt, which may still take effect.
+	return err
 }
 
 func (c *Coordinator) accept(ctx context.Context, job specifier.Job) error {
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -24,6 +24,10 @@
 	// longJob is a job whose tasks run for longRunTime.
 	longJob     = "long"
 	longRunTime = 10 * time.Second
+	// clientTimeout is how long a client of the store waits for an answer.
+	clientTimeout = 800 * time.Millisecond
+	// callerPatience is how long callers wait for an answer.
+	callerPatience = 3 * time.Second
 	// finalStateKept is how long the state of a finished job is known.
 	finalStateKept = 30 * time.Second
 )
@@ -78,24 +82,38 @@
 	time.Sleep(time.Minute)
 }
 
-// gate is the store as one instance sees it; a closed gate refuses transactions and reads.
+// gate is the store as one instance sees it; a closed gate refuses transactions and reads, a silent one does not answer.
 type gate struct {
 	keeper.TransactionalStore
 	closed atomic.Bool
+	silent atomic.Bool
+}
+
+func (g *gate) pass(ctx context.Context) error {
+	if g.closed.Load() {
+		return keeper.ErrRefused
+	}
+	if g.silent.Load() {
+		ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return keeper.ErrUnavailable
+	}
+	return nil
 }
 
 // Get implements keeper.TransactionalStore.
 func (g *gate) Get(ctx context.Context, key string) (keeper.Entry, error) {
-	if g.closed.Load() {
-		return keeper.Entry{}, keeper.ErrRefused
+	if err := g.pass(ctx); err != nil {
+		return keeper.Entry{}, err
 	}
 	return g.TransactionalStore.Get(ctx, key)
 }
 
 // Commit implements keeper.TransactionalStore.
 func (g *gate) Commit(ctx context.Context, transaction keeper.Transaction) (int64, error) {
-	if g.closed.Load() {
-		return 0, keeper.ErrRefused
+	if err := g.pass(ctx); err != nil {
+		return 0, err
 	}
 	return g.TransactionalStore.Commit(ctx, transaction)
 }
@@ -138,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
+	ctx, cancel := context.WithTimeout(c.t.Context(), callerPatience)
 	defer cancel()
 	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{{
 		Count: 2, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -147,7 +147,7 @@
 // TestOwnerOutOfReach guards against unknown states and wrong counts while an instance cannot call the owner.
 func TestOwnerOutOfReach(t *testing.T) {
 	play(t, 2, func(t *testing.T, c *cell) {
-		c.network.cut["instance-0"] = true
+		c.network.cutOff("instance-0")
 		require.NoError(t, c.submit(1, "a"))
 		time.Sleep(4 * runTime)
 		require.Equal(t, specifier.Completed, c.state(1, "a"))
@@ -160,7 +160,7 @@
 // watches and the instance that took them cannot call the owner.
 func TestMuteWatch(t *testing.T) {
 	play(t, 2, func(t *testing.T, c *cell) {
-		c.network.cut["instance-0"] = true
+		c.network.cutOff("instance-0")
 		c.store.SetFaults(fakekeeper.Faults{MuteWatches: true})
 		require.NoError(t, c.submit(1, "a"))
 		require.NoError(t, c.submit(1, longJob))
@@ -195,6 +195,22 @@
 	})
 }
 
+// TestStoreSilentForOneInstance guards against a submission that gets no confirmation although the owner reaches the store,
+// and against one that is held until its caller gives up when the owner is out of reach, too.
+func TestStoreSilentForOneInstance(t *testing.T) {
+	play(t, 2, func(t *testing.T, c *cell) {
+		c.gates[1].silent.Store(true)
+		require.NoError(t, c.submit(1, "a"))
+		time.Sleep(3 * runTime)
+		require.Equal(t, specifier.Completed, c.state(0, "a"))
+		c.network.cutOff("instance-0")
+		begun := time.Now()
+		require.Error(t, c.submit(1, "b"))
+		require.Less(t, time.Since(begun), callerPatience/2)
+		c.gates[1].silent.Store(false)
+	})
+}
+
 // TestOldJobsAreForgotten guards against keys of finished jobs that stay in the store for ever, and against a finished
 // job that starts again once it is no longer known.
 func TestOldJobsAreForgotten(t *testing.T) {
--- a/coordinator/network_test.go
+++ b/coordinator/network_test.go
@@ -19,6 +19,13 @@
 	return &network{listeners: make(map[string]*pipeListener), cut: make(map[string]bool)}
 }
 
+// cutOff makes an address unreachable; open connections to it go silent.
+func (n *network) cutOff(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+}
+
 func (n *network) listen(address string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -37,7 +44,7 @@
 	near, far := net.Pipe()
 	select {
 	case l.accepted <- far:
-		return near, nil
+		return &mutableConn{Conn: near, network: n, address: address}, nil
 	case <-l.closed:
 		return nil, errors.Errorf("dial %s: closed", address)
 	case <-ctx.Done():
@@ -45,6 +52,24 @@
 	}
 }
 
+// mutableConn loses what is written to an address that is cut off, like a connection that has gone silent.
+type mutableConn struct {
+	net.Conn
+	network *network
+	address string
+}
+
+// Write implements net.Conn.
+func (c *mutableConn) Write(data []byte) (int, error) {
+	c.network.mu.Lock()
+	cut := c.network.cut[c.address]
+	c.network.mu.Unlock()
+	if cut {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
 type pipeListener struct {
 	address  string
 	accepted chan net.Conn
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -207,6 +207,11 @@
 		default:
 			doubtful = true
 		}
+		if doubtful && !i.Reachable() {
+			// Callers with time left submit again at another instance, where it remains one job.
+			finish(batch, classifier.Wrap(err, classifier.OutcomeUnknown, "store does not confirm the job"))
+			return
+		}
 		batch = withoutExpired(batch)
 		select {
 		case <-time.After(retryInterval):
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -159,3 +159,15 @@
 		t.Fatal("outage outlasted the retries")
 	})
 }
+
+// TestDoubtEndsEarly guards against callers that wait until their deadline for a store that has stopped answering, and then
+// have no time left to submit their job elsewhere.
+func TestDoubtEndsEarly(t *testing.T) {
+	play(t, func(t *testing.T, store *fakekeeper.Transactional, subject *intaker.Intaker) {
+		store.SetFaults(fakekeeper.Faults{Delay: time.Minute})
+		begun := time.Now()
+		require.Equal(t, classifier.OutcomeUnknown, classifier.KindOf(accept(t, subject, "a")))
+		require.Less(t, time.Since(begun), patience/2)
+		store.SetFaults(fakekeeper.Faults{})
+	})
+}
