Notice a slow owner by how late its sleeps end

Change: a goroutine of the owner measures the overrun of a 25 ms sleep; windows of 250 ms, delays above 100 ms count twice.

--- a/coordinator/lag.go
+++ b/coordinator/lag.go
@@ -1,15 +1,24 @@
 package coordinator
 
-import "time"
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// slowAge is the age of an event at its handling from which on a window counts as slow. A healthy owner handles events
 	// within ten milliseconds; on an instance that runs seven times slower every half second has one above 45 ms.
 	slowAge = 25 * time.Millisecond
+	// verySlowAge is the age from which on a window counts twice: starts come too late for urgent jobs.
+	verySlowAge = 100 * time.Millisecond
 	// lagWindow is the time over which the highest age counts, and slowWindows how many slow ones more than fast ones make the
 	// owner hand over.
-	lagWindow   = 500 * time.Millisecond
+	lagWindow   = 250 * time.Millisecond
 	slowWindows = 3
+	// lagProbe is the sleep whose overrun shows that the process waits for the processor.
+	lagProbe = 25 * time.Millisecond
 	// shortestOwnership keeps a load that is too much for any instance from moving the ownership around all the time.
 	shortestOwnership = 8 * time.Second
 )
@@ -28,11 +37,50 @@
 	if now.Before(l.windowEnd) {
 		return false
 	}
-	if l.worst >= slowAge {
+	switch {
+	case l.worst >= verySlowAge:
+		l.slow += 2
+	case l.worst >= slowAge:
 		l.slow++
-	} else {
+	default:
 		l.slow = max(0, l.slow-1)
 	}
 	l.worst, l.windowEnd = 0, now.Add(lagWindow)
 	return l.slow >= slowWindows && now.Sub(l.beganAt) >= shortestOwnership
 }
+
+// worstAge is the longest delay since it was last taken.
+type worstAge struct {
+	nanoseconds atomic.Int64
+}
+
+func (w *worstAge) note(age time.Duration) {
+	for {
+		known := w.nanoseconds.Load()
+		if int64(age) <= known || w.nanoseconds.CompareAndSwap(known, int64(age)) {
+			return
+		}
+	}
+}
+
+func (w *worstAge) take() time.Duration {
+	return time.Duration(w.nanoseconds.Swap(0))
+}
+
+// watchLag hands over when the instance has become too slow. Beside the age of events it measures how late a sleep ends,
+// because on a slow instance most events wait for the processor before they are posted.
+func (o *owner) watchLag(ctx context.Context) {
+	l := lag{beganAt: o.settings.clock.Now()}
+	for ctx.Err() == nil {
+		begun := o.settings.clock.Now()
+		sleep(ctx, lagProbe)
+		now := o.settings.clock.Now()
+		o.age.note(now.Sub(begun) - lagProbe)
+		age := o.age.take()
+		o.settings.meter.Observe("Owner.LagMicroseconds", age)
+		if l.observe(now, age) {
+			o.elector.Resign(o.ownership.Epoch, fmt.Sprintf("instance is slow: the last delay was %s", age))
+			return
+		}
+	}
+}
--- a/coordinator/lag_test.go
+++ b/coordinator/lag_test.go
@@ -11,7 +11,7 @@
 // for a short delay or right after it began.
 func TestLag(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
-	const slow, fast = 50 * time.Millisecond, 8 * time.Millisecond
+	const verySlow, slow, fast = 150 * time.Millisecond, 50 * time.Millisecond, 8 * time.Millisecond
 	// Each age is the highest of a window; the first window ends with the first event.
 	cases := []struct {
 		name  string
@@ -21,6 +21,8 @@
 	}{
 		{"healthy", time.Minute, []time.Duration{fast, fast, fast, fast, fast}, false},
 		{"slow", time.Minute, []time.Duration{fast, slow, slow, slow}, true},
+		{"very slow", time.Minute, []time.Duration{fast, verySlow, verySlow}, true},
+		{"one long pause", time.Minute, []time.Duration{fast, time.Second, fast, fast, slow, slow}, false},
 		{"slow most of the time", time.Minute, []time.Duration{slow, slow, fast, slow, slow}, true},
 		{"short delays", time.Minute, []time.Duration{slow, fast, slow, fast, slow, slow, fast}, false},
 		{"new owner", time.Second, []time.Duration{slow, slow, slow, slow}, false},
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -26,6 +25,7 @@
 	done          <-chan struct{}
 	patience      keeper.Patience
 	intakeAfter   int64
+	age           worstAge
 }
 
 // posted is an event and when it was handed over.
@@ -62,6 +62,7 @@
 	go o.followServers(ctx)
 	go o.followMembers(ctx)
 	go o.awaitPredecessors(ctx)
+	go o.watchLag(ctx)
 	o.run(ctx)
 }
 
@@ -94,7 +95,6 @@
 func (o *owner) run(ctx context.Context) {
 	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
-	l := lag{beganAt: o.settings.clock.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,9 +104,7 @@
 			continue
 		case next := <-o.events:
 			now := o.settings.clock.Now()
-			if l.observe(now, now.Sub(next.at)) {
-				o.elector.Resign(o.ownership.Epoch, fmt.Sprintf("instance is slow: in %d half seconds an event waited for over %s", l.slow, slowAge))
-			}
+			o.age.note(now.Sub(next.at))
 			o.core.Handle(now, next.event)
 			o.handleWaiting()
 		case <-timer.C:
