Let the record of a finished job replace its submission

Change: the write that makes a job final deletes its submission; accepting a job is conditional on both keys.

--- a/conductor/command.go
+++ b/conductor/command.go
@@ -13,6 +13,8 @@
 type Change struct {
 	Job   specifier.JobID
 	Value []byte
+	// Final says that the job is finished, so that its submission is no longer needed.
+	Final bool
 }
 
 // Commit asks to write records to the store under the ownership of the cell.
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -42,8 +42,14 @@
 	l := &c.lanes[index]
 	write := Commit{Lane: index}
 	var later []*job
+	entries := 0
 	for _, j := range c.dirty {
-		if j.inFlight || len(write.Changes) == commitBatch {
+		final := j.State().Final()
+		needed := 1
+		if final {
+			needed = 2
+		}
+		if j.inFlight || entries+needed > commitBatch {
 			later = append(later, j)
 			continue
 		}
@@ -54,7 +60,8 @@
 		}
 		j.dirty, j.inFlight = false, true
 		l.jobs = append(l.jobs, committing{job: j, version: j.Version(), state: j.State()})
-		write.Changes = append(write.Changes, Change{Job: j.Spec.ID, Value: value})
+		write.Changes = append(write.Changes, Change{Job: j.Spec.ID, Value: value, Final: final})
+		entries += needed
 	}
 	c.dirty = later
 	if len(write.Changes) == 0 {
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -26,7 +26,8 @@
 	CommitLanes = 4
 	// commitInterval gathers the changes of a few milliseconds into one write, because each call to the store is paid for.
 	commitInterval = 15 * time.Millisecond
-	// commitBatch bounds the records of one write; the store admits 32 entries.
+	// commitBatch bounds the entries of one write; the store admits 32, of which the owner's key and the lane take three. A
+	// finished job takes two, because its submission is deleted.
 	commitBatch = 28
 	// extraLaneAfter is how long a write may take before another one begins beside it.
 	extraLaneAfter = 15 * time.Millisecond
@@ -49,9 +50,9 @@
 	// passTimePerStep keeps the passes to about a tenth of a core: a waiting step costs about two microseconds in a pass.
 	passTimePerStep = 25 * time.Microsecond
 	// expireInterval is how often old final jobs are looked for, and forgetBatch how many are forgotten at a time; each has
-	// three keys, and the store admits 32 entries. At the two-year size two jobs a second end.
+	// two keys, and the store admits 32 entries. At the two-year size two jobs a second end.
 	expireInterval = 200 * time.Millisecond
-	forgetBatch    = 10
+	forgetBatch    = 15
 	// longAdvice is the time above which a call counts as long, and longAdviceShare the percentage of advisors that long
 	// calls may occupy; short calls for urgent work would wait behind them.
 	longAdvice      = 200 * time.Millisecond
--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -108,25 +108,38 @@
 
 // storedState reads the state of a job that the owner does not know, or when there is no owner.
 func (c *Coordinator) storedState(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
-	entry, err := c.settings.store.Get(ctx, stateKey(id))
+	state, known, err := c.recordedState(ctx, id)
+	if err != nil || known {
+		return state, known, err
+	}
+	submitted, err := c.settings.store.Get(ctx, intaker.JobKey(id))
+	if err != nil {
+		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
+	}
+	if submitted.Revision != 0 {
+		return specifier.Queued, true, nil
+	}
+	// The job may have finished between the two reads, and its record has then replaced its submission.
+	return c.recordedState(ctx, id)
+}
+
+// recordedState reads the state of a job from its record, and reports whether there is one.
+func (c *Coordinator) recordedState(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
+	entry, err := c.settings.store.Get(ctx, intaker.StateKey(id))
 	if err != nil {
 		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read state of job %s", id)
 	}
-	if entry.Revision != 0 {
-		record, err := lifecycler.DecodeRecord(entry.Value)
-		if err != nil {
-			return specifier.Queued, false, err
-		}
-		if !record.State.Final() {
-			return specifier.Running, true, nil
-		}
-		return record.State, true, nil
+	if entry.Revision == 0 {
+		return specifier.Queued, false, nil
 	}
-	submitted, err := c.settings.store.Get(ctx, intaker.JobKey(id))
+	record, err := lifecycler.DecodeRecord(entry.Value)
 	if err != nil {
-		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
+		return specifier.Queued, false, err
+	}
+	if !record.State.Final() {
+		return specifier.Running, true, nil
 	}
-	return specifier.Queued, submitted.Revision != 0, nil
+	return record.State, true, nil
 }
 
 // Waiting returns the number of accepted jobs of a queue of which no task has started.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -211,6 +211,26 @@
 	})
 }
 
+// TestFinishedJobs guards against submissions of finished jobs that every takeover has to read again, and against a finished
+// job that is not known, or starts once more, without its submission.
+func TestFinishedJobs(t *testing.T) {
+	play(t, 2, func(t *testing.T, c *cell) {
+		require.NoError(t, c.submit(1, "a"))
+		require.NoError(t, c.submit(1, "b"))
+		time.Sleep(3 * runTime)
+		require.Empty(t, c.store.Keys("egretring/intake/"))
+		c.store.TakeAway(elector.OwnerKey)
+		require.NoError(t, c.submit(1, "a"), "the same job again")
+		known, err := c.instances[1].Cancel(t.Context(), "b")
+		require.NoError(t, err)
+		require.True(t, known)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, specifier.Completed, c.state(0, "a"))
+		require.Equal(t, specifier.Completed, c.state(1, "b"))
+		require.Empty(t, c.store.Keys("egretring/intake/"))
+	})
+}
+
 // TestOldJobsAreForgotten guards against keys of finished jobs that stay in the store for ever, and against a finished
 // job that starts again once it is no longer known.
 func TestOldJobsAreForgotten(t *testing.T) {
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -92,7 +92,10 @@
 	token := strconv.FormatInt(o.ownership.Epoch, 10) + "/" + strconv.FormatInt(o.settings.clock.Now().UnixNano(), 10)
 	transaction.Writes = append(transaction.Writes, keeper.Write{Key: lane, Value: []byte(token)})
 	for _, change := range c.Changes {
-		transaction.Writes = append(transaction.Writes, keeper.Write{Key: stateKey(change.Job), Value: change.Value})
+		transaction.Writes = append(transaction.Writes, keeper.Write{Key: intaker.StateKey(change.Job), Value: change.Value})
+		if change.Final {
+			transaction.Deletes = append(transaction.Deletes, intaker.JobKey(change.Job))
+		}
 	}
 	startedAt := time.Now()
 	for attempt := 0; ctx.Err() == nil; attempt++ {
@@ -127,7 +130,7 @@
 func (o *owner) forget(ctx context.Context, c conductor.Forget) {
 	transaction := keeper.Transaction{Conditions: []keeper.Condition{o.ownership.Condition()}}
 	for _, id := range c.Jobs {
-		transaction.Deletes = append(transaction.Deletes, intaker.JobKey(id), intaker.CancelKey(id), stateKey(id))
+		transaction.Deletes = append(transaction.Deletes, intaker.CancelKey(id), intaker.StateKey(id))
 	}
 	_, err := o.settings.store.Commit(ctx, transaction)
 	if err != nil {
--- a/coordinator/key.go
+++ b/coordinator/key.go
@@ -1,22 +1,12 @@
 package coordinator
 
-import (
-	"strconv"
-	"strings"
-
-	"egretring.example/egretring/specifier"
-)
+import "strconv"
 
 const (
-	statePrefix  = "egretring/states/"
 	lanePrefix   = "egretring/lanes/"
 	memberPrefix = "egretring/members/"
 )
 
-func stateKey(id specifier.JobID) string {
-	return statePrefix + string(id)
-}
-
 // laneKey is written with each commit of a lane, so that a write that the store carries out late fails.
 func laneKey(lane int) string {
 	return lanePrefix + strconv.Itoa(lane)
@@ -25,7 +15,3 @@
 func memberKey(instance string) string {
 	return memberPrefix + instance
 }
-
-func jobOfState(key string) specifier.JobID {
-	return specifier.JobID(strings.TrimPrefix(key, statePrefix))
-}
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -40,8 +40,13 @@
 		return errors.Wrap(err, "list backend servers")
 	}
 	o.core.Handle(now, conductor.ServersListed{Servers: servers})
+	for id, record := range records {
+		if record.State.Final() {
+			o.restore(specifier.Job{ID: id}, record)
+		}
+	}
 	for _, entry := range intake.Entries {
-		o.restore(entry, records)
+		o.restoreSubmitted(entry, records)
 	}
 	for _, entry := range intake.Entries {
 		if kind, id := intaker.ParseKey(entry.Key); kind == intaker.Cancellation {
@@ -51,7 +56,8 @@
 	return nil
 }
 
-func (o *owner) restore(entry keeper.Entry, records map[specifier.JobID]lifecycler.Record) {
+// restoreSubmitted restores a job that is not finished.
+func (o *owner) restoreSubmitted(entry keeper.Entry, records map[specifier.JobID]lifecycler.Record) {
 	kind, id := intaker.ParseKey(entry.Key)
 	if kind != intaker.SubmittedJob {
 		return
@@ -61,16 +67,20 @@
 		o.settings.logger.Error("submitted job cannot be read", "Job", id, "Error", err.Error())
 		return
 	}
-	job, err := lifecycler.Restore(spec, records[id])
+	o.restore(spec, records[id])
+}
+
+func (o *owner) restore(spec specifier.Job, record lifecycler.Record) {
+	job, err := lifecycler.Restore(spec, record)
 	if err != nil {
-		o.settings.logger.Error("record of job cannot be used", "Job", id, "Error", err.Error())
+		o.settings.logger.Error("record of job cannot be used", "Job", spec.ID, "Error", err.Error())
 		return
 	}
 	o.core.Restore(o.settings.clock.Now(), job)
 }
 
 func (o *owner) readRecords(ctx context.Context) (map[specifier.JobID]lifecycler.Record, error) {
-	page, err := o.settings.store.List(ctx, statePrefix)
+	page, err := o.settings.store.List(ctx, intaker.StatePrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "list job records")
 	}
@@ -81,7 +91,7 @@
 			o.settings.logger.Error("record of job cannot be read", "Key", entry.Key, "Error", err.Error())
 			continue
 		}
-		records[jobOfState(entry.Key)] = record
+		records[intaker.JobOfState(entry.Key)] = record
 	}
 	return records, nil
 }
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -19,8 +19,8 @@
 const (
 	// writers bounds the transactions at the same time.
 	writers = 4
-	// batchSize bounds the jobs of a transaction; each takes a condition and a write.
-	batchSize = keeper.MaxTransactionEntries / 2
+	// batchSize bounds the jobs of a transaction; each takes two conditions and a write.
+	batchSize = keeper.MaxTransactionEntries / 3
 	// queuedSubmissions bounds the submissions that wait for a writer.
 	queuedSubmissions = 1024
 	// retryInterval is the pause before a transaction is tried again.
@@ -107,7 +107,7 @@
 		return false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
 	}
 	if entry.Revision == 0 {
-		return false, nil
+		return i.finished(ctx, id)
 	}
 	for {
 		_, err = i.store.Commit(ctx, keeper.Transaction{Writes: []keeper.Write{{Key: CancelKey(id), Value: []byte("{}")}}})
@@ -122,6 +122,15 @@
 	}
 }
 
+// finished reports whether there is a record of a job without a submission.
+func (i *Intaker) finished(ctx context.Context, id specifier.JobID) (bool, error) {
+	entry, err := i.store.Get(ctx, StateKey(id))
+	if err != nil {
+		return false, classifier.Wrap(err, classifier.StoreUnavailable, "read state of job %s", id)
+	}
+	return entry.Revision != 0, nil
+}
+
 // Reachable reports whether the store answers this instance. Submissions are refused at once while it does not; the
 // next Observe of an answered call ends that.
 func (i *Intaker) Reachable() bool {
@@ -242,7 +251,8 @@
 			continue
 		}
 		named[key] = true
-		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: key})
+		transaction.Conditions = append(transaction.Conditions,
+			keeper.Condition{Key: key}, keeper.Condition{Key: StateKey(s.job.ID)})
 		transaction.Writes = append(transaction.Writes, keeper.Write{Key: key, Value: s.value})
 	}
 	return transaction
@@ -258,7 +268,7 @@
 func withoutStored(batch []*submission, conflict *keeper.ConflictError) []*submission {
 	var rest []*submission
 	for _, s := range batch {
-		if conflict.EntryOf(JobKey(s.job.ID)).Revision != 0 {
+		if conflict.EntryOf(JobKey(s.job.ID)).Revision != 0 || conflict.EntryOf(StateKey(s.job.ID)).Revision != 0 {
 			s.done <- nil
 			continue
 		}
--- a/intaker/key.go
+++ b/intaker/key.go
@@ -6,8 +6,12 @@
 	"egretring.example/egretring/specifier"
 )
 
-// Prefix is the prefix of all keys of this package.
-const Prefix = "egretring/intake/"
+const (
+	// Prefix is the prefix of the keys of submissions and cancellations.
+	Prefix = "egretring/intake/"
+	// StatePrefix is the prefix of the keys of records.
+	StatePrefix = "egretring/states/"
+)
 
 const (
 	jobPrefix    = Prefix + "jobs/"
@@ -19,6 +23,16 @@
 	return jobPrefix + string(id)
 }
 
+// StateKey returns the key of the record of a job's progress. The record of a finished job replaces its submission.
+func StateKey(id specifier.JobID) string {
+	return StatePrefix + string(id)
+}
+
+// JobOfState returns the job of a record's key.
+func JobOfState(key string) specifier.JobID {
+	return specifier.JobID(strings.TrimPrefix(key, StatePrefix))
+}
+
 // CancelKey returns the key of a cancellation.
 func CancelKey(id specifier.JobID) string {
 	return cancelPrefix + string(id)
