Fail advice calls after twice their time; ask failing advisors less often

Cause: after a takeover beside two instances that were cut off, urgent jobs waited 2.7 s for advice calls that these instances should have made, because a call counted as failed 1.5 s after its expected time. Change: a call fails after twice its expected time and 0.25 s; the pause of an advisor doubles with each failure, and one without failures is taken first.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -14,6 +14,8 @@
 	// busyUntil is zero when the advisor is free.
 	busyUntil time.Time
 	long      bool
+	// failures counts the calls without success since the last success.
+	failures int
 }
 
 // advice is what is known about the servers that may run a step.
@@ -91,10 +93,11 @@
 	if free == nil {
 		return false
 	}
-	free.busyUntil = now.Add(expected + adviceTimeout)
+	timeout := adviceTimeFactor*expected + adviceTimeout
+	free.busyUntil = now.Add(timeout + adviceReportTime)
 	free.long = expected > longAdvice
 	known.askedUntil = free.busyUntil
-	c.emit(Advise{Advisor: free.name, Step: u.step.ID, Servers: names, ExpectedTime: expected})
+	c.emit(Advise{Advisor: free.name, Step: u.step.ID, Servers: names, ExpectedTime: expected, Timeout: timeout})
 	return true
 }
 
@@ -165,7 +168,7 @@
 			}
 			continue
 		}
-		if free == nil {
+		if free == nil || a.failures < free.failures {
 			free = a
 		}
 	}
@@ -175,14 +178,21 @@
 	return free
 }
 
+// finish notes the end of a call. An advisor that fails again and again is asked less and less often.
+func (a *advisor) finish(now time.Time, failed bool) {
+	if !failed {
+		a.busyUntil, a.failures = time.Time{}, 0
+		return
+	}
+	a.busyUntil = now.Add(min(adviceRetry<<a.failures, longestAdviceRetry))
+	a.failures = min(a.failures+1, mostAdviceFailures)
+}
+
 // advised takes over the answer to a call.
 func (c *Conductor) advised(now time.Time, e Advised) {
 	for _, a := range c.advisors {
 		if a.name == e.Advisor {
-			a.busyUntil = time.Time{}
-			if e.Failed {
-				a.busyUntil = now.Add(adviceRetry)
-			}
+			a.finish(now, e.Failed)
 		}
 	}
 	c.replan = true
--- a/conductor/command.go
+++ b/conductor/command.go
@@ -55,8 +55,9 @@
 	Advisor string
 	Step    specifier.StepID
 	Servers []specifier.ServerID
-	// ExpectedTime is how long the service takes.
+	// ExpectedTime is how long the service takes, and Timeout when the call counts as failed.
 	ExpectedTime time.Duration
+	Timeout      time.Duration
 }
 
 // Resign asks to give up the ownership of the cell.
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -33,10 +33,17 @@
 	extraLaneAfter = 15 * time.Millisecond
 	// ticketMargin is how long a ticket must still be valid for a placement: the time of the commit and of the start.
 	ticketMargin = 150 * time.Millisecond
-	// adviceTimeout is added to the expected time of an advice call before its advisor is taken as lost.
-	adviceTimeout = 3 * time.Second
-	// adviceRetry is the pause of an advisor after a failed call.
-	adviceRetry = 500 * time.Millisecond
+	// adviceTimeFactor times the expected time of an advice call, and adviceTimeout more, is when the call has failed: the
+	// service answers an advisor's only call in the expected time, and urgent jobs have half a second to spare.
+	adviceTimeFactor = 2
+	adviceTimeout    = 250 * time.Millisecond
+	// adviceReportTime is how long after its timeout a call is waited for before its advisor is used again.
+	adviceReportTime = time.Second
+	// adviceRetry is the pause of an advisor after a failed call; it doubles up to longestAdviceRetry, which mostAdviceFailures
+	// failures exceed.
+	adviceRetry        = 500 * time.Millisecond
+	longestAdviceRetry = 4 * time.Second
+	mostAdviceFailures = 4
 	// adviceServers is the number of servers that the first call of a step names when each adds much time.
 	adviceServers = 30
 	// mostAdviceServers is the number of servers that the advice service accepts in a call.
--- a/conductor/script_test.go
+++ b/conductor/script_test.go
@@ -67,6 +67,8 @@
 			w.storeDown = until
 		case "LoseOwner":
 			w.loseOwner()
+		case "MuteAdvisor":
+			w.muteAdvisors[e.Server] = until
 		case "CrashOwner":
 			w.crashOwner()
 		case "Cancel":
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -38,8 +38,10 @@
 	epoch     int64
 	core      *conductor.Conductor
 	storeDown time.Time
-	planned   bool
-	decisions []string
+	// muteAdvisors make no calls before these times.
+	muteAdvisors map[string]time.Time
+	planned      bool
+	decisions    []string
 
 	// runs are all runs that were begun, to check that no task runs twice or after its end.
 	runs []*fakeRun
@@ -81,7 +83,7 @@
 		servers: make(map[specifier.ServerID]*fakeServer), cancelled: make(map[specifier.JobID]bool),
 		records: make(map[specifier.JobID]lifecycler.Record), done: make(map[specifier.TaskID]bool),
 		finished: make(map[specifier.TaskID]bool),
-		failures: make(map[specifier.TaskID]int), epoch: 9,
+		failures: make(map[specifier.TaskID]int), epoch: 9, muteAdvisors: make(map[string]time.Time),
 	}
 	w.start = w.now
 	for i := range servers {
@@ -220,6 +222,12 @@
 	case conductor.Hold:
 		w.servers[c.Server.ID].hold(w, epoch, c)
 	case conductor.Advise:
+		if w.now.Before(w.muteAdvisors[c.Advisor]) {
+			w.after(c.Timeout, func() {
+				w.tell(epoch, conductor.Advised{Step: c.Step, Advisor: c.Advisor, Servers: c.Servers, Failed: true})
+			})
+			return
+		}
 		w.after(c.ExpectedTime, func() {
 			var grants []specifier.Grant
 			for _, id := range c.Servers {
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -36,8 +36,6 @@
 	holdTimeout = 700 * time.Millisecond
 	// retryInterval is the pause after a store call without success.
 	retryInterval = 60 * time.Millisecond
-	// adviceCallTimeout is added to the expected time of an advice call.
-	adviceCallTimeout = 1500 * time.Millisecond
 	// stateTimeout bounds a question to the owner; after it the store is read.
 	stateTimeout = 250 * time.Millisecond
 	// stoppedInterval is the pause between two questions to an earlier owner that has not stopped or does not answer.
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -212,7 +212,7 @@
 // advise makes an advice call, through another instance if the command names one.
 func (o *owner) advise(ctx context.Context, c conductor.Advise, address string) {
 	event := conductor.Advised{Step: c.Step, Advisor: c.Advisor, Servers: c.Servers}
-	ctx, cancel := context.WithTimeout(ctx, c.ExpectedTime+adviceCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	request := adviseRequest{Step: c.Step, Servers: c.Servers}
 	askedAt := time.Now()
