--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -21,10 +21,12 @@
 
 	jobs     map[specifier.JobID]*job
 	sessions map[specifier.ServerID]*session
-	units    map[specifier.StepID]*unit
-	lanes    [CommitLanes]lane
-	dirty    []*job
-	advisors []*advisor
+	// lastFences are the fencing tokens of servers that left the list. A server that comes back has seen them.
+	lastFences map[specifier.ServerID]int64
+	units      map[specifier.StepID]*unit
+	lanes      [CommitLanes]lane
+	dirty      []*job
+	advisors   []*advisor
 
 	commands []Command
 	// cancelledEarly are cancellations that were read before their jobs.
@@ -74,6 +76,7 @@
 		reachableAt: now,
 		jobs:        make(map[specifier.JobID]*job),
 		sessions:    make(map[specifier.ServerID]*session),
+		lastFences:  make(map[specifier.ServerID]int64),
 		units:       make(map[specifier.StepID]*unit),
 		scheduled:   make(map[specifier.JobID]*job),
 
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -27,7 +27,9 @@
 	lapsedAt time.Time
 	// silentUntil is when the server can be reached again; deadUntil is when it starts again after a crash.
 	silentUntil time.Time
-	deadUntil   time.Time
+	// unlistedUntil is when the server's entry is back in the list.
+	unlistedUntil time.Time
+	deadUntil     time.Time
 	// loseAnswers and delayStarts end at these times.
 	loseAnswers time.Time
 	delayStarts time.Time
@@ -62,8 +64,8 @@
 }
 
 // listed reports whether the entry of the server is in the store; it is gone three heartbeats after a crash.
-func (s *fakeServer) listed() bool {
-	return s.deadUntil.IsZero()
+func (s *fakeServer) listed(w *world) bool {
+	return s.deadUntil.IsZero() && !w.now.Before(s.unlistedUntil)
 }
 
 func (s *fakeServer) reachable(w *world) bool {
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -12,7 +12,7 @@
 	if known := c.sessions[id]; known != nil {
 		return known
 	}
-	created := newSession(specifier.Server{ID: id}, c.firstFence)
+	created := newSession(specifier.Server{ID: id}, max(c.firstFence, c.lastFences[id]))
 	created.inherited = true
 	created.leaseEnd = c.inheritedUntil
 	c.sessions[id] = created
@@ -56,6 +56,7 @@
 			s.listed = false
 		}
 		if !s.listed && len(s.allocations) == 0 && now.After(s.leaseEnd) {
+			c.lastFences[id] = s.fence
 			delete(c.sessions, id)
 		}
 	}
--- a/conductor/script_test.go
+++ b/conductor/script_test.go
@@ -27,6 +27,8 @@
 	// MinStarts and MaxStarts bound the runs that began.
 	MinStarts int
 	MaxStarts int
+	// MaxResignations bounds the owners that gave up.
+	MaxResignations *int
 }
 
 type scriptEvent struct {
@@ -53,6 +55,8 @@
 		switch e.Kind {
 		case "Silent":
 			s.silentUntil = until
+		case "Unlist":
+			s.silentUntil, s.unlistedUntil = until, until
 		case "Crash":
 			s.crash(w, seconds(e.For))
 		case "LoseAnswers":
@@ -97,6 +101,9 @@
 				require.Equal(t, want, stateNames[w.state(w.submitted[i].ID)], "job %d: %s", i, s.Guards)
 			}
 			require.GreaterOrEqual(t, w.starts, s.MinStarts, s.Guards)
+			if s.MaxResignations != nil {
+				require.LessOrEqual(t, w.resignations, *s.MaxResignations, s.Guards)
+			}
 			if s.MaxStarts > 0 {
 				require.LessOrEqual(t, w.starts, s.MaxStarts, s.Guards)
 			}
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -51,6 +51,8 @@
 	failures map[specifier.TaskID]int
 	broken   []string
 	starts   int
+	// resignations counts the owners that gave up.
+	resignations int
 }
 
 type scheduled struct {
@@ -161,7 +163,7 @@
 func (w *world) list() {
 	var listed []specifier.Server
 	for _, s := range w.servers {
-		if s.listed() {
+		if s.listed(w) {
 			listed = append(listed, s.server)
 		}
 	}
@@ -240,6 +242,7 @@
 	case conductor.Decision:
 		w.trace(c)
 	case conductor.Resign:
+		w.resignations++
 		w.loseOwner()
 	}
 }
