Watch the owner's key from the store's revision; measure all calls to the platform

Cause: followers watched the owner's key from its own revision. Once the store had dropped that history (20 s), each watch failed at once and each follower made 13 calls a second. Change: followers list the key and watch from the revision of the listing.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other instances")
 	}
-	outside := platform.Connect(p.settings, clock, p.logger)
+	outside := platform.Connect(p.settings, clock, p.logger, p.meter)
 	p.cell, err = coordinator.New(peers,
 		coordinator.WithStore(outside.Store), coordinator.WithBackendServers(outside.BackendServers),
 		coordinator.WithDirectory(outside.Directory), coordinator.WithAdvice(outside.Advice),
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -110,6 +110,14 @@
 	return g.TransactionalStore.Get(ctx, key)
 }
 
+// List implements keeper.TransactionalStore.
+func (g *gate) List(ctx context.Context, prefix string) (keeper.Page, error) {
+	if err := g.pass(ctx); err != nil {
+		return keeper.Page{}, err
+	}
+	return g.TransactionalStore.List(ctx, prefix)
+}
+
 // Commit implements keeper.TransactionalStore.
 func (g *gate) Commit(ctx context.Context, transaction keeper.Transaction) (int64, error) {
 	if err := g.pass(ctx); err != nil {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -134,12 +134,13 @@
 // Run takes part in elections until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		entry, err := e.store.Get(ctx, OwnerKey)
+		// A listing tells the store's revision: a watch from the older revision of the key fails once that history is gone.
+		page, err := e.store.List(ctx, OwnerKey)
 		if err != nil {
 			pause(ctx, retryInterval)
 			continue
 		}
-		ownership, err := ownershipOf(entry)
+		ownership, err := ownershipOf(page.Entry(OwnerKey))
 		if err != nil {
 			e.logger.Error("owner's key cannot be read", "Error", err.Error())
 			pause(ctx, renewInterval)
@@ -150,15 +151,15 @@
 		case ownership.Epoch == 0 || ownership.Owner.Instance == e.self.Instance:
 			e.stand(ctx, ownership)
 		default:
-			e.follow(ctx, entry)
+			e.follow(ctx, page.Revision)
 		}
 	}
 }
 
-// follow waits until the owner's key changes.
-func (e *Elector) follow(ctx context.Context, entry keeper.Entry) {
+// follow waits until the owner's key changes after a revision of the store.
+func (e *Elector) follow(ctx context.Context, revision int64) {
 	_, err := e.store.Watch(ctx, keeper.WatchOptions{
-		Prefix: OwnerKey, AfterRevision: entry.Revision, Wait: watchWait,
+		Prefix: OwnerKey, AfterRevision: revision, Wait: watchWait,
 	})
 	if err != nil {
 		pause(ctx, retryInterval)
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -28,6 +28,7 @@
 // candidate is an instance that stands for election. A candidate that is cut off does not reach the store.
 type candidate struct {
 	keeper.TransactionalStore
+	store   *fakekeeper.Transactional
 	cutOff  atomic.Bool
 	elector *elector.Elector
 	self    elector.Owner
@@ -35,8 +36,8 @@
 	cancel  context.CancelFunc
 }
 
-func (c *candidate) run(t *testing.T, name string, store keeper.TransactionalStore) {
-	c.TransactionalStore = store
+func (c *candidate) run(t *testing.T, name string) {
+	c.TransactionalStore = c.store
 	c.self = elector.Owner{Instance: name, Incarnation: time.Now().UnixNano(), Address: name}
 	duty := func(ctx context.Context, term elector.Term) {
 		c.term.Store(&term)
@@ -58,6 +59,14 @@
 	return c.TransactionalStore.Get(ctx, key)
 }
 
+// List implements keeper.TransactionalStore.
+func (c *candidate) List(ctx context.Context, prefix string) (keeper.Page, error) {
+	if c.cutOff.Load() {
+		return keeper.Page{}, keeper.ErrUnavailable
+	}
+	return c.TransactionalStore.List(ctx, prefix)
+}
+
 // Renew implements keeper.TransactionalStore.
 func (c *candidate) Renew(ctx context.Context, lease keeper.LeaseID) error {
 	if c.cutOff.Load() {
@@ -69,10 +78,10 @@
 func play(t *testing.T, test func(t *testing.T, first, second *candidate)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := fakekeeper.NewTransactional()
-		var first, second candidate
-		first.run(t, "first", store)
+		first, second := candidate{store: store}, candidate{store: store}
+		first.run(t, "first")
 		require.NotNil(t, first.term.Load())
-		second.run(t, "second", store)
+		second.run(t, "second")
 		require.Nil(t, second.term.Load())
 		test(t, &first, &second)
 		first.cancel()
@@ -121,6 +130,21 @@
 	})
 }
 
+// TestForgottenHistory guards against followers that ask all the time once the store has forgotten the election.
+func TestForgottenHistory(t *testing.T) {
+	play(t, func(t *testing.T, first, _ *candidate) {
+		_, err := first.store.Commit(t.Context(), keeper.Transaction{Writes: []keeper.Write{{Key: "other"}}})
+		require.NoError(t, err)
+		first.store.Compact()
+		before := first.store.Calls()
+		time.Sleep(20 * time.Second)
+		after := first.store.Calls()
+		// The owner reads its key each second, and the follower reads and watches it every two seconds.
+		require.Less(t, after.Reads-before.Reads, int64(40))
+		require.Less(t, after.Watches-before.Watches, int64(15))
+	})
+}
+
 // TestEarlierProcess guards against waiting for the duty of a process that has ended.
 func TestEarlierProcess(t *testing.T) {
 	play(t, func(t *testing.T, first, _ *candidate) {
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -67,6 +67,20 @@
 	Revision int64
 }
 
+// Entry returns the entry of a key; a key that does not exist has revision zero.
+func (p Page) Entry(key string) Entry {
+	return entryOf(p.Entries, key)
+}
+
+func entryOf(entries []Entry, key string) Entry {
+	for _, entry := range entries {
+		if entry.Key == key {
+			return entry
+		}
+	}
+	return Entry{Key: key}
+}
+
 // Changes is the answer to a watch.
 type Changes struct {
 	Changes []Change
--- a/keeper/transaction.go
+++ b/keeper/transaction.go
@@ -60,12 +60,7 @@
 
 // EntryOf returns the present state of a key; a key that does not exist has revision zero.
 func (e *ConflictError) EntryOf(key string) Entry {
-	for _, entry := range e.Current {
-		if entry.Key == key {
-			return entry
-		}
-	}
-	return Entry{Key: key}
+	return entryOf(e.Current, key)
 }
 
 // TransactionalStore is a configuration store whose keys are compared by revision and written in transactions.
