Let larger instances own the cell

Change: members tell their share of processors. Smaller instances leave an election to larger ones for 0.4 s, and a smaller owner hands over.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -115,6 +115,7 @@
 		coordinator.WithStore(outside.Store), coordinator.WithBackendServers(outside.BackendServers),
 		coordinator.WithDirectory(outside.Directory), coordinator.WithAdvice(outside.Advice),
 		coordinator.WithClock(clock), coordinator.WithLogger(p.logger), coordinator.WithMeter(p.meter),
+		coordinator.WithProcessors(p.settings.Processors*p.settings.ProcessorShare),
 		coordinator.WithInstance(p.settings.Instance, p.settings.PeerAddress),
 		coordinator.WithConductor(
 			conductor.WithMaximumLease(p.settings.MaximumLease()),
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -50,7 +50,7 @@
 		advice:    s.client(longestAdvice),
 	}
 	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
-	c.elector = elector.New(s.store, self, c.own, s.clock, s.logger)
+	c.elector = elector.New(s.store, self, c.own, s.clock, s.logger, elector.WithDelay(c.electionDelay))
 	c.listener = messenger.ServeMethods(accept, c.methods(), messenger.WithLogger(s.logger))
 	return c, nil
 }
--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,6 +15,27 @@
 type member struct {
 	Instance string
 	Address  string
+	// Processors is the instance's share of processors.
+	Processors float64 `json:",omitempty"`
+}
+
+// larger reports whether the member is so much larger than this instance that it should own the cell instead.
+func (c *Coordinator) larger(m member) bool {
+	return m.Instance != c.settings.instance && m.Processors > muchLarger*c.settings.processors
+}
+
+// electionDelay returns how long this instance leaves an election to larger ones: the duty of the owner grows with the
+// cell, and a small instance would hold all others up.
+func (c *Coordinator) electionDelay(ctx context.Context) time.Duration {
+	members, err := c.members(ctx)
+	if err != nil {
+		c.settings.logger.Info("members cannot be read before an election", "Error", err.Error())
+		return 0
+	}
+	if slices.ContainsFunc(members, c.larger) {
+		return largerFirst
+	}
+	return 0
 }
 
 // keepMembership keeps the key of this instance under a lease, so that the owner can ask it for advice calls.
@@ -38,7 +61,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(member{Instance: c.settings.instance, Address: c.settings.address})
+	value, err := json.Marshal(member{Instance: c.settings.instance, Address: c.settings.address, Processors: c.settings.processors})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode member")
 	}
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -43,6 +43,12 @@
 	// longestRelay bounds the wait for an owner that stores a submission for this instance; a slow store takes about 250 ms.
 	// Callers of an owner that does not answer still have time to submit elsewhere.
 	longestRelay = 700 * time.Millisecond
+	// muchLarger is the factor from which on a larger instance should own the cell, and largerFirst how long smaller ones leave
+	// an election to it: twice as long as an election takes.
+	muchLarger  = 1.25
+	largerFirst = 400 * time.Millisecond
+	// shortestStay is how long an owner stays on duty before it hands over to a larger instance.
+	shortestStay = 2 * time.Second
 	// relayMargin leaves time for the answer of the owner to travel back.
 	relayMargin = 30 * time.Millisecond
 	// queuedEvents bounds the events that wait for the owner's goroutine.
@@ -64,6 +70,8 @@
 	// address is where other instances call this one.
 	address string
 	dial    messenger.Dial
+	// processors is the instance's share of processors; zero is unknown.
+	processors float64
 }
 
 // Option configures a Coordinator.
@@ -114,6 +122,11 @@
 	return func(s *settings) { s.instance, s.address = name, address }
 }
 
+// WithProcessors sets the instance's share of processors.
+func WithProcessors(share float64) Option {
+	return func(s *settings) { s.processors = share }
+}
+
 // WithDial replaces the way in which other instances are called.
 func WithDial(dial messenger.Dial) Option {
 	return func(s *settings) { s.dial = dial }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -145,12 +146,16 @@
 }
 
 func (o *owner) followMembers(ctx context.Context) {
+	beganAt := o.settings.clock.Now()
 	for ctx.Err() == nil {
 		members, err := o.Coordinator.members(ctx)
 		if err != nil {
 			sleep(ctx, retryInterval)
 			continue
 		}
+		if slices.ContainsFunc(members, o.larger) && o.settings.clock.Now().Sub(beganAt) > shortestStay {
+			o.elector.Resign(o.ownership.Epoch, "a larger instance is there")
+		}
 		addresses := make(map[string]string, len(members))
 		names := []string{o.settings.instance}
 		for _, m := range members {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -48,6 +48,7 @@
 	duty   Duty
 	clock  timekeeper.Clock
 	logger *slog.Logger
+	delay  func(ctx context.Context) time.Duration
 
 	mu      sync.Mutex
 	current Ownership
@@ -67,9 +68,23 @@
 	reason string
 }
 
+// Option configures an Elector.
+type Option func(*Elector)
+
+// WithDelay sets a function that returns how long the instance leaves an election to others.
+func WithDelay(delay func(ctx context.Context) time.Duration) Option {
+	return func(e *Elector) { e.delay = delay }
+}
+
 // New returns an elector.
-func New(store keeper.TransactionalStore, self Owner, duty Duty, clock timekeeper.Clock, logger *slog.Logger) *Elector {
-	return &Elector{store: store, self: self, duty: duty, clock: clock, logger: logger, resigned: make(chan resignation, 1)}
+func New(
+	store keeper.TransactionalStore, self Owner, duty Duty, clock timekeeper.Clock, logger *slog.Logger, options ...Option,
+) *Elector {
+	e := &Elector{store: store, self: self, duty: duty, clock: clock, logger: logger, resigned: make(chan resignation, 1)}
+	for _, option := range options {
+		option(e)
+	}
+	return e
 }
 
 // Current returns the owner as far as this instance knows; its epoch is zero when there is none.
@@ -184,6 +199,9 @@
 	}
 	if before.Epoch == 0 {
 		pause(ctx, time.Duration(rand.Int64N(int64(candidateJitter))))
+		if e.leaveToOthers(ctx) {
+			return
+		}
 	}
 	entry, err := e.store.Get(ctx, TermKey)
 	if err != nil {
@@ -225,6 +243,20 @@
 	e.own(ctx, term, lease, askedAt)
 }
 
+// leaveToOthers waits for others that should own the cell before this instance, and reports whether one does.
+func (e *Elector) leaveToOthers(ctx context.Context) bool {
+	if e.delay == nil {
+		return false
+	}
+	wait := e.delay(ctx)
+	if wait == 0 {
+		return false
+	}
+	pause(ctx, wait)
+	entry, err := e.store.Get(ctx, OwnerKey)
+	return err != nil || entry.Revision != 0
+}
+
 // own carries out the duty while the lease holds.
 func (e *Elector) own(ctx context.Context, term Term, lease keeper.LeaseID, renewedAt time.Time) {
 	e.note(term.Ownership)
