Look at all servers less often; plan once for the events of a millisecond

Cause: with 350 servers each event led to a plan, and each plan looked at all servers four times. Change: leases to renew are looked for every 4 ms, stops to repeat and servers out of reach every 20 ms; events of a millisecond are planned for together.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -41,6 +41,9 @@
 	// commitNotBefore keeps commits apart.
 	commitNotBefore time.Time
 	expireAt        time.Time
+	// holdPass and sweepPass keep the looks at all servers apart.
+	holdPass  throttle
+	sweepPass throttle
 	// reachableAt is when half of the listed servers were last reachable.
 	reachableAt time.Time
 	resigned    bool
@@ -81,6 +84,8 @@
 		scheduled:   make(map[specifier.JobID]*job),
 
 		cancelledEarly: make(map[specifier.JobID]bool),
+		holdPass:       throttle{interval: holdPassInterval},
+		sweepPass:      throttle{interval: sweepInterval},
 	}
 	for _, option := range options {
 		option(&c.settings)
@@ -120,12 +125,16 @@
 // Plan decides what to do next and returns the commands of all events since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
 	c.beginDue(now)
-	c.expire(now)
 	c.place(now)
 	c.commit(now)
-	c.hold(now)
-	c.resendStops(now)
-	c.checkReach(now)
+	if c.holdPass.begin(now) {
+		c.hold(now)
+	}
+	if c.sweepPass.begin(now) {
+		c.expire(now)
+		c.resendStops(now)
+		c.checkReach(now)
+	}
 	commands := c.commands
 	c.commands = nil
 	return commands
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -20,6 +20,10 @@
 	holdRetry = 250 * time.Millisecond
 	// uncommittedHold is how often the lease is renewed while ends wait for the store.
 	uncommittedHold = time.Second
+	// holdPassInterval keeps the looks for leases to renew apart, and sweepInterval those for stops to repeat, old jobs and
+	// servers out of reach: each takes some 20 microseconds with 350 servers, and events come every half millisecond.
+	holdPassInterval = 4 * time.Millisecond
+	sweepInterval    = 20 * time.Millisecond
 	// stopRetry is how long an unanswered stop, or one whose end is not listed, waits before it is sent again.
 	stopRetry = 500 * time.Millisecond
 	// CommitLanes bounds the writes to the store at the same time.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -73,12 +73,15 @@
 	}
 }
 
-// NextPlan returns when Plan should be called again for a pass or a commit that was put off, if there is one.
+// NextPlan returns when Plan should be called again for what was put off, if there is anything.
 func (c *Conductor) NextPlan() (time.Time, bool) {
 	next, due := c.placeNotBefore, c.replan
 	if len(c.dirty) > 0 && (!due || c.commitNotBefore.Before(next)) {
 		next, due = c.commitNotBefore, true
 	}
+	if c.holdPass.skipped && (!due || c.holdPass.next.Before(next)) {
+		next, due = c.holdPass.next, true
+	}
 	return next, due
 }
 
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -28,6 +28,9 @@
 	intakeWait = 1500 * time.Millisecond
 	// planInterval is the longest time between two plans of the owner.
 	planInterval = 25 * time.Millisecond
+	// shortestPlanInterval gathers the events of a moment into one plan, because each plan costs as much as handling several
+	// events.
+	shortestPlanInterval = time.Millisecond
 	// shortestWait keeps a plan that waits for the store from being repeated all the time.
 	shortestWait = 3 * time.Millisecond
 	// orderTimeout bounds a start or stop; a healthy server answers within a few milliseconds.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -96,6 +96,7 @@
 func (o *owner) run(ctx context.Context) {
 	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
+	var plannedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -111,6 +112,11 @@
 		case <-timer.C:
 		}
 		now := o.settings.clock.Now()
+		if wait := shortestPlanInterval - now.Sub(plannedAt); wait > 0 {
+			timer.Reset(wait)
+			continue
+		}
+		plannedAt = now
 		for _, command := range o.core.Plan(now) {
 			o.execute(ctx, command)
 		}
