Divide large cells into shards with an owner each

Cause: the owner's processor bounds a cell: with 350 servers and 700 starts a second one owner was saturated at 0.8 of a core. Change: the package sharder settles once, in the store, how many shards a cell has (one for each 100 servers, at most 8). Servers belong to shards by address, so that racks and zones are spread evenly, jobs by their ID; each shard has its own owner, keys and advisors. A cell of up to 149 servers has one shard and the keys that it had.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -21,6 +21,7 @@
 	"egretring.example/egretring/logger"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/platform"
+	"egretring.example/egretring/sharder"
 	"egretring.example/egretring/timekeeper"
 )
 
@@ -45,7 +46,7 @@
 	settings platform.Settings
 	logger   *slog.Logger
 	meter    *meter.Meter
-	cell     *coordinator.Coordinator
+	cell     *sharder.Sharder
 	servers  []*http.Server
 	failed   chan error
 }
@@ -106,25 +107,13 @@
 
 func (p *process) start() error {
 	clock := timekeeper.NewSteadyClock()
-	peers, err := net.Listen("tcp", p.settings.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for other instances")
-	}
 	outside := platform.Connect(p.settings, clock, p.logger, p.meter)
-	p.cell, err = coordinator.New(peers,
-		coordinator.WithStore(outside.Store), coordinator.WithBackendServers(outside.BackendServers),
-		coordinator.WithDirectory(outside.Directory), coordinator.WithAdvice(outside.Advice),
-		coordinator.WithClock(clock), coordinator.WithLogger(p.logger), coordinator.WithMeter(p.meter),
-		coordinator.WithProcessors(p.settings.Processors*p.settings.ProcessorShare),
-		coordinator.WithInstance(p.settings.Instance, p.settings.PeerAddress),
-		coordinator.WithConductor(
-			conductor.WithMaximumLease(p.settings.MaximumLease()),
-			conductor.WithFinalStateKept(time.Duration(p.settings.StateKeptSeconds)*time.Second+stateMargin),
-		),
-	)
-	if err != nil {
-		return err
+	build := func(shard sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
+		return p.coordinator(shard, outside, clock, options)
 	}
+	p.cell = sharder.New(sharder.Options{
+		Store: outside.Store, Directory: outside.Directory, Instance: p.settings.Instance, Build: build, Logger: p.logger,
+	})
 	p.cell.Start()
 	for address, handler := range p.handlers() {
 		if err := p.listen(address, handler); err != nil {
@@ -134,6 +123,31 @@
 	return nil
 }
 
+// coordinator makes the coordinator of a shard, with a listener of its own for other instances.
+func (p *process) coordinator(
+	shard sharder.Shard, outside *platform.Platform, clock timekeeper.Clock, options []coordinator.Option,
+) (*coordinator.Coordinator, error) {
+	address, err := p.settings.PeerAddressOf(shard.Index)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for other instances")
+	}
+	options = append(options,
+		coordinator.WithBackendServers(outside.BackendServers), coordinator.WithAdvice(outside.Advice),
+		coordinator.WithClock(clock), coordinator.WithLogger(p.logger.With("Shard", shard.Index)),
+		coordinator.WithMeter(p.meter), coordinator.WithProcessors(p.settings.Processors*p.settings.ProcessorShare),
+		coordinator.WithInstance(p.settings.Instance, address),
+		coordinator.WithConductor(
+			conductor.WithMaximumLease(p.settings.MaximumLease()),
+			conductor.WithFinalStateKept(time.Duration(p.settings.StateKeptSeconds)*time.Second+stateMargin),
+		),
+	)
+	return coordinator.New(peers, options...)
+}
+
 func (p *process) handlers() map[string]http.Handler {
 	readiness := goji.NewMux()
 	readiness.HandleFunc(pat.Get("/readiness"), p.readiness)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -105,6 +105,11 @@
 	return c.configuration.Load() != nil && !c.draining.Load() && c.intaker.Reachable()
 }
 
+// Owns reports whether this instance carries out the owner's duty.
+func (c *Coordinator) Owns() bool {
+	return c.owner.Load() != nil
+}
+
 // Draining reports whether the instance is about to stop.
 func (c *Coordinator) Draining() bool {
 	return c.draining.Load()
--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -27,15 +27,37 @@
 // electionDelay returns how long this instance leaves an election to larger ones: the duty of the owner grows with the
 // cell, and a small instance would hold all others up.
 func (c *Coordinator) electionDelay(ctx context.Context) time.Duration {
+	var delay time.Duration
+	if c.settings.electionDelay != nil {
+		delay = c.settings.electionDelay()
+	}
 	members, err := c.members(ctx)
 	if err != nil {
 		c.settings.logger.Info("members cannot be read before an election", "Error", err.Error())
-		return 0
+		return delay
 	}
 	if slices.ContainsFunc(members, c.larger) {
-		return largerFirst
+		delay += largerFirst
+	}
+	return delay
+}
+
+// advisors returns the instances that make advice calls for the owner: all, if none of those that should is there.
+func (c *Coordinator) advisors(members []member) []string {
+	var all, own []string
+	for _, m := range append([]member{{Instance: c.settings.instance}}, members...) {
+		if slices.Contains(all, m.Instance) {
+			continue
+		}
+		all = append(all, m.Instance)
+		if c.settings.advises != nil && c.settings.advises(m.Instance) {
+			own = append(own, m.Instance)
+		}
+	}
+	if len(own) == 0 {
+		return all
 	}
-	return 0
+	return own
 }
 
 // keepMembership keeps the key of this instance under a lease, so that the owner can ask it for advice calls.
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -75,6 +75,10 @@
 	dial    messenger.Dial
 	// processors is the instance's share of processors; zero is unknown.
 	processors float64
+	// electionDelay is how long the instance leaves an election to others, beside larger ones.
+	electionDelay func() time.Duration
+	// advises reports whether an instance makes advice calls for this owner.
+	advises func(instance string) bool
 }
 
 // Option configures a Coordinator.
@@ -130,6 +134,16 @@
 	return func(s *settings) { s.processors = share }
 }
 
+// WithElectionDelay sets a function that returns how long the instance leaves an election to others.
+func WithElectionDelay(delay func() time.Duration) Option {
+	return func(s *settings) { s.electionDelay = delay }
+}
+
+// WithAdvisors restricts the instances that make advice calls for the owner.
+func WithAdvisors(advises func(instance string) bool) Option {
+	return func(s *settings) { s.advises = advises }
+}
+
 // WithDial replaces the way in which other instances are called.
 func WithDial(dial messenger.Dial) Option {
 	return func(s *settings) { s.dial = dial }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -163,14 +163,10 @@
 			o.elector.Resign(o.ownership.Epoch, "a larger instance is there")
 		}
 		addresses := make(map[string]string, len(members))
-		names := []string{o.settings.instance}
 		for _, m := range members {
-			if m.Instance != o.settings.instance {
-				names = append(names, m.Instance)
-				addresses[m.Instance] = m.Address
-			}
+			addresses[m.Instance] = m.Address
 		}
-		o.post(conductor.AdvisorsChanged{Advisors: names})
+		o.post(conductor.AdvisorsChanged{Advisors: o.advisors(members)})
 		o.query(ctx, func(*conductor.Conductor) { o.members = addresses })
 		sleep(ctx, memberInterval)
 	}
--- /dev/null
+++ b/sharder/sharder.go
@@ -0,0 +1,231 @@
+package sharder
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/coordinator"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// ownerDelay is how long an instance leaves an election to others for each shard that it owns already.
+	ownerDelay = 150 * time.Millisecond
+	// preferenceDelay bounds the delay by which each shard prefers other instances.
+	preferenceDelay = 100 * time.Millisecond
+)
+
+// Build makes the coordinator of a shard from options for it; it adds those that are the same for all shards.
+type Build func(shard Shard, options ...coordinator.Option) (*coordinator.Coordinator, error)
+
+// Sharder takes part in all shards of a cell.
+type Sharder struct {
+	store     keeper.TransactionalStore
+	directory *sharedDirectory
+	instance  string
+	build     Build
+	logger    *slog.Logger
+	tomb      tomb.Tomb
+	shards    atomic.Pointer[[]*coordinator.Coordinator]
+	draining  atomic.Bool
+}
+
+// Options are what a Sharder needs.
+type Options struct {
+	Store     keeper.TransactionalStore
+	Directory coordinator.Directory
+	// Instance is the name of this instance.
+	Instance string
+	Build    Build
+	Logger   *slog.Logger
+}
+
+// New returns a Sharder that is not started.
+func New(o Options) *Sharder {
+	return &Sharder{
+		store: o.Store, directory: &sharedDirectory{Directory: o.Directory}, instance: o.Instance, build: o.Build,
+		logger: o.Logger,
+	}
+}
+
+// Start settles the layout and begins to take part in the shards.
+func (s *Sharder) Start() {
+	s.tomb.Go(func() error {
+		count, err := s.settle(s.tomb.Context(context.Background()))
+		if err != nil {
+			return nil
+		}
+		return s.join(count)
+	})
+}
+
+// join starts the coordinators of all shards.
+func (s *Sharder) join(count int) error {
+	var shards []*coordinator.Coordinator
+	for i := range count {
+		shard := Shard{Index: i, Count: count}
+		built, err := s.build(shard, s.optionsOf(shard)...)
+		if err != nil {
+			s.logger.Error("shard cannot be joined; the instance stays not ready", "Shard", i, "Error", err.Error())
+			return err
+		}
+		shards = append(shards, built)
+	}
+	s.shards.Store(&shards)
+	for _, shard := range shards {
+		shard.Start()
+		if s.draining.Load() {
+			shard.Drain()
+		}
+	}
+	s.logger.Info("shards joined", "Shards", count)
+	return nil
+}
+
+func (s *Sharder) optionsOf(shard Shard) []coordinator.Option {
+	options := []coordinator.Option{
+		coordinator.WithStore(shardStore{TransactionalStore: s.store, prefix: shard.Prefix()}),
+		coordinator.WithDirectory(shardDirectory{Directory: s.directory, shard: shard}),
+	}
+	if shard.Count == 1 {
+		return options
+	}
+	return append(options, coordinator.WithAdvisors(shard.HasAdvisor),
+		coordinator.WithElectionDelay(func() time.Duration { return s.electionDelay(shard) }))
+}
+
+// electionDelay spreads the ownership of the shards over the instances.
+func (s *Sharder) electionDelay(shard Shard) time.Duration {
+	preference := hashed(s.instance+shard.Prefix()) % int(preferenceDelay/time.Millisecond)
+	delay := time.Duration(preference) * time.Millisecond
+	for _, other := range s.all() {
+		if other.Owns() {
+			delay += ownerDelay
+		}
+	}
+	return delay
+}
+
+// all returns the coordinators of all shards, or none before the layout is settled.
+func (s *Sharder) all() []*coordinator.Coordinator {
+	if shards := s.shards.Load(); shards != nil {
+		return *shards
+	}
+	return nil
+}
+
+// of returns the coordinator of a job's shard. Its error is NotReady before the layout is settled.
+func (s *Sharder) of(id specifier.JobID) (*coordinator.Coordinator, error) {
+	shards := s.all()
+	if len(shards) == 0 {
+		return nil, errNotSettled()
+	}
+	return shards[jobShard(id, len(shards))], nil
+}
+
+func errNotSettled() error {
+	return classifier.New(classifier.NotReady, "the layout of the cell has not been read yet")
+}
+
+// Queue returns the queue of a host and path; see coordinator.Coordinator.Queue.
+func (s *Sharder) Queue(host, path string) (specifier.Queue, error) {
+	shards := s.all()
+	if len(shards) == 0 {
+		return specifier.Queue{}, errNotSettled()
+	}
+	return shards[0].Queue(host, path)
+}
+
+// MaxBodyBytes returns the configured limit of a request's body; zero means no limit.
+func (s *Sharder) MaxBodyBytes() int64 {
+	if shards := s.all(); len(shards) > 0 {
+		return shards[0].MaxBodyBytes()
+	}
+	return 0
+}
+
+// Submit accepts a job; see coordinator.Coordinator.Submit.
+func (s *Sharder) Submit(ctx context.Context, job specifier.Job) error {
+	shard, err := s.of(job.ID)
+	if err != nil {
+		return err
+	}
+	return shard.Submit(ctx, job)
+}
+
+// Cancel cancels a job. It reports whether there is such a job.
+func (s *Sharder) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
+	shard, err := s.of(id)
+	if err != nil {
+		return false, err
+	}
+	return shard.Cancel(ctx, id)
+}
+
+// State returns the state of a job and reports whether there is such a job.
+func (s *Sharder) State(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
+	shard, err := s.of(id)
+	if err != nil {
+		return specifier.Queued, false, err
+	}
+	return shard.State(ctx, id)
+}
+
+// Waiting returns the number of accepted jobs of a queue of which no task has started, in all shards.
+func (s *Sharder) Waiting(ctx context.Context, queue specifier.Queue) (int, error) {
+	shards := s.all()
+	if len(shards) == 0 {
+		return 0, errNotSettled()
+	}
+	total := 0
+	for _, shard := range shards {
+		waiting, err := shard.Waiting(ctx, queue)
+		if err != nil {
+			return 0, err
+		}
+		total += waiting
+	}
+	return total, nil
+}
+
+// Ready reports whether callers should be sent to this instance.
+func (s *Sharder) Ready() bool {
+	shards := s.all()
+	for _, shard := range shards {
+		if !shard.Ready() {
+			return false
+		}
+	}
+	return len(shards) > 0 && !s.draining.Load()
+}
+
+// Draining reports whether the instance is about to stop.
+func (s *Sharder) Draining() bool {
+	return s.draining.Load()
+}
+
+// Drain gives up all ownership and reports not ready; requests are still answered until Stop.
+func (s *Sharder) Drain() {
+	s.draining.Store(true)
+	for _, shard := range s.all() {
+		shard.Drain()
+	}
+}
+
+// Stop ends all coordinators.
+func (s *Sharder) Stop() error {
+	s.tomb.Kill(nil)
+	err := s.tomb.Wait()
+	for _, shard := range s.all() {
+		if stopErr := shard.Stop(); err == nil {
+			err = stopErr
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/sharder/sharder_test.go
@@ -0,0 +1,314 @@
+package sharder_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/coordinator"
+	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/sharder"
+	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/tester"
+)
+
+func TestMain(m *testing.M) {
+	tester.Main(m)
+}
+
+const runTime = 300 * time.Millisecond
+
+// cell is a few instances over a fake store and backend servers that run each task for the same time.
+type cell struct {
+	t         *testing.T
+	store     *fakekeeper.Transactional
+	instances []*sharder.Sharder
+	listed    []specifier.Server
+
+	mu      sync.Mutex
+	servers map[specifier.ServerID]*fakeServer
+	starts  map[specifier.TaskID]int
+}
+
+type fakeServer struct {
+	begunAt time.Time
+	ended   []specifier.EndedTask
+	number  int64
+	runs    map[specifier.TaskID]int
+	fence   int64
+	change  chan struct{}
+}
+
+func newCell(t *testing.T, instances, servers int) *cell {
+	c := &cell{
+		t: t, store: fakekeeper.NewTransactional(), servers: make(map[specifier.ServerID]*fakeServer),
+		starts: make(map[specifier.TaskID]int),
+	}
+	for i := range servers {
+		id := specifier.ServerID(fmt.Sprintf("i-%d", i))
+		c.listed = append(c.listed, specifier.Server{
+			ID: id, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Born: 1,
+			Capacity: specifier.Resources{MilliCores: 64000},
+		})
+		c.servers[id] = &fakeServer{begunAt: time.Now(), runs: make(map[specifier.TaskID]int), change: make(chan struct{})}
+	}
+	for i := range instances {
+		instance := sharder.New(sharder.Options{
+			Store: c.store, Directory: c, Instance: fmt.Sprintf("instance-%d", i), Build: c.builder(i),
+			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		instance.Start()
+		c.instances = append(c.instances, instance)
+	}
+	return c
+}
+
+func (c *cell) builder(instance int) sharder.Build {
+	return func(_ sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
+		name := fmt.Sprintf("instance-%d", instance)
+		return coordinator.New(silentListener(make(chan struct{})), append(options,
+			coordinator.WithBackendServers(c), coordinator.WithAdvice(c), coordinator.WithInstance(name, name),
+			coordinator.WithDial(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }),
+			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))...)
+	}
+}
+
+// silentListener accepts no connections: the instances of these tests find everything through the store.
+type silentListener chan struct{}
+
+func (l silentListener) Accept() (net.Conn, error) {
+	<-l
+	return nil, net.ErrClosed
+}
+
+func (l silentListener) Close() error {
+	close(l)
+	return nil
+}
+
+func (l silentListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Servers implements coordinator.Directory.
+func (c *cell) Servers(context.Context) ([]specifier.Server, error) {
+	return c.listed, nil
+}
+
+// Configuration implements coordinator.Directory.
+func (c *cell) Configuration(context.Context) (specifier.Configuration, bool, error) {
+	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}
+	return specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{queue}}, true, nil
+}
+
+// Advise implements coordinator.AdviceService.
+func (c *cell) Advise(context.Context, specifier.StepID, []specifier.ServerID) (coordinator.Advice, error) {
+	return coordinator.Advice{}, nil
+}
+
+// Start implements coordinator.BackendServers.
+func (c *cell) Start(_ context.Context, order conductor.Start) specifier.OrderResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[order.Server.ID]
+	if order.Order.Fence < s.fence {
+		return specifier.OrderFenced
+	}
+	s.fence = order.Order.Fence
+	s.runs[order.Order.Task] = order.Order.Run
+	c.starts[order.Order.Task]++
+	time.AfterFunc(runTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.number++
+		delete(s.runs, order.Order.Task)
+		s.ended = append(s.ended, specifier.EndedTask{
+			Number: s.number, Task: order.Order.Task, Run: order.Order.Run, Reason: specifier.RunDone,
+		})
+		close(s.change)
+		s.change = make(chan struct{})
+	})
+	return specifier.OrderDone
+}
+
+// Stop implements coordinator.BackendServers.
+func (c *cell) Stop(context.Context, conductor.Stop) specifier.OrderResult {
+	return specifier.OrderDone
+}
+
+// Hold implements coordinator.BackendServers.
+func (c *cell) Hold(ctx context.Context, hold conductor.Hold) (specifier.ServerReport, specifier.OrderResult) {
+	c.mu.Lock()
+	s := c.servers[hold.Server.ID]
+	if hold.Fence < s.fence {
+		c.mu.Unlock()
+		return specifier.ServerReport{}, specifier.OrderFenced
+	}
+	s.fence = hold.Fence
+	for len(s.ended) > 0 && s.ended[0].Number <= hold.Acknowledged {
+		s.ended = s.ended[1:]
+	}
+	change, wait := s.change, hold.Wait
+	if len(s.ended) > 0 {
+		wait = 0
+	}
+	c.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-change:
+	case <-timer.C:
+	case <-ctx.Done():
+		return specifier.ServerReport{}, specifier.OrderUnknown
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := specifier.ServerReport{Born: 1, Clock: time.Since(s.begunAt), Ended: append([]specifier.EndedTask(nil), s.ended...)}
+	for task, run := range s.runs {
+		report.Running = append(report.Running, specifier.RunningTask{Task: task, Run: run, Percent: 100})
+	}
+	return report, specifier.OrderDone
+}
+
+func (c *cell) submit(instance int, id specifier.JobID) error {
+	queue, err := c.instances[instance].Queue("h", "/q/x")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
+	defer cancel()
+	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{{
+		Count: 3, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
+	}}})
+}
+
+func (c *cell) stop() {
+	for _, instance := range c.instances {
+		require.NoError(c.t, instance.Stop())
+	}
+	time.Sleep(time.Minute)
+}
+
+func play(t *testing.T, instances, servers int, test func(t *testing.T, c *cell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, instances, servers)
+		time.Sleep(5 * time.Second)
+		test(t, c)
+		c.stop()
+	})
+}
+
+// TestShards guards against jobs that no shard takes, that two shards take, or whose state only some instances know, and
+// against a shard whose owner is gone for good.
+func TestShards(t *testing.T) {
+	for servers, shards := range map[int]int{12: 1, 160: 2} {
+		t.Run(fmt.Sprintf("%d servers", servers), func(t *testing.T) {
+			play(t, 2, servers, func(t *testing.T, c *cell) {
+				const jobs = 12
+				// The keys of a single shard have no number.
+				require.Equal(t, shards == 1, len(c.store.Keys("egretring/owner")) == 1)
+				for i := range jobs {
+					require.NoError(t, c.submit(i%2, specifier.JobID(fmt.Sprintf("%016x", i))))
+				}
+				queue, err := c.instances[0].Queue("h", "/q/x")
+				require.NoError(t, err)
+				_, err = c.instances[0].Waiting(t.Context(), queue)
+				if err != nil {
+					require.Equal(t, classifier.NotReady, classifier.KindOf(err))
+				}
+				time.Sleep(5 * time.Second)
+				c.instances[0].Drain()
+				time.Sleep(5 * time.Second)
+				require.NoError(t, c.submit(1, "late"))
+				time.Sleep(5 * time.Second)
+				for i := range jobs {
+					state, known, err := c.instances[1].State(t.Context(), specifier.JobID(fmt.Sprintf("%016x", i)))
+					require.NoError(t, err)
+					require.True(t, known)
+					require.Equal(t, specifier.Completed, state, "job %d", i)
+				}
+				state, _, err := c.instances[1].State(t.Context(), "late")
+				require.NoError(t, err)
+				require.Equal(t, specifier.Completed, state)
+				for task, starts := range c.starts {
+					require.Equal(t, 1, starts, "task %s", task)
+				}
+				require.Len(t, c.starts, 3*(jobs+1))
+			})
+		})
+	}
+}
+
+// TestLayoutStays guards against an instance that starts later and counts other servers joining other shards.
+func TestLayoutStays(t *testing.T) {
+	play(t, 2, 160, func(t *testing.T, c *cell) {
+		c.listed = c.listed[:10]
+		late := sharder.New(sharder.Options{
+			Store: c.store, Directory: c, Instance: "late", Build: c.builder(9), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		late.Start()
+		c.instances = append(c.instances, late)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, c.submit(2, "a"))
+		time.Sleep(5 * time.Second)
+		state, known, err := c.instances[0].State(t.Context(), "a")
+		require.NoError(t, err)
+		require.True(t, known)
+		require.Equal(t, specifier.Completed, state)
+		require.Empty(t, c.store.Keys("egretring/owner"))
+	})
+}
+
+// TestBeforeLayout guards against answers other than 'not ready' while the store cannot be read.
+func TestBeforeLayout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1, 12)
+		c.store.SetFaults(fakekeeper.Faults{Down: true})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, classifier.NotReady, classifier.KindOf(c.submit(0, "a")))
+		_, _, err := c.instances[0].State(t.Context(), "a")
+		require.Equal(t, classifier.NotReady, classifier.KindOf(err))
+		require.False(t, c.instances[0].Ready())
+		c.store.SetFaults(fakekeeper.Faults{})
+		time.Sleep(5 * time.Second)
+		require.NoError(t, c.submit(0, "a"))
+		require.True(t, c.instances[0].Ready())
+		c.stop()
+	})
+}
+
+// TestBelonging guards against jobs and servers of no shard or of several, and against shards of unequal room.
+func TestBelonging(t *testing.T) {
+	const count, servers = 4, 400
+	sizes := make([]int, count)
+	for i := range servers {
+		server := specifier.Server{Address: fmt.Sprintf("10.1.64.%d:8141", i%250)}
+		owners := 0
+		for k := range count {
+			shard := sharder.Shard{Index: k, Count: count}
+			if shard.HasServer(server) {
+				owners++
+				sizes[k]++
+			}
+		}
+		require.Equal(t, 1, owners, "server %s", server.Address)
+		jobOwners := 0
+		for k := range count {
+			if (sharder.Shard{Index: k, Count: count}).HasJob(specifier.JobID(fmt.Sprintf("%016x", i))) {
+				jobOwners++
+			}
+		}
+		require.Equal(t, 1, jobOwners)
+	}
+	for _, size := range sizes {
+		require.InDelta(t, servers/count, size, 2)
+	}
+}
