--- /dev/null
+++ b/sharder/explain_test.go
@@ -0,0 +1,183 @@
+package sharder_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/platform"
+	"egretring.example/egretring/specifier"
+)
+
+// logBuffer collects the log lines of all instances.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// logLine has the fields that docs/OPERATIONS.md follows.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Message  string    `json:"msg"`
+	Instance string
+	Decision string
+	Job      string
+	Path     string
+	Task     string
+	Run      int
+	Server   string
+	Detail   string
+	Kind     string
+	Outcome  string
+	Error    string
+}
+
+// search returns the lines that contain a text, as an engineer would search for an ID.
+func (b *logBuffer) search(t *testing.T, text string) []logLine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []logLine
+	for _, line := range strings.Split(b.text.String(), "\n") {
+		if line == "" || !strings.Contains(line, text) {
+			continue
+		}
+		var decoded logLine
+		require.NoError(t, json.Unmarshal([]byte(line), &decoded))
+		found = append(found, decoded)
+	}
+	return found
+}
+
+func (c *cell) logger(instance int) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(&c.logs, nil)).With("Instance", fmt.Sprintf("instance-%d", instance))
+}
+
+// post submits a job with two tasks as a caller does.
+func (c *cell) post(instance int, id string) int {
+	body := `{"spec":"x","steps":[{"count":2,"cpu":1000,"estimated_ms":300}]}`
+	request := httptest.NewRequest(http.MethodPost, "/q/"+id, strings.NewReader(body))
+	request.Host = "h"
+	answer := httptest.NewRecorder()
+	platform.NewIngress(c.instances[instance], c.logger(instance)).ServeHTTP(answer, request)
+	return answer.Code
+}
+
+func decisions(lines []logLine, name string) []logLine {
+	var found []logLine
+	for _, line := range lines {
+		if line.Decision == name {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+const (
+	doubtfulID = "0000000000000099"
+	refusedID  = "00000000000000aa"
+	lateID     = "00000000000000bb"
+	failedID   = "00000000000000cc"
+)
+
+// TestExplainRefused guards against a refused request whose cause docs/OPERATIONS.md cannot lead to from its ID.
+func TestExplainRefused(t *testing.T) {
+	play(t, 1, 12, func(t *testing.T, c *cell) {
+		c.store.SetFaults(fakekeeper.Faults{Down: true})
+		require.Equal(t, http.StatusBadGateway, c.post(0, doubtfulID), "the store may still carry out the first write")
+		require.Equal(t, http.StatusServiceUnavailable, c.post(0, refusedID))
+		lines := c.logs.search(t, refusedID)
+		require.Len(t, lines, 1)
+		refusal := lines[0]
+		require.Equal(t, "request refused", refusal.Message)
+		require.Equal(t, "Overloaded", refusal.Kind)
+		require.Equal(t, "NotRun", refusal.Outcome)
+		silent := c.logs.search(t, "store gave no answer")
+		require.NotEmpty(t, silent)
+		require.Equal(t, refusal.Instance, silent[0].Instance)
+		require.True(t, silent[0].Time.Before(refusal.Time))
+		c.store.SetFaults(fakekeeper.Faults{})
+		time.Sleep(time.Second)
+	})
+}
+
+// TestExplainLate guards against a late job whose cause, a server that gave no answers, cannot be found from its ID.
+func TestExplainLate(t *testing.T) {
+	play(t, 1, 2, func(t *testing.T, c *cell) {
+		c.mu.Lock()
+		for _, s := range c.servers {
+			s.mute = true
+		}
+		c.mu.Unlock()
+		require.Equal(t, http.StatusOK, c.post(0, lateID))
+		time.Sleep(2 * time.Second)
+		c.mu.Lock()
+		for _, s := range c.servers {
+			s.mute = false
+		}
+		c.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		lines := c.logs.search(t, lateID)
+		at := slices.IndexFunc(lines, func(line logLine) bool { return line.Message == "job accepted" })
+		require.GreaterOrEqual(t, at, 0)
+		accepted := lines[at]
+		require.Len(t, decisions(lines, "JobTaken"), 1)
+		ends := decisions(lines, "RunEnded")
+		require.Len(t, ends, 2)
+		require.Greater(t, ends[1].Time.Sub(accepted.Time), 2*time.Second)
+		causes := append(decisions(lines, "StartDoubtful"), decisions(lines, "StartRefused")...)
+		if len(causes) > 0 {
+			require.NotEmpty(t, decisions(c.logs.search(t, causes[0].Server), "ServerSilent"))
+			return
+		}
+		// Nothing was placed, because the owner had already found all servers silent.
+		placed := decisions(lines, "RunPlaced")
+		silent := decisions(c.logs.search(t, placed[0].Server), "ServerSilent")
+		answers := decisions(c.logs.search(t, placed[0].Server), "ServerAnswers")
+		require.NotEmpty(t, silent)
+		require.NotEmpty(t, answers)
+		require.False(t, placed[0].Time.Before(answers[len(answers)-1].Time))
+	})
+}
+
+// TestExplainFailed guards against a failed job whose attempts and servers cannot be found from its ID.
+func TestExplainFailed(t *testing.T) {
+	play(t, 1, 12, func(t *testing.T, c *cell) {
+		c.mu.Lock()
+		for _, s := range c.servers {
+			s.failing = true
+		}
+		c.mu.Unlock()
+		require.Equal(t, http.StatusOK, c.post(0, failedID))
+		time.Sleep(15 * time.Second)
+		state, known, err := c.instances[0].State(t.Context(), failedID)
+		require.NoError(t, err)
+		require.True(t, known)
+		require.Equal(t, specifier.Failed, state)
+		attempts := map[string]int{}
+		for _, end := range decisions(c.logs.search(t, failedID), "RunEnded") {
+			if end.Detail == string(specifier.RunFailed) {
+				attempts[end.Task]++
+				require.NotEmpty(t, end.Server)
+			}
+		}
+		require.Contains(t, attempts, failedID+".0.0.0")
+		require.GreaterOrEqual(t, max(attempts[failedID+".0.0.0"], attempts[failedID+".0.0.1"]), 2, "max_attempts of the queue")
+	})
+}
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -35,6 +35,7 @@
 	instances []*sharder.Sharder
 	listed    []specifier.Server
 
+	logs    logBuffer
 	mu      sync.Mutex
 	servers map[specifier.ServerID]*fakeServer
 	starts  map[specifier.TaskID]int
@@ -42,6 +43,9 @@
 
 type fakeServer struct {
 	begunAt time.Time
+	// mute servers give no answers; on failing ones all runs fail.
+	mute    bool
+	failing bool
 	ended   []specifier.EndedTask
 	number  int64
 	runs    map[specifier.TaskID]int
@@ -65,7 +69,7 @@
 	for i := range instances {
 		instance := sharder.New(sharder.Options{
 			Store: c.store, Directory: c, Instance: fmt.Sprintf("instance-%d", i), Build: c.builder(i),
-			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Logger: c.logger(i),
 		})
 		instance.Start()
 		c.instances = append(c.instances, instance)
@@ -79,7 +83,7 @@
 		return coordinator.New(silentListener(make(chan struct{})), append(options,
 			coordinator.WithBackendServers(c), coordinator.WithAdvice(c), coordinator.WithInstance(name, name),
 			coordinator.WithDial(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }),
-			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))...)
+			coordinator.WithLogger(c.logger(instance)))...)
 	}
 }
 
@@ -104,7 +108,10 @@
 }
 
 // Configuration implements coordinator.Directory.
-func (c *cell) Configuration(context.Context) (specifier.Configuration, bool, error) {
+func (c *cell) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
+	if _, err := c.store.Get(ctx, "op"); err != nil {
+		return specifier.Configuration{}, false, err
+	}
 	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}
 	return specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{queue}}, true, nil
 }
@@ -119,6 +126,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.servers[order.Server.ID]
+	if s.mute {
+		return specifier.OrderUnknown
+	}
 	if order.Order.Fence < s.fence {
 		return specifier.OrderFenced
 	}
@@ -130,8 +140,12 @@
 		defer c.mu.Unlock()
 		s.number++
 		delete(s.runs, order.Order.Task)
+		reason := specifier.RunDone
+		if s.failing {
+			reason = specifier.RunFailed
+		}
 		s.ended = append(s.ended, specifier.EndedTask{
-			Number: s.number, Task: order.Order.Task, Run: order.Order.Run, Reason: specifier.RunDone,
+			Number: s.number, Task: order.Order.Task, Run: order.Order.Run, Reason: reason,
 		})
 		close(s.change)
 		s.change = make(chan struct{})
@@ -148,6 +162,10 @@
 func (c *cell) Hold(ctx context.Context, hold conductor.Hold) (specifier.ServerReport, specifier.OrderResult) {
 	c.mu.Lock()
 	s := c.servers[hold.Server.ID]
+	if s.mute {
+		c.mu.Unlock()
+		return specifier.ServerReport{}, specifier.OrderUnknown
+	}
 	if hold.Fence < s.fence {
 		c.mu.Unlock()
 		return specifier.ServerReport{}, specifier.OrderFenced
