Spread the ownership of shards over the instances

Change: an instance waits again when it has become an owner during its election delay, and an owner of several shards gives the later ones up while there are as many instances of its size as shards.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -105,9 +105,9 @@
 	return c.configuration.Load() != nil && !c.draining.Load() && c.intaker.Reachable()
 }
 
-// Owns reports whether this instance carries out the owner's duty.
+// Owns reports whether this instance is the owner.
 func (c *Coordinator) Owns() bool {
-	return c.owner.Load() != nil
+	return c.elector.OnDuty()
 }
 
 // Draining reports whether the instance is about to stop.
--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -24,6 +24,23 @@
 	return m.Instance != c.settings.instance && m.Processors > muchLarger*c.settings.processors
 }
 
+// handOverReason returns why another member should take over, or an empty text.
+func (c *Coordinator) handOverReason(members []member) string {
+	if slices.ContainsFunc(members, c.larger) {
+		return "a larger instance is there"
+	}
+	equals := 0
+	for _, m := range members {
+		if muchLarger*m.Processors >= c.settings.processors {
+			equals++
+		}
+	}
+	if c.settings.crowded != nil && c.settings.crowded(equals) {
+		return "the instance owns other shards, too"
+	}
+	return ""
+}
+
 // electionDelay returns how long this instance leaves an election to larger ones: the duty of the owner grows with the
 // cell, and a small instance would hold all others up.
 func (c *Coordinator) electionDelay(ctx context.Context) time.Duration {
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -77,6 +77,8 @@
 	processors float64
 	// electionDelay is how long the instance leaves an election to others, beside larger ones.
 	electionDelay func() time.Duration
+	// crowded reports whether the instance owns so much else that another one should take over.
+	crowded func(equals int) bool
 	// advises reports whether an instance makes advice calls for this owner.
 	advises func(instance string) bool
 }
@@ -139,6 +141,12 @@
 	return func(s *settings) { s.electionDelay = delay }
 }
 
+// WithCrowded sets a function that reports whether the instance owns so much else that another one should take over, given
+// the number of instances of its size.
+func WithCrowded(crowded func(equals int) bool) Option {
+	return func(s *settings) { s.crowded = crowded }
+}
+
 // WithAdvisors restricts the instances that make advice calls for the owner.
 func WithAdvisors(advises func(instance string) bool) Option {
 	return func(s *settings) { s.advises = advises }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -159,8 +158,8 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
-		if slices.ContainsFunc(members, o.larger) && o.settings.clock.Now().Sub(beganAt) > shortestStay {
-			o.elector.Resign(o.ownership.Epoch, "a larger instance is there")
+		if reason := o.handOverReason(members); reason != "" && o.settings.clock.Now().Sub(beganAt) > shortestStay {
+			o.elector.Resign(o.ownership.Epoch, reason)
 		}
 		addresses := make(map[string]string, len(members))
 		for _, m := range members {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -119,6 +119,13 @@
 	return false
 }
 
+// OnDuty reports whether this instance is the owner, from its election on.
+func (e *Elector) OnDuty() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.onDuty != 0
+}
+
 // PredecessorsStopped notes that all owners before an epoch are known to have stopped, so that a successor need not ask
 // again.
 func (e *Elector) PredecessorsStopped(ctx context.Context, ownership Ownership) {
@@ -253,6 +260,10 @@
 		return false
 	}
 	pause(ctx, wait)
+	// The instance may have become the owner of something else meanwhile.
+	if longer := e.delay(ctx); longer > wait {
+		pause(ctx, longer-wait)
+	}
 	entry, err := e.store.Get(ctx, OwnerKey)
 	return err != nil || entry.Revision != 0
 }
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -97,6 +97,7 @@
 		return options
 	}
 	return append(options, coordinator.WithAdvisors(shard.HasAdvisor),
+		coordinator.WithCrowded(func(equals int) bool { return s.crowded(shard, equals) }),
 		coordinator.WithElectionDelay(func() time.Duration { return s.electionDelay(shard) }))
 }
 
@@ -112,6 +113,20 @@
 	return delay
 }
 
+// crowded reports whether another instance should take over a shard, because this one owns an earlier shard, too, and there
+// are enough instances of its size.
+func (s *Sharder) crowded(shard Shard, equals int) bool {
+	if equals < shard.Count {
+		return false
+	}
+	for _, other := range s.all()[:shard.Index] {
+		if other.Owns() {
+			return true
+		}
+	}
+	return false
+}
+
 // all returns the coordinators of all shards, or none before the layout is settled.
 func (s *Sharder) all() []*coordinator.Coordinator {
 	if shards := s.shards.Load(); shards != nil {
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -265,6 +266,26 @@
 	}
 }
 
+// TestOwnersAreSpread guards against one instance that owns several shards while others own none.
+func TestOwnersAreSpread(t *testing.T) {
+	play(t, 4, 260, func(t *testing.T, c *cell) {
+		for range 5 {
+			owners := make(map[string]bool)
+			for _, key := range c.store.Keys("egretring/") {
+				if !strings.HasSuffix(key, "/owner") {
+					continue
+				}
+				entry, err := c.store.Get(t.Context(), key)
+				require.NoError(t, err)
+				owners[string(entry.Value)] = true
+				c.store.TakeAway(key)
+			}
+			require.Len(t, owners, 3)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
 // TestLayoutStays guards against an instance that starts later and counts other servers joining other shards.
 func TestLayoutStays(t *testing.T) {
 	play(t, 2, 160, func(t *testing.T, c *cell) {
