--- /dev/null
+++ b/adviser/pool_test.go
@@ -0,0 +1,70 @@
+package adviser_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/adviser"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// TestOneCallEach guards against an advisor that is given a second call, and against one that stays busy for ever after a
+// call of which nothing was heard.
+func TestOneCallEach(t *testing.T) {
+	var pool adviser.Pool
+	pool.Set([]string{"a", "b"})
+	until := start.Add(time.Second)
+	first, ok := pool.Take(start, until, false)
+	require.True(t, ok)
+	second, ok := pool.Take(start, until, false)
+	require.True(t, ok)
+	require.NotEqual(t, first, second)
+	_, ok = pool.Take(start, until, false)
+	require.False(t, ok)
+	pool.Set([]string{"a", "b"})
+	free, _ := pool.Free(start)
+	require.Zero(t, free, "a new list of the same advisors does not end their calls")
+	pool.Finish(start, first, false)
+	again, ok := pool.Take(start, until, false)
+	require.True(t, ok)
+	require.Equal(t, first, again)
+	free, _ = pool.Free(until)
+	require.Equal(t, 2, free)
+}
+
+// TestLongCalls guards against long calls that occupy all advisors, so that urgent work waits.
+func TestLongCalls(t *testing.T) {
+	var pool adviser.Pool
+	pool.Set([]string{"a", "b", "c"})
+	until := start.Add(time.Second)
+	for range 2 {
+		_, ok := pool.Take(start, until, true)
+		require.True(t, ok)
+	}
+	_, ok := pool.Take(start, until, true)
+	require.False(t, ok)
+	_, ok = pool.Take(start, until, false)
+	require.True(t, ok)
+}
+
+// TestFailures guards against an advisor that is out of reach being asked as often as the others.
+func TestFailures(t *testing.T) {
+	var pool adviser.Pool
+	pool.Set([]string{"a", "b"})
+	now := start
+	for range 3 {
+		pool.Finish(now, "a", true)
+		free, _ := pool.Free(now)
+		require.Equal(t, 1, free)
+		now = now.Add(5 * time.Second)
+	}
+	name, ok := pool.Take(now, now.Add(time.Second), false)
+	require.True(t, ok)
+	require.Equal(t, "b", name)
+	pool.Finish(now, "a", true)
+	free, _ := pool.Free(now.Add(3900 * time.Millisecond))
+	require.Equal(t, 1, free, "the pause of an advisor that failed often lasts for 4 s")
+}
--- a/conductor/health.go
+++ b/assessor/health.go
@@ -1,4 +1,4 @@
-package conductor
+package assessor
 
 import (
 	"time"
@@ -14,28 +14,29 @@
 	lastSetAside  = 8 * time.Second
 )
 
-// health judges a backend server by how the runs on it end.
-type health struct {
+// Health is the health of one life of a backend server. The zero value is healthy.
+type Health struct {
 	failedJobs  map[specifier.JobID]bool
 	setAside    time.Duration
 	trialAt     time.Time
 	probational bool
 }
 
-// admits reports whether a server may get one more run beside those that it has.
-func (h *health) admits(now time.Time, runs int) bool {
+// Admits reports whether a server may get one more run beside those that it has.
+func (h *Health) Admits(now time.Time, runs int) bool {
 	if !h.probational {
 		return true
 	}
 	return !now.Before(h.trialAt) && runs == 0
 }
 
-func (h *health) succeed() {
-	*h = health{}
+// Succeed notes a run that ended well.
+func (h *Health) Succeed() {
+	*h = Health{}
 }
 
-// fail notes a failed run and reports whether the server is newly set aside.
-func (h *health) fail(now time.Time, job specifier.JobID) bool {
+// Fail notes a failed run and reports whether the server is newly set aside.
+func (h *Health) Fail(now time.Time, job specifier.JobID) bool {
 	if h.failedJobs == nil {
 		h.failedJobs = make(map[specifier.JobID]bool)
 	}
@@ -43,11 +44,12 @@
 	if !h.probational && len(h.failedJobs) < failuresToSetAside {
 		return false
 	}
-	return h.exclude(now)
+	return h.Exclude(now)
 }
 
-// exclude sets the server aside at once, for a longer time after each trial that failed.
-func (h *health) exclude(now time.Time) bool {
+// Exclude sets the server aside at once, for a longer time after each trial that failed, and reports whether it was not set
+// aside before.
+func (h *Health) Exclude(now time.Time) bool {
 	fresh := !h.probational
 	if fresh {
 		h.setAside = firstSetAside
--- /dev/null
+++ b/assessor/health_test.go
@@ -0,0 +1,31 @@
+package assessor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/assessor"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// TestServerThatFailsRuns guards against a server that fails all runs and goes on getting them, against one that is set aside
+// because a single job fails, and against one that is never tried again.
+func TestServerThatFailsRuns(t *testing.T) {
+	var h assessor.Health
+	require.False(t, h.Fail(start, "a"))
+	require.False(t, h.Fail(start, "a"), "the same job may fail by its own fault")
+	require.True(t, h.Admits(start, 5))
+	require.True(t, h.Fail(start, "b"))
+	require.False(t, h.Admits(start, 0))
+	trial := start.Add(2 * time.Second)
+	require.True(t, h.Admits(trial, 0))
+	require.False(t, h.Admits(trial, 1), "a trial is one run at a time")
+	require.False(t, h.Fail(trial, "c"))
+	require.False(t, h.Admits(trial.Add(3*time.Second), 0), "the pause grows with each trial that failed")
+	require.True(t, h.Admits(trial.Add(4*time.Second), 0))
+	h.Succeed()
+	require.True(t, h.Admits(trial, 5))
+}
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -8,16 +8,6 @@
 	"egretring.example/egretring/specifier"
 )
 
-// advisor is an instance that makes advice calls, one at a time.
-type advisor struct {
-	name string
-	// busyUntil is zero when the advisor is free.
-	busyUntil time.Time
-	long      bool
-	// failures counts the calls without success since the last success.
-	failures int
-}
-
 // advice is what is known about the servers that may run a step.
 type advice struct {
 	// granted has the ticket of each server that may run the step; refused servers may not.
@@ -100,15 +90,14 @@
 	}
 	cost := u.job.queue.Advice
 	expected := cost.Fixed + time.Duration(len(names))*cost.PerServer
-	free := c.freeAdvisor(now, expected > longAdvice)
-	if free == nil {
+	timeout := adviceTimeFactor*expected + adviceTimeout
+	busyUntil := now.Add(timeout + adviceReportTime)
+	advisor, ok := c.advisors.Take(now, busyUntil, expected > longAdvice)
+	if !ok {
 		return false
 	}
-	timeout := adviceTimeFactor*expected + adviceTimeout
-	free.busyUntil = now.Add(timeout + adviceReportTime)
-	free.long = expected > longAdvice
-	known.askedUntil = free.busyUntil
-	c.emit(Advise{Advisor: free.name, Step: u.step.ID, Servers: names, ExpectedTime: expected, Timeout: timeout})
+	known.askedUntil = busyUntil
+	c.emit(Advise{Advisor: advisor, Step: u.step.ID, Servers: names, ExpectedTime: expected, Timeout: timeout})
 	return true
 }
 
@@ -159,56 +148,9 @@
 	return names
 }
 
-// freeAdvisors returns the number of free advisors, and how many of them may make a long call.
-func (c *Conductor) freeAdvisors(now time.Time) (free, freeForLong int) {
-	longCalls := 0
-	for _, a := range c.advisors {
-		switch {
-		case !now.Before(a.busyUntil):
-			free++
-		case a.long:
-			longCalls++
-		}
-	}
-	return free, min(free, c.longCallLimit()-longCalls)
-}
-
-// longCallLimit returns how many advisors may make long calls at the same time.
-func (c *Conductor) longCallLimit() int {
-	return max(1, len(c.advisors)*longAdviceShare/100)
-}
-
-// freeAdvisor returns a free advisor for a call, one without failures first, or nil.
-func (c *Conductor) freeAdvisor(now time.Time, long bool) *advisor {
-	if _, freeForLong := c.freeAdvisors(now); long && freeForLong <= 0 {
-		return nil
-	}
-	var free *advisor
-	for _, a := range c.advisors {
-		if !now.Before(a.busyUntil) && (free == nil || a.failures < free.failures) {
-			free = a
-		}
-	}
-	return free
-}
-
-// finish notes the end of a call. An advisor that fails again and again is asked less and less often.
-func (a *advisor) finish(now time.Time, failed bool) {
-	if !failed {
-		a.busyUntil, a.failures = time.Time{}, 0
-		return
-	}
-	a.busyUntil = now.Add(min(adviceRetry<<a.failures, longestAdviceRetry))
-	a.failures = min(a.failures+1, mostAdviceFailures)
-}
-
 // advised takes over the answer to a call.
 func (c *Conductor) advised(now time.Time, e Advised) {
-	for _, a := range c.advisors {
-		if a.name == e.Advisor {
-			a.finish(now, e.Failed)
-		}
-	}
+	c.advisors.Finish(now, e.Advisor, e.Failed)
 	c.replan = true
 	j := c.jobs[e.Step.Job]
 	if j == nil || j.State().Final() {
@@ -231,18 +173,3 @@
 		}
 	}
 }
-
-func (c *Conductor) advisorsChanged(names []string) {
-	old := make(map[string]*advisor, len(c.advisors))
-	for _, a := range c.advisors {
-		old[a.name] = a
-	}
-	c.advisors = c.advisors[:0:0]
-	for _, name := range names {
-		if known := old[name]; known != nil {
-			c.advisors = append(c.advisors, known)
-			continue
-		}
-		c.advisors = append(c.advisors, &advisor{name: name})
-	}
-}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/adviser"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -26,7 +27,7 @@
 	units      map[specifier.StepID]*unit
 	lanes      [CommitLanes]lane
 	dirty      []*job
-	advisors   []*advisor
+	advisors   adviser.Pool
 
 	commands []Command
 	// cancelledEarly are cancellations that were read before their jobs.
@@ -112,7 +113,7 @@
 	case Configured:
 		c.configured(e.Configuration)
 	case AdvisorsChanged:
-		c.advisorsChanged(e.Advisors)
+		c.advisors.Set(e.Advisors)
 	case Advised:
 		c.advised(now, e)
 	case Forgotten:
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"egretring.example/egretring/assessor"
 	"egretring.example/egretring/specifier"
 )
 
@@ -82,7 +83,7 @@
 	s.endsSeen, s.acknowledged, s.pending = 0, 0, nil
 	s.holdInFlight, s.nextHoldAt, s.holdFailures = false, now, 0
 	s.fence++
-	s.health = health{}
+	s.health = assessor.Health{}
 }
 
 func (c *Conductor) loseRuns(now time.Time, s *session) {
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -43,11 +43,6 @@
 	adviceTimeout    = 250 * time.Millisecond
 	// adviceReportTime is how long after its timeout a call is waited for before its advisor is used again.
 	adviceReportTime = time.Second
-	// adviceRetry is the pause of an advisor after a failed call; it doubles up to longestAdviceRetry, which mostAdviceFailures
-	// failures exceed.
-	adviceRetry        = 500 * time.Millisecond
-	longestAdviceRetry = 4 * time.Second
-	mostAdviceFailures = 4
 	// adviceServers is the number of servers that the first call of a step names when each adds much time.
 	adviceServers = 30
 	// mostAdviceServers is the number of servers that the advice service accepts in a call.
@@ -64,10 +59,8 @@
 	// two keys, and the store admits 32 entries. At the two-year size two jobs a second end.
 	expireInterval = 200 * time.Millisecond
 	forgetBatch    = 15
-	// longAdvice is the time above which a call counts as long, and longAdviceShare the percentage of advisors that long
-	// calls may occupy; short calls for urgent work would wait behind them.
-	longAdvice      = 200 * time.Millisecond
-	longAdviceShare = 67
+	// longAdvice is the time above which a call counts as long.
+	longAdvice = 200 * time.Millisecond
 	// silentServersOfPartition is the number of silent servers in an availability zone from which on a partition is
 	// suspected, and freshReport is how young a report clears a server of that suspicion.
 	silentServersOfPartition = 2
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -61,9 +61,9 @@
 	case specifier.OrderUnhealthy:
 		c.suspect(now, s)
 		c.suspectZone(now, s.server.Zone)
-		s.health.exclude(now)
+		s.health.Exclude(now)
 	case specifier.OrderInvalid:
-		s.health.exclude(now)
+		s.health.Exclude(now)
 	case specifier.OrderNoTicket:
 		c.dropTicket(a.task.StepID, s.server.ID)
 	case specifier.OrderNoRoom, specifier.OrderOtherLife:
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -28,7 +28,7 @@
 		now: now, usable: make(map[string][]*session), heldFor: make(map[specifier.ServerID]int),
 		widest: make(map[string]specifier.Resources),
 	}
-	p.advisable, p.longAdvisable = c.freeAdvisors(now)
+	p.advisable, p.longAdvisable = c.advisors.Free(now)
 	for _, s := range c.sessions {
 		if s.usable(now) {
 			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -70,13 +70,13 @@
 func (c *Conductor) judge(now time.Time, s *session, j *job, end specifier.EndedTask) {
 	switch end.Reason {
 	case specifier.RunDone:
-		s.health.succeed()
+		s.health.Succeed()
 	case specifier.RunFailed:
 		if j.avoid == nil {
 			j.avoid = make(map[specifier.ServerID]bool)
 		}
 		j.avoid[s.server.ID] = true
-		if s.health.fail(now, end.Task.Job) {
+		if s.health.Fail(now, end.Task.Job) {
 			c.decide("ServerSetAside", end.Task, end.Run, s.server.ID, "runs fail")
 		}
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/assessor"
 	"egretring.example/egretring/specifier"
 )
 
@@ -79,7 +80,7 @@
 	acknowledged int64
 	pending      []pendingEnd
 
-	health health
+	health assessor.Health
 }
 
 func newSession(server specifier.Server, fence int64) *session {
@@ -112,7 +113,7 @@
 
 // usable reports whether new runs may be placed on the server.
 func (s *session) usable(now time.Time) bool {
-	return s.known && s.listed && s.clockKnown && !s.server.Draining && !s.suspect && s.holdFailures == 0 && s.health.admits(now, len(s.allocations))
+	return s.known && s.listed && s.clockKnown && !s.server.Draining && !s.suspect && s.holdFailures == 0 && s.health.Admits(now, len(s.allocations))
 }
 
 // extendLease notes that the lease may last until a time.
