Size shards by the owners' processors

Change: a shard has 125 servers for each processor of the instance that settles the layout; larger instances settle it first.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -112,7 +112,8 @@
 		return p.coordinator(shard, outside, clock, options)
 	}
 	p.cell = sharder.New(sharder.Options{
-		Store: outside.Store, Directory: outside.Directory, Instance: p.settings.Instance, Build: build, Logger: p.logger,
+		Store: outside.Store, Directory: outside.Directory, Instance: p.settings.Instance,
+		Processors: p.settings.ProcessorsOfProcess(), Build: build, Logger: p.logger,
 	})
 	p.cell.Start()
 	for address, handler := range p.handlers() {
@@ -138,7 +139,7 @@
 	options = append(options,
 		coordinator.WithBackendServers(outside.BackendServers), coordinator.WithAdvice(outside.Advice),
 		coordinator.WithClock(clock), coordinator.WithLogger(p.logger.With("Shard", shard.Index)),
-		coordinator.WithMeter(p.meter), coordinator.WithProcessors(p.settings.Processors*p.settings.ProcessorShare),
+		coordinator.WithMeter(p.meter), coordinator.WithProcessors(p.settings.ProcessorsOfProcess()),
 		coordinator.WithInstance(p.settings.Instance, address),
 		coordinator.WithConductor(
 			conductor.WithMaximumLease(p.settings.MaximumLease()),
--- a/sharder/layout.go
+++ b/sharder/layout.go
@@ -21,8 +21,19 @@
 	equalCounts = 3
 	// longestCount is how long the servers are counted at most; a cell without servers gets one shard.
 	longestCount = 3 * time.Second
+	// longestSettling is how long the smallest instance leaves the layout to larger ones, which will own the shards. Instances
+	// start within 0.3 s of each other.
+	longestSettling = time.Second
 )
 
+// settlingDelay returns how long an instance leaves the layout to larger ones.
+func settlingDelay(processors float64) time.Duration {
+	if processors <= 0 {
+		return 0
+	}
+	return time.Duration((1 - min(processors, 1)) * float64(longestSettling))
+}
+
 // layout is the value of the layout's key.
 type layout struct {
 	Shards int
@@ -62,6 +73,8 @@
 	begunAt time.Time
 	servers int
 	equal   int
+	// steadyAt is when the number was first final.
+	steadyAt time.Time
 }
 
 // count reports whether the number of servers is final.
@@ -106,8 +119,14 @@
 	if !counted.count(time.Now(), len(servers)) {
 		return 0, nil
 	}
+	if counted.steadyAt.IsZero() {
+		counted.steadyAt = time.Now()
+	}
+	if time.Since(counted.steadyAt) < settlingDelay(s.processors) {
+		return 0, nil
+	}
 	// A write without an answer is found by the next read.
-	return 0, writeLayout(ctx, s.store, shardsFor(len(servers)))
+	return 0, writeLayout(ctx, s.store, ShardsFor(len(servers), s.processors))
 }
 
 var _ coordinator.Directory = (*sharedDirectory)(nil)
--- a/sharder/shard.go
+++ b/sharder/shard.go
@@ -3,15 +3,18 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net/netip"
 
 	"egretring.example/egretring/specifier"
 )
 
 const (
-	// serversPerShard is the number of backend servers that one owner serves; at 350 servers and 700 starts a second an owner
-	// with 0.8 of a core was saturated, at 48 servers and 125 starts a second it used a fifth of 0.4 of a core.
-	serversPerShard = 100
+	// serversPerProcessor is the number of backend servers that one owner serves with a whole processor. Owners of 88 servers
+	// with 0.8 of a core kept up at the crest of a day, owners of 81 servers with 0.4 of a core did not.
+	serversPerProcessor = 125
+	// defaultProcessors is assumed for an instance that does not know its share of processors.
+	defaultProcessors = 0.8
 	// mostShards bounds the shards, because each needs a port of its own between instances.
 	mostShards = 8
 )
@@ -23,9 +26,12 @@
 	Count int
 }
 
-// shardsFor returns the number of shards for a number of backend servers.
-func shardsFor(servers int) int {
-	return min(max(1, (servers+serversPerShard/2)/serversPerShard), mostShards)
+// ShardsFor returns the number of shards for a number of backend servers and owners with a share of processors.
+func ShardsFor(servers int, processors float64) int {
+	if processors <= 0 {
+		processors = defaultProcessors
+	}
+	return min(max(1, int(math.Round(float64(servers)/(serversPerProcessor*processors)))), mostShards)
 }
 
 // Prefix returns the prefix of the shard's keys.
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -29,28 +29,31 @@
 	store     keeper.TransactionalStore
 	directory *sharedDirectory
 	instance  string
-	build     Build
-	logger    *slog.Logger
-	tomb      tomb.Tomb
-	shards    atomic.Pointer[[]*coordinator.Coordinator]
-	draining  atomic.Bool
+	// processors is the instance's share of processors; zero is unknown.
+	processors float64
+	build      Build
+	logger     *slog.Logger
+	tomb       tomb.Tomb
+	shards     atomic.Pointer[[]*coordinator.Coordinator]
+	draining   atomic.Bool
 }
 
 // Options are what a Sharder needs.
 type Options struct {
 	Store     keeper.TransactionalStore
 	Directory coordinator.Directory
-	// Instance is the name of this instance.
-	Instance string
-	Build    Build
-	Logger   *slog.Logger
+	// Instance is the name of this instance, and Processors its share of processors, zero if that is unknown.
+	Instance   string
+	Processors float64
+	Build      Build
+	Logger     *slog.Logger
 }
 
 // New returns a Sharder that is not started.
 func New(o Options) *Sharder {
 	return &Sharder{
-		store: o.Store, directory: &sharedDirectory{Directory: o.Directory}, instance: o.Instance, build: o.Build,
-		logger: o.Logger,
+		store: o.Store, directory: &sharedDirectory{Directory: o.Directory}, instance: o.Instance,
+		processors: o.Processors, build: o.Build, logger: o.Logger,
 	}
 }
 
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -324,6 +324,22 @@
 	})
 }
 
+// TestShardsFor guards against owners with more servers than their processor can serve, and against shards that are smaller
+// than needed, which have less room for wide gangs.
+func TestShardsFor(t *testing.T) {
+	cases := []struct {
+		servers    int
+		processors float64
+		want       int
+	}{
+		{0, 0.4, 1}, {48, 0.4, 1}, {74, 0.4, 1}, {120, 0.4, 2}, {162, 0.4, 3}, {350, 0.8, 4}, {120, 0, 1}, {160, 0, 2},
+		{11_000, 0.8, 8}, {350, 4, 1},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, sharder.ShardsFor(c.servers, c.processors), "%d servers, %g processors", c.servers, c.processors)
+	}
+}
+
 // TestBelonging guards against jobs and servers of no shard or of several, and against shards of unequal room.
 func TestBelonging(t *testing.T) {
 	const count, servers = 4, 400
