Ask for all servers of a wide gang in one call; stand again at once after a lapsed key

Cause: a gang of 40 tasks needs tickets for about 20 servers at the same time, of which a call for 30 servers admits ten; calls for a step come one after the other, and the first tickets had expired before the third call was answered. After an outage of the store in which all leases had run out, large instances left the elections to small ones for 4 s, because they had counted the lapse as a resignation. Change: a call for a gang names three servers for each that it needs. An owner whose key is gone stands again at once; small instances wait while no members are known.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -101,6 +101,16 @@
 	return true
 }
 
+// serversForGang returns how many servers a call for a gang should name: all its members need tickets that are valid at the
+// same time, which those of several calls in a row may not be.
+func (u *unit) serversForGang(servers []*session) int {
+	if !u.step.Spec.Gang || len(servers) == 0 {
+		return 0
+	}
+	each := max(1, u.need().Count(servers[0].server.Capacity, len(u.waiting)))
+	return refusedPerGrant * (len(u.waiting) + each - 1) / each
+}
+
 // serversToAsk returns the servers to name in the next call for a step, or none when tickets suffice.
 func (u *unit) serversToAsk(now time.Time, known *advice, servers []*session) []specifier.ServerID {
 	var expired, unknown []*session
@@ -140,7 +150,7 @@
 	limit := max(0, min(len(unknown), mostAdviceServers-len(names)))
 	cost := u.job.queue.Advice
 	if time.Duration(limit)*cost.PerServer > longAdvice {
-		limit = min(limit, adviceServers)
+		limit = min(limit, max(adviceServers, u.serversForGang(unknown)))
 	}
 	for _, s := range unknown[:limit] {
 		names = append(names, s.server.ID)
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -45,6 +45,8 @@
 	adviceReportTime = time.Second
 	// adviceServers is the number of servers that the first call of a step names when each adds much time.
 	adviceServers = 30
+	// refusedPerGrant is how many servers a call for a gang names for each that the gang needs: advice admits about a third.
+	refusedPerGrant = 3
 	// mostAdviceServers is the number of servers that the advice service accepts in a call.
 	mostAdviceServers = 100
 	// adviceLookInterval keeps steps that need no further advice from being looked at in each pass.
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -41,8 +41,10 @@
 	// muteAdvisors make no calls before these times.
 	muteAdvisors map[string]time.Time
 	advisors     []string
-	planned      bool
-	decisions    []string
+	// grantOneIn is the number of servers of which advice admits one; zero admits all.
+	grantOneIn int
+	planned    bool
+	decisions  []string
 
 	// runs are all runs that were begun, to check that no task runs twice or after its end.
 	runs []*fakeRun
@@ -235,6 +237,9 @@
 		w.after(c.ExpectedTime, func() {
 			var grants []specifier.Grant
 			for _, id := range c.Servers {
+				if w.refuses(id) {
+					continue
+				}
 				grants = append(grants, specifier.Grant{Server: id, Ticket: "t"})
 			}
 			w.tell(epoch, conductor.Advised{
@@ -249,6 +254,15 @@
 	}
 }
 
+// refuses reports whether advice keeps a server from running any step.
+func (w *world) refuses(id specifier.ServerID) bool {
+	var number int
+	if _, err := fmt.Sscanf(string(id), "i-%d", &number); err != nil {
+		w.t.Fatalf("server %s has no number: %v", id, err)
+	}
+	return w.grantOneIn > 0 && number%w.grantOneIn != 0
+}
+
 // commit applies records once the store is up, unless another owner was elected before.
 func (w *world) commit(epoch int64, c conductor.Commit) {
 	w.after(commitDelay, func() {
--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -53,8 +53,12 @@
 		c.settings.logger.Info("members cannot be read before an election", "Error", err.Error())
 		return delay
 	}
-	if slices.ContainsFunc(members, c.larger) {
+	switch {
+	case slices.ContainsFunc(members, c.larger):
 		delay += largerFirst
+	case len(members) == 0 && c.settings.processors > 0:
+		// The keys of all members have lapsed in an outage of the store.
+		delay += time.Duration((1 - min(c.settings.processors, 1)) * float64(largerFirst))
 	}
 	return delay
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -66,6 +66,8 @@
 type resignation struct {
 	epoch  int64
 	reason string
+	// pause says that the instance should not become the owner again at once.
+	pause bool
 }
 
 // Option configures an Elector.
@@ -94,10 +96,20 @@
 	return e.current
 }
 
-// Resign gives up the ownership of an epoch. Later ownerships of this instance are not touched.
+// Resign gives up the ownership of an epoch, and leaves it to others for a time. Later ownerships of this instance are not
+// touched.
 func (e *Elector) Resign(epoch int64, reason string) {
+	e.end(resignation{epoch: epoch, reason: reason, pause: true})
+}
+
+// Lose ends the ownership of an epoch that the store no longer shows. The instance stands again at once.
+func (e *Elector) Lose(epoch int64, reason string) {
+	e.end(resignation{epoch: epoch, reason: reason})
+}
+
+func (e *Elector) end(r resignation) {
 	select {
-	case e.resigned <- resignation{epoch: epoch, reason: reason}:
+	case e.resigned <- r:
 	default:
 		// One resignation waits already.
 	}
@@ -327,7 +339,9 @@
 			if r.epoch != ownership.Epoch {
 				continue
 			}
-			e.pauseEnd = e.clock.Now().Add(resignPause)
+			if r.pause {
+				e.pauseEnd = e.clock.Now().Add(resignPause)
+			}
 			return r.reason
 		case <-time.After(renewInterval):
 		}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -101,6 +101,20 @@
 	})
 }
 
+// TestLostKey guards against a cell that is left to other instances for seconds because its owner's key lapsed in an outage
+// of the store.
+func TestLostKey(t *testing.T) {
+	play(t, func(t *testing.T, first, second *candidate) {
+		second.cutOff.Store(true)
+		epoch := first.term.Load().Epoch
+		first.store.TakeAway(elector.OwnerKey)
+		first.elector.Lose(epoch, "test")
+		time.Sleep(time.Second)
+		require.NotNil(t, first.term.Load())
+		require.Greater(t, first.term.Load().Epoch, epoch)
+	})
+}
+
 // TestOwnerWithoutStore guards against a successor that does not know of an owner still at work, and against an owner
 // that goes on after it was told of its successor.
 func TestOwnerWithoutStore(t *testing.T) {
