Count the servers for two seconds before the layout is settled

Cause: servers register one after the other when a cell starts. Change: the same number has to be counted eight times, over two seconds.

--- a/sharder/layout.go
+++ b/sharder/layout.go
@@ -16,11 +16,12 @@
 	layoutKey = rootPrefix + "layout"
 	// layoutRetry is the pause after a call without success, and between two counts of the backend servers.
 	layoutRetry = 250 * time.Millisecond
-	// equalCounts is how often the same number of servers must be counted before the layout is settled, because they
-	// register one after the other when a cell starts.
-	equalCounts = 3
-	// longestCount is how long the servers are counted at most; a cell without servers gets one shard.
-	longestCount = 3 * time.Second
+	// equalCounts is how often the same number of servers must be counted before the layout is settled, two seconds: when a
+	// cell starts, servers register one after the other, and each writes to the store about every 1.5 s.
+	equalCounts = 8
+	// longestCount is how long the servers are counted at most; a cell without servers gets one shard. Callers come ten seconds
+	// after the instances.
+	longestCount = 6 * time.Second
 	// longestSettling is how long the smallest instance leaves the layout to larger ones, which will own the shards. Instances
 	// start within 0.3 s of each other.
 	longestSettling = time.Second
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -105,9 +105,17 @@
 
 // Servers implements coordinator.Directory.
 func (c *cell) Servers(context.Context) ([]specifier.Server, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.listed, nil
 }
 
+func (c *cell) setListed(servers []specifier.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = servers
+}
+
 // Configuration implements coordinator.Directory.
 func (c *cell) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
 	if _, err := c.store.Get(ctx, "op"); err != nil {
@@ -289,7 +297,7 @@
 // TestLayoutStays guards against an instance that starts later and counts other servers joining other shards.
 func TestLayoutStays(t *testing.T) {
 	play(t, 2, 160, func(t *testing.T, c *cell) {
-		c.listed = c.listed[:10]
+		c.setListed(c.listed[:10])
 		late := sharder.New(sharder.Options{
 			Store: c.store, Directory: c, Instance: "late", Build: c.builder(9), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
@@ -306,6 +314,20 @@
 	})
 }
 
+// TestServersRegisterSlowly guards against a layout for the servers that had registered first.
+func TestServersRegisterSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2, 260)
+		all := c.listed
+		c.setListed(all[:100])
+		time.Sleep(1400 * time.Millisecond)
+		c.setListed(all)
+		time.Sleep(8 * time.Second)
+		require.Len(t, c.store.Keys("egretring/2/owner"), 1)
+		c.stop()
+	})
+}
+
 // TestBeforeLayout guards against answers other than 'not ready' while the store cannot be read.
 func TestBeforeLayout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
