--- a/sharder/directory.go
+++ b/sharder/directory.go
@@ -22,6 +22,8 @@
 	found         bool
 }
 
+var _ coordinator.Directory = (*sharedDirectory)(nil)
+
 // Configuration implements coordinator.Directory.
 func (d *sharedDirectory) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
 	d.mu.Lock()
--- a/sharder/layout.go
+++ b/sharder/layout.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/keeper"
 )
 
@@ -129,5 +128,3 @@
 	// A write without an answer is found by the next read.
 	return 0, writeLayout(ctx, s.store, ShardsFor(len(servers), s.processors))
 }
-
-var _ coordinator.Directory = (*sharedDirectory)(nil)
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -354,8 +354,16 @@
 		processors float64
 		want       int
 	}{
-		{0, 0.4, 1}, {48, 0.4, 1}, {74, 0.4, 1}, {120, 0.4, 2}, {162, 0.4, 3}, {350, 0.8, 4}, {120, 0, 1}, {160, 0, 2},
-		{11_000, 0.8, 8}, {350, 4, 1},
+		{0, 0.4, 1},
+		{48, 0.4, 1},
+		{74, 0.4, 1},
+		{120, 0.4, 2},
+		{162, 0.4, 3},
+		{350, 0.8, 4},
+		{120, 0, 1},
+		{160, 0, 2},
+		{11_000, 0.8, 8},
+		{350, 4, 1},
 	}
 	for _, c := range cases {
 		require.Equal(t, c.want, sharder.ShardsFor(c.servers, c.processors), "%d servers, %g processors", c.servers, c.processors)
