Make shards large enough for wide gangs

Cause: with the full count of servers the grown deployments got four shards of 88 servers; gangs of up to 120 tasks do not fit into the third of them that advice admits. Change: a shard has 220 servers for each processor, two shards of 175 on the grown deployments. Cells like the two of today have one shard as before.

--- a/sharder/shard.go
+++ b/sharder/shard.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// serversPerProcessor is the number of backend servers that one owner serves with a whole processor. Owners of 88 servers
-	// with 0.8 of a core kept up at the crest of a day, owners of 81 servers with 0.4 of a core did not.
-	serversPerProcessor = 125
+	// serversPerProcessor is the number of backend servers that one owner serves with a whole processor. It is a compromise:
+	// owners of 88 servers with 0.8 of a core kept up best, but advice admits a third of a shard's servers, and gangs of up to
+	// 120 tasks with two on a server did not fit into 88; they fit into 175.
+	serversPerProcessor = 220
 	// defaultProcessors is assumed for an instance that does not know its share of processors.
 	defaultProcessors = 0.8
 	// mostShards bounds the shards, because each needs a port of its own between instances.
