--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -79,21 +79,20 @@
 		case err := <-p.failed:
 			return err
 		case received := <-signals:
-			if received == syscall.SIGHUP || received == syscall.SIGPIPE {
-				p.reload(path, received)
-				continue
+			switch received {
+			case syscall.SIGPIPE:
+			case syscall.SIGHUP:
+				p.reload(path)
+			default:
+				p.logger.Info("instance stops", "Signal", received.String())
+				return p.stop()
 			}
-			p.logger.Info("instance stops", "Signal", received.String())
-			return p.stop()
 		}
 	}
 }
 
 // reload checks the settings file again. All settings are addresses and bounds that hold until the next start.
-func (p *process) reload(path string, received os.Signal) {
-	if received != syscall.SIGHUP {
-		return
-	}
+func (p *process) reload(path string) {
 	changed, err := platform.LoadSettings(path)
 	switch {
 	case err != nil:
--- a/cmd/egretring/ticket_apply.go
+++ b/cmd/egretring/ticket_apply.go
@@ -13,6 +13,7 @@
 	"egretring.example/egretring/reporter"
 	"egretring.example/egretring/requester"
 	"egretring.example/egretring/ticketer"
+	"egretring.example/egretring/timekeeper"
 )
 
 // progressInterval is the time between two looks at where a ticket is in force.
@@ -93,7 +94,7 @@
 		if err == nil && view.InForce {
 			return nil
 		}
-		if !sleep(ctx, progressInterval) {
+		if !timekeeper.Sleep(ctx, progressInterval) {
 			return classifier.New(classifier.DeadlineExceeded,
 				"ticket %d is accepted, but was not in force everywhere within %v", accepted.Number, c.timeout)
 		}
@@ -104,15 +105,3 @@
 	return a.Number != b.Number || a.InForce != b.InForce || a.Applied != b.Applied || a.Live != b.Live ||
 		len(a.SilentZones) != len(b.SilentZones)
 }
-
-// sleep waits and reports whether the context is still valid.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/egretring/top.go
+++ b/cmd/egretring/top.go
@@ -10,6 +10,7 @@
 	"egretring.example/egretring/printer"
 	"egretring.example/egretring/reporter"
 	"egretring.example/egretring/requester"
+	"egretring.example/egretring/timekeeper"
 )
 
 // clearScreen moves the cursor home and clears a terminal.
@@ -40,7 +41,7 @@
 				if err := c.picture(ctx, client, *count != 1); err != nil {
 					return err
 				}
-				if shown == *count || !sleep(ctx, *interval) {
+				if shown == *count || !timekeeper.Sleep(ctx, *interval) {
 					return nil
 				}
 			}
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -131,11 +130,8 @@
 	if room >= wanted {
 		return nil
 	}
-	byRoom := func(a, b *session) int {
-		return cmp.Or(cmp.Compare(b.room().MilliCores, a.room().MilliCores), cmp.Compare(a.server.ID, b.server.ID))
-	}
-	slices.SortFunc(expired, byRoom)
-	slices.SortFunc(unknown, byRoom)
+	slices.SortFunc(expired, compareRoom)
+	slices.SortFunc(unknown, compareRoom)
 	var names []specifier.ServerID
 	for _, s := range expired {
 		if room >= 2*wanted || len(names) == mostAdviceServers {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -41,10 +41,10 @@
 	placeNotBefore time.Time
 	// commitNotBefore keeps commits apart.
 	commitNotBefore time.Time
-	expireAt        time.Time
-	// holdPass and sweepPass keep the looks at all servers apart.
-	holdPass  throttle
-	sweepPass throttle
+	// holdPass and sweepPass keep the looks at all servers apart, and expirePass those at all jobs.
+	holdPass   throttle
+	sweepPass  throttle
+	expirePass throttle
 	// reachableAt is when half of the listed servers were last reachable.
 	reachableAt time.Time
 	resigned    bool
@@ -87,6 +87,7 @@
 		cancelledEarly: make(map[specifier.JobID]bool),
 		holdPass:       throttle{interval: holdPassInterval},
 		sweepPass:      throttle{interval: sweepInterval},
+		expirePass:     throttle{interval: expireInterval},
 	}
 	for _, option := range options {
 		option(&c.settings)
--- a/conductor/forget.go
+++ b/conductor/forget.go
@@ -9,10 +9,9 @@
 // expire asks to forget jobs that have been final for long. They stay known until their keys are gone, because a job
 // that is listed again and not known would start again.
 func (c *Conductor) expire(now time.Time) {
-	if now.Before(c.expireAt) {
+	if !c.expirePass.begin(now) {
 		return
 	}
-	c.expireAt = now.Add(expireInterval)
 	var old []specifier.JobID
 	for id, j := range c.jobs {
 		if len(old) == forgetBatch {
--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
 )
 
 // followConfiguration reads the configuration until the context ends. An older one never replaces a newer one.
@@ -25,7 +25,7 @@
 		if c.configuration.Load() == nil {
 			wait = retryInterval
 		}
-		sleep(ctx, wait)
+		timekeeper.Sleep(ctx, wait)
 	}
 	return nil
 }
@@ -42,12 +42,3 @@
 		o.post(conductor.Configured{Configuration: configuration})
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,8 +109,3 @@
 func (c *Coordinator) Owns() bool {
 	return c.elector.OnDuty()
 }
-
-// Draining reports whether the instance is about to stop.
-func (c *Coordinator) Draining() bool {
-	return c.draining.Load()
-}
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -10,6 +10,7 @@
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 // execute carries out a command. What waits for an answer runs in a goroutine and posts an event.
@@ -70,18 +71,6 @@
 	})
 }
 
-// try makes one attempt at a transaction and waits for its answer as long as the store usually takes.
-func (o *owner) try(ctx context.Context, transaction keeper.Transaction, attempt int) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.patience.Timeout(attempt))
-	defer cancel()
-	askedAt := time.Now()
-	revision, err := o.settings.store.Commit(ctx, transaction)
-	if err == nil || errors.Is(err, keeper.ErrConflict) {
-		o.patience.Observe(time.Since(askedAt))
-	}
-	return revision, err
-}
-
 // write commits records until the outcome is known. A write that is repeated has the same lane token, so that the store
 // shows whether an earlier attempt took effect.
 func (o *owner) write(ctx context.Context, c conductor.Commit) {
@@ -99,7 +88,7 @@
 	}
 	startedAt := time.Now()
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		revision, err := o.try(ctx, transaction, attempt)
+		revision, err := o.patience.Commit(ctx, o.settings.store, transaction, attempt)
 		var conflict *keeper.ConflictError
 		if errors.As(err, &conflict) {
 			if conflict.EntryOf(o.ownership.Condition().Key).Revision != o.ownership.Epoch {
@@ -122,7 +111,7 @@
 			return
 		}
 		o.settings.meter.Count("Store.CommitRetries", 1)
-		sleep(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 }
 
--- a/coordinator/lag.go
+++ b/coordinator/lag.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync/atomic"
 	"time"
+
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -73,7 +75,7 @@
 	l := lag{beganAt: o.settings.clock.Now()}
 	for ctx.Err() == nil {
 		begun := o.settings.clock.Now()
-		sleep(ctx, lagProbe)
+		timekeeper.Sleep(ctx, lagProbe)
 		now := o.settings.clock.Now()
 		o.age.note(now.Sub(begun) - lagProbe)
 		age := o.age.take()
--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 // member is the value of an instance's key.
@@ -86,11 +87,11 @@
 	for ctx.Err() == nil {
 		lease, err := c.join(ctx)
 		if err != nil {
-			sleep(ctx, retryInterval*4)
+			timekeeper.Sleep(ctx, retryInterval*4)
 			continue
 		}
 		for ctx.Err() == nil {
-			sleep(ctx, memberRenewal)
+			timekeeper.Sleep(ctx, memberRenewal)
 			if err := c.settings.store.Renew(ctx, lease); keeper.IsErrLeaseLapsed(err) {
 				break
 			}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -8,6 +8,7 @@
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
 )
 
 // owner carries out the duty of the elected instance.
@@ -52,7 +53,7 @@
 			return
 		}
 		c.settings.logger.Warn("jobs cannot be read from the store", "Epoch", ownership.Epoch, "Error", err.Error())
-		sleep(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 	c.settings.logger.Info("ownership begins", "Epoch", ownership.Epoch,
 		"RecoveryTime", c.settings.clock.Now().Sub(startedAt).String())
@@ -143,10 +144,10 @@
 		servers, err := o.settings.directory.Servers(ctx)
 		if err == nil {
 			o.post(conductor.ServersListed{Servers: servers})
-			sleep(ctx, listInterval)
+			timekeeper.Sleep(ctx, listInterval)
 			continue
 		}
-		sleep(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 }
 
@@ -155,7 +156,7 @@
 	for ctx.Err() == nil {
 		members, err := o.Coordinator.members(ctx)
 		if err != nil {
-			sleep(ctx, retryInterval)
+			timekeeper.Sleep(ctx, retryInterval)
 			continue
 		}
 		if reason := o.handOverReason(members); reason != "" && o.settings.clock.Now().Sub(beganAt) > shortestStay {
@@ -167,7 +168,7 @@
 		}
 		o.post(conductor.AdvisorsChanged{Advisors: o.advisors(members)})
 		o.query(ctx, func(*conductor.Conductor) { o.members = addresses })
-		sleep(ctx, memberInterval)
+		timekeeper.Sleep(ctx, memberInterval)
 	}
 }
 
--- a/coordinator/predecessor.go
+++ b/coordinator/predecessor.go
@@ -7,6 +7,7 @@
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/timekeeper"
 )
 
 // stoppedRequest asks an instance whether a process of it still carries out the duty of an earlier owner.
@@ -39,7 +40,7 @@
 		if len(waiting) == 0 {
 			break
 		}
-		sleep(ctx, stoppedInterval)
+		timekeeper.Sleep(ctx, stoppedInterval)
 		if ctx.Err() != nil {
 			return
 		}
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -13,6 +13,7 @@
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
 )
 
 // recover builds the core from the store. The writes of an earlier owner fail from the moment of the election, so what
@@ -124,7 +125,7 @@
 			after = o.relist(ctx, after)
 			continue
 		case err != nil:
-			sleep(ctx, retryInterval)
+			timekeeper.Sleep(ctx, retryInterval)
 			continue
 		}
 		if len(changes.Changes) == 0 {
@@ -137,7 +138,7 @@
 			}
 		}
 		after = max(after, changes.Revision)
-		sleep(ctx, intakePause)
+		timekeeper.Sleep(ctx, intakePause)
 	}
 }
 
@@ -145,7 +146,7 @@
 func (o *owner) relist(ctx context.Context, after int64) int64 {
 	page, err := o.settings.store.List(ctx, intaker.Prefix)
 	if err != nil {
-		sleep(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 		return after
 	}
 	for _, entry := range page.Entries {
--- a/distributor/backoff.go
+++ b/distributor/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -25,14 +27,5 @@
 func (b *backoff) wait(ctx context.Context) {
 	delay := min(lastDelay, firstDelay<<min(b.attempt, 10))
 	b.attempt++
-	sleep(ctx, delay/2+time.Duration(b.random.Int64N(int64(delay/2))))
-}
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	timekeeper.Sleep(ctx, delay/2+time.Duration(b.random.Int64N(int64(delay/2))))
 }
--- a/distributor/compacter.go
+++ b/distributor/compacter.go
@@ -11,6 +11,7 @@
 
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/ticketer"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -46,7 +47,7 @@
 		if current.mark.Applied() <= done {
 			continue
 		}
-		sleep(ctx, time.Duration(c.random.Int64N(int64(compactionSpread))))
+		timekeeper.Sleep(ctx, time.Duration(c.random.Int64N(int64(compactionSpread))))
 		done = c.compactUntilDone(ctx)
 	}
 	return nil
@@ -128,7 +129,7 @@
 		if err != nil && !keeper.IsErrConflict(err) {
 			return err
 		}
-		sleep(ctx, c.interval)
+		timekeeper.Sleep(ctx, c.interval)
 	}
 	return nil
 }
--- a/distributor/learner.go
+++ b/distributor/learner.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -80,7 +82,7 @@
 			l.session.holder.markReady()
 			return
 		}
-		sleep(ctx, peerInterval)
+		timekeeper.Sleep(ctx, peerInterval)
 	}
 }
 
@@ -92,7 +94,7 @@
 // catchUp fetches the tickets that a peer reported, unless the watch delivers them in time.
 func (l *learner) catchUp(ctx context.Context) {
 	for delay := lagGrace; ctx.Err() == nil; delay = min(2*delay, lastLagDelay) {
-		sleep(ctx, delay)
+		timekeeper.Sleep(ctx, delay)
 		if !l.lags() {
 			return
 		}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -171,13 +171,13 @@
 		// A listing tells the store's revision: a watch from the older revision of the key fails once that history is gone.
 		page, err := e.store.List(ctx, OwnerKey)
 		if err != nil {
-			pause(ctx, retryInterval)
+			timekeeper.Sleep(ctx, retryInterval)
 			continue
 		}
 		ownership, err := ownershipOf(page.Entry(OwnerKey))
 		if err != nil {
 			e.logger.Error("owner's key cannot be read", "Error", err.Error())
-			pause(ctx, renewInterval)
+			timekeeper.Sleep(ctx, renewInterval)
 			continue
 		}
 		e.note(ownership)
@@ -196,7 +196,7 @@
 		Prefix: OwnerKey, AfterRevision: revision, Wait: watchWait,
 	})
 	if err != nil {
-		pause(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 }
 
@@ -213,18 +213,18 @@
 // stand tries to become the owner in place of none, or of an earlier process of the same instance.
 func (e *Elector) stand(ctx context.Context, before Ownership) {
 	if wait := e.pauseEnd.Sub(e.clock.Now()); wait > 0 || e.retired.Load() {
-		pause(ctx, renewInterval)
+		timekeeper.Sleep(ctx, renewInterval)
 		return
 	}
 	if before.Epoch == 0 {
-		pause(ctx, time.Duration(rand.Int64N(int64(candidateJitter))))
+		timekeeper.Sleep(ctx, time.Duration(rand.Int64N(int64(candidateJitter))))
 		if e.leaveToOthers(ctx) {
 			return
 		}
 	}
 	entry, err := e.store.Get(ctx, TermKey)
 	if err != nil {
-		pause(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 		return
 	}
 	predecessors, err := predecessorsOf(entry)
@@ -234,7 +234,7 @@
 	askedAt := e.clock.Now()
 	lease, err := e.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: timeToLive})
 	if err != nil {
-		pause(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 		return
 	}
 	value, err := json.Marshal(e.self)
@@ -242,19 +242,18 @@
 		e.logger.Error("owner cannot be encoded", "Error", err.Error())
 		return
 	}
-	record, err := json.Marshal(termRecord{Owner: e.self, Predecessors: predecessors})
+	transaction, err := termTransaction(before, termRecord{Owner: e.self, Predecessors: predecessors})
 	if err != nil {
 		e.logger.Error("term cannot be encoded", "Error", err.Error())
 		return
 	}
-	epoch, err := e.store.Commit(ctx, keeper.Transaction{
-		Conditions: []keeper.Condition{{Key: OwnerKey, Revision: before.Epoch}, {Key: TermKey, Revision: entry.Revision}},
-		Writes:     []keeper.Write{{Key: OwnerKey, Value: value, Lease: lease}, {Key: TermKey, Value: record}},
-	})
+	transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: TermKey, Revision: entry.Revision})
+	transaction.Writes = append([]keeper.Write{{Key: OwnerKey, Value: value, Lease: lease}}, transaction.Writes...)
+	epoch, err := e.store.Commit(ctx, transaction)
 	if err != nil {
 		// A write without an answer is found by the next read, as an owner with this instance's name.
 		if !errors.Is(err, keeper.ErrConflict) {
-			pause(ctx, retryInterval)
+			timekeeper.Sleep(ctx, retryInterval)
 		}
 		return
 	}
@@ -271,107 +270,11 @@
 	if wait == 0 {
 		return false
 	}
-	pause(ctx, wait)
+	timekeeper.Sleep(ctx, wait)
 	// The instance may have become the owner of something else meanwhile.
 	if longer := e.delay(ctx); longer > wait {
-		pause(ctx, longer-wait)
+		timekeeper.Sleep(ctx, longer-wait)
 	}
 	entry, err := e.store.Get(ctx, OwnerKey)
 	return err != nil || entry.Revision != 0
 }
-
-// own carries out the duty while the lease holds.
-func (e *Elector) own(ctx context.Context, term Term, lease keeper.LeaseID, renewedAt time.Time) {
-	e.note(term.Ownership)
-	if e.retired.Load() {
-		e.Resign(term.Epoch, "instance stops")
-	}
-	e.setDuty(term.Epoch, term.Predecessors)
-	dutyContext, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		e.duty(dutyContext, term)
-	}()
-	reason := e.keep(ctx, term.Ownership, lease, renewedAt)
-	cancel()
-	<-done
-	predecessors := e.setDuty(0, nil)
-	e.logger.Warn("ownership ended", "Epoch", term.Epoch, "Reason", reason)
-	e.note(Ownership{})
-	e.release(context.WithoutCancel(ctx), term.Ownership, lease, predecessors)
-}
-
-// setDuty notes the epoch on duty, and returns the predecessors of the former one that were not found to have stopped.
-func (e *Elector) setDuty(epoch int64, predecessors []Owner) []Owner {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	former := e.predecessors
-	e.onDuty, e.predecessors = epoch, predecessors
-	return former
-}
-
-// release ends the term in the store, so that a successor knows that this owner has stopped.
-func (e *Elector) release(ctx context.Context, ownership Ownership, lease keeper.LeaseID, predecessors []Owner) {
-	ctx, cancel := context.WithTimeout(ctx, renewInterval)
-	defer cancel()
-	transaction, err := termTransaction(ownership, termRecord{Owner: e.self, Ended: true, Predecessors: predecessors})
-	if err == nil {
-		transaction.Deletes = []string{OwnerKey}
-		_, err = e.store.Commit(ctx, transaction)
-	}
-	if err != nil {
-		e.logger.Warn("end of the term was not stored", "Epoch", ownership.Epoch, "Error", err.Error())
-	}
-	if err := e.store.Revoke(ctx, lease); err != nil {
-		e.logger.Warn("owner's lease was not given back and lapses by itself", "Error", err.Error())
-	}
-}
-
-// keep renews the lease until the ownership ends, and returns why it ended.
-func (e *Elector) keep(ctx context.Context, ownership Ownership, lease keeper.LeaseID, renewedAt time.Time) string {
-	checkedAt := renewedAt
-	for {
-		select {
-		case <-ctx.Done():
-			return "instance stops"
-		case r := <-e.resigned:
-			if r.epoch != ownership.Epoch {
-				continue
-			}
-			if r.pause {
-				e.pauseEnd = e.clock.Now().Add(resignPause)
-			}
-			return r.reason
-		case <-time.After(renewInterval):
-		}
-		askedAt := e.clock.Now()
-		err := e.store.Renew(ctx, lease)
-		switch {
-		case err == nil:
-			renewedAt = askedAt
-		case keeper.IsErrLeaseLapsed(err):
-			return "lease lapsed"
-		}
-		now := e.clock.Now()
-		if now.Sub(renewedAt) > timeToLive+holdingGrace {
-			return "store is out of reach"
-		}
-		if err == nil && now.Sub(checkedAt) >= checkInterval {
-			entry, err := e.store.Get(ctx, OwnerKey)
-			if err == nil && entry.Revision != ownership.Epoch {
-				return "key was taken away"
-			}
-			checkedAt = now
-		}
-	}
-}
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/elector/term.go
+++ b/elector/term.go
@@ -43,7 +43,7 @@
 	return append(record.Predecessors, record.Owner), nil
 }
 
-// termTransaction returns the change of the term's key while an owner has its ownership.
+// termTransaction returns the change of the term's key while an ownership, or none if its epoch is zero, is in the store.
 func termTransaction(ownership Ownership, record termRecord) (keeper.Transaction, error) {
 	value, err := json.Marshal(record)
 	return keeper.Transaction{
--- a/fakebackend/handler.go
+++ b/fakebackend/handler.go
@@ -10,6 +10,7 @@
 
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/timekeeper"
 )
 
 // HeaderRunTime overrides the run time of one request with a Go duration.
@@ -151,12 +152,5 @@
 	if duration <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timekeeper.Sleep(ctx, duration)
 }
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -198,7 +198,7 @@
 	startedAt := time.Now()
 	doubtful := false
 	for attempt := 0; len(batch) > 0; attempt++ {
-		err := i.try(ctx, transactionOf(batch), attempt)
+		_, err := i.patience.Commit(ctx, i.store, transactionOf(batch), attempt)
 		i.Observe(err == nil || errors.Is(err, keeper.ErrConflict))
 		var conflict *keeper.ConflictError
 		switch {
@@ -230,18 +230,6 @@
 	}
 }
 
-// try makes one attempt at a transaction and waits for its answer as long as the store usually takes.
-func (i *Intaker) try(ctx context.Context, transaction keeper.Transaction, attempt int) error {
-	ctx, cancel := context.WithTimeout(ctx, i.patience.Timeout(attempt))
-	defer cancel()
-	askedAt := time.Now()
-	_, err := i.store.Commit(ctx, transaction)
-	if err == nil || errors.Is(err, keeper.ErrConflict) {
-		i.patience.Observe(time.Since(askedAt))
-	}
-	return err
-}
-
 func transactionOf(batch []*submission) keeper.Transaction {
 	var transaction keeper.Transaction
 	named := make(map[string]bool, len(batch))
--- a/keeper/patience.go
+++ b/keeper/patience.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -29,6 +30,20 @@
 	return min(first<<min(attempt, 4), longestPatience)
 }
 
+// Commit makes one attempt at a transaction and waits for its answer as long as the store usually takes.
+func (p *Patience) Commit(
+	ctx context.Context, store TransactionalStore, transaction Transaction, attempt int,
+) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout(attempt))
+	defer cancel()
+	askedAt := time.Now()
+	revision, err := store.Commit(ctx, transaction)
+	if err == nil || IsErrConflict(err) {
+		p.Observe(time.Since(askedAt))
+	}
+	return revision, err
+}
+
 // Observe notes how long an answer took.
 func (p *Patience) Observe(taken time.Duration) {
 	p.mu.Lock()
--- a/registrar/zone.go
+++ b/registrar/zone.go
@@ -9,6 +9,7 @@
 
 	"egretring.example/egretring/assigner"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 // runWatch waits for changes of the assignment and has the zone read after each. Only that key is watched, because the
@@ -22,7 +23,7 @@
 		}
 		if err != nil {
 			// The periodic reads go on meanwhile.
-			sleep(ctx, retryInterval)
+			timekeeper.Sleep(ctx, retryInterval)
 			continue
 		}
 		revision = changes.Revision
@@ -122,12 +123,3 @@
 	}
 	return answer
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/scheduler/plan_reader.go
+++ b/scheduler/plan_reader.go
@@ -11,6 +11,7 @@
 
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -47,7 +48,7 @@
 		for err == nil && ctx.Err() == nil {
 			revision, err = s.followPlan(ctx, revision)
 		}
-		pause(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 	return nil
 }
@@ -120,13 +121,3 @@
 	defer s.mu.Unlock()
 	return s.plan, s.planVersion
 }
-
-// pause waits for a time or until the context ends.
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/scheduler/planning.go
+++ b/scheduler/planning.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -47,7 +48,7 @@
 		if err != nil && !keeper.IsErrConflict(err) && ctx.Err() == nil {
 			s.Logger.Warn("planning of jobs is interrupted", "Error", err.Error())
 		}
-		pause(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 	return nil
 }
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -13,6 +13,7 @@
 
 	"egretring.example/egretring/committer"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 // progressInterval is the time between two reports of a zone's progress that differ.
@@ -67,7 +68,7 @@
 			if err == nil {
 				written = progress.Jobs
 			}
-			pause(ctx, progressInterval)
+			timekeeper.Sleep(ctx, progressInterval)
 		case <-ctx.Done():
 			return nil
 		}
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -11,6 +11,7 @@
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/forwarder"
 	"egretring.example/egretring/starter"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -114,7 +115,7 @@
 		case err != nil:
 			t.Logger.Warn("task records cannot be read yet", "Epoch", t.epoch, "Error", err.Error())
 		}
-		pause(ctx, retryInterval)
+		timekeeper.Sleep(ctx, retryInterval)
 	}
 	return committer.State{}, false
 }
--- a/sharder/layout.go
+++ b/sharder/layout.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -98,10 +99,8 @@
 		if err != nil && !keeper.IsErrConflict(err) {
 			s.logger.Warn("layout is not settled yet", "Error", err.Error())
 		}
-		select {
-		case <-ctx.Done():
+		if !timekeeper.Sleep(ctx, layoutRetry) {
 			return 0, ctx.Err()
-		case <-time.After(layoutRetry):
 		}
 	}
 }
--- /dev/null
+++ b/timekeeper/sleep.go
@@ -0,0 +1,18 @@
+package timekeeper
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits, and reports whether the time has passed before the context ended.
+func Sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
