Begin a second write of submissions only beside a slow one

Cause: intaker.TestTogether bounds the writes for 100 submissions by 24. Change: one writer at a time takes the submissions that wait; another one begins when its write takes more than 15 ms.

--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -21,6 +21,9 @@
 	writers = 4
 	// batchSize bounds the jobs of a transaction; each takes two conditions and a write.
 	batchSize = keeper.MaxTransactionEntries / 3
+	// extraWriterAfter is how long a write may take before another one begins beside it. Submissions that arrive meanwhile
+	// share the next write, because each call to the store is paid for; a healthy store answers within ten milliseconds.
+	extraWriterAfter = 15 * time.Millisecond
 	// queuedSubmissions bounds the submissions that wait for a writer.
 	queuedSubmissions = 1024
 	// retryInterval is the pause before a transaction is tried again.
@@ -40,6 +43,8 @@
 	queue  *buffer.Queue[*submission]
 	logger *slog.Logger
 	tomb   tomb.Tomb
+	// turn has one token: the writer that has it takes the submissions that wait.
+	turn chan struct{}
 	// patience bounds the wait for the store's answers.
 	patience keeper.Patience
 
@@ -58,7 +63,10 @@
 
 // New returns an intaker that runs until Close.
 func New(store keeper.TransactionalStore, logger *slog.Logger) *Intaker {
-	i := &Intaker{store: store, queue: buffer.NewQueue[*submission](queuedSubmissions), logger: logger}
+	i := &Intaker{
+		store: store, queue: buffer.NewQueue[*submission](queuedSubmissions), logger: logger, turn: make(chan struct{}, 1),
+	}
+	i.turn <- struct{}{}
 	for range writers {
 		i.tomb.Go(i.run)
 	}
@@ -169,15 +177,30 @@
 
 func (i *Intaker) run() error {
 	for {
+		select {
+		case <-i.turn:
+		case <-i.tomb.Dying():
+			return nil
+		}
 		select {
 		case first := <-i.queue.Items():
-			i.write(i.gather(first))
+			i.writeInTurn(i.gather(first))
 		case <-i.tomb.Dying():
 			return nil
 		}
 	}
 }
 
+// writeInTurn writes a batch and passes the turn on at its end, or earlier when the write takes long.
+func (i *Intaker) writeInTurn(batch []*submission) {
+	pass := func() { i.turn <- struct{}{} }
+	early := time.AfterFunc(extraWriterAfter, pass)
+	i.write(batch)
+	if early.Stop() {
+		pass()
+	}
+}
+
 // gather takes the submissions that wait behind the first one.
 func (i *Intaker) gather(first *submission) []*submission {
 	batch := []*submission{first}
