--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -131,6 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
+	announced, err := p.settings.AnnouncedPeerAddressOf(shard.Index)
+	if err != nil {
+		return nil, err
+	}
 	peers, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for other instances")
@@ -139,7 +143,7 @@
 		coordinator.WithBackendServers(outside.BackendServers), coordinator.WithAdvice(outside.Advice),
 		coordinator.WithClock(clock), coordinator.WithLogger(p.logger.With("Shard", shard.Index)),
 		coordinator.WithMeter(p.meter), coordinator.WithProcessors(p.settings.ProcessorsOfProcess()),
-		coordinator.WithInstance(p.settings.Instance, address),
+		coordinator.WithInstance(p.settings.Instance, announced),
 		coordinator.WithConductor(
 			conductor.WithMaximumLease(p.settings.MaximumLease()),
 			conductor.WithFinalStateKept(time.Duration(p.settings.StateKeptSeconds)*time.Second+stateMargin),
