--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -223,11 +223,6 @@
 	return len(shards) > 0 && !s.draining.Load()
 }
 
-// Draining reports whether the instance is about to stop.
-func (s *Sharder) Draining() bool {
-	return s.draining.Load()
-}
-
 // Drain gives up all ownership and reports not ready; requests are still answered until Stop.
 func (s *Sharder) Drain() {
 	s.draining.Store(true)
