Spend calls for advice only where they can start something

From 66 s on all 11 advisors that may make long calls were busy: steps of the batch queue named 100 servers (312 ms) for 25 tasks, and gangs that had missed their objective and did not fit asked again every two seconds, while steps with room waited.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -82,7 +82,12 @@
 // requestAdvice asks for tickets when too few servers that could take the step have one. It reports whether it asked.
 func (c *Conductor) requestAdvice(now time.Time, u *unit, servers []*session) bool {
 	known := u.job.adviceFor(u.step.ID)
-	names := u.serversToAsk(now, known, servers)
+	var names []specifier.ServerID
+	// The tickets of a step that has missed its objective and finds no room would expire unused, and its call would keep an
+	// advisor from others.
+	if u.tier == onTime || u.hasRoom(known, servers) {
+		names = u.serversToAsk(now, known, servers)
+	}
 	if len(names) == 0 {
 		known.lookAgainAt = now.Add(adviceLookInterval)
 		return false
@@ -100,14 +105,35 @@
 	return true
 }
 
-// serversForGang returns how many servers a call for a gang should name: all its members need tickets that are valid at the
-// same time, which those of several calls in a row may not be.
-func (u *unit) serversForGang(servers []*session) int {
-	if !u.step.Spec.Gang || len(servers) == 0 {
-		return 0
-	}
-	each := max(1, u.need().Count(servers[0].server.Capacity, len(u.waiting)))
-	return refusedPerGrant * (len(u.waiting) + each - 1) / each
+// hasRoom reports whether any task of the step, or all of a gang, would fit if advice admitted all servers that it has not
+// refused.
+func (u *unit) hasRoom(known *advice, servers []*session) bool {
+	needed := 1
+	if u.step.Spec.Gang {
+		needed = len(u.waiting)
+	}
+	room := 0
+	for _, s := range servers {
+		if !known.refused[s.server.ID] {
+			room += u.fits(s)
+		}
+		if room >= needed {
+			return true
+		}
+	}
+	return false
+}
+
+// enough returns how many of the servers, the first to name first, a call should name to admit a number of tasks.
+func (u *unit) enough(servers []*session, tasks int) int {
+	room := 0
+	for n, s := range servers {
+		if n >= adviceServers && room >= refusedPerGrant*tasks {
+			return n
+		}
+		room += u.fits(s)
+	}
+	return len(servers)
 }
 
 // serversToAsk returns the servers to name in the next call for a step, or none when tickets suffice.
@@ -143,10 +169,10 @@
 	if room >= wanted {
 		return names
 	}
-	limit := max(0, min(len(unknown), mostAdviceServers-len(names)))
-	cost := u.job.queue.Advice
-	if time.Duration(limit)*cost.PerServer > longAdvice {
-		limit = min(limit, max(adviceServers, u.serversForGang(unknown)))
+	limit := max(0, min(u.enough(unknown, wanted-room), mostAdviceServers-len(names)))
+	// All members of a gang need tickets that are valid at the same time, which those of several calls in a row may not be.
+	if !u.step.Spec.Gang && time.Duration(limit)*u.job.queue.Advice.PerServer > longAdvice {
+		limit = min(limit, adviceServers)
 	}
 	for _, s := range unknown[:limit] {
 		names = append(names, s.server.ID)
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -43,9 +43,11 @@
 	adviceTimeout    = 250 * time.Millisecond
 	// adviceReportTime is how long after its timeout a call is waited for before its advisor is used again.
 	adviceReportTime = time.Second
-	// adviceServers is the number of servers that the first call of a step names when each adds much time.
+	// adviceServers is the number of servers that a call names at least, if there are as many, and at most when each adds much
+	// time and the step is no gang.
 	adviceServers = 30
-	// refusedPerGrant is how many servers a call for a gang names for each that the gang needs: advice admits about a third.
+	// refusedPerGrant is how much more room the servers in a call have than the step needs: the strictest queues of the sites
+	// admit about a third of the servers.
 	refusedPerGrant = 3
 	// mostAdviceServers is the number of servers that the advice service accepts in a call.
 	mostAdviceServers = 100
--- a/coordinator/lag_test.go
+++ b/coordinator/lag_test.go
@@ -25,6 +25,11 @@
 		{"one long pause", time.Minute, []time.Duration{fast, time.Second, fast, fast, slow, slow}, false},
 		{"slow most of the time", time.Minute, []time.Duration{slow, slow, fast, slow, slow}, true},
 		{"short delays", time.Minute, []time.Duration{slow, fast, slow, fast, slow, slow, fast}, false},
+		{
+			"slow long ago", time.Minute,
+			[]time.Duration{verySlow, verySlow, verySlow, verySlow, verySlow, fast, fast, fast, slow}, false,
+		},
+		{"fast again", time.Minute, []time.Duration{verySlow, verySlow, verySlow, fast}, false},
 		{"new owner", time.Second, []time.Duration{slow, slow, slow, slow}, false},
 	}
 	for _, c := range cases {
