--- a/coordinator/lag_test.go
+++ b/coordinator/lag_test.go
@@ -27,7 +27,8 @@
 		{"short delays", time.Minute, []time.Duration{slow, fast, slow, fast, slow, slow, fast}, false},
 		{
 			"slow long ago", time.Minute,
-			[]time.Duration{verySlow, verySlow, verySlow, verySlow, verySlow, fast, fast, fast, slow}, false,
+			[]time.Duration{verySlow, verySlow, verySlow, verySlow, verySlow, fast, fast, fast, slow},
+			false,
 		},
 		{"fast again", time.Minute, []time.Duration{verySlow, verySlow, verySlow, fast}, false},
 		{"new owner", time.Second, []time.Duration{slow, slow, slow, slow}, false},
