Acknowledge no ends to a server that gave no answer

Cause: found by the soak (20 s of faults): a task ran again after its acknowledged end. A server started again under its ID; before the owner noticed, a start order reached the new life and ended there as number 1, and the owner's next call acknowledged all ends up to a higher number of the earlier life, so that the server forgot an end of which the owner had not heard. Change: a call acknowledges ends only while the server answers; after a call or an order without an answer the next call asks only.

--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -118,7 +118,12 @@
 func (c *Conductor) sendHold(now time.Time, s *session) {
 	s.holdSequence++
 	s.holdInFlight = true
-	command := Hold{Server: s.server, Sequence: s.holdSequence, Fence: s.fence, Acknowledged: s.acknowledged}
+	command := Hold{Server: s.server, Sequence: s.holdSequence, Fence: s.fence}
+	// A server that gave no answer may have been started again. Its numbers of ends then begin anew, and it would forget
+	// ends of which this owner has not heard.
+	if s.holdFailures == 0 && !s.suspect {
+		command.Acknowledged = s.acknowledged
+	}
 	if s.clockKnown && s.holdFailures == 0 {
 		command.LeaseEnd = s.serverTime(now) + c.settings.lease
 		// The server may renew the lease although its answer is lost. A server that does not answer is only asked, so
--- /dev/null
+++ b/conductor/reboot_test.go
@@ -0,0 +1,31 @@
+package conductor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/specifier"
+)
+
+// TestEndsOfNewLife guards against an acknowledgement that was meant for an earlier life of a server: numbers of ends begin
+// anew, so that the new life would forget an end of which the owner has never heard, and the task would run twice.
+func TestEndsOfNewLife(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	for n := range 5 {
+		job := newJob(n, jobOptions{Tasks: 1, MilliCores: 1000, Seconds: 0.1})
+		w.at(w.start.Add(time.Second), func() { w.submit(job) })
+	}
+	last := newJob(9, jobOptions{Tasks: 1, MilliCores: 1000, Seconds: 0.1})
+	w.at(w.start.Add(3*time.Second), func() {
+		w.submit(last)
+		for _, s := range w.servers {
+			s.crash(w, time.Millisecond)
+			s.unlistedUntil = w.now.Add(4 * time.Second)
+		}
+	})
+	w.runUntil(20 * time.Second)
+	require.Empty(t, w.broken)
+	require.Equal(t, specifier.Completed, w.state(last.ID))
+}
