Give a new owner its time to reach the servers after a slow recovery

The 1.5 s that an owner may be without most servers began before its recovery, so that ownership moved on and on while the store was slow. Change: that time begins with the first look at the servers. Result: TestSlowRecovery fails without the change.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -45,7 +45,7 @@
 	holdPass   throttle
 	sweepPass  throttle
 	expirePass throttle
-	// reachableAt is when half of the listed servers were last reachable.
+	// reachableAt is when half of the listed servers were last reachable; the first look counts as such a time.
 	reachableAt time.Time
 	resigned    bool
 }
@@ -74,15 +74,14 @@
 // New returns the core of an owner whose ownership began at a time under an epoch.
 func New(now time.Time, epoch int64, options ...Option) *Conductor {
 	c := &Conductor{
-		settings:    settings{lease: defaultLease, longestLease: 2 * defaultLease, keepFinal: 3 * time.Minute},
-		firstFence:  epoch * fencesPerOwner,
-		startedAt:   now,
-		reachableAt: now,
-		jobs:        make(map[specifier.JobID]*job),
-		sessions:    make(map[specifier.ServerID]*session),
-		lastFences:  make(map[specifier.ServerID]int64),
-		units:       make(map[specifier.StepID]*unit),
-		scheduled:   make(map[specifier.JobID]*job),
+		settings:   settings{lease: defaultLease, longestLease: 2 * defaultLease, keepFinal: 3 * time.Minute},
+		firstFence: epoch * fencesPerOwner,
+		startedAt:  now,
+		jobs:       make(map[specifier.JobID]*job),
+		sessions:   make(map[specifier.ServerID]*session),
+		lastFences: make(map[specifier.ServerID]int64),
+		units:      make(map[specifier.StepID]*unit),
+		scheduled:  make(map[specifier.JobID]*job),
 
 		cancelledEarly: make(map[specifier.JobID]bool),
 		holdPass:       throttle{interval: holdPassInterval},
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -205,7 +205,7 @@
 			}
 		}
 	}
-	if 2*reached >= listed {
+	if 2*reached >= listed || c.reachableAt.IsZero() {
 		c.reachableAt = now
 	}
 	if now.Sub(c.reachableAt) > majorityPatience {
--- a/conductor/reboot_test.go
+++ b/conductor/reboot_test.go
@@ -1,11 +1,13 @@
 package conductor_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/specifier"
 )
 
@@ -29,3 +31,22 @@
 	require.Empty(t, w.broken)
 	require.Equal(t, specifier.Completed, w.state(last.ID))
 }
+
+// TestSlowRecovery guards against an owner that resigns at once because its recovery took longer than it may be without most
+// servers: while the store is slow the ownership would move on and on.
+func TestSlowRecovery(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	core := conductor.New(start, 1)
+	server := specifier.Server{ID: "i-1", Service: "s", Address: "i-1", Born: 1}
+	recoveredAt := start.Add(3 * time.Second)
+	core.Handle(recoveredAt, conductor.ServersListed{Servers: []specifier.Server{server}})
+	resigns := func(now time.Time) bool {
+		return slices.ContainsFunc(core.Plan(now), func(command conductor.Command) bool {
+			_, ok := command.(conductor.Resign)
+			return ok
+		})
+	}
+	require.False(t, resigns(recoveredAt))
+	require.False(t, resigns(recoveredAt.Add(time.Second)))
+	require.True(t, resigns(recoveredAt.Add(2*time.Second)))
+}
