--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -121,7 +121,7 @@
 	command := Hold{Server: s.server, Sequence: s.holdSequence, Fence: s.fence}
 	// A server that gave no answer may have been started again. Its numbers of ends then begin anew, and it would forget
 	// ends of which this owner has not heard.
-	if s.holdFailures == 0 && !s.suspect {
+	if s.answers() {
 		command.Acknowledged = s.acknowledged
 	}
 	if s.clockKnown && s.holdFailures == 0 {
@@ -130,7 +130,7 @@
 		// that its lease ends and its tasks can start elsewhere.
 		s.extendLease(now.Add(leaseBound(c.settings.lease)))
 	}
-	if s.known && !s.suspect && s.holdFailures == 0 && len(s.pending) == 0 && s.settledFence == s.fence {
+	if s.known && s.answers() && len(s.pending) == 0 && s.settledFence == s.fence {
 		command.Wait = holdWait
 	}
 	c.emit(command)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -95,7 +95,7 @@
 func (c *Conductor) suspectZone(now time.Time, zone string) {
 	silent := 0
 	for _, s := range c.sessions {
-		if s.server.Zone == zone && s.listed && (s.suspect || s.holdFailures > 0) {
+		if s.server.Zone == zone && s.listed && !s.answers() {
 			silent++
 		}
 	}
@@ -103,7 +103,7 @@
 		return
 	}
 	for _, s := range c.sessions {
-		if s.server.Zone == zone && s.listed && !s.suspect && s.holdFailures == 0 && now.Sub(s.clockAt) > freshReport {
+		if s.server.Zone == zone && s.listed && s.answers() && now.Sub(s.clockAt) > freshReport {
 			c.suspect(now, s)
 		}
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -113,7 +113,12 @@
 
 // usable reports whether new runs may be placed on the server.
 func (s *session) usable(now time.Time) bool {
-	return s.known && s.listed && s.clockKnown && !s.server.Draining && !s.suspect && s.holdFailures == 0 && s.health.Admits(now, len(s.allocations))
+	return s.known && s.listed && s.clockKnown && !s.server.Draining && s.answers() && s.health.Admits(now, len(s.allocations))
+}
+
+// answers reports whether the server has answered the last call and order.
+func (s *session) answers() bool {
+	return !s.suspect && s.holdFailures == 0
 }
 
 // extendLease notes that the lease may last until a time.
--- a/coordinator/lag.go
+++ b/coordinator/lag.go
@@ -48,10 +48,9 @@
 		l.slow = max(0, l.slow-1)
 	}
 	// Slow windows of long ago, as in a recovery, do not count.
-	slowNow := l.worst >= slowAge
 	l.slow = min(l.slow, slowWindows)
 	l.worst, l.windowEnd = 0, now.Add(lagWindow)
-	return slowNow && l.slow >= slowWindows && now.Sub(l.beganAt) >= shortestOwnership
+	return l.slow >= slowWindows && now.Sub(l.beganAt) >= shortestOwnership
 }
 
 // worstAge is the longest delay since it was last taken.
--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -14,6 +14,7 @@
 	"egretring.example/egretring/fakebackend"
 	"egretring.example/egretring/generator"
 	"egretring.example/egretring/ticketer"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -143,7 +144,7 @@
 func (d *demo) send(ctx context.Context, arrivals *generator.Generator, started time.Time, running *sync.WaitGroup) {
 	from := newCallers(d.cell, d.tally)
 	for arrival := range arrivals.All() {
-		if !sleepUntil(ctx, started.Add(arrival.Offset)) {
+		if !timekeeper.Sleep(ctx, time.Until(started.Add(arrival.Offset))) {
 			return
 		}
 		running.Go(func() { from.serve(ctx, arrival) })
@@ -153,7 +154,7 @@
 func (d *demo) breakThings(ctx context.Context, started time.Time) {
 	for _, step := range script() {
 		at := time.Duration(step.at * float64(d.options.Duration))
-		if !sleepUntil(ctx, started.Add(at)) {
+		if !timekeeper.Sleep(ctx, time.Until(started.Add(at))) {
 			return
 		}
 		line := fmt.Sprintf("%6.1f s: %s", at.Seconds(), step.text)
@@ -166,14 +167,3 @@
 		}
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/demonstrator/tasks.go
+++ b/demonstrator/tasks.go
@@ -6,6 +6,7 @@
 
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/ticketer"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -118,7 +119,7 @@
 
 // watchTasks notes the lowest number of running tasks until the context ends.
 func (d *demo) watchTasks(ctx context.Context) {
-	for sleepUntil(ctx, time.Now().Add(taskPollInterval)) {
+	for timekeeper.Sleep(ctx, taskPollInterval) {
 		d.tasks.lowest = min(d.tasks.lowest, d.cell.countTasks().running)
 	}
 }
--- a/fakekeeper/faults.go
+++ b/fakekeeper/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
 )
 
 // Faults are the faults of a store.
@@ -135,12 +136,8 @@
 	if delay == 0 {
 		return nil
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !timekeeper.Sleep(ctx, delay) {
 		return keeper.ErrUnavailable
 	}
+	return nil
 }
