Log why a step waits, and lose no log line silently

Change: decisions StepWaits (after a second, then at doubling intervals, with the inputs of the decision), Advised and JobRestored. The log writer retries the rest of a batch for half a second, counts and reports what it drops, and lines are numbered.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -30,6 +30,11 @@
 	validUntil time.Time
 }
 
+// usable reports whether the ticket is still valid for long enough to start a run with it.
+func (t ticket) usable(now time.Time) bool {
+	return !t.validUntil.Before(now.Add(ticketMargin))
+}
+
 func (j *job) adviceFor(id specifier.StepID) *advice {
 	adv := j.advice[id]
 	if adv == nil {
@@ -66,7 +71,7 @@
 	}
 	for id, t := range adv.granted {
 		s := c.sessions[id]
-		if s != nil && !t.validUntil.Before(now.Add(ticketMargin)) && s.usable(now) &&
+		if s != nil && t.usable(now) && s.usable(now) &&
 			s.server.HasLabel(w.step.Spec.RequiredLabel) && s.server.Service == w.job.queue.Service {
 			servers = append(servers, s)
 		}
@@ -185,6 +190,7 @@
 func (c *Conductor) applyAdvice(now time.Time, e Advised) {
 	c.advisors.Finish(now, e.Advisor, e.Failed)
 	c.replan = true
+	c.logAdvice(e)
 	j := c.jobs[e.Step.Job]
 	if j == nil || j.State().Final() {
 		return
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -171,6 +171,7 @@
 	c.restoreAllocations(j)
 	j.BeginDue(now)
 	c.refresh(j)
+	c.logDecision("JobRestored", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "")
 }
 
 func (c *Conductor) addJob(restored *lifecycler.Job) *job {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -74,6 +74,7 @@
 	for _, w := range c.inPlacementOrder(now) {
 		c.placeStep(p, w)
 	}
+	c.logWaits(p)
 }
 
 // NextPlan returns when Plan should be called again for deferred work, if there is any.
--- /dev/null
+++ b/conductor/wait.go
@@ -0,0 +1,102 @@
+package conductor
+
+import (
+	"fmt"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// firstWaitLine is how long a step waits before the log says why. The time to the next line doubles with each line.
+const firstWaitLine = time.Second
+
+// wait is how long a step has been waiting without interruption.
+type wait struct {
+	since time.Time
+	// nextLineAt is when the log says next why the step waits.
+	nextLineAt time.Time
+}
+
+// waitFigures are the inputs of the decision not to place a step.
+type waitFigures struct {
+	// Tasks is the number of waiting tasks.
+	Tasks int
+	Tier  tier
+	// Servers are the usable servers with the required label.
+	Servers int
+	// Tickets are the servers with a valid ticket, Admitted those that advice has admitted, and Refused those that it has
+	// refused. All servers are admitted where no advice is needed.
+	Tickets, Admitted, Refused int
+	// FitTickets is how many tasks fit now on the servers with a valid ticket. FitAdmitted and FitAdmittedEmpty are how
+	// many would fit on the admitted servers now and without other runs; FitUnknownEmpty is the same for servers about which
+	// advice was not requested.
+	FitTickets, FitAdmitted, FitAdmittedEmpty, FitUnknownEmpty int
+	// Held are the servers with capacity that is held for other gangs.
+	Held         int
+	FreeAdvisors int
+}
+
+// logWaits logs why the steps that have been waiting for long are not placed.
+func (c *Conductor) logWaits(p *pass) {
+	for _, w := range c.waitingSteps {
+		if w.wait.since.IsZero() {
+			w.wait = wait{since: p.now, nextLineAt: p.now.Add(firstWaitLine)}
+		}
+		if p.now.Before(w.wait.nextLineAt) {
+			continue
+		}
+		waited := p.now.Sub(w.wait.since)
+		w.wait.nextLineAt = p.now.Add(waited)
+		c.logDecision("StepWaits", w.step.ID.Task(w.waiting[0]), 0, "",
+			fmt.Sprintf("after %s: %+v", waited.Round(time.Millisecond), c.waitFigures(p, w)))
+	}
+}
+
+func (c *Conductor) waitFigures(p *pass, w *waitingStep) waitFigures {
+	figures := waitFigures{Tasks: len(w.waiting), Tier: w.tier, FreeAdvisors: p.freeAdvisors}
+	advised := w.job.queue.Advice.Needed
+	if advised && w.needsLongCall() {
+		figures.FreeAdvisors = p.freeForLong
+	}
+	adv := w.job.adviceFor(w.step.ID)
+	for _, s := range p.candidates(w) {
+		figures.Servers++
+		if priority, held := p.heldFor[s.server.ID]; held && w.job.queue.Priority >= priority {
+			figures.Held++
+		}
+		t, granted := adv.granted[s.server.ID]
+		switch {
+		case !advised || granted:
+			figures.Admitted++
+			figures.FitAdmitted += w.fits(s)
+			figures.FitAdmittedEmpty += w.fitsEmpty(s)
+			if !advised || t.usable(p.now) {
+				figures.Tickets++
+				figures.FitTickets += w.fits(s)
+			}
+		case adv.refused[s.server.ID]:
+			figures.Refused++
+		default:
+			figures.FitUnknownEmpty += w.fitsEmpty(s)
+		}
+	}
+	return figures
+}
+
+// fitsEmpty returns how many waiting tasks of the step the server could take without other runs.
+func (w *waitingStep) fitsEmpty(s *session) int {
+	limit := len(w.waiting)
+	if bound := w.step.Spec.MaxPerServer; bound > 0 {
+		limit = min(limit, bound)
+	}
+	return w.need().Count(s.server.Capacity, limit)
+}
+
+// logAdvice logs the result of an advice call.
+func (c *Conductor) logAdvice(e Advised) {
+	result := fmt.Sprintf("%d of %d servers admitted by %s", len(e.Grants), len(e.Servers), e.Advisor)
+	if e.Failed {
+		result = fmt.Sprintf("call for %d servers by %s failed", len(e.Servers), e.Advisor)
+	}
+	c.logDecision("Advised", specifier.TaskID{StepID: e.Step}, 0, "", result)
+}
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -19,6 +19,7 @@
 	// worthlessAt is when the result of the job stops having any value to its caller.
 	worthlessAt time.Time
 	tier        tier
+	wait        wait
 }
 
 // tier groups waiting steps by the value that the result of their job still has for its caller.
@@ -41,7 +42,9 @@
 
 // refresh recomputes the waiting steps of a job.
 func (c *Conductor) refresh(j *job) {
+	waits := make(map[specifier.StepID]wait, len(j.waitingSteps))
 	for _, w := range j.waitingSteps {
+		waits[w.step.ID] = w.wait
 		delete(c.waitingSteps, w.step.ID)
 	}
 	j.waitingSteps = j.waitingSteps[:0]
@@ -55,7 +58,7 @@
 		due := j.Spec.DueAt(step.ID.Occurrence)
 		w := &waitingStep{
 			job: j, step: step, waiting: waiting, worthlessAt: due.Add(worthlessAfter * allowed),
-			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)),
+			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)), wait: waits[step.ID],
 		}
 		j.waitingSteps = append(j.waitingSteps, w)
 		c.waitingSteps[step.ID] = w
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -1,8 +1,10 @@
-// Package logger writes JSON log lines without blocking the code that logs: lines pass through a bounded queue, and
-// those that do not fit are dropped, counted and reported.
+// Package logger writes numbered JSON log lines without blocking the code that logs: lines pass through a bounded queue,
+// and those that do not fit, or that the output does not take, are dropped, counted and reported.
 package logger
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -20,6 +22,10 @@
 	reportInterval = time.Second
 	// batchBytes is the size from which a batch of queued lines is written; further lines go into the next write.
 	batchBytes = 32 << 10
+	// writeRetryInterval is the pause after an incomplete write, as to a full pipe in non-blocking mode, and
+	// maxWriteRetryTime is how long the rest of a batch is retried.
+	writeRetryInterval = time.Millisecond
+	maxWriteRetryTime  = 500 * time.Millisecond
 )
 
 // Writer is an io.Writer that queues complete lines for a goroutine, which writes them to the output.
@@ -41,7 +47,7 @@
 func New(out io.Writer, level slog.Level) (*slog.Logger, *Writer) {
 	w := NewWriter(out)
 	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
-	return slog.New(handler), w
+	return slog.New(numberingHandler{Handler: handler, last: new(atomic.Int64)}), w
 }
 
 // Write queues a line, or drops and counts it when the queue is full. It never blocks and never fails.
@@ -66,15 +72,13 @@
 func (w *Writer) run() error {
 	report := time.NewTicker(reportInterval)
 	defer report.Stop()
-	direct := slog.New(slog.NewJSONHandler(w.out, nil))
+	direct := slog.NewJSONHandler(w.out, nil)
 	for {
 		select {
 		case line := <-w.lines.Items():
 			w.flush(line)
 		case <-report.C:
-			if dropped := w.dropped.Swap(0); dropped > 0 {
-				direct.Warn("log lines were dropped because the output was too slow", "Count", dropped)
-			}
+			w.reportDropped(direct)
 		case <-w.tomb.Dying():
 			w.drain()
 			return nil
@@ -82,6 +86,20 @@
 	}
 }
 
+// reportDropped writes how many lines were dropped since the last report, or keeps the count when the output does not take
+// the report.
+func (w *Writer) reportDropped(direct slog.Handler) {
+	dropped := w.dropped.Swap(0)
+	if dropped == 0 {
+		return
+	}
+	report := slog.NewRecord(time.Now(), slog.LevelWarn, "log lines were dropped because the output was too slow", 0)
+	report.AddAttrs(slog.Int64("Count", dropped))
+	if err := direct.Handle(context.Background(), report); err != nil {
+		w.dropped.Add(dropped)
+	}
+}
+
 // flush writes a line together with the queued lines that follow it, until the batch has reached batchBytes.
 func (w *Writer) flush(batch []byte) {
 	for len(batch) < batchBytes {
@@ -93,8 +111,25 @@
 		}
 		break
 	}
-	// A failed write of the log cannot be logged; the line is lost.
-	_, _ = w.out.Write(batch)
+	w.writeAll(batch)
+}
+
+// writeAll writes a batch and retries the rest of it after an incomplete write. Lines that the output does not take for
+// maxWriteRetryTime are dropped and counted.
+func (w *Writer) writeAll(batch []byte) {
+	giveUpAt := time.Now().Add(maxWriteRetryTime)
+	for {
+		n, err := w.out.Write(batch)
+		batch = batch[n:]
+		if err == nil || len(batch) == 0 {
+			return
+		}
+		if !time.Now().Before(giveUpAt) {
+			w.dropped.Add(int64(bytes.Count(batch, []byte{'\n'})))
+			return
+		}
+		time.Sleep(writeRetryInterval)
+	}
 }
 
 func (w *Writer) drain() {
