Ask for advice again about servers that have restarted

Cause: the conductor kept the refusals and tickets that advice had given for an earlier life of a server. Tickets are void after a restart, and the server may be of another kind. Change: a restart discards what advice said about the server. Seen by callers: a job whose only admissible servers have restarted is never started.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// forgetAdvice discards what advice said about a server that has restarted: its tickets are void, and it may be of another
+// kind.
+func (c *Conductor) forgetAdvice(server specifier.ServerID) {
+	for _, j := range c.jobs {
+		for _, adv := range j.advice {
+			delete(adv.granted, server)
+			delete(adv.refused, server)
+		}
+	}
+}
+
 // serversWithTicket returns the usable servers that have a ticket for the step which is still valid for long enough.
 func (c *Conductor) serversWithTicket(now time.Time, w *waitingStep) []*session {
 	adv := w.job.adviceFor(w.step.ID)
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -44,6 +44,8 @@
 	advisors     []string
 	// grantOneIn is the number of servers of which the advice service admits one; zero admits all.
 	grantOneIn int
+	// refusedUntilRestart makes the advice service refuse the servers that have not restarted.
+	refusedUntilRestart bool
 	planned    bool
 	decisions  []string
 
@@ -260,6 +262,9 @@
 
 // refuses reports whether the advice service refuses a server for all steps.
 func (w *simulation) refuses(id specifier.ServerID) bool {
+	if w.refusedUntilRestart {
+		return w.servers[id].server.Incarnation == w.start.UnixMilli()
+	}
 	var number int
 	if _, err := fmt.Sscanf(string(id), "i-%d", &number); err != nil {
 		w.t.Fatalf("server %s has no number: %v", id, err)
