Give long advice calls the advisors that short calls leave

Cause: a third of the advisors was reserved for short calls at all times. Change: reserved is one advisor more than the largest number of concurrent short calls of the last two to four seconds, at most a third. Evidence: TestLongCallsUseAdvisorsThatShortCallsLeave fails without the change (12 of 18 advisors instead of 17).

--- a/adviser/pool.go
+++ b/adviser/pool.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// maxLongCallPercent is the percentage of advisors that long calls may occupy, so that short calls for urgent jobs
-	// do not wait for long ones.
-	maxLongCallPercent = 67
+	// maxReservedPercent is the percentage of advisors that long calls leave to short ones at most, so that short calls for
+	// urgent jobs do not wait for long ones.
+	maxReservedPercent = 34
+	// shortCallWindow is the time over which the largest number of concurrent short calls is taken. Long calls leave one
+	// advisor more than that to short ones.
+	shortCallWindow = 2 * time.Second
 	// minBackoff is the backoff of an advisor after a failed call. It doubles with each further failure up to
 	// maxBackoff, which it would exceed after maxFailures.
 	minBackoff  = 500 * time.Millisecond
@@ -16,6 +19,10 @@
 // Pool is the set of advisors of an owner. It is not safe for concurrent use.
 type Pool struct {
 	advisors []*advisor
+	// shortCalls is the largest number of concurrent short calls in the present window, which ends at windowEnd, and
+	// previousShortCalls that in the window before it.
+	shortCalls, previousShortCalls int
+	windowEnd                      time.Time
 }
 
 // advisor is an instance that makes calls to the advice service.
@@ -48,6 +55,27 @@
 	}
 }
 
+// LongCalls returns how many long calls may be made at the same time.
+func (p *Pool) LongCalls() int {
+	reserved := min(max(p.shortCalls, p.previousShortCalls)+1, len(p.advisors)*maxReservedPercent/100)
+	return max(1, len(p.advisors)-reserved)
+}
+
+// countShortCalls records the number of short calls in flight.
+func (p *Pool) countShortCalls(now time.Time) {
+	if !now.Before(p.windowEnd) {
+		p.previousShortCalls, p.shortCalls = p.shortCalls, 0
+		p.windowEnd = now.Add(shortCallWindow)
+	}
+	count := 0
+	for _, a := range p.advisors {
+		if !a.free(now) && !a.long {
+			count++
+		}
+	}
+	p.shortCalls = max(p.shortCalls, count)
+}
+
 // Free returns the number of free advisors, and how many of them may make a long call.
 func (p *Pool) Free(now time.Time) (free, freeForLong int) {
 	longCalls := 0
@@ -59,7 +87,7 @@
 			longCalls++
 		}
 	}
-	return free, min(free, max(1, len(p.advisors)*maxLongCallPercent/100)-longCalls)
+	return free, min(free, p.LongCalls()-longCalls)
 }
 
 // Take reserves the free advisor with the fewest failures until the given time, and returns its name. It reports false
@@ -78,6 +106,7 @@
 		return "", false
 	}
 	best.busyUntil, best.long = until, long
+	p.countShortCalls(now)
 	return best.name, true
 }
 
--- a/adviser/pool_test.go
+++ b/adviser/pool_test.go
@@ -68,3 +68,36 @@
 	free, _ := pool.Free(now.Add(3900 * time.Millisecond))
 	require.Equal(t, 1, free, "the backoff of an advisor that failed often lasts for 4 s")
 }
+
+// TestLongCallsUseAdvisorsThatShortCallsLeave guards against a backlog of long calls that leaves a third of the advisors
+// idle although there are hardly any short calls, and against long calls that take the advisors of short ones at a crest.
+func TestLongCallsUseAdvisorsThatShortCallsLeave(t *testing.T) {
+	var pool adviser.Pool
+	names := make([]string, 18)
+	for i := range names {
+		names[i] = string(rune('a' + i))
+	}
+	pool.Set(names)
+	crest := make([]string, 0, 8)
+	for range 8 {
+		name, ok := pool.Take(start, start.Add(time.Second), false)
+		require.True(t, ok)
+		crest = append(crest, name)
+	}
+	_, freeForLong := pool.Free(start)
+	require.Equal(t, 10, freeForLong, "no advisor beyond those of the short calls is reserved")
+	for _, name := range crest {
+		pool.Finish(start, name, false)
+	}
+	_, freeForLong = pool.Free(start)
+	require.Equal(t, 12, freeForLong, "a third of the advisors stays reserved after a crest of short calls")
+	later := start
+	for range 3 {
+		later = later.Add(2 * time.Second)
+		name, ok := pool.Take(later, later.Add(time.Second), true)
+		require.True(t, ok)
+		pool.Finish(later, name, false)
+	}
+	_, freeForLong = pool.Free(later)
+	require.Equal(t, 17, freeForLong, "one advisor is reserved without short calls")
+}
