Start late steps although smaller ones compete for their capacity

Cause: a step that had missed its objective held no capacity, and requested tickets only when all of it fitted at that moment. Smaller steps took each part of the capacity that became free, and a gang's tickets had expired whenever all of its tasks would fit: calls for one gang were made one after the other, each names at most 100 servers of which advice admits about a third, takes up to 1.4 s, and its tickets are valid for 2 s. The class of fault is starvation: what needs much at once waits behind what needs little, without a bound. Change: after 3 s without progress (30 s while jobs that can meet their objective compete for a busy service) servers are held for the oldest waiting step of a service, until it starts or for 20 s. A late gang that fits the admitted servers renews their tickets in one go, with several calls at the same time where one may not name them all; while advisors are idle it asks about further servers and renews tickets in advance. Seen by callers: accepted jobs, mostly gangs of 20 to 60 tasks, that never run although most of the cell is idle (LOST). Evidence: TestLateGangRunsBesideSmallerJobs and TestGangWiderThanAnAdviceCallRuns fail without the change (state Queued at the end); TestLateLargeTaskRunsBesideSmallerJobs guards the same for one large task and passes on both.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -12,7 +12,8 @@
 	// granted has the ticket of each server that may run the step; refused are the servers that may not.
 	granted map[specifier.ServerID]ticket
 	refused map[specifier.ServerID]bool
-	// pendingUntil is set while a call is in flight; at that time the call is given up.
+	// calls is the number of calls in flight, and pendingUntil when they are given up.
+	calls        int
 	pendingUntil time.Time
 	// validUntil is when the ticket that is valid longest expires.
 	validUntil time.Time
@@ -95,65 +96,180 @@
 	return w.job.queue.Advice.Fixed > longAdvice
 }
 
-// requestAdvice requests tickets when too few servers that could take the step have one. It reports whether it did.
-func (c *Conductor) requestAdvice(now time.Time, w *waitingStep, servers []*session) bool {
+// requestAdvice requests tickets when too few servers that could take the step have one. Calls for a gang are made at the
+// same time, so that their tickets are valid together.
+func (c *Conductor) requestAdvice(p *pass, w *waitingStep) {
 	adv := w.job.adviceFor(w.step.ID)
-	var names []specifier.ServerID
-	// The tickets of a step that has missed its objective and fits nowhere would expire unused, and its call would
-	// occupy an advisor that other steps need.
-	if w.tier == onTime || w.couldFit(adv, servers) {
-		names = w.serversToRequest(now, adv, servers)
-	}
+	names := c.serversToRequest(p, w, adv)
 	if len(names) == 0 {
-		adv.retryAt = now.Add(adviceRetryInterval)
-		return false
+		adv.retryAt = p.now.Add(adviceRetryInterval)
+		return
 	}
-	cost := w.job.queue.Advice
-	expected := cost.Fixed + time.Duration(len(names))*cost.PerServer
+	calls := (len(names) + maxAdviceServers - 1) / maxAdviceServers
+	if calls > 1 && min(p.freeAdvisors, p.freeForLong) < min(calls, c.advisors.LongCalls()) {
+		return
+	}
+	size := (len(names) + calls - 1) / calls
+	for chunk := range slices.Chunk(names, size) {
+		if !c.callForAdvice(p, w, adv, chunk) {
+			return
+		}
+	}
+}
+
+// callForAdvice makes an advice call. It reports false when no advisor may make it.
+func (c *Conductor) callForAdvice(p *pass, w *waitingStep, adv *advice, names []specifier.ServerID) bool {
+	expected := w.adviceTime(len(names))
 	timeout := adviceTimeFactor*expected + adviceTimeout
-	busyUntil := now.Add(timeout + adviceResponseGrace)
-	advisor, ok := c.advisors.Take(now, busyUntil, expected > longAdvice)
+	busyUntil := p.now.Add(timeout + adviceResponseGrace)
+	long := expected > longAdvice
+	advisor, ok := c.advisors.Take(p.now, busyUntil, long)
 	if !ok {
 		return false
 	}
+	p.freeAdvisors--
+	if long {
+		p.freeForLong--
+	}
+	adv.calls++
 	adv.pendingUntil = busyUntil
 	c.emit(Advise{Advisor: advisor, Step: w.step.ID, Servers: names, ExpectedTime: expected, Timeout: timeout})
 	return true
 }
 
-// couldFit reports whether any task of the step, or all tasks of a gang, would fit if advice admitted all servers that it
-// has not refused.
-func (w *waitingStep) couldFit(adv *advice, servers []*session) bool {
-	needed := 1
-	if w.step.Spec.Gang {
-		needed = len(w.waiting)
+// adviceTime returns how long an advice call for the step that names a number of servers should take.
+func (w *waitingStep) adviceTime(servers int) time.Duration {
+	cost := w.job.queue.Advice
+	return cost.Fixed + time.Duration(servers)*cost.PerServer
+}
+
+// serversToRequest returns the servers to request tickets for, or none when no call would help now.
+func (c *Conductor) serversToRequest(p *pass, w *waitingStep, adv *advice) []specifier.ServerID {
+	servers := p.candidates(w)
+	if w.tier == onTime && !c.hasHold(w) {
+		return w.ticketsInAdvance(p.now, adv, servers)
+	}
+	// The tickets of a late step that fits nowhere would expire unused, and its call would occupy an advisor that other
+	// steps need.
+	idle := p.freeForLong > 1 && spareAdvisors*p.freeForLong >= c.advisors.LongCalls()
+	if !idle && !c.hasHold(w) && !w.couldFit(adv, servers) {
+		return nil
+	}
+	if !w.step.Spec.Gang {
+		return w.ticketsInAdvance(p.now, adv, servers)
+	}
+	return c.gangTickets(p, w, adv, idle)
+}
+
+// gangTickets returns the servers to request tickets for so that a gang can start that is late or has servers held. If it
+// fits the admitted servers, it renews their tickets. Otherwise it asks about further servers, or renews tickets in advance
+// while advisors are idle.
+func (c *Conductor) gangTickets(p *pass, w *waitingStep, adv *advice, idle bool) []specifier.ServerID {
+	admitted, unknown := c.admittedServers(p, w)
+	admitted = w.withoutHeld(admitted)
+	if fitsOn(admitted, len(w.waiting), w.fits) {
+		return w.expiringTickets(p.now, adv, admitted)
+	}
+	if names := w.unknownServers(admitted, unknown, idle); len(names) > 0 || !idle {
+		return names
+	}
+	return w.expiringTickets(p.now, adv, admitted)
+}
+
+// expiringTickets returns the servers among those that suit the gang best whose tickets expire before a call for all of them
+// could renew them.
+func (w *waitingStep) expiringTickets(now time.Time, adv *advice, admitted []*session) []specifier.ServerID {
+	slices.SortFunc(admitted, w.compareNearness)
+	needed := countServers(admitted, w.withSpare(), w.fits)
+	named := max(needed, min(countServers(admitted, renewalFactor*len(w.waiting), w.fits), maxAdviceServers))
+	neededUntil := now.Add(w.adviceTime(min(named, maxAdviceServers)) + 2*ticketMargin)
+	var names []specifier.ServerID
+	for _, s := range admitted[:named] {
+		if adv.granted[s.server.ID].validUntil.Before(neededUntil) {
+			names = append(names, s.server.ID)
+		}
+	}
+	return names
+}
+
+// unknownServers returns the servers about which advice is requested for a gang that does not fit the admitted ones. While
+// no advisors are idle, it returns none if the gang fits the admitted servers once other runs have ended, and further ones
+// are unlikely to let it start now.
+func (w *waitingStep) unknownServers(admitted, unknown []*session, idle bool) []specifier.ServerID {
+	unknown = slices.DeleteFunc(unknown, func(s *session) bool { return w.fitsEmpty(s) == 0 })
+	slices.SortFunc(unknown, w.compareNearness)
+	missing := len(w.waiting) - countTasks(admitted, w.fits)
+	if idle || countTasks(unknown, w.fits) >= adviceOverRequest*missing {
+		return serverIDs(unknown[:callSize(unknown, missing, w.fits)])
+	}
+	missing = w.withSpare() - countTasks(admitted, w.fitsEmpty)
+	if missing > 0 {
+		return serverIDs(unknown[:callSize(unknown, missing, w.fitsEmpty)])
 	}
+	return nil
+}
+
+func serverIDs(servers []*session) []specifier.ServerID {
+	ids := make([]specifier.ServerID, 0, len(servers))
+	for _, s := range servers {
+		ids = append(ids, s.server.ID)
+	}
+	return ids
+}
+
+// countTasks returns how many tasks fit the servers, given how many fit each server.
+func countTasks(servers []*session, fits func(*session) int) int {
 	fitting := 0
 	for _, s := range servers {
-		if !adv.refused[s.server.ID] {
-			fitting += w.fits(s)
-		}
-		if fitting >= needed {
-			return true
-		}
+		fitting += fits(s)
 	}
-	return false
+	return fitting
 }
 
-// callSize returns how many of the servers, in their order, a call should name to admit the given number of tasks.
-func (w *waitingStep) callSize(servers []*session, tasks int) int {
+// countServers returns how many of the servers, in their order, a number of tasks takes, given how many fit each server.
+func countServers(servers []*session, tasks int, fits func(*session) int) int {
 	fitting := 0
 	for n, s := range servers {
-		if n >= adviceServers && fitting >= adviceOverRequest*tasks {
+		if fitting >= tasks {
 			return n
 		}
-		fitting += w.fits(s)
+		fitting += fits(s)
 	}
 	return len(servers)
 }
 
-// serversToRequest returns the servers to name in the next call for a step, or none when the present tickets suffice.
-func (w *waitingStep) serversToRequest(now time.Time, adv *advice, servers []*session) []specifier.ServerID {
+// couldFit reports whether any task of the step, or all tasks of a gang, would fit if advice admitted all servers that it
+// has not refused.
+func (w *waitingStep) couldFit(adv *advice, servers []*session) bool {
+	return fitsOn(servers, w.required(), func(s *session) int {
+		if adv.refused[s.server.ID] {
+			return 0
+		}
+		return w.fits(s)
+	})
+}
+
+// fitsOn reports whether a number of tasks fits the servers, given how many fit each server.
+func fitsOn(servers []*session, tasks int, fits func(*session) int) bool {
+	fitting := 0
+	for _, s := range servers {
+		fitting += fits(s)
+		if fitting >= tasks {
+			return true
+		}
+	}
+	return false
+}
+
+// callSize returns how many of the servers, in their order, a call should name to admit the given number of tasks, given
+// how many of them fit each server.
+func callSize(servers []*session, tasks int, fits func(*session) int) int {
+	return min(max(adviceServers, countServers(servers, adviceOverRequest*tasks, fits)), len(servers))
+}
+
+// ticketsInAdvance returns the servers to name in the next call for a step, so that it can start as soon as it fits, or none
+// when the present tickets suffice.
+func (w *waitingStep) ticketsInAdvance(now time.Time, adv *advice, servers []*session) []specifier.ServerID {
 	var expired, unknown []*session
 	fitting := 0
 	for _, s := range servers {
@@ -185,16 +301,13 @@
 	if fitting >= wanted {
 		return names
 	}
-	limit := max(0, min(w.callSize(unknown, wanted-fitting), maxAdviceServers-len(names)))
+	limit := max(0, min(callSize(unknown, wanted-fitting, w.fits), maxAdviceServers-len(names)))
 	// All members of a gang need tickets that are valid at the same time, which the tickets of successive calls may not
 	// be.
 	if !w.step.Spec.Gang && time.Duration(limit)*w.job.queue.Advice.PerServer > longAdvice {
 		limit = min(limit, adviceServers)
 	}
-	for _, s := range unknown[:limit] {
-		names = append(names, s.server.ID)
-	}
-	return names
+	return append(names, serverIDs(unknown[:limit])...)
 }
 
 // applyAdvice records the tickets of an advice call and the servers that the call refused, and frees its advisor.
@@ -207,7 +320,10 @@
 		return
 	}
 	adv := j.adviceFor(e.Step)
-	adv.pendingUntil = time.Time{}
+	adv.calls--
+	if adv.calls <= 0 {
+		adv.calls, adv.pendingUntil = 0, time.Time{}
+	}
 	if e.Failed {
 		return
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -28,9 +28,11 @@
 	// seen them.
 	lastFences   map[specifier.ServerID]int64
 	waitingSteps map[specifier.StepID]*waitingStep
-	lanes        [CommitLanes]lane
-	dirty        []*job
-	advisors     adviser.Pool
+	// holds is, for each service, the step that servers are held for, if any.
+	holds    map[string]*hold
+	lanes    [CommitLanes]lane
+	dirty    []*job
+	advisors adviser.Pool
 
 	commands []Command
 	// cancelledEarly are the jobs whose cancellation was read before the job itself.
@@ -45,10 +47,12 @@
 	placeNotBefore time.Time
 	// commitNotBefore is the earliest time of the next commit, unless a full batch waits.
 	commitNotBefore time.Time
-	// renewalPass and sweepPass limit how often all servers are scanned, and expirePass how often all jobs are.
+	// renewalPass and sweepPass limit how often all servers are scanned, expirePass how often all jobs are, and holdPass
+	// how often held servers are chosen.
 	renewalPass throttle
 	sweepPass   throttle
 	expirePass  throttle
+	holdPass    throttle
 	// reachableAt is when at least half of the listed servers were last reachable; the first check counts as such a
 	// time.
 	reachableAt time.Time
@@ -89,9 +93,11 @@
 		scheduled:    make(map[specifier.JobID]*job),
 
 		cancelledEarly: make(map[specifier.JobID]bool),
+		holds:          make(map[string]*hold),
 		renewalPass:    throttle{interval: renewalPassInterval},
 		sweepPass:      throttle{interval: sweepInterval},
 		expirePass:     throttle{interval: expireInterval},
+		holdPass:       throttle{interval: holdInterval},
 	}
 	for _, option := range options {
 		option(&c.settings)
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -6,8 +6,8 @@
 func (c *Conductor) placeGang(p *pass, w *waitingStep, servers []*session) bool {
 	chosen := w.chooseForGang(servers)
 	if chosen == nil {
-		if w.tier == onTime && len(servers) > 0 {
-			p.holdCapacity(w, servers)
+		if w.tier == onTime {
+			w.holdCapacity(servers)
 		}
 		return false
 	}
@@ -64,16 +64,15 @@
 
 // holdCapacity withholds the servers with the most free capacity from steps without a higher priority, for a gang that
 // does not fit yet. It takes as many servers as would fit the gang when empty.
-func (p *pass) holdCapacity(w *waitingStep, servers []*session) {
+func (w *waitingStep) holdCapacity(servers []*session) {
 	slices.SortFunc(servers, compareFreeCapacity)
 	expected := 0
-	for _, s := range servers {
+	for i, s := range servers {
 		if expected >= len(w.waiting) {
-			return
-		}
-		expected += w.need().Count(s.server.Capacity, len(w.waiting))
-		if _, held := p.heldFor[s.server.ID]; !held {
-			p.heldFor[s.server.ID] = w.job.queue.Priority
+			servers = servers[:i]
+			break
 		}
+		expected += w.fitsEmpty(s)
 	}
+	w.hold(servers)
 }
--- a/conductor/gang_test.go
+++ b/conductor/gang_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/specifier"
 )
 
@@ -23,3 +24,52 @@
 	require.Empty(t, w.violations)
 	require.Equal(t, specifier.Completed, w.state(job.ID))
 }
+
+// TestLateGangRunsBesideSmallerJobs guards against a gang that has missed its objective and never runs, because smaller
+// jobs take its capacity or its tickets have expired whenever all of its tasks would fit.
+func TestLateGangRunsBesideSmallerJobs(t *testing.T) {
+	runLateJobBesideSmallerOnes(t, 50, jobOptions{Tasks: 32, MilliCores: 30000, Seconds: 1, Gang: true, Advice: true})
+}
+
+// TestLateLargeTaskRunsBesideSmallerJobs guards against a task that needs nearly a whole server and never runs, because
+// smaller jobs keep a part of each admitted server.
+func TestLateLargeTaskRunsBesideSmallerJobs(t *testing.T) {
+	runLateJobBesideSmallerOnes(t, 85, jobOptions{Tasks: 1, MilliCores: 63000, Seconds: 1, Advice: true})
+}
+
+// runLateJobBesideSmallerOnes submits a job that misses its objective because all servers are in use, and then smaller jobs
+// until the end, perSecond of which take 36 of the 3,840 cores each for a second.
+func runLateJobBesideSmallerOnes(t *testing.T, perSecond int, options jobOptions) {
+	const servers, loadSeconds = 60, 45
+	w := newSimulation(t, 4, servers)
+	w.deliver(w.epoch, conductor.AdvisorsChanged{Advisors: []string{"a", "b", "c", "d", "e", "f", "g", "h"}})
+	w.grantOneIn, w.grantsDiffer = 3, true
+	filling := newJob(1, jobOptions{Tasks: servers, MilliCores: 40000, Seconds: 9})
+	w.at(w.start.Add(time.Second), func() { w.submit(filling) })
+	for n := range perSecond * loadSeconds {
+		job := newJob(2+n, jobOptions{Tasks: 4, MilliCores: 9000, Seconds: 1, Advice: true})
+		job.Queue.Advice = specifier.AdviceCost{Needed: true, Fixed: 14 * time.Millisecond, PerServer: 208 * time.Microsecond}
+		w.at(w.start.Add(9*time.Second+time.Duration(n)*time.Second/time.Duration(perSecond)), func() { w.submit(job) })
+	}
+	late := newJob(0, options)
+	late.Queue.Advice = specifier.AdviceCost{Needed: true, Fixed: 559 * time.Millisecond, PerServer: 8 * time.Millisecond}
+	w.at(w.start.Add(3*time.Second), func() { w.submit(late) })
+	w.runUntil(loadSeconds * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, specifier.Completed, w.state(late.ID))
+}
+
+// TestGangWiderThanAnAdviceCallRuns guards against a gang that never runs, because it needs tickets of more servers than
+// one call may name and those of successive calls are not valid at the same time.
+func TestGangWiderThanAnAdviceCallRuns(t *testing.T) {
+	const servers, oneIn = 600, 3
+	w := newSimulation(t, 5, servers)
+	w.deliver(w.epoch, conductor.AdvisorsChanged{Advisors: []string{"a", "b", "c", "d", "e", "f", "g", "h"}})
+	w.grantOneIn = oneIn
+	gang := newJob(0, jobOptions{Tasks: 190, MilliCores: 40000, Seconds: 1, Gang: true, Advice: true})
+	gang.Queue.Advice = specifier.AdviceCost{Needed: true, Fixed: 559 * time.Millisecond, PerServer: 15 * time.Millisecond}
+	w.at(w.start.Add(time.Second), func() { w.submit(gang) })
+	w.runUntil(30 * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, specifier.Completed, w.state(gang.ID))
+}
--- /dev/null
+++ b/conductor/hold.go
@@ -0,0 +1,207 @@
+package conductor
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// holdAfter is how long a step waits before servers are held for it, and holdAfterContended how long while jobs that can
+	// still meet their objective compete for the capacity.
+	holdAfter          = 3 * time.Second
+	holdAfterContended = 30 * time.Second
+	// backlogAfter is how long a step waits before it counts as competing for capacity; advice takes up to half a second.
+	backlogAfter = 500 * time.Millisecond
+	// busyPercent is how much of a service's capacity is in use when it counts as busy.
+	busyPercent = 50
+	// holdTimeout is how long servers are held for a step that does not start. A straggler on one of them may take
+	// longer, and other steps wait for their turn.
+	holdTimeout = 20 * time.Second
+	// holdInterval is how often the held servers are chosen anew; each choice sorts the servers.
+	holdInterval = 50 * time.Millisecond
+	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
+	// straggler on one server does not delay the gang.
+	holdSpare = 4
+)
+
+// hold withholds servers from other steps, except those of a higher priority, for a step that has waited for long. Without
+// it, smaller steps would take the capacity that the step needs whenever a part of it becomes free. Servers are held for one
+// step of a service only, so that others can start on the remaining ones.
+type hold struct {
+	step    specifier.StepID
+	begunAt time.Time
+	// expiresAt is when the hold ends if the step has not started.
+	expiresAt time.Time
+	// servers are the held servers. There are none while advice about more servers is needed.
+	servers []*session
+}
+
+// holder is the step that a server is held for in a pass, and the priority of its queue.
+type holder struct {
+	step     specifier.StepID
+	priority int
+}
+
+// required returns how many of the waiting tasks have to fit for the step to start: all tasks of a gang, or one.
+func (w *waitingStep) required() int {
+	if w.step.Spec.Gang {
+		return len(w.waiting)
+	}
+	return 1
+}
+
+// withSpare returns the required number of tasks and some more.
+func (w *waitingStep) withSpare() int {
+	return w.required() + w.required()/holdSpare
+}
+
+// hasHold reports whether servers are held for the step, or are to be held once advice admits enough of them.
+func (c *Conductor) hasHold(w *waitingStep) bool {
+	h := c.holds[w.job.queue.Service]
+	return h != nil && h.step == w.step.ID
+}
+
+// updateHolds applies the holds to a pass. Every holdInterval it ends the holds that have expired, holds servers for the
+// step of each service that has waited longest, and chooses the held servers anew.
+func (c *Conductor) updateHolds(p *pass) {
+	for service, h := range c.holds {
+		w := c.waitingSteps[h.step]
+		if w == nil || w.wait.since.IsZero() || w.wait.since.After(h.begunAt) {
+			delete(c.holds, service)
+			continue
+		}
+		if !p.now.Before(h.expiresAt) {
+			c.logDecision("HoldExpired", h.step.Task(w.waiting[0]), 0, "", "")
+			w.wait.holdNotBefore = p.now.Add(holdAfter)
+			delete(c.holds, service)
+			continue
+		}
+		w.hold(h.servers)
+	}
+	if !c.holdPass.begin(p.now) {
+		return
+	}
+	for service, h := range c.holds {
+		if !c.chooseHeld(p, c.waitingSteps[h.step], h) {
+			delete(c.holds, service)
+		}
+	}
+	for _, w := range c.stepsToHoldFor(p) {
+		h := &hold{step: w.step.ID, begunAt: p.now, expiresAt: p.now.Add(holdTimeout)}
+		if c.holds[w.job.queue.Service] == nil && c.chooseHeld(p, w, h) {
+			c.holds[w.job.queue.Service] = h
+			w.hold(h.servers)
+			c.logDecision("HoldBegun", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("%d servers", len(h.servers)))
+		}
+	}
+}
+
+// hold withholds servers in this pass for the step, unless they are held for another one.
+func (w *waitingStep) hold(servers []*session) {
+	holder := &holder{step: w.step.ID, priority: w.job.queue.Priority}
+	for _, s := range servers {
+		if s.holder == nil {
+			s.holder = holder
+		}
+	}
+}
+
+// stepsToHoldFor returns the steps without a hold that have waited for long, oldest first.
+func (c *Conductor) stepsToHoldFor(p *pass) []*waitingStep {
+	var steps []*waitingStep
+	for _, w := range c.waitingSteps {
+		if w.wait.since.IsZero() || p.now.Before(w.wait.holdNotBefore) || c.hasHold(w) {
+			continue
+		}
+		if p.now.Sub(w.wait.since) >= p.holdAfter(w.job.queue.Service) {
+			steps = append(steps, w)
+		}
+	}
+	slices.SortFunc(steps, func(a, b *waitingStep) int {
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID), cmp.Compare(a.step.ID.Step, b.step.ID.Step))
+	})
+	return steps
+}
+
+// holdAfter returns how long a step of the service waits before servers are held for it.
+func (p *pass) holdAfter(service string) time.Duration {
+	if p.contended[service] {
+		return holdAfterContended
+	}
+	return holdAfter
+}
+
+// isBusy reports whether busyPercent of the servers' cores or memory is in use.
+func isBusy(servers []*session) bool {
+	cores, memory := percentInUse(servers)
+	return max(cores, memory) >= busyPercent
+}
+
+// hasBacklog reports whether steps of the service wait whose jobs can still meet their objective.
+func (c *Conductor) hasBacklog(now time.Time, service string) bool {
+	for _, w := range c.waitingSteps {
+		if w.job.queue.Service == service && w.tierAt(now) == onTime && !w.wait.since.IsZero() &&
+			now.Sub(w.wait.since) >= backlogAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseHeld chooses the servers to hold for a step: those on which its tasks fit soonest, until the step would fit if
+// they were empty, and some spare ones. It reports false when the step would not fit any servers.
+func (c *Conductor) chooseHeld(p *pass, w *waitingStep, h *hold) bool {
+	h.servers = nil
+	admitted, unknown := c.admittedServers(p, w)
+	admitted = slices.DeleteFunc(admitted, func(s *session) bool {
+		return w.fitsEmpty(s) == 0
+	})
+	slices.SortFunc(admitted, w.compareNearness)
+	if !fitsOn(admitted, w.required(), w.fitsEmpty) {
+		return slices.ContainsFunc(unknown, func(s *session) bool { return w.fitsEmpty(s) > 0 })
+	}
+	h.servers = admitted[:countServers(admitted, w.withSpare(), w.fitsEmpty)]
+	return true
+}
+
+// admittedServers returns the usable servers that may run the step, whether or not a ticket is valid now, and those about
+// which advice was not requested yet.
+func (c *Conductor) admittedServers(p *pass, w *waitingStep) (admitted, unknown []*session) {
+	candidates := p.candidates(w)
+	if !w.job.queue.Advice.Needed {
+		return candidates, nil
+	}
+	adv := w.job.adviceFor(w.step.ID)
+	for _, s := range candidates {
+		if _, granted := adv.granted[s.server.ID]; granted {
+			admitted = append(admitted, s)
+		} else if !adv.refused[s.server.ID] {
+			unknown = append(unknown, s)
+		}
+	}
+	return admitted, unknown
+}
+
+// compareNearness orders the server first on which more tasks of the step fit now, and then the one with the larger part
+// of a further task's need free.
+func (w *waitingStep) compareNearness(a, b *session) int {
+	return cmp.Or(cmp.Compare(w.nearness(b), w.nearness(a)), cmp.Compare(a.server.ID, b.server.ID))
+}
+
+// nearness returns how many times the need of a task is free on the server, as a fraction.
+func (w *waitingStep) nearness(s *session) float64 {
+	need, free := w.need(), s.freeCapacity()
+	nearness := float64(len(w.waiting))
+	for _, pair := range [...][2]int64{
+		{need.MilliCores, free.MilliCores}, {need.MemoryMB, free.MemoryMB}, {need.Accelerators, free.Accelerators},
+	} {
+		if pair[0] > 0 {
+			nearness = min(nearness, float64(pair[1])/float64(pair[0]))
+		}
+	}
+	return nearness
+}
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -54,6 +54,11 @@
 	// adviceOverRequest is the multiple of the needed capacity that the servers in a call should have free: the
 	// strictest queues of the sites admit about a third of the servers.
 	adviceOverRequest = 3
+	// spareAdvisors divides the advisors for long calls to get the number that must be free for tickets in advance of late
+	// gangs.
+	spareAdvisors = 3
+	// renewalFactor is the multiple of the needed capacity that the servers should have free for which a gang renews tickets.
+	renewalFactor = 2
 	// maxAdviceServers is the largest number of servers that the advice service accepts in a call.
 	maxAdviceServers = 100
 	// adviceRetryInterval is how long a step that needed no further advice is skipped, so that it is not checked in
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -14,8 +14,8 @@
 	now time.Time
 	// usable are the servers that may get new runs, by service.
 	usable map[string][]*session
-	// heldFor is, for each server whose capacity is held for a waiting gang, the priority of the gang's queue.
-	heldFor map[specifier.ServerID]int
+	// contended are the services of which much capacity is in use while jobs wait that can still meet their objective.
+	contended map[string]bool
 	// maxFree is, for each service, the largest free amount of each resource on any usable server.
 	maxFree map[string]specifier.Resources
 	// freeAdvisors is the number of advisors that are still free, and freeForLong how many of them may make a long
@@ -26,11 +26,12 @@
 
 func (c *Conductor) newPass(now time.Time) *pass {
 	p := &pass{
-		now: now, usable: make(map[string][]*session), heldFor: make(map[specifier.ServerID]int),
-		maxFree: make(map[string]specifier.Resources),
+		now: now, usable: make(map[string][]*session),
+		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources),
 	}
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
 	for _, s := range c.sessions {
+		s.holder = nil
 		if s.usable(now) {
 			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
 		}
@@ -38,6 +39,7 @@
 	for service, servers := range p.usable {
 		slices.SortFunc(servers, func(a, b *session) int { return cmp.Compare(a.server.ID, b.server.ID) })
 		p.updateMaxFree(service)
+		p.contended[service] = isBusy(servers) && c.hasBacklog(now, service)
 	}
 	return p
 }
@@ -71,6 +73,7 @@
 	c.replan, c.placeAgainAt = false, now.Add(placeInterval)
 	c.placeNotBefore = now.Add(min(max(time.Duration(len(c.waitingSteps))*passTimePerStep, minPassInterval), placeInterval))
 	p := c.newPass(now)
+	c.updateHolds(p)
 	for _, w := range c.inPlacementOrder(now) {
 		c.placeStep(p, w)
 	}
@@ -92,8 +95,8 @@
 func (c *Conductor) placeStep(p *pass, w *waitingStep) {
 	service := w.job.queue.Service
 	advised := w.job.queue.Advice.Needed
-	if advised && p.mayRequestAdvice(w) && c.requestAdvice(p.now, w, p.candidates(w)) {
-		p.countAdviceCall(w)
+	if advised && p.mayRequestAdvice(w) {
+		c.requestAdvice(p, w)
 	}
 	if !w.need().Fits(p.maxFree[service]) {
 		return
@@ -104,7 +107,7 @@
 	} else {
 		candidates = p.candidates(w)
 	}
-	candidates = p.withoutHeld(w, candidates)
+	candidates = w.withoutHeld(candidates)
 	placed := false
 	if w.step.Spec.Gang {
 		placed = c.placeGang(p, w, candidates)
@@ -125,23 +128,14 @@
 	return !p.now.Before(adv.pendingUntil) && !p.now.Before(adv.retryAt)
 }
 
-// countAdviceCall deducts the advisor of the call for the step from those that are free in this pass.
-func (p *pass) countAdviceCall(w *waitingStep) {
-	p.freeAdvisors--
-	if w.needsLongCall() {
-		p.freeForLong--
-	}
+// isHeldFrom reports whether the server is held for another step of the same or a higher priority.
+func (w *waitingStep) isHeldFrom(s *session) bool {
+	return s.holder != nil && s.holder.step != w.step.ID && w.job.queue.Priority >= s.holder.priority
 }
 
-// withoutHeld removes the servers that are held for a gang of the same or a higher priority.
-func (p *pass) withoutHeld(w *waitingStep, candidates []*session) []*session {
-	if len(p.heldFor) == 0 {
-		return candidates
-	}
-	return slices.DeleteFunc(candidates, func(s *session) bool {
-		priority, held := p.heldFor[s.server.ID]
-		return held && w.job.queue.Priority >= priority
-	})
+// withoutHeld removes the servers that are held for other steps.
+func (w *waitingStep) withoutHeld(servers []*session) []*session {
+	return slices.DeleteFunc(servers, w.isHeldFrom)
 }
 
 // fits returns how many waiting tasks of the step the server can take now.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -86,6 +86,8 @@
 	pending      []pendingEnd
 
 	health assessor.Health
+	// holder is the step that the server is held for in the present placement pass, if any.
+	holder *holder
 }
 
 func newSession(server specifier.Server, fence int64) *session {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -46,8 +47,10 @@
 	grantOneIn int
 	// refusedUntilRestart makes the advice service refuse the servers that have not restarted.
 	refusedUntilRestart bool
-	planned    bool
-	decisions  []string
+	// grantsDiffer makes the admitted servers of each step differ.
+	grantsDiffer bool
+	planned      bool
+	decisions    []string
 
 	// runs are all runs that were started, to check that no task runs twice or after its end.
 	runs []*fakeRun
@@ -243,7 +246,7 @@
 		w.after(c.ExpectedTime, func() {
 			var grants []specifier.Grant
 			for _, id := range c.Servers {
-				if w.refuses(id) {
+				if w.refuses(c.Step, id) {
 					continue
 				}
 				grants = append(grants, specifier.Grant{Server: id, Ticket: "t"})
@@ -260,11 +263,16 @@
 	}
 }
 
-// refuses reports whether the advice service refuses a server for all steps.
-func (w *simulation) refuses(id specifier.ServerID) bool {
+// refuses reports whether the advice service refuses a server for a step.
+func (w *simulation) refuses(step specifier.StepID, id specifier.ServerID) bool {
 	if w.refusedUntilRestart {
 		return w.servers[id].server.Incarnation == w.start.UnixMilli()
 	}
+	if w.grantsDiffer {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(step.String() + string(id)))
+		return h.Sum32()%uint32(w.grantOneIn) != 0
+	}
 	var number int
 	if _, err := fmt.Sscanf(string(id), "i-%d", &number); err != nil {
 		w.t.Fatalf("server %s has no number: %v", id, err)
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -10,11 +10,13 @@
 // firstWaitLine is how long a step waits before the log says why. The time to the next line doubles with each line.
 const firstWaitLine = time.Second
 
-// wait is how long a step has been waiting without interruption.
+// wait is how long a step has been waiting without any of its tasks being placed.
 type wait struct {
 	since time.Time
 	// nextLineAt is when the log says next why the step waits.
 	nextLineAt time.Time
+	// holdNotBefore is the earliest time of the next hold after one that expired.
+	holdNotBefore time.Time
 }
 
 // waitFigures are the inputs of the decision not to place a step.
@@ -31,16 +33,18 @@
 	// many would fit on the admitted servers now and without other runs; FitUnknownEmpty is the same for servers about which
 	// advice was not requested.
 	FitTickets, FitAdmitted, FitAdmittedEmpty, FitUnknownEmpty int
-	// Held are the servers with capacity that is held for other gangs.
+	// Held are the servers that are held for other steps.
 	Held         int
 	FreeAdvisors int
+	// CoresInUse and MemoryInUse are percentages of the usable servers of the service.
+	CoresInUse, MemoryInUse int
 }
 
 // logWaits logs why the steps that have been waiting for long are not placed.
 func (c *Conductor) logWaits(p *pass) {
 	for _, w := range c.waitingSteps {
 		if w.wait.since.IsZero() {
-			w.wait = wait{since: p.now, nextLineAt: p.now.Add(firstWaitLine)}
+			w.wait.since, w.wait.nextLineAt = p.now, p.now.Add(firstWaitLine)
 		}
 		if p.now.Before(w.wait.nextLineAt) {
 			continue
@@ -58,10 +62,11 @@
 	if advised && w.needsLongCall() {
 		figures.FreeAdvisors = p.freeForLong
 	}
+	figures.CoresInUse, figures.MemoryInUse = percentInUse(p.usable[w.job.queue.Service])
 	adv := w.job.adviceFor(w.step.ID)
 	for _, s := range p.candidates(w) {
 		figures.Servers++
-		if priority, held := p.heldFor[s.server.ID]; held && w.job.queue.Priority >= priority {
+		if w.isHeldFrom(s) {
 			figures.Held++
 		}
 		t, granted := adv.granted[s.server.ID]
@@ -83,6 +88,15 @@
 	return figures
 }
 
+// percentInUse returns how much of the servers' cores and memory is in use.
+func percentInUse(servers []*session) (cores, memory int) {
+	var used, capacity specifier.Resources
+	for _, s := range servers {
+		used, capacity = used.Plus(s.used), capacity.Plus(s.server.Capacity)
+	}
+	return int(100 * used.MilliCores / max(capacity.MilliCores, 1)), int(100 * used.MemoryMB / max(capacity.MemoryMB, 1))
+}
+
 // fitsEmpty returns how many waiting tasks of the step the server could take without other runs.
 func (w *waitingStep) fitsEmpty(s *session) int {
 	limit := len(w.waiting)
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -14,6 +14,8 @@
 	job     *job
 	step    *lifecycler.Step
 	waiting []int
+	// due is when the occurrence became due.
+	due time.Time
 	// latestStart is when the step has to start for its job to meet its objective.
 	latestStart time.Time
 	// worthlessAt is when the result of the job stops having any value to its caller.
@@ -42,9 +44,9 @@
 
 // refresh recomputes the waiting steps of a job.
 func (c *Conductor) refresh(j *job) {
-	waits := make(map[specifier.StepID]wait, len(j.waitingSteps))
+	previous := make(map[specifier.StepID]*waitingStep, len(j.waitingSteps))
 	for _, w := range j.waitingSteps {
-		waits[w.step.ID] = w.wait
+		previous[w.step.ID] = w
 		delete(c.waitingSteps, w.step.ID)
 	}
 	j.waitingSteps = j.waitingSteps[:0]
@@ -57,8 +59,14 @@
 		}
 		due := j.Spec.DueAt(step.ID.Occurrence)
 		w := &waitingStep{
-			job: j, step: step, waiting: waiting, worthlessAt: due.Add(worthlessAfter * allowed),
-			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)), wait: waits[step.ID],
+			job: j, step: step, waiting: waiting, due: due, worthlessAt: due.Add(worthlessAfter * allowed),
+			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)),
+		}
+		if before := previous[step.ID]; before != nil {
+			w.wait = before.wait
+			if len(waiting) < len(before.waiting) {
+				w.wait.since = time.Time{}
+			}
 		}
 		j.waitingSteps = append(j.waitingSteps, w)
 		c.waitingSteps[step.ID] = w
