Share the in-memory network of tests

Cause: tests of shards need calls between instances in virtual time, too. Change: the network of the coordinator's tests moves to the package tester. No change of behaviour.

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -18,6 +18,7 @@
 	"egretring.example/egretring/fakekeeper"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/tester"
 )
 
 const (
@@ -37,7 +38,7 @@
 type cell struct {
 	t         *testing.T
 	store     *fakekeeper.Transactional
-	network   *network
+	network   *tester.Network
 	instances []*coordinator.Coordinator
 	stores    []*faultyStore
 	servers   *fakeServers
@@ -47,7 +48,7 @@
 
 func newCell(t *testing.T, instances int, processors ...float64) *cell {
 	c := &cell{
-		t: t, store: fakekeeper.NewTransactional(), network: newNetwork(), servers: newFakeServers(),
+		t: t, store: fakekeeper.NewTransactional(), network: tester.NewNetwork(), servers: newFakeServers(),
 		current: specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{{
 			Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second,
 			Advice: specifier.AdviceCost{Needed: true, Fixed: 20 * time.Millisecond},
@@ -62,10 +63,10 @@
 		}
 		store := &faultyStore{TransactionalStore: c.store}
 		c.stores = append(c.stores, store)
-		instance, err := coordinator.New(c.network.listen(name),
+		instance, err := coordinator.New(c.network.Listen(name),
 			coordinator.WithStore(store), coordinator.WithBackendServers(c.servers),
 			coordinator.WithDirectory(&directory{cell: c, store: store}),
-			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.dial),
+			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.Dial),
 			coordinator.WithProcessors(share), coordinator.WithConductor(conductor.WithFinalStateRetention(finalStateRetention)),
 			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 		require.NoError(t, err)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -171,7 +171,7 @@
 // the owner.
 func TestOwnerUnreachable(t *testing.T) {
 	runWithCell(t, 2, func(t *testing.T, c *cell) {
-		c.network.cutOff("instance-0")
+		c.network.CutOff("instance-0")
 		require.NoError(t, c.submit(1, "a"))
 		time.Sleep(4 * runTime)
 		require.Equal(t, specifier.Completed, c.state(1, "a"))
@@ -184,7 +184,7 @@
 // watches return no changes and the instance that accepted them cannot call the owner.
 func TestWatchesWithoutChanges(t *testing.T) {
 	runWithCell(t, 2, func(t *testing.T, c *cell) {
-		c.network.cutOff("instance-0")
+		c.network.CutOff("instance-0")
 		c.store.SetFaults(fakekeeper.Faults{MuteWatches: true})
 		require.NoError(t, c.submit(1, "a"))
 		require.NoError(t, c.submit(1, longJob))
@@ -227,7 +227,7 @@
 		require.NoError(t, c.submit(1, "a"))
 		time.Sleep(3 * runTime)
 		require.Equal(t, specifier.Completed, c.state(0, "a"))
-		c.network.cutOff("instance-0")
+		c.network.CutOff("instance-0")
 		startedAt := time.Now()
 		require.Error(t, c.submit(1, "b"))
 		require.Less(t, time.Since(startedAt), callerTimeout/2)
--- a/coordinator/network_test.go
+++ b/tester/network.go
@@ -1,4 +1,4 @@
-package coordinator_test
+package tester
 
 import (
 	"context"
@@ -8,25 +8,27 @@
 	"github.com/pkg/errors"
 )
 
-// network connects instances in memory, so that virtual time passes while they wait for each other.
-type network struct {
+// Network connects instances in memory, so that virtual time passes while they wait for each other.
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	cut       map[string]bool
 }
 
-func newNetwork() *network {
-	return &network{listeners: make(map[string]*pipeListener), cut: make(map[string]bool)}
+// NewNetwork returns a network without listeners.
+func NewNetwork() *Network {
+	return &Network{listeners: make(map[string]*pipeListener), cut: make(map[string]bool)}
 }
 
-// cutOff makes an address unreachable; data written to it on open connections is dropped.
-func (n *network) cutOff(address string) {
+// CutOff makes an address unreachable; data written to it on open connections is dropped.
+func (n *Network) CutOff(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[address] = true
 }
 
-func (n *network) listen(address string) net.Listener {
+// Listen returns the listener of an address.
+func (n *Network) Listen(address string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := &pipeListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
@@ -34,7 +36,8 @@
 	return l
 }
 
-func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+// Dial connects to an address.
+func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l, cut := n.listeners[address], n.cut[address]
 	n.mu.Unlock()
@@ -55,7 +58,7 @@
 // partitionedConn drops what is written to an address that is cut off, like a connection across a network partition.
 type partitionedConn struct {
 	net.Conn
-	network *network
+	network *Network
 	address string
 }
 
