Decide in the core which servers shards lend to each other

Cause: an owner places its jobs only on the servers of its own shard. Change: the state machine knows which shard holds a server (Transfer), asks for servers that a waiting step lacks (Borrow), keeps servers free for the wishes of other shards and moves those that are idle (Move), and returns borrowed servers that no step needs. Callers see nothing yet. Why it works: a server is moved only when nothing that its owner has ordered can still run or be reported, so it always has one holder; the holder's fencing tokens begin at the larger of its epoch and the transfer's revision, which come from one counter.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -72,7 +72,7 @@
 	for id, t := range adv.granted {
 		s := c.sessions[id]
 		if s != nil && t.usable(now) && s.usable(now) &&
-			s.server.HasLabel(w.step.Spec.RequiredLabel) && s.server.Service == w.job.queue.Service {
+			s.server.HasLabel(w.step.Spec.RequiredLabel) && s.server.Service == w.job.queue.Service && s.mayRun(w) {
 			servers = append(servers, s)
 		}
 	}
--- /dev/null
+++ b/conductor/borrow.go
@@ -0,0 +1,230 @@
+package conductor
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// borrowInterval is how often the owner looks for steps that do not fit its servers, and askInterval how often it asks
+	// the other shards for the servers that such a step lacks.
+	borrowInterval = 250 * time.Millisecond
+	askInterval    = time.Second
+	// borrowAfter is how long a step must not fit before servers are borrowed for it. Servers that restart or are silent
+	// for a moment do not count as usable.
+	borrowAfter = time.Second
+	// maxBorrowTime bounds how long servers are borrowed for a step that does not start, and is then the time until they
+	// are borrowed for it again. It leaves time for long runs on the lent servers to end.
+	maxBorrowTime = 30 * time.Second
+	// returnAfter is how long no step must have needed foreign servers before they are returned. It covers the time in
+	// which a new owner finds the steps that need the servers of its predecessor.
+	returnAfter = 3 * time.Second
+	// maxBorrowingSteps bounds the steps for which servers are borrowed at a time.
+	maxBorrowingSteps = 4
+)
+
+// borrower decides which servers of other shards this one needs.
+type borrower struct {
+	pass throttle
+	// needs are the steps that do not fit the shard's own servers, the oldest first.
+	needs []ServersWanted
+	// neededAt is when a step last needed foreign servers.
+	neededAt time.Time
+	// askedAt is when the other shards were last asked.
+	askedAt time.Time
+}
+
+func newBorrower(now time.Time) borrower {
+	return borrower{pass: throttle{interval: borrowInterval}, neededAt: now}
+}
+
+// isForeign reports whether a server is borrowed.
+func (c *Conductor) isForeign(id specifier.ServerID) bool {
+	t, known := c.shard.transfers[id]
+	return known && t.Home != c.shard.index
+}
+
+// mayRun reports whether a step may run on the server: borrowed servers are kept for the steps that need them.
+func (s *session) mayRun(w *waitingStep) bool {
+	return !s.foreign || w.wait.borrows
+}
+
+// borrow asks other shards for the servers that waiting steps lack, and returns those that none needs.
+func (c *Conductor) borrow(now time.Time) {
+	if !c.borrower.pass.begin(now) {
+		return
+	}
+	c.borrower.needs = c.borrower.needs[:0]
+	usable := c.usableByHome(now)
+	var borrowing []*waitingStep
+	for _, w := range c.waitingSteps {
+		if c.needsForeign(now, w, usable) {
+			borrowing = append(borrowing, w)
+		}
+	}
+	slices.SortFunc(borrowing, func(a, b *waitingStep) int { return compareAge(a.wanted(), b.wanted()) })
+	for i, w := range borrowing {
+		if w.wait.borrows = i < maxBorrowingSteps; w.wait.borrows {
+			c.ask(now, w, usable)
+		}
+	}
+	if len(c.borrower.needs) > 0 {
+		c.borrower.neededAt = now
+	}
+	c.returnForeign(now)
+}
+
+// serversByHome are the usable servers of the shard, those at home and those that are borrowed.
+type serversByHome struct{ home, foreign []*session }
+
+func (c *Conductor) usableByHome(now time.Time) serversByHome {
+	var usable serversByHome
+	for _, s := range c.sessions {
+		switch {
+		case !s.available(now):
+		case s.foreign:
+			usable.foreign = append(usable.foreign, s)
+		default:
+			usable.home = append(usable.home, s)
+		}
+	}
+	return usable
+}
+
+// wanted describes the step to other shards.
+func (w *waitingStep) wanted() ServersWanted {
+	return ServersWanted{
+		Step: w.step.ID, AcceptedAt: w.job.Spec.AcceptedAt, Service: w.job.queue.Service, Need: w.need(),
+		MaxPerServer: w.step.Spec.MaxPerServer, RequiredLabel: w.step.Spec.RequiredLabel, Tasks: w.neededTasks(),
+	}
+}
+
+// neededTasks returns how many tasks of the step must fit at the same time.
+func (w *waitingStep) neededTasks() int {
+	if w.step.Spec.Gang {
+		return len(w.waiting)
+	}
+	return 1
+}
+
+// tasksThatFit returns how many tasks, up to the wanted number, fit the servers if these are empty.
+func (w *waitingStep) tasksThatFit(wanted ServersWanted, servers []*session) int {
+	adv := w.job.advice[w.step.ID]
+	fitting := 0
+	for _, s := range servers {
+		if adv == nil || !adv.refused[s.server.ID] {
+			fitting += wanted.fitsEmpty(s.server)
+		}
+		if fitting >= wanted.Tasks {
+			break
+		}
+	}
+	return fitting
+}
+
+// tasksElsewhere returns how many tasks would fit the servers of other shards if these are empty.
+func (c *Conductor) tasksElsewhere(w *waitingStep, wanted ServersWanted) int {
+	adv := w.job.advice[w.step.ID]
+	fitting := 0
+	for id, server := range c.shard.others {
+		if adv == nil || !adv.refused[id] {
+			fitting += wanted.fitsEmpty(server)
+		}
+	}
+	return fitting
+}
+
+// needsForeign reports whether a step fits the cell but has not fitted the shard's own servers for borrowAfter. A step
+// that does not fit the cell, or does not start in spite of the borrowed servers, would keep them from others.
+func (c *Conductor) needsForeign(now time.Time, w *waitingStep, usable serversByHome) bool {
+	wanted := w.wanted()
+	home := w.tasksThatFit(wanted, usable.home)
+	if home >= wanted.Tasks {
+		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
+		return false
+	}
+	if w.wait.unfitSince.IsZero() {
+		w.wait.unfitSince = now
+	}
+	if now.Sub(w.wait.unfitSince) < borrowAfter {
+		return false
+	}
+	if home+w.tasksThatFit(wanted, usable.foreign)+c.tasksElsewhere(w, wanted) < wanted.Tasks {
+		w.wait.unfitSince, w.wait.borrows = now, false
+		return false
+	}
+	if !w.wait.borrows {
+		w.wait.borrowsSince = now
+	}
+	if now.Sub(w.wait.borrowsSince) > maxBorrowTime {
+		w.wait.unfitSince, w.wait.borrows = now.Add(maxBorrowTime), false
+		return false
+	}
+	return true
+}
+
+// ask records that a step needs foreign servers, and asks other shards for those that it lacks.
+func (c *Conductor) ask(now time.Time, w *waitingStep, usable serversByHome) {
+	wanted := w.wanted()
+	adv := w.job.advice[w.step.ID]
+	home, foreign := w.tasksThatFit(wanted, usable.home), w.tasksThatFit(wanted, usable.foreign)
+	missing := wanted.Tasks - home - foreign
+	if adv != nil {
+		for id := range adv.refused {
+			if _, held := c.shard.others[id]; held || c.isForeign(id) {
+				wanted.Refused = append(wanted.Refused, id)
+			}
+		}
+	}
+	c.borrower.needs = append(c.borrower.needs, wanted)
+	if missing <= 0 || now.Before(w.wait.nextAskAt) {
+		return
+	}
+	w.wait.nextAskAt = now.Add(askInterval)
+	c.borrower.askedAt = now
+	wanted.Shard, wanted.Epoch = c.shard.index, c.epoch
+	elsewhere := c.tasksElsewhere(w, wanted)
+	wanted.Whole = elsewhere < lentShare*missing
+	wanted.Tasks = missing
+	if w.job.queue.Advice.Needed {
+		// Advice refuses some of the servers.
+		wanted.Tasks *= adviceOverRequest
+	}
+	for id, t := range c.shard.transfers {
+		if c.isOwn(t) {
+			wanted.Held = append(wanted.Held, id)
+		}
+	}
+	c.logDecision("ServersAsked", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf(
+		"%d tasks, %d fit the shard's servers, %d the %d borrowed ones, %d those of other shards; %d refused, asked for %d tasks",
+		w.neededTasks(), home, foreign, len(wanted.Held), elsewhere, len(wanted.Refused), wanted.Tasks))
+	c.emit(Borrow{Wanted: wanted})
+}
+
+// returnForeign returns the idle foreign servers that no step needs to their home shards.
+func (c *Conductor) returnForeign(now time.Time) {
+	idle := now.Sub(c.borrower.neededAt) >= returnAfter
+	var returned []Transfer
+	for id, t := range c.shard.transfers {
+		if t.Home == c.shard.index || !c.isOwn(t) || c.shard.moving[id] {
+			continue
+		}
+		s := c.sessions[id]
+		// A server that is neither listed nor has runs has no session.
+		if s == nil && !idle || s != nil && (!c.idle(s) || !idle && c.useful(s)) {
+			continue
+		}
+		returned = append(returned, t)
+	}
+	c.move(returned, func(t Transfer) Transfer { return Transfer{Server: t.Server, Shard: t.Home, Home: t.Home} })
+}
+
+// useful reports whether any step that needs foreign servers could run on the server.
+func (c *Conductor) useful(s *session) bool {
+	return len(c.borrower.needs) == 0 || slices.ContainsFunc(c.borrower.needs, func(wanted ServersWanted) bool {
+		return wanted.fitsEmpty(s.server) > 0 && !slices.Contains(wanted.Refused, s.server.ID)
+	})
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -16,6 +16,7 @@
 // Conductor is the state machine of the owner. It is not safe for concurrent use.
 type Conductor struct {
 	settings   settings
+	epoch      int64
 	firstFence int64
 	startedAt  time.Time
 	// predecessorLeasesEnd is when all leases that earlier owners may have renewed have ended.
@@ -53,6 +54,10 @@
 	// time.
 	reachableAt time.Time
 	resigned    bool
+
+	shard    shard
+	borrower borrower
+	lender   lender
 }
 
 // job is a job with its state machine and what the conductor needs to place and commit it.
@@ -80,6 +85,7 @@
 func New(now time.Time, epoch int64, options ...Option) *Conductor {
 	c := &Conductor{
 		settings:     settings{lease: defaultLease, maxLease: 2 * defaultLease, finalRetention: 3 * time.Minute},
+		epoch:        epoch,
 		firstFence:   epoch * fencesPerOwner,
 		startedAt:    now,
 		jobs:         make(map[specifier.JobID]*job),
@@ -97,6 +103,12 @@
 		option(&c.settings)
 	}
 	c.predecessorLeasesEnd = now.Add(handoverGrace + c.settings.lease)
+	c.shard = shard{
+		index: c.settings.shardIndex, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
+		moving: make(map[specifier.ServerID]bool), others: make(map[specifier.ServerID]specifier.Server),
+	}
+	c.borrower = newBorrower(now)
+	c.lender = newLender()
 	return c
 }
 
@@ -114,7 +126,8 @@
 	case RenewEnded:
 		c.renewalEnded(now, e)
 	case ServersListed:
-		c.updateServers(now, e.Servers)
+		c.applyTransfers(e.Transfers)
+		c.updateServers(now, c.heldServers(e.Servers))
 	case Configured:
 		c.applyConfiguration(e.Configuration)
 	case AdvisorsChanged:
@@ -125,6 +138,10 @@
 		c.jobsDeleted(e)
 	case PredecessorsStopped:
 		c.predecessorsStopped(now)
+	case ServersWanted:
+		c.wanted(now, e)
+	case Moved:
+		c.moved(now, e)
 	}
 }
 
@@ -133,6 +150,10 @@
 	c.beginDue(now)
 	c.place(now)
 	c.commit(now)
+	if c.sharded() {
+		c.borrow(now)
+		c.lend(now)
+	}
 	if c.renewalPass.begin(now) {
 		c.renewLeases(now)
 	}
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -40,8 +40,12 @@
 	Report   specifier.ServerReport
 }
 
-// ServersListed reports all registered backend servers.
-type ServersListed struct{ Servers []specifier.Server }
+// ServersListed reports all registered backend servers of the cell. Transfers are those that were read since the last
+// list; those of a new owner were read after its election.
+type ServersListed struct {
+	Servers   []specifier.Server
+	Transfers []Transfer
+}
 
 // Configured reports the configuration in force.
 type Configured struct{ Configuration specifier.Configuration }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -14,7 +14,7 @@
 	if known := c.sessions[id]; known != nil {
 		return known
 	}
-	created := newSession(specifier.Server{ID: id}, max(c.firstFence, c.lastFences[id]))
+	created := newSession(specifier.Server{ID: id}, c.firstFenceOf(id))
 	created.predecessorLease = true
 	created.leaseEnd = c.predecessorLeasesEnd
 	c.sessions[id] = created
@@ -53,14 +53,14 @@
 			s.server = server
 		}
 		s.listed = true
+		s.foreign = c.isForeign(server.ID)
 	}
 	for id, s := range c.sessions {
-		if !present[id] {
+		if !present[id] && !s.moving {
 			s.listed = false
 		}
 		if !s.listed && len(s.allocations) == 0 && now.After(s.leaseEnd) {
-			c.lastFences[id] = s.fence
-			delete(c.sessions, id)
+			c.removeSession(s)
 		}
 	}
 }
@@ -108,7 +108,7 @@
 			s.reconciled = false
 			s.fence++
 		}
-		if s.renewalInFlight || now.Before(s.nextRenewalAt) || s.server.Address == "" {
+		if s.moving || s.renewalInFlight || now.Before(s.nextRenewalAt) || s.server.Address == "" {
 			continue
 		}
 		if !s.listed && len(s.allocations) == 0 {
@@ -146,7 +146,9 @@
 
 func (c *Conductor) renewalEnded(now time.Time, e RenewEnded) {
 	s := c.sessions[e.Server]
-	if s == nil {
+	// Responses to an earlier session of a server that was transferred and returned say nothing about this one, and the
+	// server may have a new owner while it is being moved.
+	if s == nil || s.moving || e.Fence < s.firstFence {
 		return
 	}
 	newest := e.Sequence == s.renewalSequence
--- /dev/null
+++ b/conductor/lend.go
@@ -0,0 +1,264 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// lendInterval is how often the owner decides which servers to lend.
+	lendInterval = 100 * time.Millisecond
+	// wishLifetime is how long a wish counts after it was last repeated.
+	wishLifetime = 2500 * time.Millisecond
+	// lentShare is the divisor of the part of its servers that a shard lends at a time, so that it keeps some for its own
+	// jobs, unless the wish cannot be met otherwise.
+	lentShare = 2
+	// maxMoves bounds the servers in a transaction of the store, which admits 32 entries: two for each server and the keys
+	// of both owners.
+	maxMoves = 15
+)
+
+// lender decides which servers this shard lends to others.
+type lender struct {
+	pass   throttle
+	wishes map[wishKey]*wish
+}
+
+type wishKey struct {
+	shard int
+	step  specifier.StepID
+}
+
+// wish is a request of another shard for servers.
+type wish struct {
+	ServersWanted
+	// refused are also the servers that were returned since the wish was sent.
+	refused   map[specifier.ServerID]bool
+	held      map[specifier.ServerID]bool
+	expiresAt time.Time
+}
+
+func newLender() lender {
+	return lender{pass: throttle{interval: lendInterval}, wishes: make(map[wishKey]*wish)}
+}
+
+// wanted records a wish of another shard.
+func (c *Conductor) wanted(now time.Time, e ServersWanted) {
+	for key, known := range c.lender.wishes {
+		switch {
+		case key.shard != e.Shard || known.Epoch == e.Epoch:
+		case known.Epoch > e.Epoch:
+			return
+		default:
+			delete(c.lender.wishes, key)
+		}
+	}
+	c.lender.wishes[wishKey{e.Shard, e.Step}] = &wish{
+		ServersWanted: e, refused: setOf(e.Refused), held: setOf(e.Held), expiresAt: now.Add(wishLifetime),
+	}
+}
+
+func setOf(ids []specifier.ServerID) map[specifier.ServerID]bool {
+	set := make(map[specifier.ServerID]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
+// noteReturned records that a shard has returned a server, which it would return again.
+func (c *Conductor) noteReturned(before Transfer) {
+	for key, w := range c.lender.wishes {
+		if key.shard == before.Shard {
+			w.refused[before.Server] = true
+		}
+	}
+}
+
+// lend chooses the servers to lend anew, and transfers those that are idle.
+func (c *Conductor) lend(now time.Time) {
+	if !c.lender.pass.begin(now) {
+		return
+	}
+	for key, w := range c.lender.wishes {
+		if !now.Before(w.expiresAt) {
+			delete(c.lender.wishes, key)
+		}
+	}
+	previous := c.clearLent()
+	wishes := make([]*wish, 0, len(c.lender.wishes))
+	for _, w := range c.lender.wishes {
+		if !c.hasOlderNeed(w) {
+			wishes = append(wishes, w)
+		}
+	}
+	slices.SortFunc(wishes, func(a, b *wish) int { return compareAge(a.ServersWanted, b.ServersWanted) })
+	for _, w := range wishes {
+		c.choose(now, w, previous)
+	}
+	c.moveLent()
+	if len(previous) > 0 {
+		c.replan = true
+	}
+}
+
+// clearLent withdraws the choice of all servers that are not being moved, and returns the servers that were chosen.
+func (c *Conductor) clearLent() map[specifier.ServerID]bool {
+	previous := make(map[specifier.ServerID]bool)
+	for id, s := range c.sessions {
+		if s.lentTo != nil && !s.moving {
+			previous[id], s.lentTo = true, nil
+		}
+	}
+	return previous
+}
+
+// hasOlderNeed reports whether a step of this shard needs foreign servers itself and is older than the wish.
+func (c *Conductor) hasOlderNeed(w *wish) bool {
+	return slices.ContainsFunc(c.borrower.needs, func(own ServersWanted) bool {
+		return compareAge(own, w.ServersWanted) < 0
+	})
+}
+
+// choose chooses servers for a wish until they and those on their way fit the wanted tasks. Idle servers come first, then
+// those that were chosen before, then those with the least used cores.
+func (c *Conductor) choose(now time.Time, w *wish, previous map[specifier.ServerID]bool) {
+	fitting := c.tasksOnTheWay(w)
+	var candidates []*session
+	for _, s := range c.sessions {
+		if s.usable(now) && !w.refused[s.server.ID] && w.fitsEmpty(s.server) > 0 && !c.runsForGood(s) {
+			candidates = append(candidates, s)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *session) int {
+		return cmp.Or(
+			compareBool(len(a.allocations) == 0, len(b.allocations) == 0),
+			compareBool(previous[a.server.ID], previous[b.server.ID]),
+			cmp.Compare(a.used.MilliCores, b.used.MilliCores), cmp.Compare(a.server.ID, b.server.ID),
+		)
+	})
+	lendable := c.lendable(w)
+	for _, s := range candidates {
+		if fitting >= w.Tasks {
+			return
+		}
+		if !s.foreign {
+			if lendable <= 0 {
+				continue
+			}
+			lendable--
+		}
+		s.lentTo = w
+		fitting += w.fitsEmpty(s.server)
+	}
+}
+
+// tasksOnTheWay returns how many of the wanted tasks fit the servers that are chosen for the shard that borrows, and those
+// that were transferred to it and that it did not know of when it sent the wish.
+func (c *Conductor) tasksOnTheWay(w *wish) int {
+	fitting := 0
+	for id, s := range c.sessions {
+		if s.lentTo != nil && s.lentTo.Shard == w.Shard && !w.refused[id] {
+			fitting += w.fitsEmpty(s.server)
+		}
+	}
+	for id, t := range c.shard.transfers {
+		if t.Shard == w.Shard && !w.held[id] && !w.refused[id] {
+			fitting += w.fitsEmpty(c.shard.others[id])
+		}
+	}
+	return fitting
+}
+
+// lendable returns how many more of the shard's own servers may be lent or kept free for lending.
+func (c *Conductor) lendable(w *wish) int {
+	limit := c.shard.listedHome
+	if !w.Whole {
+		limit /= lentShare
+	}
+	for _, t := range c.shard.transfers {
+		if t.Home == c.shard.index && !c.isOwn(t) {
+			limit--
+		}
+	}
+	for _, s := range c.sessions {
+		if s.lentTo != nil && !s.foreign {
+			limit--
+		}
+	}
+	return limit
+}
+
+// runsForGood reports whether a run on the server lasts until its job is cancelled.
+func (c *Conductor) runsForGood(s *session) bool {
+	for _, a := range s.allocations {
+		j := c.jobs[a.task.Job]
+		if j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// idle reports whether nothing that this owner has ordered can still run or be reported on the server, and all records in
+// the store agree: an order without a known outcome keeps its allocation until the server has responded under a higher
+// fencing token.
+func (c *Conductor) idle(s *session) bool {
+	c.dropRecorded(s)
+	return !s.moving && s.listed && len(s.allocations) == 0 && len(s.pending) == 0 && len(s.unrecorded) == 0 && s.quiet &&
+		s.reconciled && s.clockKnown && s.responsive() && s.respondedFence == s.fence
+}
+
+// moveLent transfers the chosen servers that are idle.
+func (c *Conductor) moveLent() {
+	lent := make(map[int][]Transfer)
+	epochs := make(map[int]int64)
+	for _, s := range c.sessions {
+		if s.lentTo != nil && c.idle(s) {
+			lent[s.lentTo.Shard] = append(lent[s.lentTo.Shard], c.transferOf(s.server))
+			epochs[s.lentTo.Shard] = s.lentTo.Epoch
+		}
+	}
+	for shard, transfers := range lent {
+		c.move(transfers, func(t Transfer) Transfer {
+			return Transfer{Server: t.Server, Shard: shard, Home: t.Home, Epoch: epochs[shard]}
+		})
+	}
+}
+
+// move transfers servers to the shard that the function returns for each.
+func (c *Conductor) move(from []Transfer, target func(Transfer) Transfer) {
+	slices.SortFunc(from, func(a, b Transfer) int { return cmp.Or(cmp.Compare(a.Home, b.Home), cmp.Compare(a.Server, b.Server)) })
+	var command Move
+	for _, t := range from {
+		to := target(t)
+		if len(command.To) == maxMoves || len(command.To) > 0 && command.To[0].Shard != to.Shard {
+			c.emit(command)
+			command = Move{}
+		}
+		c.shard.moving[t.Server] = true
+		command.From, command.To = append(command.From, t), append(command.To, to)
+		if s := c.sessions[t.Server]; s != nil {
+			s.moving = true
+		}
+	}
+	if len(command.To) > 0 {
+		c.emit(command)
+	}
+}
+
+// FollowsTransfers reports whether the transfers may change: servers are lent, borrowed or asked for.
+func (c *Conductor) FollowsTransfers(now time.Time) bool {
+	if now.Sub(c.borrower.askedAt) < 2*wishLifetime {
+		return true
+	}
+	for _, t := range c.shard.transfers {
+		if t.Home == c.shard.index != c.isOwn(t) {
+			return true
+		}
+	}
+	return false
+}
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -1,6 +1,10 @@
 package conductor
 
-import "time"
+import (
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
 
 const (
 	// defaultLease is how long runs continue without renewal. A successor takes over within three seconds, and the runs
@@ -89,6 +93,9 @@
 	// maxLease is the longest lease that backend servers grant.
 	maxLease       time.Duration
 	finalRetention time.Duration
+	shardIndex     int
+	// homeOf is nil when the cell has one shard.
+	homeOf func(specifier.Server) int
 }
 
 // Option configures a Conductor.
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -121,6 +121,7 @@
 	j.Unplace(a.task, a.run)
 	c.stopGang(now, j, a.task.StepID, a.run)
 	c.changed(j)
+	c.noteUnrecorded(s, j)
 }
 
 // stopGang stops the other members of a gang's run after one of them was lost.
@@ -154,6 +155,7 @@
 		if j := c.jobs[a.task.Job]; j != nil {
 			j.Unplace(a.task, a.run)
 			c.changed(j)
+			c.noteUnrecorded(s, j)
 		}
 		return
 	}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -46,7 +46,7 @@
 func (p *pass) candidates(w *waitingStep) []*session {
 	var found []*session
 	for _, s := range p.usable[w.job.queue.Service] {
-		if s.server.HasLabel(w.step.Spec.RequiredLabel) {
+		if s.server.HasLabel(w.step.Spec.RequiredLabel) && s.mayRun(w) {
 			found = append(found, s)
 		}
 	}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -36,6 +36,7 @@
 	}
 	s.reconciled = true
 	s.respondedFence = max(s.respondedFence, e.Fence)
+	s.quiet = len(e.Report.Running) == 0 && len(e.Report.Ended) == 0
 }
 
 // runEnded releases the capacity of a run that has ended, records the end in its job, and queues the end for
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -56,6 +56,18 @@
 	fence      int64
 	// respondedFence is the highest fencing token under which the server has responded.
 	respondedFence int64
+	// firstFence is the first fencing token of the session.
+	firstFence int64
+	// foreign servers are borrowed from their home shard. They only run steps that do not fit the servers of this one.
+	foreign bool
+	// lentTo is set while the server gets no new runs because another shard wants it, and moving from the transaction that
+	// transfers the server until its outcome is known. Meanwhile the server counts as not owned.
+	lentTo *wish
+	moving bool
+	// quiet is set when the last report listed no runs and no ends.
+	quiet bool
+	// unrecorded are jobs whose records in the store may still name the server for a run that it does not have.
+	unrecorded []pendingEnd
 
 	allocations map[specifier.TaskID]*allocation
 	used        specifier.Resources
@@ -89,7 +101,7 @@
 }
 
 func newSession(server specifier.Server, fence int64) *session {
-	return &session{server: server, fence: fence, allocations: make(map[specifier.TaskID]*allocation)}
+	return &session{server: server, fence: fence, firstFence: fence, allocations: make(map[specifier.TaskID]*allocation)}
 }
 
 func (s *session) add(a *allocation) {
@@ -118,7 +130,12 @@
 
 // usable reports whether new runs may be placed on the server.
 func (s *session) usable(now time.Time) bool {
-	return s.reconciled && s.listed && s.clockKnown && !s.server.Draining && s.responsive() &&
+	return s.lentTo == nil && s.available(now)
+}
+
+// available reports whether new runs could be placed on the server if no other shard wanted it.
+func (s *session) available(now time.Time) bool {
+	return s.reconciled && s.listed && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
 		s.health.AllowsRun(now, len(s.allocations))
 }
 
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -15,6 +15,13 @@
 	since time.Time
 	// nextLineAt is when the log says next why the step waits.
 	nextLineAt time.Time
+	// unfitSince is since when the step does not fit the servers of its shard; it lies in the future while the step must
+	// not borrow. borrows is set while the step may run on servers of other shards.
+	unfitSince time.Time
+	borrows    bool
+	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
+	borrowsSince time.Time
+	nextAskAt    time.Time
 }
 
 // waitFigures are the inputs of the decision not to place a step.
