Lend backend servers between shards

Cause: a gang that fits the cell but not the servers of its shard never runs. Change: owners carry out Borrow as calls to the owners of the other shards, and Move as one transaction on condition of both ownerships and of the revision of egretring/transfers/SERVER, retried until its outcome is known. Transfers are read after an election and while servers are lent, borrowed or asked for. Owners of one of several shards now list the servers of the whole cell. Decisions ServersAsked, ServerLent, ServerReceived and ServerReturned. Before, callers saw such jobs queued for ever: on the state before, TestGangWiderThanShardRuns (170 tasks of a server each, 300 servers, two shards) fails with "expected: 2 (Completed), actual: 0 (Queued)" after 20 s. Evidence: TestGangWiderThanShardRuns with 170 and 280 tasks, and TestAdvisedGangWiderThanShardRuns, in which advice admits a third of the servers, pass; each task starts once, and no server gets orders of two owners under one token. go test ./conductor ./coordinator ./sharder ./platform passes.

--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -29,6 +29,10 @@
 		go o.advise(ctx, c, o.memberAddresses[c.Advisor])
 	case conductor.DeleteJobs:
 		go o.deleteJobs(ctx, c)
+	case conductor.Move:
+		go o.move(ctx, c)
+	case conductor.Borrow:
+		o.borrow(ctx, c)
 	case conductor.Resign:
 		o.elector.Resign(o.ownership.Epoch, c.Reason)
 	case conductor.Decision:
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -88,6 +88,8 @@
 	shouldHandOver func(similar int) bool
 	// advises reports whether an instance is designated to make advice calls for this owner; nil designates none.
 	advises func(instance string) bool
+	// shards is nil when the cell has one shard.
+	shards *Shards
 }
 
 // Option configures a Coordinator.
@@ -130,7 +132,7 @@
 
 // WithConductor sets options of the owner's state machine.
 func WithConductor(options ...conductor.Option) Option {
-	return func(s *settings) { s.conductor = options }
+	return func(s *settings) { s.conductor = append(s.conductor, options...) }
 }
 
 // WithInstance sets the name of the instance and the address on which other instances call it.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -142,9 +142,9 @@
 
 func (o *owner) followServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		servers, err := o.settings.directory.Servers(ctx)
+		listed, err := o.listServers(ctx)
 		if err == nil {
-			o.post(conductor.ServersListed{Servers: servers})
+			o.post(listed)
 			timekeeper.Sleep(ctx, listInterval)
 			continue
 		}
@@ -152,6 +152,25 @@
 	}
 }
 
+// listServers reads the servers, and their transfers while these may change.
+func (o *owner) listServers(ctx context.Context) (conductor.ServersListed, error) {
+	var listed conductor.ServersListed
+	follows := false
+	if o.settings.shards != nil {
+		o.query(ctx, func(stateMachine *conductor.Conductor) {
+			follows = stateMachine.FollowsTransfers(o.settings.clock.Now())
+		})
+	}
+	var err error
+	if follows {
+		if listed.Transfers, err = o.readTransfers(ctx); err != nil {
+			return listed, err
+		}
+	}
+	listed.Servers, err = o.settings.directory.Servers(ctx)
+	return listed, err
+}
+
 func (o *owner) followMembers(ctx context.Context) {
 	beganAt := o.settings.clock.Now()
 	for ctx.Err() == nil {
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -20,6 +20,7 @@
 	methodTake     = "Take"
 	methodAccept   = "Accept"
 	methodStopped  = "Stopped"
+	methodLend     = "Lend"
 )
 
 // maxAdviceTime bounds the calls of longCalls: advice calls through another instance and relayed submissions.
@@ -103,6 +104,7 @@
 		methodTake:     messenger.NewMethod(c.handleTake),
 		methodAccept:   messenger.NewMethod(c.handleAccept),
 		methodStopped:  messenger.NewMethod(c.handleStopped),
+		methodLend:     messenger.NewMethod(c.handleLend),
 	}
 }
 
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -40,7 +40,16 @@
 	if err != nil {
 		return errors.Wrap(err, "list backend servers")
 	}
-	o.stateMachine.Handle(now, conductor.ServersListed{Servers: servers})
+	listed := conductor.ServersListed{Servers: servers}
+	if o.settings.shards != nil {
+		// Since the election, only this owner can take servers away from the shard.
+		transfers, err := o.readTransfers(ctx)
+		if err != nil {
+			return err
+		}
+		listed.Transfers = o.deleteReturned(ctx, transfers, servers)
+	}
+	o.stateMachine.Handle(now, listed)
 	for id, record := range records {
 		if record.State.Final() {
 			o.restore(specifier.Job{ID: id}, record)
--- a/sharder/directory.go
+++ b/sharder/directory.go
@@ -40,21 +40,3 @@
 	d.configuration, d.found, d.readAt = configuration, found, requestedAt
 	return configuration, found, nil
 }
-
-// shardDirectory returns only the backend servers of a shard.
-type shardDirectory struct {
-	coordinator.Directory
-	shard Shard
-}
-
-// Servers implements coordinator.Directory.
-func (d shardDirectory) Servers(ctx context.Context) ([]specifier.Server, error) {
-	all, err := d.Directory.Servers(ctx)
-	assigned := make([]specifier.Server, 0, len(all)/d.shard.Count+1)
-	for _, server := range all {
-		if d.shard.HasServer(server) {
-			assigned = append(assigned, server)
-		}
-	}
-	return assigned, err
-}
--- a/sharder/shard.go
+++ b/sharder/shard.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/netip"
 
+	"egretring.example/egretring/elector"
 	"egretring.example/egretring/specifier"
 )
 
@@ -44,6 +45,16 @@
 	return fmt.Sprintf("%s%d/", rootPrefix, s.Index)
 }
 
+func (s Shard) withIndex(index int) Shard {
+	s.Index = index
+	return s
+}
+
+// ownerKey returns the key of the shard's owner among the keys of the cell.
+func (s Shard) ownerKey() string {
+	return shardStore{prefix: s.Prefix()}.storeKey(elector.OwnerKey)
+}
+
 // HasJob reports whether a job belongs to the shard.
 func (s Shard) HasJob(id specifier.JobID) bool {
 	return s.Index == jobShard(id, s.Count)
@@ -53,16 +64,21 @@
 	return hashOf(string(id)) % count
 }
 
-// HasServer reports whether a backend server belongs to the shard. Neighbouring addresses belong to different shards, so
+// HasServer reports whether a backend server belongs to the shard while it is not lent to another one. Neighbouring addresses belong to different shards, so
 // that the servers of a rack and of an availability zone are spread evenly.
 func (s Shard) HasServer(server specifier.Server) bool {
+	return s.Index == homeOf(server, s.Count)
+}
+
+// homeOf returns the shard to which a server belongs.
+func homeOf(server specifier.Server, count int) int {
 	address, err := netip.ParseAddrPort(server.Address)
 	if err != nil {
-		return s.Index == hashOf(server.Address)%s.Count
+		return hashOf(server.Address) % count
 	}
 	bytes := address.Addr().AsSlice()
 	lowBits := int(bytes[len(bytes)-2])<<8 | int(bytes[len(bytes)-1])
-	return s.Index == lowBits%s.Count
+	return lowBits % count
 }
 
 // HasAdvisor reports whether an instance is designated to make advice calls for the shard. The advice service handles the
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -98,12 +98,17 @@
 func (s *Sharder) optionsOf(shard Shard) []coordinator.Option {
 	options := []coordinator.Option{
 		coordinator.WithStore(shardStore{TransactionalStore: s.store, prefix: shard.Prefix()}),
-		coordinator.WithDirectory(shardDirectory{Directory: s.directory, shard: shard}),
+		coordinator.WithDirectory(s.directory),
 	}
 	if shard.Count == 1 {
 		return options
 	}
-	return append(options, coordinator.WithAdvisors(shard.HasAdvisor),
+	return append(options, coordinator.WithShards(coordinator.Shards{
+		Index: shard.Index, Count: shard.Count, Store: s.store,
+		OwnerKey: func(index int) string { return shard.withIndex(index).ownerKey() },
+		HomeOf:   func(server specifier.Server) int { return homeOf(server, shard.Count) },
+		Peer:     s.coordinatorAt,
+	}), coordinator.WithAdvisors(shard.HasAdvisor),
 		coordinator.WithHandOverCheck(func(similar int) bool { return s.shouldHandOver(shard, similar) }),
 		coordinator.WithElectionDelay(func() time.Duration { return s.electionDelay(shard) }))
 }
@@ -143,6 +148,14 @@
 	return nil
 }
 
+// coordinatorAt returns the coordinator of a shard, or nil before the layout is known.
+func (s *Sharder) coordinatorAt(index int) *coordinator.Coordinator {
+	if shards := s.coordinators(); len(shards) > 0 {
+		return shards[index]
+	}
+	return nil
+}
+
 // coordinatorOf returns the coordinator of a job's shard. Its error is NotReady before the layout is known.
 func (s *Sharder) coordinatorOf(id specifier.JobID) (*coordinator.Coordinator, error) {
 	shards := s.coordinators()
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +32,7 @@
 type cell struct {
 	t         *testing.T
 	store     *fakekeeper.Transactional
+	network   *tester.Network
 	instances []*sharder.Sharder
 	listed    []specifier.Server
 
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	servers map[specifier.ServerID]*fakeServer
 	starts  map[specifier.TaskID]int
+	// violations are the broken rules that the fake servers have seen.
+	violations []string
 }
 
 type fakeServer struct {
@@ -52,11 +54,13 @@
 	runs         map[specifier.TaskID]int
 	fence        int64
 	changed      chan struct{}
+	// senders are the coordinators that have sent orders under each fencing token.
+	senders map[int64]string
 }
 
 func newCell(t *testing.T, instances, servers int) *cell {
 	c := &cell{
-		t: t, store: fakekeeper.NewTransactional(), servers: make(map[specifier.ServerID]*fakeServer),
+		t: t, store: fakekeeper.NewTransactional(), network: tester.NewNetwork(), servers: make(map[specifier.ServerID]*fakeServer),
 		starts: make(map[specifier.TaskID]int),
 	}
 	for i := range servers {
@@ -65,7 +69,7 @@
 			ID: id, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Incarnation: 1,
 			Capacity: specifier.Resources{MilliCores: 64000},
 		})
-		c.servers[id] = &fakeServer{startedAt: time.Now(), runs: make(map[specifier.TaskID]int), changed: make(chan struct{})}
+		c.servers[id] = &fakeServer{startedAt: time.Now(), runs: make(map[specifier.TaskID]int), changed: make(chan struct{}), senders: make(map[int64]string)}
 	}
 	for i := range instances {
 		instance := sharder.New(sharder.Options{
@@ -79,30 +83,16 @@
 }
 
 func (c *cell) builder(instance int) sharder.Build {
-	return func(_ sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
+	return func(shard sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
 		name := fmt.Sprintf("instance-%d", instance)
-		return coordinator.New(idleListener(make(chan struct{})), append(options,
-			coordinator.WithBackendServers(c), coordinator.WithAdvice(c), coordinator.WithInstance(name, name),
-			coordinator.WithDial(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }),
+		address := fmt.Sprintf("%s:%d", name, shard.Index)
+		return coordinator.New(c.network.Listen(address), append(options,
+			coordinator.WithBackendServers(sender{cell: c, name: address}), coordinator.WithAdvice(c),
+			coordinator.WithInstance(name, address), coordinator.WithDial(c.network.Dial),
 			coordinator.WithLogger(c.logger(instance)))...)
 	}
 }
 
-// idleListener accepts no connections: the instances of these tests exchange everything through the store.
-type idleListener chan struct{}
-
-func (l idleListener) Accept() (net.Conn, error) {
-	<-l
-	return nil, net.ErrClosed
-}
-
-func (l idleListener) Close() error {
-	close(l)
-	return nil
-}
-
-func (l idleListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Servers implements coordinator.Directory.
 func (c *cell) Servers(context.Context) ([]specifier.Server, error) {
 	c.mu.Lock()
@@ -122,12 +112,22 @@
 		return specifier.Configuration{}, false, err
 	}
 	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}
-	return specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{queue}}, true, nil
+	advised := queue
+	advised.Name, advised.Prefix = "advised", "/advised/"
+	advised.Advice = specifier.AdviceCost{Needed: true, Fixed: 50 * time.Millisecond, TicketLife: ticketLife}
+	return specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{queue, advised}}, true, nil
 }
 
 // Advise implements coordinator.AdviceService.
-func (c *cell) Advise(context.Context, specifier.StepID, []specifier.ServerID) (coordinator.Advice, error) {
-	return coordinator.Advice{}, nil
+func (c *cell) Advise(_ context.Context, _ specifier.StepID, servers []specifier.ServerID) (coordinator.Advice, error) {
+	time.Sleep(50 * time.Millisecond)
+	advice := coordinator.Advice{ValidUntil: time.Now().Add(ticketLife)}
+	for _, id := range servers {
+		if admitted(id) {
+			advice.Grants = append(advice.Grants, specifier.Grant{Server: id, Ticket: "t"})
+		}
+	}
+	return advice, nil
 }
 
 // Start implements coordinator.BackendServers.
@@ -142,6 +142,7 @@
 		return specifier.OrderFenced
 	}
 	s.fence = order.Order.Fence
+	c.checkStart(s, order)
 	s.runs[order.Order.Task] = order.Order.Run
 	c.starts[order.Order.Task]++
 	time.AfterFunc(runTime, func() {
@@ -206,15 +207,19 @@
 }
 
 func (c *cell) submit(instance int, id specifier.JobID) error {
-	queue, err := c.instances[instance].Queue("h", "/q/x")
+	return c.submitSteps(instance, "/q/", id, specifier.Step{
+		Count: 3, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
+	})
+}
+
+func (c *cell) submitSteps(instance int, prefix string, id specifier.JobID, steps ...specifier.Step) error {
+	queue, err := c.instances[instance].Queue("h", prefix+"x")
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
-	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{{
-		Count: 3, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
-	}}})
+	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: steps})
 }
 
 func (c *cell) stop() {
@@ -227,9 +232,9 @@
 func runWithCell(t *testing.T, instances, servers int, test func(t *testing.T, c *cell)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, instances, servers)
+		defer c.stop()
 		time.Sleep(5 * time.Second)
 		test(t, c)
-		c.stop()
 	})
 }
 
