--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -19,6 +19,8 @@
 	// maxBorrowTime bounds how long servers are borrowed for a step that does not start, and is then the time until they
 	// are borrowed for it again. It leaves time for long runs on the lent servers to end.
 	maxBorrowTime = 30 * time.Second
+	// wholeAfter is how long a step borrows before the other shards lend more than their usual part for it.
+	wholeAfter = 5 * time.Second
 	// returnAfter is how long no step must have needed foreign servers before they are returned. It covers the time in
 	// which a new owner finds the steps that need the servers of its predecessor.
 	returnAfter = 3 * time.Second
@@ -185,25 +187,28 @@
 	}
 	w.wait.nextAskAt = now.Add(askInterval)
 	c.borrower.askedAt = now
-	wanted.Shard, wanted.Epoch = c.shard.index, c.epoch
+	wanted.Shard, wanted.Epoch, wanted.ReadRevision = c.shard.index, c.epoch, c.shard.readRevision
 	elsewhere := c.tasksElsewhere(w, wanted)
-	wanted.Whole = elsewhere < lentShare*missing
+	wanted.Whole = elsewhere+foreign < lentShare*(missing+foreign) || now.Sub(w.wait.borrowsSince) > wholeAfter
 	wanted.Tasks = missing
 	if w.job.queue.Advice.Needed {
 		// Advice refuses some of the servers.
 		wanted.Tasks *= adviceOverRequest
 	}
-	for id, t := range c.shard.transfers {
-		if c.isOwn(t) {
-			wanted.Held = append(wanted.Held, id)
-		}
-	}
-	c.logDecision("ServersAsked", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf(
-		"%d tasks, %d fit the shard's servers, %d the %d borrowed ones, %d those of other shards; %d refused, asked for %d tasks",
-		w.neededTasks(), home, foreign, len(wanted.Held), elsewhere, len(wanted.Refused), wanted.Tasks))
+	c.logAsked(w, fmt.Sprintf(
+		"%d tasks, %d fit the shard's servers, %d the borrowed ones, %d those of other shards; %d refused, asked for %d tasks, whole %t",
+		w.neededTasks(), home, foreign, elsewhere, len(wanted.Refused), wanted.Tasks, wanted.Whole))
 	c.emit(Borrow{Wanted: wanted})
 }
 
+// logAsked logs a wish unless it repeats the one before.
+func (c *Conductor) logAsked(w *waitingStep, detail string) {
+	if w.wait.asked != detail {
+		w.wait.asked = detail
+		c.logDecision("ServersAsked", w.step.ID.Task(w.waiting[0]), 0, "", detail)
+	}
+}
+
 // returnForeign returns the idle foreign servers that no step needs to their home shards.
 func (c *Conductor) returnForeign(now time.Time) {
 	idle := now.Sub(c.borrower.neededAt) >= returnAfter
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -37,7 +37,6 @@
 	ServersWanted
 	// refused are also the servers that were returned since the wish was sent.
 	refused   map[specifier.ServerID]bool
-	held      map[specifier.ServerID]bool
 	expiresAt time.Time
 }
 
@@ -57,7 +56,7 @@
 		}
 	}
 	c.lender.wishes[wishKey{e.Shard, e.Step}] = &wish{
-		ServersWanted: e, refused: setOf(e.Refused), held: setOf(e.Held), expiresAt: now.Add(wishLifetime),
+		ServersWanted: e, refused: setOf(e.Refused), expiresAt: now.Add(wishLifetime),
 	}
 }
 
@@ -166,7 +165,7 @@
 		}
 	}
 	for id, t := range c.shard.transfers {
-		if t.Shard == w.Shard && !w.held[id] && !w.refused[id] {
+		if t.Shard == w.Shard && t.Revision > w.ReadRevision && !w.refused[id] {
 			fitting += w.fitsEmpty(c.shard.others[id])
 		}
 	}
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -16,6 +16,9 @@
 	// transfers are the newest known transfers. Only this owner's transactions can take a server away from the shard, so
 	// that an older view of the others only delays a receipt.
 	transfers map[specifier.ServerID]Transfer
+	// readRevision is a revision of the store up to which all transfers were read: the owner's epoch, or that of a transfer
+	// in a later list.
+	readRevision int64
 	// moving are the servers of a Move whose outcome is not known yet. They count as not held.
 	moving map[specifier.ServerID]bool
 	// others are the listed servers that other shards hold, or held when the servers were last listed.
@@ -85,6 +88,7 @@
 // owner took effect, so that only newer revisions count.
 func (c *Conductor) applyTransfers(transfers []Transfer) {
 	for _, t := range transfers {
+		c.shard.readRevision = max(c.shard.readRevision, t.Revision)
 		if t.Revision > c.shard.transfers[t.Server].Revision {
 			c.applyTransfer(t)
 		}
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -22,6 +22,8 @@
 	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
 	borrowsSince time.Time
 	nextAskAt    time.Time
+	// asked describes the last wish in the log.
+	asked string
 }
 
 // waitFigures are the inputs of the decision not to place a step.
--- a/conductor/wish.go
+++ b/conductor/wish.go
@@ -23,8 +23,8 @@
 	RequiredLabel string `json:",omitempty"`
 	// Refused are the servers that advice has refused for the step.
 	Refused []specifier.ServerID `json:",omitempty"`
-	// Held are the transferred servers that the borrowing shard knows to hold.
-	Held []specifier.ServerID `json:",omitempty"`
+	// ReadRevision is a revision of the store up to which the borrowing shard has read all transfers.
+	ReadRevision int64
 	// Whole is set when the step would not fit the cell if each shard lent only a part of its servers.
 	Whole bool `json:",omitempty"`
 }
