Delete transfers of returned servers beside the recovery

Change: the deletion runs beside the term; a transfer that it overtakes fails on its condition and is tried again. Tests of the state machine for the holder of a server, its first fencing token, and the time of a transfer whose outcome is unknown. What callers saw: nothing; found by reading. The new tests fail when the epoch of the receiving owner is not compared (received_by_a_successor), when the revision is left out of the token (received_by_this_owner), and when an older read replaces a newer transfer (TestServerIsNotUsedDuringMove).

--- /dev/null
+++ b/conductor/lend_test.go
@@ -0,0 +1,169 @@
+package conductor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	lendEpoch = 100
+	// fenceUnit is the distance of the fencing tokens of two epochs.
+	fenceUnit = 1 << 16
+)
+
+// shardOwner is the owner of shard 1 of a cell; servers are at home in shard 0 or 1 as their zone says.
+type shardOwner struct {
+	*conductor.Conductor
+	now time.Time
+}
+
+func newShardOwner() *shardOwner {
+	now := time.Unix(1_700_000_000, 0)
+	homeOf := func(server specifier.Server) int {
+		if server.Zone == "1" {
+			return 1
+		}
+		return 0
+	}
+	return &shardOwner{Conductor: conductor.New(now, lendEpoch, conductor.WithShard(1, homeOf)), now: now}
+}
+
+func serverAt(home string) specifier.Server {
+	return specifier.Server{
+		ID: "i-1", Service: "s", Address: "i-1", Zone: home, Incarnation: 1, Capacity: specifier.Resources{MilliCores: 64000},
+	}
+}
+
+func commandsOf[C conductor.Command](commands []conductor.Command) []C {
+	var found []C
+	for _, command := range commands {
+		if c, ok := command.(C); ok {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+// planFor plans for a time and answers all lease renewals with an empty report.
+func (o *shardOwner) planFor(d time.Duration) []conductor.Command {
+	var all []conductor.Command
+	for end := o.now.Add(d); o.now.Before(end); o.now = o.now.Add(20 * time.Millisecond) {
+		commands := o.Plan(o.now)
+		for _, renew := range commandsOf[conductor.Renew](commands) {
+			o.Handle(o.now, conductor.RenewEnded{
+				Server: renew.Server.ID, Sequence: renew.Sequence, Fence: renew.Fence, SentAt: o.now,
+				Report: specifier.ServerReport{Incarnation: 1, Clock: time.Minute},
+			})
+		}
+		all = append(all, commands...)
+	}
+	return all
+}
+
+// TestHolderOfServer guards against a server with two owners, one of which does not know yet that it was replaced, and
+// against a fencing token that an earlier holder has used.
+func TestHolderOfServer(t *testing.T) {
+	cases := []struct {
+		name     string
+		home     string
+		transfer conductor.Transfer
+		want     int64
+	}{
+		{"at home", "1", conductor.Transfer{}, lendEpoch},
+		{"at home elsewhere", "0", conductor.Transfer{}, 0},
+		{"received by a predecessor", "0", conductor.Transfer{Shard: 1, Home: 0, Epoch: 90, Revision: 95}, lendEpoch},
+		{"received by this owner", "0", conductor.Transfer{Shard: 1, Home: 0, Epoch: lendEpoch, Revision: 130}, 130},
+		{"received by a successor", "0", conductor.Transfer{Shard: 1, Home: 0, Epoch: 120, Revision: 130}, 0},
+		{"lent", "1", conductor.Transfer{Shard: 0, Home: 1, Epoch: 90, Revision: 95}, 0},
+		{"returned to this owner", "1", conductor.Transfer{Shard: 1, Home: 1, Epoch: lendEpoch, Revision: 140}, 140},
+		{"returned to a successor", "1", conductor.Transfer{Shard: 1, Home: 1, Epoch: 120, Revision: 140}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o := newShardOwner()
+			listed := conductor.ServersListed{Servers: []specifier.Server{serverAt(c.home)}}
+			if c.transfer.Revision != 0 {
+				c.transfer.Server = "i-1"
+				listed.Transfers = []conductor.Transfer{c.transfer}
+			}
+			o.Handle(o.now, listed)
+			renewals := commandsOf[conductor.Renew](o.Plan(o.now))
+			if c.want == 0 {
+				require.Empty(t, renewals)
+				return
+			}
+			require.Len(t, renewals, 1)
+			require.Equal(t, c.want*fenceUnit, renewals[0].Fence)
+		})
+	}
+}
+
+// lendServer makes the owner send the transaction that lends its server to shard 0.
+func lendServer(t *testing.T, o *shardOwner) conductor.Move {
+	for range 2 {
+		// The server and one more, as at most half of them are lent.
+		other := serverAt("1")
+		other.ID, other.Address, other.Service = "i-2", "i-2", "other"
+		o.Handle(o.now, conductor.ServersListed{Servers: []specifier.Server{serverAt("1"), other}})
+		o.planFor(100 * time.Millisecond)
+	}
+	o.Handle(o.now, conductor.ServersWanted{
+		Shard: 0, Epoch: 110, Service: "s", Need: specifier.Resources{MilliCores: 1000}, Tasks: 1, ReadRevision: lendEpoch,
+	})
+	moves := commandsOf[conductor.Move](o.planFor(200 * time.Millisecond))
+	require.Len(t, moves, 1)
+	return moves[0]
+}
+
+func (o *shardOwner) renewsServer(d time.Duration) bool {
+	for _, renew := range commandsOf[conductor.Renew](o.planFor(d)) {
+		if renew.Server.ID == "i-1" {
+			return true
+		}
+	}
+	return false
+}
+
+// TestServerIsNotUsedDuringMove guards against a lender that goes on using a server whose transfer may have taken effect, or
+// that takes a read from before its transaction for a return.
+func TestServerIsNotUsedDuringMove(t *testing.T) {
+	o := newShardOwner()
+	move := lendServer(t, o)
+	before := conductor.ServersListed{Servers: []specifier.Server{serverAt("1")}}
+	require.False(t, o.renewsServer(time.Second))
+	o.Handle(o.now, before)
+	require.False(t, o.renewsServer(time.Second), "the outcome is still unknown")
+	move.To[0].Revision = 150
+	o.Handle(o.now, conductor.Moved{Transfers: move.To})
+	o.Handle(o.now, before)
+	require.False(t, o.renewsServer(time.Second), "the server is lent")
+	before.Transfers = []conductor.Transfer{{Server: "i-1", Shard: 1, Home: 1, Epoch: lendEpoch, Revision: 140}}
+	o.Handle(o.now, before)
+	require.False(t, o.renewsServer(time.Second), "the transfer is older than that to the other shard")
+	before.Transfers[0].Revision = 160
+	o.Handle(o.now, before)
+	require.True(t, o.renewsServer(time.Second))
+}
+
+// TestServerIsUsedAfterFailedMove guards against a server that no shard uses after a transaction without effect.
+func TestServerIsUsedAfterFailedMove(t *testing.T) {
+	o := newShardOwner()
+	move := lendServer(t, o)
+	o.planFor(3 * time.Second) // The wish expires.
+	o.Handle(o.now, conductor.Moved{Transfers: move.From})
+	require.True(t, o.renewsServer(time.Second))
+}
+
+// TestLostServerIsReturned guards against keys of borrowed servers that no longer exist and that nobody deletes.
+func TestLostServerIsReturned(t *testing.T) {
+	o := newShardOwner()
+	o.Handle(o.now, conductor.ServersListed{Transfers: []conductor.Transfer{{Server: "i-1", Shard: 1, Home: 0, Epoch: 90, Revision: 95}}})
+	moves := commandsOf[conductor.Move](o.planFor(5 * time.Second))
+	require.Len(t, moves, 1)
+	require.Equal(t, []conductor.Transfer{{Server: "i-1", Shard: 0, Home: 0}}, moves[0].To)
+}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -26,7 +26,9 @@
 	done            <-chan struct{}
 	commitTimeout   keeper.AdaptiveTimeout
 	intakeRevision  int64
-	delay           maxDelay
+	// recovered are the servers and transfers that were read after the election.
+	recovered conductor.ServersListed
+	delay     maxDelay
 }
 
 // queuedEvent is an event and the time at which it was posted.
@@ -64,6 +66,9 @@
 	go o.followMembers(ctx)
 	go o.awaitPredecessors(ctx)
 	go o.watchLag(ctx)
+	if c.settings.shards != nil {
+		go o.deleteReturned(ctx, o.recovered)
+	}
 	o.run(ctx)
 }
 
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -43,12 +43,11 @@
 	listed := conductor.ServersListed{Servers: servers}
 	if o.settings.shards != nil {
 		// Since the election, only this owner can take servers away from the shard.
-		transfers, err := o.readTransfers(ctx)
-		if err != nil {
+		if listed.Transfers, err = o.readTransfers(ctx); err != nil {
 			return err
 		}
-		listed.Transfers = o.deleteReturned(ctx, transfers, servers)
 	}
+	o.recovered = listed
 	o.stateMachine.Handle(now, listed)
 	for id, record := range records {
 		if record.State.Final() {
--- a/coordinator/transfer.go
+++ b/coordinator/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -44,30 +45,21 @@
 	return transfer, nil
 }
 
-// deleteReturned deletes the transfers of servers that are back at this shard, and returns the others. Those that are
-// older than this owner's election no longer serve a purpose: the epochs of this owner and its successors, and so their
-// fencing tokens, are higher than those of all earlier holders. The home shard of a server that is not listed is unknown
-// until it is listed again, under its former address or as a new incarnation that has seen no token.
-func (o *owner) deleteReturned(
-	ctx context.Context, transfers []conductor.Transfer, listed []specifier.Server,
-) []conductor.Transfer {
-	homes := make(map[specifier.ServerID]int, len(listed))
-	for _, server := range listed {
+// deleteReturned deletes the transfers of servers that are back at this shard. Those that are older than this owner's
+// election no longer serve a purpose: the epochs of this owner and its successors, and so their fencing tokens, are higher
+// than those of all earlier holders. A server that is not listed comes back under its former address or as a new
+// incarnation, which has seen no token.
+func (o *owner) deleteReturned(ctx context.Context, recovered conductor.ServersListed) {
+	homes := make(map[specifier.ServerID]int, len(recovered.Servers))
+	for _, server := range recovered.Servers {
 		homes[server.ID] = o.settings.shards.HomeOf(server)
 	}
 	index := o.settings.shards.Index
-	var returned, kept []conductor.Transfer
-	for _, t := range transfers {
-		home, isListed := homes[t.Server]
-		if t.Shard == index && t.Home == index && t.Revision < o.ownership.Epoch && (!isListed || home == index) {
-			returned = append(returned, t)
-		} else {
-			kept = append(kept, t)
-		}
-	}
-	for len(returned) > 0 {
-		batch := returned[:min(len(returned), maxTransferDeletes)]
-		returned = returned[len(batch):]
+	returned := slices.DeleteFunc(slices.Clone(recovered.Transfers), func(t conductor.Transfer) bool {
+		home, listed := homes[t.Server]
+		return t.Shard != index || t.Home != index || t.Revision > o.ownership.Epoch || listed && home != index
+	})
+	for batch := range slices.Chunk(returned, maxTransferDeletes) {
 		transaction := keeper.Transaction{Conditions: []keeper.Condition{o.cellCondition(index, o.ownership.Epoch)}}
 		for _, t := range batch {
 			key := transferKey(t.Server)
@@ -77,10 +69,8 @@
 		if _, err := o.settings.shards.Store.Commit(ctx, transaction); err != nil {
 			o.settings.logger.Info("failed to delete transfers of returned servers; a later owner deletes them",
 				"Transfers", len(batch), "Error", err.Error())
-			kept = append(kept, batch...)
 		}
 	}
-	return kept
 }
 
 // cellCondition returns the condition that a shard still has the owner of an epoch.
--- a/sharder/lending_test.go
+++ b/sharder/lending_test.go
@@ -59,6 +59,12 @@
 				time.Sleep(20 * time.Second)
 				c.requireCompleted(wideGang)
 				c.requireNoViolation()
+				require.NotEmpty(t, c.store.Keys(coordinator.TransferPrefix))
+				c.requireServersAtHome()
+				c.store.DeleteKey("egretring/0/owner")
+				c.store.DeleteKey("egretring/1/owner")
+				time.Sleep(5 * time.Second)
+				require.Empty(t, c.store.Keys(coordinator.TransferPrefix), "new owners delete the keys of returned servers")
 			})
 		})
 	}
