Check rarely whether a step that does not fit the cell does now

Cause: each step that never fits was compared with all servers of the cell four times a second. Change: a pause of 3 s after each such check. What callers saw: nothing yet.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -16,6 +16,9 @@
 	// borrowAfter is how long a step must not fit before servers are borrowed for it. Servers that restart or are silent
 	// for a moment do not count as usable.
 	borrowAfter = time.Second
+	// cellCheckInterval is the pause after a step was found not to fit the cell. Thousands of such steps may wait, and each
+	// check compares a step with all servers.
+	cellCheckInterval = 3 * time.Second
 	// maxBorrowTime bounds how long servers are borrowed for a step that does not start, and is then the time until they
 	// are borrowed for it again. It leaves time for long runs on the lent servers to end.
 	maxBorrowTime = 30 * time.Second
@@ -142,6 +145,9 @@
 // needsForeign reports whether a step fits the cell but has not fitted the shard's own servers for borrowAfter. A step
 // that does not fit the cell, or does not start in spite of the borrowed servers, would keep them from others.
 func (c *Conductor) needsForeign(now time.Time, w *waitingStep, usable serversByHome) bool {
+	if now.Before(w.wait.unfitSince) {
+		return false
+	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
 	if home >= wanted.Tasks {
@@ -155,7 +161,7 @@
 		return false
 	}
 	if home+w.tasksThatFit(wanted, usable.foreign)+c.tasksElsewhere(w, wanted) < wanted.Tasks {
-		w.wait.unfitSince, w.wait.borrows = now, false
+		w.wait.unfitSince, w.wait.borrows = now.Add(cellCheckInterval), false
 		return false
 	}
 	if !w.wait.borrows {
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -16,7 +16,7 @@
 	// nextLineAt is when the log says next why the step waits.
 	nextLineAt time.Time
 	// unfitSince is since when the step does not fit the servers of its shard; it lies in the future while the step must
-	// not borrow. borrows is set while the step may run on servers of other shards.
+	// not borrow, or cannot. borrows is set while the step may run on servers of other shards.
 	unfitSince time.Time
 	borrows    bool
 	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
