--- a/sharder/lending_test.go
+++ b/sharder/lending_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,6 +81,25 @@
 	})
 }
 
+// TestTaskWithLabelOfOtherShardRuns guards against a task that never runs because only another shard has its label.
+func TestTaskWithLabelOfOtherShardRuns(t *testing.T) {
+	runWithCell(t, 2, 300, func(t *testing.T, c *cell) {
+		labelled := slices.Clone(c.listed)
+		labelled[7].Labels = []string{"x"}
+		c.setListed(labelled)
+		step := specifier.Step{Count: 2, Need: specifier.Resources{MilliCores: 1000}, RequiredLabel: "x", Estimate: runTime}
+		for _, id := range []specifier.JobID{"a", "b", "c", "d"} {
+			require.NoError(t, c.submitSteps(0, "/q/", id, step))
+		}
+		time.Sleep(20 * time.Second)
+		for _, id := range []specifier.JobID{"a", "b", "c", "d"} {
+			c.requireCompleted(id)
+		}
+		c.requireNoViolation()
+		c.requireServersAtHome()
+	})
+}
+
 // TestLendingSurvivesFaults guards against a server with two owners, a task that runs twice, and jobs or lent servers that
 // are lost, when owners are replaced, answers of the store are lost or servers restart while servers are lent.
 func TestLendingSurvivesFaults(t *testing.T) {
