Lend idle servers to a shard with a backlog

Cause: an owner places jobs on the servers of its shard only. Change: a step that has waited for three seconds also asks for servers when it would fit its own shard; then only servers without runs are lent, by a shard in which nothing waits, and at most half of them. Evidence: TestBacklogUsesIdleServersOfOtherShard fails without the change (no server is transferred after 6 s).

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -19,6 +19,9 @@
 	// cellCheckInterval is the pause after a step was found not to fit the cell. Thousands of such steps may wait, and each
 	// check compares a step with all servers.
 	cellCheckInterval = 3 * time.Second
+	// borrowIdleAfter is how long a step that fits the shard's servers waits for other runs to end before idle servers of
+	// other shards are borrowed for it.
+	borrowIdleAfter = 3 * time.Second
 	// maxBorrowTime bounds how long servers are borrowed for a step that does not start, and is then the time until they
 	// are borrowed for it again. It leaves time for long runs on the lent servers to end.
 	maxBorrowTime = 30 * time.Second
@@ -142,7 +145,8 @@
 	return fitting
 }
 
-// needsForeign reports whether a step fits the cell but has not fitted the shard's own servers for borrowAfter. A step
+// needsForeign reports whether a step fits the cell but has not fitted the shard's own servers for borrowAfter, or has
+// waited on them for borrowIdleAfter. A step
 // that does not fit the cell, or does not start in spite of the borrowed servers, would keep them from others.
 func (c *Conductor) needsForeign(now time.Time, w *waitingStep, usable serversByHome) bool {
 	if now.Before(w.wait.unfitSince) {
@@ -150,7 +154,7 @@
 	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
-	if home >= wanted.Tasks {
+	if home >= wanted.Tasks && !w.hasWaitedFor(now, borrowIdleAfter) {
 		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
 		return false
 	}
@@ -174,12 +178,21 @@
 	return true
 }
 
+// hasWaitedFor reports whether none of the step's tasks has been placed for the given time.
+func (w *waitingStep) hasWaitedFor(now time.Time, limit time.Duration) bool {
+	return !w.wait.since.IsZero() && now.Sub(w.wait.since) >= limit
+}
+
 // ask records that a step needs foreign servers, and asks other shards for those that it lacks.
 func (c *Conductor) ask(now time.Time, w *waitingStep, usable serversByHome) {
 	wanted := w.wanted()
 	adv := w.job.advice[w.step.ID]
 	home, foreign := w.tasksThatFit(wanted, usable.home), w.tasksThatFit(wanted, usable.foreign)
-	missing := wanted.Tasks - home - foreign
+	wanted.IdleOnly = home >= wanted.Tasks
+	missing := wanted.Tasks - foreign
+	if !wanted.IdleOnly {
+		missing -= home
+	}
 	if adv != nil {
 		for id := range adv.refused {
 			if _, held := c.shard.others[id]; held || c.isForeign(id) {
@@ -195,15 +208,15 @@
 	c.borrower.askedAt = now
 	wanted.Shard, wanted.Epoch, wanted.ReadRevision = c.shard.index, c.epoch, c.shard.readRevision
 	elsewhere := c.tasksElsewhere(w, wanted)
-	wanted.Whole = elsewhere+foreign < lentShare*(missing+foreign) || now.Sub(w.wait.borrowsSince) > wholeAfter
+	wanted.Whole = !wanted.IdleOnly && (elsewhere+foreign < lentShare*(missing+foreign) || now.Sub(w.wait.borrowsSince) > wholeAfter)
 	wanted.Tasks = missing
 	if w.job.queue.Advice.Needed {
 		// Advice refuses some of the servers.
 		wanted.Tasks *= adviceOverRequest
 	}
 	c.logAsked(w, fmt.Sprintf(
-		"%d tasks, %d fit the shard's servers, %d the borrowed ones, %d those of other shards; %d refused, asked for %d tasks, whole %t",
-		w.neededTasks(), home, foreign, elsewhere, len(wanted.Refused), wanted.Tasks, wanted.Whole))
+		"%d tasks, %d fit the shard's servers, %d the borrowed ones, %d those of other shards; %d refused, asked for %d tasks, whole %t, idle only %t",
+		w.neededTasks(), home, foreign, elsewhere, len(wanted.Refused), wanted.Tasks, wanted.Whole, wanted.IdleOnly))
 	c.emit(Borrow{Wanted: wanted})
 }
 
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -114,10 +114,7 @@
 func (c *Conductor) stepsToHoldFor(p *pass) []*waitingStep {
 	var steps []*waitingStep
 	for _, w := range c.waitingSteps {
-		if w.wait.since.IsZero() || p.now.Before(w.wait.holdNotBefore) || c.hasHold(w) {
-			continue
-		}
-		if p.now.Sub(w.wait.since) >= p.holdAfter(w.job.queue.Service) {
+		if w.hasWaitedFor(p.now, p.holdAfter(w.job.queue.Service)) && !p.now.Before(w.wait.holdNotBefore) && !c.hasHold(w) {
 			steps = append(steps, w)
 		}
 	}
@@ -144,8 +141,7 @@
 // hasBacklog reports whether steps of the service wait whose jobs can still meet their objective.
 func (c *Conductor) hasBacklog(now time.Time, service string) bool {
 	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && w.tierAt(now) == onTime && !w.wait.since.IsZero() &&
-			now.Sub(w.wait.since) >= backlogAfter {
+		if w.job.queue.Service == service && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) {
 			return true
 		}
 	}
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -100,7 +100,7 @@
 	previous := c.clearLent()
 	wishes := make([]*wish, 0, len(c.lender.wishes))
 	for _, w := range c.lender.wishes {
-		if !c.hasOlderNeed(w) {
+		if !c.hasOlderNeed(w) && !(w.IdleOnly && c.hasWaiting(now, w.Service)) {
 			wishes = append(wishes, w)
 		}
 	}
@@ -132,12 +132,25 @@
 	})
 }
 
+// hasWaiting reports whether steps of the service wait in this shard for longer than advice takes.
+func (c *Conductor) hasWaiting(now time.Time, service string) bool {
+	for _, w := range c.waitingSteps {
+		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose chooses servers for a wish until they and those on their way fit the wanted tasks. Idle servers come first, then
 // those that were chosen before, then those with the least used cores.
 func (c *Conductor) choose(now time.Time, w *wish, previous map[specifier.ServerID]bool) {
 	fitting := c.tasksOnTheWay(w)
 	var candidates []*session
 	for _, s := range c.sessions {
+		if w.IdleOnly && len(s.allocations) > 0 {
+			continue
+		}
 		if s.usable(now) && !w.refused[s.server.ID] && w.fitsEmpty(s.server) > 0 && !c.runsForGood(s) {
 			candidates = append(candidates, s)
 		}
--- a/conductor/wish.go
+++ b/conductor/wish.go
@@ -25,6 +25,9 @@
 	Refused []specifier.ServerID `json:",omitempty"`
 	// ReadRevision is a revision of the store up to which the borrowing shard has read all transfers.
 	ReadRevision int64
+	// IdleOnly is set when the step fits the servers of its shard but waits for other runs to end. Only servers that nothing
+	// waits for are lent then.
+	IdleOnly bool `json:",omitempty"`
 	// Whole is set when the step would not fit the cell if each shard lent only a part of its servers.
 	Whole bool `json:",omitempty"`
 }
--- a/sharder/lending_test.go
+++ b/sharder/lending_test.go
@@ -13,6 +13,7 @@
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/sharder"
 	"egretring.example/egretring/specifier"
 )
 
@@ -71,6 +72,28 @@
 	}
 }
 
+// TestBacklogUsesIdleServersOfOtherShard guards against jobs that wait in one shard while the servers of another are idle.
+func TestBacklogUsesIdleServersOfOtherShard(t *testing.T) {
+	runWithCell(t, 2, 300, func(t *testing.T, c *cell) {
+		var jobs []specifier.JobID
+		for n := 0; len(jobs) < 40; n++ {
+			id := specifier.JobID(fmt.Sprintf("job-%d", n))
+			if (sharder.Shard{Index: 0, Count: 2}).HasJob(id) {
+				jobs = append(jobs, id)
+				require.NoError(t, c.submitSteps(0, "/q/", id, fullServerGang(100)))
+			}
+		}
+		time.Sleep(6 * time.Second)
+		require.NotEmpty(t, c.store.Keys(coordinator.TransferPrefix))
+		time.Sleep(time.Minute)
+		for _, id := range jobs {
+			c.requireCompleted(id)
+		}
+		c.requireNoViolation()
+		c.requireServersAtHome()
+	})
+}
+
 // TestAdvisedGangWiderThanShardRuns guards against a gang that never runs because advice refuses most servers of its shard.
 func TestAdvisedGangWiderThanShardRuns(t *testing.T) {
 	runWithCell(t, 2, 300, func(t *testing.T, c *cell) {
