--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -21,7 +21,7 @@
 	cellCheckInterval = 3 * time.Second
 	// borrowIdleAfter is how long a step that fits the shard's servers waits for other runs to end before idle servers of
 	// other shards are borrowed for it.
-	borrowIdleAfter = 3 * time.Second
+	borrowIdleAfter = 2 * time.Second
 	// maxBorrowTime bounds how long servers are borrowed for a step that does not start, and is then the time until they
 	// are borrowed for it again. It leaves time for long runs on the lent servers to end.
 	maxBorrowTime = 30 * time.Second
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -16,6 +16,8 @@
 	// lentShare is the divisor of the part of its servers that a shard lends at a time, so that it keeps some for its own
 	// jobs, unless the wish cannot be met otherwise.
 	lentShare = 2
+	// keptIdleShare is the divisor of the part of its servers that a shard keeps when it lends only idle ones.
+	keptIdleShare = 4
 	// maxMoves bounds the servers in a transaction of the store, which admits 32 entries: two for each server and the keys
 	// of both owners.
 	maxMoves = 15
@@ -198,7 +200,10 @@
 // lendable returns how many more of the shard's own servers may be lent or kept free for lending.
 func (c *Conductor) lendable(w *wish) int {
 	limit := c.shard.listedHome
-	if !w.Whole {
+	switch {
+	case w.IdleOnly:
+		limit -= limit / keptIdleShare
+	case !w.Whole:
 		limit /= lentShare
 	}
 	for _, t := range c.shard.transfers {
