Count requests, connections and tasks over capacity separately

Cause: the demo's result had one number for requests, connections and tasks above a backend server's capacity. A failure of TestDemoBreaksNoGuarantee (6 where 0 is expected) could not be traced. Result.OverCapacity and the demo's table have one count for each kind; the test prints all of it. Callers of the demo saw: one row "work above a backend server's capacity". Now: three rows.

--- a/demonstrator/cell.go
+++ b/demonstrator/cell.go
@@ -218,16 +218,6 @@
 	return c.ledger
 }
 
-// OverCapacity returns the number of requests, connections and tasks that exceeded the capacity of a backend server.
-func (c *Cell) OverCapacity() int64 {
-	var over int64
-	for _, backend := range c.backends {
-		counters := backend.Counters()
-		over += counters.SlotsExceeded + counters.ConnectionsExceeded + counters.CapacityExceeded
-	}
-	return over
-}
-
 // Entries returns the running entry instances.
 func (c *Cell) Entries() []*Entry {
 	c.mu.Lock()
--- a/demonstrator/demo_test.go
+++ b/demonstrator/demo_test.go
@@ -26,7 +26,7 @@
 			require.Zero(t, result.Doubled, "requests or tasks doubled")
 			require.Zero(t, result.RunAfterNotRun, "requests run after the answer 'not run'")
 			require.Zero(t, result.WrongAnswers, "answers not whole or not the caller's own")
-			require.Zero(t, result.OverCapacity, "work above a backend server's capacity")
+			require.Zero(t, result.OverCapacity, "work above a backend server's capacity; events %v", result.Events)
 		})
 	}
 }
--- a/demonstrator/result.go
+++ b/demonstrator/result.go
@@ -38,8 +38,8 @@
 	RunAfterNotRun int
 	// WrongAnswers counts successful responses that were incomplete or belonged to another request.
 	WrongAnswers int
-	// OverCapacity counts requests, connections and tasks above a backend server's capacity.
-	OverCapacity int64
+	// OverCapacity counts the work above a backend server's capacity.
+	OverCapacity OverCapacity
 	// LateToLeaving counts leaving backend servers that got new work more than two seconds after they had announced that
 	// they were leaving.
 	LateToLeaving int64
@@ -83,7 +83,9 @@
 		{"requests or tasks doubled", r.Doubled},
 		{"requests run after the answer 'not run'", r.RunAfterNotRun},
 		{"answers that were not whole or not the caller's own", r.WrongAnswers},
-		{"work above a backend server's capacity", int(r.OverCapacity)},
+		{"requests above a backend server's slots", int(r.OverCapacity.Requests)},
+		{"connections above a backend server's limit", int(r.OverCapacity.Connections)},
+		{"tasks above a backend server's capacity", int(r.OverCapacity.Tasks)},
 		{"leaving backend servers with new work after 2 s", int(r.LateToLeaving)},
 		{"requests cut off by a graceful stop", r.CutDuringDrain},
 	}
--- a/fakebackend/server.go
+++ b/fakebackend/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,13 @@
 	return s.state.Counters()
 }
 
+// Excesses returns the first excesses in the order of their times.
+func (s *Server) Excesses() []Excess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.state.Excesses())
+}
+
 // Ledger returns the ledger in which the server records the requests and tasks that it runs.
 func (s *Server) Ledger() *Ledger {
 	return s.state.ledger
--- a/fakebackend/state.go
+++ b/fakebackend/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -63,6 +64,8 @@
 	// leavingSince is when the mode last changed to Leaving.
 	leavingSince time.Time
 	counters     Counters
+	// excesses holds the first maxExcesses excesses.
+	excesses []Excess
 
 	lastRun RunID
 	runs    map[RunID]struct{}
@@ -120,7 +123,7 @@
 	if decision.Mode == RespondsLate {
 		decision.ResponseDelay = s.faults.Delay
 	}
-	s.occupySlot(now, decision.Run)
+	s.occupySlot(now, decision.Run, request)
 	s.ledger.recordRun(s.id, request)
 	return decision
 }
@@ -142,6 +145,10 @@
 	s.counters.Connections++
 	if s.counters.Connections > s.connections {
 		s.counters.ConnectionsExceeded++
+		s.recordExcess(Excess{
+			Kind: ExcessConnection, At: now,
+			Used: strconv.Itoa(s.counters.Connections), Capacity: strconv.Itoa(s.connections),
+		})
 	}
 	s.counters.HighestConnections = max(s.counters.HighestConnections, s.counters.Connections)
 	s.recordHistory(now, false)
@@ -154,9 +161,13 @@
 	s.recordHistory(now, false)
 }
 
-func (s *State) occupySlot(now time.Time, run RunID) {
+func (s *State) occupySlot(now time.Time, run RunID, request Request) {
 	if len(s.runs) >= s.slots {
 		s.counters.SlotsExceeded++
+		s.recordExcess(Excess{
+			Kind: ExcessRequest, At: now, Subject: request.ID,
+			Used: strconv.Itoa(len(s.runs) + 1), Capacity: strconv.Itoa(s.slots),
+		})
 	}
 	s.runs[run] = struct{}{}
 	s.counters.Runs++
--- a/fakebackend/task.go
+++ b/fakebackend/task.go
@@ -1,6 +1,7 @@
 package fakebackend
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -45,7 +46,7 @@
 		s.countNotRun(now, s.faults.Mode)
 		return forwarder.ErrNotStarted
 	}
-	s.countStart(call)
+	s.countStart(now, call)
 	started := s.newTask(now, call, deadline)
 	s.tasks[call.Task] = started
 	s.recordHistory(now, true)
@@ -201,7 +202,7 @@
 	return started
 }
 
-func (s *State) countStart(call forwarder.StartCall) {
+func (s *State) countStart(now time.Time, call forwarder.StartCall) {
 	s.counters.TasksStarted++
 	declared := call.Resources
 	for id, known := range s.tasks {
@@ -211,6 +212,10 @@
 	}
 	if !declared.Fits(s.capacity) {
 		s.counters.CapacityExceeded++
+		s.recordExcess(Excess{
+			Kind: ExcessTask, At: now, Subject: fmt.Sprintf("%s/%d attempt %d", call.Task.Job, call.Task.Index, call.Attempt),
+			Used: fmt.Sprint(declared), Capacity: fmt.Sprint(s.capacity),
+		})
 	}
 }
 
--- a/fakebackend/task_test.go
+++ b/fakebackend/task_test.go
@@ -232,6 +232,33 @@
 	require.EqualValues(t, 1, counters.ConnectionsExceeded)
 }
 
+// TestExcessesNameServerKindAndMoment guards against a broken capacity of which nobody can tell on which server, when
+// and by what kind of work it was exceeded.
+func TestExcessesNameServerKindAndMoment(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := fakebackend.NewState("s1", fakebackend.WithSlots(1), fakebackend.WithConnections(1),
+		fakebackend.WithCapacity(describer.Resources{MilliCores: 1000}))
+	start := forwarder.StartCall{
+		Task: describer.TaskID{Job: "j", Index: 3}, Attempt: 2, Epoch: 1, LeaseSeconds: 30,
+		Resources: describer.Resources{MilliCores: 1001},
+	}
+	state.Begin(now, fakebackend.Request{ID: "r1"})
+	state.Connected(now)
+	require.Empty(t, state.Excesses())
+	state.Begin(now.Add(time.Second), fakebackend.Request{ID: "r2"})
+	state.Connected(now.Add(2 * time.Second))
+	require.NoError(t, state.StartTask(now.Add(3*time.Second), start))
+	var excesses []string
+	for _, excess := range state.Excesses() {
+		excesses = append(excesses, excess.String())
+	}
+	require.Equal(t, []string{
+		`00:16:41.000 s1 request "r2": used 2, capacity 1`,
+		`00:16:42.000 s1 connection "": used 2, capacity 1`,
+		`00:16:43.000 s1 task "j/3 attempt 2": used {1001 0 0}, capacity {1000 0 0}`,
+	}, excesses)
+}
+
 // TestViolationsCountBrokenGuarantees guards against a ledger that misses a broken guarantee.
 func TestViolationsCountBrokenGuarantees(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/printer/demo.go
+++ b/printer/demo.go
@@ -24,7 +24,9 @@
 	guarantees.row("requests or tasks doubled", result.Doubled)
 	guarantees.row("requests run after the answer 'not run'", result.RunAfterNotRun)
 	guarantees.row("answers not whole or not the caller's own", result.WrongAnswers)
-	guarantees.row("work above a backend server's capacity", result.OverCapacity)
+	guarantees.row("requests above a backend server's slots", result.OverCapacity.Requests)
+	guarantees.row("connections above a backend server's limit", result.OverCapacity.Connections)
+	guarantees.row("tasks above a backend server's capacity", result.OverCapacity.Tasks)
 	guarantees.row("leaving backend servers with new work after 2 s", result.LateToLeaving)
 	guarantees.row("requests cut off by a graceful stop", result.CutDuringDrain)
 	if err := guarantees.flush(); err != nil {
