Close the connections of a replaced pool and of an address without a share

Cause: SetConnections replaces the pool of an address. An exchange that had chosen the earlier pool and asked for a connection after that made http.Transport keep idle connections again, for 30 s and outside of any limit. After SetConnections(address, 0) the next exchange created a pool with the default limit of 64 again. Change: a pool that was replaced, or whose limit is zero, is marked as retired, and each exchange on it closes its idle connections at the end. The address keeps its limit of zero; an exchange that still comes opens a connection of its own and closes it. Callers saw: nothing directly; a backend server held more connections than the instance's share. Evidence, before the change: TestResizeDuringExchangeLeavesNoConnection: Should be zero, but was 1 (connections of the replaced pool that stay open) TestExchangeAfterZeroKeepsNoConnection: Should be zero, but was 2 Why it works: no exchange obtains a retired pool anew, so that the last one that has it also closes the last connections; connections that become idle later are closed by http.Transport, as no request has asked for one since.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -40,7 +40,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
-	response, err := x.send(ctx)
+	pool := x.forwarder.pool(x.options.Server.Address)
+	defer pool.exchangeEnded()
+	response, err := x.send(ctx, pool)
 	if err == nil {
 		x.receive(ctx, response)
 		_ = response.Body.Close()
@@ -48,13 +50,13 @@
 	x.finish(ctx, err)
 }
 
-func (x *exchange) send(ctx context.Context) (*http.Response, error) {
+func (x *exchange) send(ctx context.Context, pool *pool) (*http.Response, error) {
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn})
 	request, err := x.forwarder.newRequest(traced, x.options)
 	if err != nil {
 		return nil, err
 	}
-	return x.forwarder.transport(x.options.Server.Address).RoundTrip(request)
+	return pool.transport.RoundTrip(request)
 }
 
 // gotConn is called by RoundTrip, on the goroutine that called it, before the request is written.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,14 +36,8 @@
 	abortWait   time.Duration
 	propagator  propagation.TextMapPropagator
 
-	mu    sync.Mutex
-	pools map[string]*pool
-}
-
-// pool holds the connections to one address.
-type pool struct {
-	connections int
-	transport   *http.Transport
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
 }
 
 // New returns a forwarder without connections.
@@ -53,7 +47,7 @@
 		connections: defaultConnections,
 		dial:        dialer.DialContext,
 		abortWait:   defaultAbortWait,
-		pools:       make(map[string]*pool),
+		endpoints:   make(map[string]*endpoint),
 	}
 	for _, option := range options {
 		option(f)
@@ -61,21 +55,16 @@
 	return f
 }
 
-// SetConnections changes the maximum number of open connections to an address; zero closes the idle ones and removes
-// the pool. Exchanges in progress keep their connections, which are closed afterwards.
+// SetConnections changes the maximum number of open connections to an address and closes the idle ones. Exchanges in
+// progress keep their connections, which are closed afterwards. After zero, an exchange that still
+// comes opens a connection of its own and closes it.
 func (f *Forwarder) SetConnections(address string, connections int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	existing := f.pools[address]
-	if existing != nil && existing.connections == connections {
-		return
-	}
-	delete(f.pools, address)
-	if existing != nil {
-		existing.transport.CloseIdleConnections()
-	}
-	if connections > 0 {
-		f.pools[address] = f.newPool(connections)
+	if known := f.endpoints[address]; known == nil {
+		f.endpoints[address] = f.newEndpoint(connections)
+	} else if known.connections != connections {
+		f.resize(known, connections)
 	}
 }
 
@@ -83,39 +72,21 @@
 func (f *Forwarder) CloseIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, existing := range f.pools {
-		existing.transport.CloseIdleConnections()
+	for _, known := range f.endpoints {
+		known.pool.transport.CloseIdleConnections()
 	}
 }
 
-func (f *Forwarder) transport(address string) *http.Transport {
+// pool returns the current pool of an address.
+func (f *Forwarder) pool(address string) *pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.pools[address]
+	known := f.endpoints[address]
 	if known == nil {
-		known = f.newPool(f.connections)
-		f.pools[address] = known
-	}
-	return known.transport
-}
-
-func (f *Forwarder) newPool(connections int) *pool {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &pool{
-		connections: connections,
-		transport: &http.Transport{
-			DialContext:            f.dialTracked,
-			Protocols:              protocols,
-			DisableCompression:     true,
-			MaxConnsPerHost:        connections,
-			MaxIdleConnsPerHost:    connections,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-			ReadBufferSize:         connectionBufferBytes,
-			WriteBufferSize:        connectionBufferBytes,
-		},
+		known = f.newEndpoint(f.connections)
+		f.endpoints[address] = known
 	}
+	return known.pool
 }
 
 func (f *Forwarder) dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
--- a/forwarder/virtual_time_test.go
+++ b/forwarder/virtual_time_test.go
@@ -17,20 +17,57 @@
 
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/forwarder"
+	"egretring.example/egretring/timekeeper"
 )
 
 // pipeServer is an in-memory server that responds to each request after a delay.
 type pipeServer struct {
-	delay  time.Duration
-	dials  atomic.Int64
-	served sync.WaitGroup
+	delay    time.Duration
+	dialTime time.Duration
+	dials    atomic.Int64
+	served   sync.WaitGroup
+
+	mu      sync.Mutex
+	open    int
+	highest int
 }
 
-func (p *pipeServer) dial(context.Context, string, string) (net.Conn, error) {
+func (p *pipeServer) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	if !timekeeper.Sleep(ctx, p.dialTime) {
+		return nil, ctx.Err()
+	}
 	p.dials.Add(1)
 	near, far := net.Pipe()
+	p.count(1)
 	p.served.Go(func() { p.serve(far) })
-	return near, nil
+	return &countedPipe{Conn: near, closed: func() { p.count(-1) }}, nil
+}
+
+// countedPipe is the client's end of a connection. It ends when the client closes it, which the server notices later.
+type countedPipe struct {
+	net.Conn
+	once   sync.Once
+	closed func()
+}
+
+func (p *countedPipe) Close() error {
+	p.once.Do(p.closed)
+	return p.Conn.Close()
+}
+
+func (p *pipeServer) count(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open += connections
+	p.highest = max(p.highest, p.open)
+}
+
+// connections returns the open connections and their highest number so far.
+func (p *pipeServer) connections() (open, highest int) {
+	synctest.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, p.highest
 }
 
 func (p *pipeServer) serve(conn net.Conn) {
