Count the connections in use when the limit of an address changes

Cause: each change of the shares gives an address a new pool with its own count, while the exchanges in progress keep the connections of the earlier pools. An instance could have its new share and all connections in use before. Change: the open connections to an address count against one limit over all of its pools; a dial waits while the limit is reached. Each exchange in progress may have a connection in any case, because its slot stays with the instance until it ends. Callers saw: nothing directly; a backend server held more connections than the shares of the instances allow. Evidence, before the change: TestResizeCountsConnectionsInUse: 3 connections open where 2 is expected (limit lowered from 3 to 2 with 1 in use) TestCancelledExchangesReturnTheirConnections and TestExchangesInProgressKeepTheirConnections pass before and after; they guard the new count. Why it works: a connection counts from before its dial until it is closed, whichever pool it belongs to. The wait ends, because idle connections of earlier pools are closed and those in use close at the end of their exchange.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -41,6 +41,7 @@
 
 func (x *exchange) run(ctx context.Context) {
 	pool := x.forwarder.pool(x.options.Server.Address)
+	pool.budget.beginExchange()
 	defer pool.exchangeEnded()
 	response, err := x.send(ctx, pool)
 	if err == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,7 +56,7 @@
 }
 
 // SetConnections changes the maximum number of open connections to an address and closes the idle ones. Exchanges in
-// progress keep their connections, which are closed afterwards. After zero, an exchange that still
+// progress keep their connections, which are closed afterwards and count until then. After zero, an exchange that still
 // comes opens a connection of its own and closes it.
 func (f *Forwarder) SetConnections(address string, connections int) {
 	f.mu.Lock()
@@ -89,14 +89,6 @@
 	return known.pool
 }
 
-func (f *Forwarder) dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := f.dial(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return newTrackedConn(conn), nil
-}
-
 func (f *Forwarder) injectTraceContext(ctx context.Context, header http.Header) {
 	propagator := f.propagator
 	if propagator == nil {
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -8,6 +8,7 @@
 // pool holds connections to one address.
 type pool struct {
 	transport *http.Transport
+	budget    *connectionBudget
 	// retired is true when the pool keeps no idle connections, because it has been replaced or its limit is zero.
 	retired atomic.Bool
 }
@@ -24,4 +25,5 @@
 	if p.retired.Load() {
 		p.transport.CloseIdleConnections()
 	}
+	p.budget.endExchange()
 }
--- a/forwarder/tracked_conn.go
+++ b/forwarder/tracked_conn.go
@@ -27,6 +27,9 @@
 	writes        int64
 	pendingWrites int64
 	closed        bool
+	// onClosed is called when the underlying connection has been closed.
+	onClosed func()
+	ended    sync.Once
 }
 
 // connUse is the use of a connection by one exchange.
@@ -35,8 +38,8 @@
 	writesBefore int64
 }
 
-func newTrackedConn(conn net.Conn) *trackedConn {
-	c := &trackedConn{Conn: conn}
+func newTrackedConn(conn net.Conn, onClosed func()) *trackedConn {
+	c := &trackedConn{Conn: conn, onClosed: onClosed}
 	c.idle.L = &c.mu
 	return c
 }
@@ -103,7 +106,13 @@
 	if c.user != nil {
 		return c.Conn.SetDeadline(pastDeadline)
 	}
-	return c.Conn.Close()
+	return c.closeUnderlying()
+}
+
+func (c *trackedConn) closeUnderlying() error {
+	err := c.Conn.Close()
+	c.ended.Do(c.onClosed)
+	return err
 }
 
 // done ends the use of a connection after a complete exchange. The next exchange may already use the connection.
@@ -116,7 +125,7 @@
 	}
 	c.user = nil
 	if c.closed {
-		_ = c.Conn.Close()
+		_ = c.closeUnderlying()
 	}
 }
 
@@ -146,7 +155,7 @@
 	if !u.isCurrent() {
 		return true
 	}
-	defer c.Conn.Close()
+	defer func() { _ = c.closeUnderlying() }()
 	if !sent {
 		return true
 	}
