Close the connections to a backend server whose share has gone

Cause: limitConnections only set the limits of the servers in the new shares. A server that left the shares (its slots moved to another instance, it is quiesced or no longer listed) kept its earlier limit and its idle connections for up to 30 s, while the next owner may open all connections of the slots. Besides, the shares were read before the limits were set, in two goroutines, so that earlier shares could be applied last. Change: the limit of an address without a share becomes zero; the newest shares are read and applied under one lock. Callers saw: nothing directly; a backend server could hold more connections than its limit after a takeover or a start of an instance. Why it works: each address with a limit is remembered, so that each change closes the connections of those that are missing, before the instance reports the slots as released.

--- a/server/membership.go
+++ b/server/membership.go
@@ -25,6 +25,7 @@
 	// applied is the version of the newest shares that the request path has applied.
 	applied atomic.Uint64
 	leaving leavingSet
+	limits  connectionLimits
 	// capacity is the capacity of a backend server by the services of the configuration in force.
 	capacity capacityRollout
 	homes    homeAssigner
@@ -68,11 +69,13 @@
 // limitConnections limits the connections to each backend server to its share. It is called when the shares change and
 // when the addresses do, because the first shares can come before the addresses.
 func (m *membership) limitConnections(shares registrar.Shares) {
-	for _, share := range shares.Changed.Shares {
-		if server, ok := m.daemon.directory.Server(share.BackendServer); ok {
-			m.daemon.exchanger.SetConnections(server.Address, max(1, share.Connections))
+	newest := func() []dispatcher.Share {
+		if member := m.registrar.Load(); member != nil {
+			shares = member.Shares()
 		}
+		return shares.Changed.Shares
 	}
+	m.limits.apply(newest, m.daemon.directory, m.daemon.exchanger)
 }
 
 // busy counts the occupied slots. When the request path does not respond in time, the result carries no version of the
