--- a/cmd/egretringd/process_test.go
+++ b/cmd/egretringd/process_test.go
@@ -239,7 +239,13 @@
 	for i := range inFlight {
 		go func() { results <- processes[0].send(fmt.Sprintf("long-%d", i), time.Second) }()
 	}
-	poll(t, func() bool { return cell.Ledger().Runs("long-0")+cell.Ledger().Runs("long-5") == 2 })
+	poll(t, func() bool {
+		runs := 0
+		for i := range inFlight {
+			runs += cell.Ledger().Runs(fmt.Sprintf("long-%d", i))
+		}
+		return runs == inFlight
+	})
 	processes[0].signal(t, syscall.SIGTERM)
 	for range inFlight {
 		require.Equal(t, http.StatusOK, <-results)
