Let a task call that has timed out take no effect later

Cause: a start whose call has timed out can still wait in a socket of a busy backend server. A stop of the attempt on another connection is then answered with "does not run the task", which confirms the stop; the scheduler gives the room to another task, and the server carries out the start after that. The starter assumes that a call that has timed out takes no effect. Change: task calls carry Egretring-Deadline, as requests do. The stand-in of a backend server refuses a call after its deadline with status 408, which counts as no answer. The design states it for backend servers. Callers saw: for a few seconds more tasks on a backend server than its capacity allows, until its next usage report. A backend server whose clock is late by a second can still act in this second.

--- a/fakebackend/task_handler.go
+++ b/fakebackend/task_handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"egretring.example/egretring/forwarder"
 )
@@ -34,6 +35,10 @@
 	s *Server, mux *http.ServeMux, path string, run func(context.Context, Call) (Reply, error),
 ) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		if isLate(r) {
+			http.Error(w, "the deadline of the call has passed", http.StatusRequestTimeout)
+			return
+		}
 		var call Call
 		if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -44,6 +49,12 @@
 	})
 }
 
+// isLate reports whether the deadline of a call has passed.
+func isLate(r *http.Request) bool {
+	deadline, err := time.Parse(time.RFC3339Nano, r.Header.Get(forwarder.HeaderDeadline))
+	return err == nil && time.Now().After(deadline)
+}
+
 func (s *Server) writeTaskResponse(w http.ResponseWriter, reply any, err error) {
 	if s.isLeaving() {
 		w.Header().Set(forwarder.HeaderLeaving, "true")
--- a/forwarder/task_client.go
+++ b/forwarder/task_client.go
@@ -18,7 +18,8 @@
 	maxResponseBytes = 4 << 20
 )
 
-// TaskClient is a TaskServer that calls a backend server over HTTP.
+// TaskClient is a TaskServer that calls a backend server over HTTP. Each call carries its deadline, after which it must
+// not take effect: the request may wait in a socket of the backend server when the call has timed out.
 type TaskClient struct {
 	base string
 	http *http.Client
@@ -82,6 +83,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build task call")
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNoResponse, "call %s: %v", path, err)
--- a/starter/option.go
+++ b/starter/option.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// CallTimeout bounds a call to a backend server. A call that has timed out takes no effect later, so the lease that
-	// a call grants ends at the latest CallTimeout plus the lease duration after the call was sent.
+	// CallTimeout bounds a call to a backend server. A call carries its deadline and takes no effect after it, so the
+	// lease that a call grants ends at the latest CallTimeout plus the lease duration after the call was sent.
 	CallTimeout = 2 * time.Second
 
 	defaultLease          = 30 * time.Second
