Keep the resignation for the latest epoch

Cause: requestEnd dropped a resignation while another one was pending, also one for an earlier epoch that no longer matters. Change: the pending resignation is replaced by one for a later epoch; for the same epoch the cooldown of either counts. Callers saw: an instance that stays the owner after Resign until something else ends its term. Evidence, before the change: TestEndOfLaterEpochIsNotDropped: expected: int(2), actual: int64(1) Why it works: the term reads one resignation and ignores those of earlier epochs, so that only the latest one matters.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -60,6 +60,8 @@
 	ownedEpoch int64
 	// predecessors are earlier owners that may still act as the owner.
 	predecessors []Owner
+	// requestMu serializes the senders to resignations.
+	requestMu    sync.Mutex
 	resignations chan resignation
 	// retired instances take part in no more elections.
 	retired     atomic.Bool
@@ -74,6 +76,17 @@
 	cooldown bool
 }
 
+// combine returns the resignation for the later epoch. For the same epoch, the first reason stays.
+func (r resignation) combine(next resignation) resignation {
+	switch {
+	case next.epoch > r.epoch:
+		return next
+	case next.epoch == r.epoch:
+		r.cooldown = r.cooldown || next.cooldown
+	}
+	return r
+}
+
 // Option configures an Elector.
 type Option func(*Elector)
 
@@ -116,12 +129,17 @@
 	e.requestEnd(resignation{epoch: epoch, reason: reason})
 }
 
+// requestEnd passes on a resignation. Of several pending ones, the one for the latest epoch counts.
 func (e *Elector) requestEnd(r resignation) {
+	e.requestMu.Lock()
+	defer e.requestMu.Unlock()
 	select {
-	case e.resignations <- r:
+	case pending := <-e.resignations:
+		r = pending.combine(r)
 	default:
-		// A resignation is already pending.
 	}
+	// This does not block: the channel holds one resignation, and only this function sends.
+	e.resignations <- r
 }
 
 // ResignBefore reports whether a process of this instance, named by its incarnation, has stopped acting as the owner of
