Commit a job again after its record could not be encoded

Cause: a job whose record could not be encoded left the list of changed jobs and stayed marked as changed, so that no later change put it on the list again. Change: the mark is removed, so that the next change tries again. A final job is deleted only if its newest version is in the store. Callers saw: a job whose state in the store never changes again; it would run again under the next owner. Evidence, before the change: TestJobIsCommittedAfterInvalidRecord: expected: []specifier.JobID{"j1"}, actual: []specifier.JobID(nil) Why it works: the mark means that the job is on the list.

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -56,6 +56,8 @@
 		}
 		value, err := j.Record().Encode()
 		if err != nil {
+			// The next change of the job tries again.
+			j.dirty = false
 			c.logDecision("RecordInvalid", specifier.TaskID{StepID: specifier.StepID{Job: j.Spec.ID}}, 0, "", err.Error())
 			continue
 		}
--- a/conductor/expire.go
+++ b/conductor/expire.go
@@ -17,7 +17,8 @@
 		if len(old) == deleteBatch {
 			break
 		}
-		if j.State().Final() && !j.dirty && !j.inFlight && !j.deleting && now.Sub(j.FinalAt()) > c.settings.finalRetention {
+		committed := !j.dirty && !j.inFlight && j.Committed() >= j.Version()
+		if j.State().Final() && committed && !j.deleting && now.Sub(j.FinalAt()) > c.settings.finalRetention {
 			j.deleting = true
 			old = append(old, id)
 		}
