Reconcile a backend server only by a response to the current fencing token

Cause: when the lease of a server's runs ends, the owner requeues them and raises the fencing token. A response to a renewal that was sent before that marked the server as reconciled, so that it got new runs, although it had not seen the token. Change: a response under an earlier token is applied, and does not mark the server as reconciled. Callers saw: nothing known; a server could carry out a late start of a requeued run beside new runs, above its capacity. Evidence, before the change: TestReportUnderEarlierFenceDoesNotReconcile: Should be false (the server has responded under an earlier fencing token) Why it works: a response to the current token proves that the server refuses the orders of earlier ones. The next renewal carries it.

--- a/conductor/report.go
+++ b/conductor/report.go
@@ -34,7 +34,8 @@
 	if !s.reconciled || len(e.Report.Ended) > 0 {
 		c.replan = true
 	}
-	s.reconciled = true
+	// A response to an earlier fencing token does not show that the server refuses the orders sent with it.
+	s.reconciled = s.reconciled || e.Fence >= s.fence
 	s.respondedFence = max(s.respondedFence, e.Fence)
 }
 
--- /dev/null
+++ b/conductor/stale_report_test.go
@@ -0,0 +1,43 @@
+package conductor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/specifier"
+)
+
+// TestReportUnderEarlierFenceDoesNotReconcile guards against new runs on a backend server that has not seen the fencing
+// token of the time after its lease ended, so that it may still carry out an earlier start.
+func TestReportUnderEarlierFenceDoesNotReconcile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(now, 1)
+	c.Handle(now, ServersListed{Servers: []specifier.Server{{ID: "s1", Address: "10.0.0.1:1"}}})
+	first := renewal(t, c.Plan(now))
+	s := c.sessions["s1"]
+	s.add(&allocation{task: specifier.TaskID{}, state: outcomeUnknown, fence: s.fence})
+	now = s.leaseEnd.Add(time.Second)
+	c.Plan(now)
+	require.Greater(t, s.fence, first.Fence)
+
+	c.Handle(now, RenewEnded{Server: "s1", Sequence: first.Sequence, Fence: first.Fence, Result: specifier.OrderDone})
+	require.False(t, s.reconciled, "the server has responded under an earlier fencing token")
+	now = now.Add(time.Second)
+	second := renewal(t, c.Plan(now))
+	require.Equal(t, s.fence, second.Fence)
+	c.Handle(now, RenewEnded{Server: "s1", Sequence: second.Sequence, Fence: second.Fence, Result: specifier.OrderDone})
+	require.True(t, s.reconciled)
+}
+
+func renewal(t *testing.T, commands []Command) Renew {
+	t.Helper()
+	for _, command := range commands {
+		if renew, ok := command.(Renew); ok {
+			return renew
+		}
+	}
+	require.Fail(t, "no renewal was sent")
+	return Renew{}
+}
