--- a/cmd/egretringd/backlog_test.go
+++ b/cmd/egretringd/backlog_test.go
@@ -14,8 +14,7 @@
 	"egretring.example/egretring/forwarder"
 )
 
-// TestTerminationServesWaitingConnections guards against a graceful stop that resets connections which the operating
-// system has established and the process has not accepted yet, as on a busy machine.
+// TestTerminationServesWaitingConnections guards against a graceful stop that resets waiting connections.
 func TestTerminationServesWaitingConnections(t *testing.T) {
 	cell, processes := newProcessCell(t, "entry-1")
 	const waiting = 12
--- a/conductor/invalid_record_test.go
+++ b/conductor/invalid_record_test.go
@@ -10,8 +10,7 @@
 	"egretring.example/egretring/specifier"
 )
 
-// TestJobIsCommittedAfterInvalidRecord guards against a job that is never committed again after its record could not be
-// encoded once.
+// TestJobIsCommittedAfterInvalidRecord guards against a job that is never committed after its encoding failed once.
 func TestJobIsCommittedAfterInvalidRecord(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(now, 1)
--- a/conductor/stale_report_test.go
+++ b/conductor/stale_report_test.go
@@ -9,8 +9,7 @@
 	"egretring.example/egretring/specifier"
 )
 
-// TestReportUnderEarlierFenceDoesNotReconcile guards against new runs on a backend server that has not seen the fencing
-// token of the time after its lease ended, so that it may still carry out an earlier start.
+// TestReportUnderEarlierFenceDoesNotReconcile guards against new runs beside a late start with an earlier token.
 func TestReportUnderEarlierFenceDoesNotReconcile(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(now, 1)
--- a/demonstrator/result_test.go
+++ b/demonstrator/result_test.go
@@ -8,8 +8,7 @@
 	"egretring.example/egretring/demonstrator"
 )
 
-// TestBrokenGuaranteesTellCapacitiesApart guards against one count for requests, connections and tasks above a
-// capacity, which have different causes.
+// TestBrokenGuaranteesTellCapacitiesApart guards against one count for excesses with different causes.
 func TestBrokenGuaranteesTellCapacitiesApart(t *testing.T) {
 	cases := []struct {
 		over demonstrator.OverCapacity
--- a/elector/pending_end_test.go
+++ b/elector/pending_end_test.go
@@ -6,8 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestEndOfLaterEpochIsNotDropped guards against a resignation that is lost because one for an earlier epoch has not
-// been read yet, so that the instance stays the owner.
+// TestEndOfLaterEpochIsNotDropped guards against a resignation lost behind one for an earlier epoch.
 func TestEndOfLaterEpochIsNotDropped(t *testing.T) {
 	e := New(nil, Owner{}, nil, nil, nil)
 	e.OwnershipLost(1, "key was taken away")
--- a/fakebackend/late_call_test.go
+++ b/fakebackend/late_call_test.go
@@ -16,8 +16,7 @@
 	"egretring.example/egretring/forwarder"
 )
 
-// TestTimedOutStartTakesNoEffectLater guards against a start that a backend server carries out after its call has timed
-// out and the stop of the same attempt was confirmed, so that the task exceeds the capacity.
+// TestTimedOutStartTakesNoEffectLater guards against a start that takes effect after its stop was confirmed.
 func TestTimedOutStartTakesNoEffectLater(t *testing.T) {
 	backend := fakebackend.New("s1", fakebackend.WithCapacity(describer.Resources{MilliCores: 1000}))
 	gate, handled := make(chan struct{}), make(chan struct{})
--- a/fakebackend/task_test.go
+++ b/fakebackend/task_test.go
@@ -232,8 +232,7 @@
 	require.EqualValues(t, 1, counters.ConnectionsExceeded)
 }
 
-// TestExcessesNameServerKindAndMoment guards against a broken capacity of which nobody can tell on which server, when
-// and by what kind of work it was exceeded.
+// TestExcessesNameServerKindAndMoment guards against an exceeded capacity that cannot be traced.
 func TestExcessesNameServerKindAndMoment(t *testing.T) {
 	now := time.Unix(1000, 0)
 	state := fakebackend.NewState("s1", fakebackend.WithSlots(1), fakebackend.WithConnections(1),
--- a/forwarder/resize_test.go
+++ b/forwarder/resize_test.go
@@ -15,8 +15,7 @@
 	"egretring.example/egretring/forwarder"
 )
 
-// TestResizeDuringExchangeLeavesNoConnection guards against connections that stay open beyond the limit, because the
-// limit changed after an exchange had chosen its pool and before it asked for a connection.
+// TestResizeDuringExchangeLeavesNoConnection guards against connections kept by a pool replaced during an exchange.
 func TestResizeDuringExchangeLeavesNoConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &pipeServer{}
@@ -33,8 +32,7 @@
 	})
 }
 
-// TestResizeCountsConnectionsInUse guards against a limit that is exceeded after a change, because the connections of
-// exchanges in progress are not counted.
+// TestResizeCountsConnectionsInUse guards against a limit that leaves out the connections in use at its change.
 func TestResizeCountsConnectionsInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &pipeServer{delay: 4 * time.Second, dialTime: time.Second}
@@ -53,8 +51,7 @@
 	})
 }
 
-// TestExchangesInProgressKeepTheirConnections guards against an exchange that owns a slot and waits for the end of
-// others, because the limit was lowered before it opened its connection.
+// TestExchangesInProgressKeepTheirConnections guards against an exchange that owns a slot and waits for others.
 func TestExchangesInProgressKeepTheirConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &pipeServer{delay: time.Second, dialTime: time.Second}
@@ -74,8 +71,7 @@
 	})
 }
 
-// TestExchangeAfterZeroKeepsNoConnection guards against an exchange that gives an address without a share the default
-// number of connections again.
+// TestExchangeAfterZeroKeepsNoConnection guards against the default limit for an address without a share.
 func TestExchangeAfterZeroKeepsNoConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &pipeServer{delay: time.Second}
@@ -93,8 +89,7 @@
 	})
 }
 
-// TestCancelledExchangesReturnTheirConnections guards against connections that count towards the limit after they were
-// closed, so that later exchanges wait forever.
+// TestCancelledExchangesReturnTheirConnections guards against closed connections that count towards the limit.
 func TestCancelledExchangesReturnTheirConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := &pipeServer{delay: time.Second}
--- a/server/backlog_test.go
+++ b/server/backlog_test.go
@@ -46,8 +46,7 @@
 	return l, gated, conn
 }
 
-// TestDrainServesBacklog guards against a graceful stop that resets connections which were established before it and are
-// accepted late.
+// TestDrainServesBacklog guards against a graceful stop that resets connections which are accepted late.
 func TestDrainServesBacklog(t *testing.T) {
 	for _, late := range []time.Duration{0, 3 * backlogQuiet} {
 		t.Run(late.String(), func(t *testing.T) {
@@ -69,8 +68,7 @@
 	}
 }
 
-// TestDrainServesAcceptedConnections guards against a graceful stop that drops a request which arrives on an accepted
-// connection after the stop has begun.
+// TestDrainServesAcceptedConnections guards against a stop that drops a request on an accepted connection.
 func TestDrainServesAcceptedConnections(t *testing.T) {
 	l, gated, first := gatedCallers(t)
 	second, err := net.Dial("tcp", l.address())
@@ -97,7 +95,7 @@
 	require.NoError(t, <-drained)
 }
 
-// TestEndOfDrainDropsBacklog guards against a stop that goes on accepting connections after its context has ended.
+// TestEndOfDrainDropsBacklog guards against a stop that goes on accepting after its context has ended.
 func TestEndOfDrainDropsBacklog(t *testing.T) {
 	l, gated, conn := gatedCallers(t)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/server/connection_limits_test.go
+++ b/server/connection_limits_test.go
@@ -43,8 +43,7 @@
 	}, open
 }
 
-// TestServerWithoutShareKeepsNoConnection guards against idle connections to a backend server whose slots belong to
-// another instance, which may use all of its connections.
+// TestServerWithoutShareKeepsNoConnection guards against idle connections beyond the share of an instance.
 func TestServerWithoutShareKeepsNoConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dial, open := respondOnPipe()
