Never drop the refusal of a request

Cause: a refusal went through the queue of a request's commands and was dropped when that was full. The goroutine of the request then waited until its caller gave up. Change: a refusal has a place of its own beside the queue. Callers saw: no answer before their own timeout. Commands that are left in the queue are reported as not sent, as before.

--- a/runner/call.go
+++ b/runner/call.go
@@ -9,12 +9,14 @@
 )
 
 // commandsPerCall is the capacity of the command queue of one request. It is more than the commands that can wait there
-// at a time; an abort does not use the queue.
+// at a time; an abort and a refusal do not use the queue.
 const commandsPerCall = 8
 
 // call is the state of a request that is registered with the runner and served by a goroutine.
 type call struct {
 	commands chan dispatcher.Command
+	// refusal has room for the one refusal of a request, so that it is never dropped.
+	refusal chan dispatcher.FailRequest
 
 	mu             sync.Mutex
 	abort          context.CancelFunc
@@ -23,7 +25,10 @@
 }
 
 func newCall() *call {
-	return &call{commands: make(chan dispatcher.Command, commandsPerCall)}
+	return &call{
+		commands: make(chan dispatcher.Command, commandsPerCall),
+		refusal:  make(chan dispatcher.FailRequest, 1),
+	}
 }
 
 // beginAttempt returns the context of an attempt, which is already cancelled if the attempt was aborted.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -218,14 +218,21 @@
 		r.reportNotSent(command)
 		return
 	}
-	if abort, ok := command.(dispatcher.AbortAttempt); ok {
-		c.applyAbort(abort)
-		return
-	}
-	select {
-	case c.commands <- command:
+	switch command := command.(type) {
+	case dispatcher.AbortAttempt:
+		c.applyAbort(command)
+	case dispatcher.FailRequest:
+		select {
+		case c.refusal <- command:
+		default:
+			// The request has been refused already.
+		}
 	default:
-		r.reportNotSent(command)
+		select {
+		case c.commands <- command:
+		default:
+			r.reportNotSent(command)
+		}
 	}
 }
 
--- a/runner/serving.go
+++ b/runner/serving.go
@@ -29,6 +29,9 @@
 			if done, err := s.execute(ctx, command); done {
 				return err
 			}
+		case refusal := <-s.call.refusal:
+			s.runner.post(message{id: s.request.ID, closes: true})
+			return s.refusal(refusal)
 		case <-ctx.Done():
 			return s.cancel()
 		case <-s.runner.tomb.Dying():
@@ -67,9 +70,6 @@
 		return s.ended(outcome, dispatcher.RelayEnded{
 			ID: command.ID, Evidence: outcome.Evidence, ResponseStarted: outcome.ResponseStarted,
 		})
-	case dispatcher.FailRequest:
-		s.runner.post(message{id: s.request.ID, closes: true})
-		return true, s.refusal(command)
 	}
 	return false, nil
 }
