Name the relayed requests that a drain cuts off

Cause: only requests of callers were counted. When the drain ended while relayed requests were in flight, the log line "requests were left in flight" listed none of them. Change: relayed requests are counted as well and listed under Relayed. Callers saw: operators saw a line with an empty list. Evidence, before the change: TestDrainLogsRelayedRequests: the log does not contain "Relayed":{"/tally/count":1} Why it works: both listeners through which requests come have a count of their own.

--- a/server/compose.go
+++ b/server/compose.go
@@ -95,13 +95,13 @@
 	routes := newRequestPolicy(d.router, d.distributor)
 	d.tracked = newTracker(handler.NewCallerHandler(routes, options, d.logger))
 	options.Relayed = true
-	relayed := handler.NewCallerHandler(routes, options, d.logger)
+	d.relayed = newTracker(handler.NewCallerHandler(routes, options, d.logger))
 	var err error
 	if d.callers, err = listen("callers", d.settings.Listeners.Callers, d.tracked, serverConfig(d.identities.callers)); err != nil {
 		return err
 	}
 	internal := serverConfig(d.identities.internal)
-	if d.relay, err = listen("relay", d.settings.Listeners.Relay, relayed, internal); err != nil {
+	if d.relay, err = listen("relay", d.settings.Listeners.Relay, d.relayed, internal); err != nil {
 		return err
 	}
 	if d.operators, err = listen("operators", d.settings.Listeners.Operators, d.operatorHandler(), internal); err != nil {
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -71,6 +71,7 @@
 	relay     *listener
 	operators *listener
 	tracked   *tracker
+	relayed   *tracker
 }
 
 // New returns a daemon with bound listeners. It serves nothing before Start.
@@ -227,7 +228,8 @@
 		err = d.relay.drain(ctx)
 	}
 	if err != nil {
-		d.logger.Error("requests were left in flight", "Requests", d.tracked.remaining())
+		d.logger.Error("requests were left in flight",
+			"Requests", d.tracked.remaining(), "Relayed", d.relayed.remaining())
 	} else if err = d.membership.leave(ctx); err != nil {
 		d.logger.Error("slots were not given up in time; peers take them over later", "Error", err.Error())
 	}
