--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -150,7 +150,8 @@
 	fitting := c.tasksOnTheWay(w)
 	var candidates []*session
 	for _, s := range c.sessions {
-		if w.IdleOnly && len(s.allocations) > 0 {
+		// Servers that are held for a step of this shard are not lent.
+		if s.holder != nil || w.IdleOnly && len(s.allocations) > 0 {
 			continue
 		}
 		if s.usable(now) && !w.refused[s.server.ID] && w.fitsEmpty(s.server) > 0 && !c.runsForGood(s) {
