--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -16,6 +16,9 @@
 	// lentShare is the divisor of the part of its servers that a shard lends at a time, so that it keeps some for its own
 	// jobs, unless the wish cannot be met otherwise.
 	lentShare = 2
+	// idlePercent is how much of a service's capacity is in use in a shard that lends idle servers to one with a backlog. A
+	// busier shard would soon need them itself.
+	idlePercent = 30
 	// keptIdleShare is the divisor of the part of its servers that a shard keeps when it lends only idle ones.
 	keptIdleShare = 4
 	// maxMoves bounds the servers in a transaction of the store, which admits 32 entries: two for each server and the keys
@@ -102,7 +105,7 @@
 	previous := c.clearLent()
 	wishes := make([]*wish, 0, len(c.lender.wishes))
 	for _, w := range c.lender.wishes {
-		if !c.hasOlderNeed(w) && !(w.IdleOnly && c.hasWaiting(now, w.Service)) {
+		if !c.hasOlderNeed(w) && (!w.IdleOnly || c.isIdle(now, w.Service)) {
 			wishes = append(wishes, w)
 		}
 	}
@@ -134,14 +137,22 @@
 	})
 }
 
-// hasWaiting reports whether steps of the service wait in this shard for longer than advice takes.
-func (c *Conductor) hasWaiting(now time.Time, service string) bool {
+// isIdle reports whether the shard needs few of the service's servers: no step waits for longer than advice takes, and less
+// than idlePercent of their capacity is in use.
+func (c *Conductor) isIdle(now time.Time, service string) bool {
 	for _, w := range c.waitingSteps {
 		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) {
-			return true
+			return false
 		}
 	}
-	return false
+	var servers []*session
+	for _, s := range c.sessions {
+		if s.server.Service == service && s.available(now) {
+			servers = append(servers, s)
+		}
+	}
+	cores, memory := percentInUse(servers)
+	return max(cores, memory) < idlePercent
 }
 
 // choose chooses servers for a wish until they and those on their way fit the wanted tasks. Idle servers come first, then
