Borrow idle servers only for late steps that wait on other runs

Change: a step that fits its own shard borrows only if it does not fit now and no step that can meet its objective waits.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -154,7 +154,7 @@
 	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
-	if home >= wanted.Tasks && !w.hasWaitedFor(now, borrowIdleAfter) {
+	if home >= wanted.Tasks && !c.waitsForOthers(now, w, usable.home) {
 		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
 		return false
 	}
@@ -178,6 +178,14 @@
 	return true
 }
 
+// waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, and not on advice or
+// behind jobs that can meet their objective: these may not run on borrowed servers, and would lack those that they are lent
+// from.
+func (c *Conductor) waitsForOthers(now time.Time, w *waitingStep, home []*session) bool {
+	return w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home) &&
+		!c.hasBacklog(now, w.job.queue.Service)
+}
+
 // hasWaitedFor reports whether none of the step's tasks has been placed for the given time.
 func (w *waitingStep) hasWaitedFor(now time.Time, limit time.Duration) bool {
 	return !w.wait.since.IsZero() && now.Sub(w.wait.since) >= limit
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -13,7 +13,7 @@
 	// holdAfter is how long a step waits before servers are held for it, and holdAfterContended how long while jobs that can
 	// still meet their objective compete for the capacity.
 	holdAfter          = 3 * time.Second
-	holdAfterContended = 15 * time.Second
+	holdAfterContended = 30 * time.Second
 	// backlogAfter is how long a step waits before it counts as competing for capacity; advice takes up to half a second.
 	backlogAfter = 500 * time.Millisecond
 	// busyPercent is how much of a service's capacity is in use when it counts as busy.
