--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -17,6 +17,15 @@
 	nextLineAt time.Time
 	// holdNotBefore is the earliest time of the next hold after one that expired.
 	holdNotBefore time.Time
+	// unfitSince is since when the step does not fit the servers of its shard; it lies in the future while the step must
+	// not borrow, or cannot. borrows is set while the step may run on servers of other shards.
+	unfitSince time.Time
+	borrows    bool
+	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
+	borrowsSince time.Time
+	nextAskAt    time.Time
+	// asked describes the last wish in the log.
+	asked string
 }
 
 // waitFigures are the inputs of the decision not to place a step.
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/require"
 
 	"egretring.example/egretring/classifier"
-	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/fakekeeper"
 	"egretring.example/egretring/sharder"
@@ -31,8 +30,11 @@
 
 // cell runs several instances on a fake store and fake backend servers, which run each task for the same time.
 type cell struct {
-	t         *testing.T
-	store     *fakekeeper.Transactional
+	t       *testing.T
+	store   *fakekeeper.Transactional
+	network *tester.Network
+	// links connect the instances to the store.
+	links     []*storeLink
 	instances []*sharder.Sharder
 	listed    []specifier.Server
 
@@ -40,24 +42,16 @@
 	mu      sync.Mutex
 	servers map[specifier.ServerID]*fakeServer
 	starts  map[specifier.TaskID]int
-}
-
-type fakeServer struct {
-	startedAt time.Time
-	// unresponsive servers send no responses; on failing ones all runs fail.
-	unresponsive bool
-	failing      bool
-	ended        []specifier.EndedTask
-	number       int64
-	runs         map[specifier.TaskID]int
-	fence        int64
-	changed      chan struct{}
+	// acknowledged are the tasks of which an owner has acknowledged that they are done.
+	acknowledged map[specifier.TaskID]bool
+	// violations are the broken rules that the fake servers have seen.
+	violations []string
 }
 
 func newCell(t *testing.T, instances, servers int) *cell {
 	c := &cell{
-		t: t, store: fakekeeper.NewTransactional(), servers: make(map[specifier.ServerID]*fakeServer),
-		starts: make(map[specifier.TaskID]int),
+		t: t, store: fakekeeper.NewTransactional(), network: tester.NewNetwork(), servers: make(map[specifier.ServerID]*fakeServer),
+		starts: make(map[specifier.TaskID]int), acknowledged: make(map[specifier.TaskID]bool),
 	}
 	for i := range servers {
 		id := specifier.ServerID(fmt.Sprintf("i-%d", i))
@@ -65,11 +59,11 @@
 			ID: id, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Incarnation: 1,
 			Capacity: specifier.Resources{MilliCores: 64000},
 		})
-		c.servers[id] = &fakeServer{startedAt: time.Now(), runs: make(map[specifier.TaskID]int), changed: make(chan struct{})}
+		c.servers[id] = newFakeServer()
 	}
 	for i := range instances {
 		instance := sharder.New(sharder.Options{
-			Store: c.store, Directory: c, Instance: fmt.Sprintf("instance-%d", i), Build: c.builder(i),
+			Store: c.link(), Directory: c, Instance: fmt.Sprintf("instance-%d", i), Build: c.builder(i),
 			Logger: c.logger(i),
 		})
 		instance.Start()
@@ -79,35 +73,21 @@
 }
 
 func (c *cell) builder(instance int) sharder.Build {
-	return func(_ sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
+	return func(shard sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
 		name := fmt.Sprintf("instance-%d", instance)
-		return coordinator.New(idleListener(make(chan struct{})), append(options,
-			coordinator.WithBackendServers(c), coordinator.WithAdvice(c), coordinator.WithInstance(name, name),
-			coordinator.WithDial(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }),
+		address := fmt.Sprintf("%s:%d", name, shard.Index)
+		return coordinator.New(c.network.Listen(address), append(options,
+			coordinator.WithBackendServers(sender{cell: c, name: address}), coordinator.WithAdvice(c),
+			coordinator.WithInstance(name, address), coordinator.WithDial(c.network.Dial),
 			coordinator.WithLogger(c.logger(instance)))...)
 	}
 }
 
-// idleListener accepts no connections: the instances of these tests exchange everything through the store.
-type idleListener chan struct{}
-
-func (l idleListener) Accept() (net.Conn, error) {
-	<-l
-	return nil, net.ErrClosed
-}
-
-func (l idleListener) Close() error {
-	close(l)
-	return nil
-}
-
-func (l idleListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Servers implements coordinator.Directory.
 func (c *cell) Servers(context.Context) ([]specifier.Server, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.listed, nil
+	return slices.Clone(c.listed), nil
 }
 
 func (c *cell) setListed(servers []specifier.Server) {
@@ -122,99 +102,38 @@
 		return specifier.Configuration{}, false, err
 	}
 	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}
-	return specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{queue}}, true, nil
+	advised := queue
+	advised.Name, advised.Prefix = "advised", "/advised/"
+	advised.Advice = specifier.AdviceCost{Needed: true, Fixed: 50 * time.Millisecond, TicketLife: ticketLife}
+	return specifier.Configuration{Version: 1, Revision: 1, Queues: []specifier.Queue{queue, advised}}, true, nil
 }
 
 // Advise implements coordinator.AdviceService.
-func (c *cell) Advise(context.Context, specifier.StepID, []specifier.ServerID) (coordinator.Advice, error) {
-	return coordinator.Advice{}, nil
-}
-
-// Start implements coordinator.BackendServers.
-func (c *cell) Start(_ context.Context, order conductor.Start) specifier.OrderResult {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.servers[order.Server.ID]
-	if s.unresponsive {
-		return specifier.OrderUnknown
-	}
-	if order.Order.Fence < s.fence {
-		return specifier.OrderFenced
-	}
-	s.fence = order.Order.Fence
-	s.runs[order.Order.Task] = order.Order.Run
-	c.starts[order.Order.Task]++
-	time.AfterFunc(runTime, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		s.number++
-		delete(s.runs, order.Order.Task)
-		reason := specifier.RunDone
-		if s.failing {
-			reason = specifier.RunFailed
+func (c *cell) Advise(_ context.Context, _ specifier.StepID, servers []specifier.ServerID) (coordinator.Advice, error) {
+	time.Sleep(50 * time.Millisecond)
+	advice := coordinator.Advice{ValidUntil: time.Now().Add(ticketLife)}
+	for _, id := range servers {
+		if admitted(id) {
+			advice.Grants = append(advice.Grants, specifier.Grant{Server: id, Ticket: "t"})
 		}
-		s.ended = append(s.ended, specifier.EndedTask{
-			Number: s.number, Task: order.Order.Task, Run: order.Order.Run, Reason: reason,
-		})
-		close(s.changed)
-		s.changed = make(chan struct{})
-	})
-	return specifier.OrderDone
-}
-
-// Stop implements coordinator.BackendServers.
-func (c *cell) Stop(context.Context, conductor.Stop) specifier.OrderResult {
-	return specifier.OrderDone
-}
-
-// Renew implements coordinator.BackendServers.
-func (c *cell) Renew(ctx context.Context, order conductor.Renew) (specifier.ServerReport, specifier.OrderResult) {
-	c.mu.Lock()
-	s := c.servers[order.Server.ID]
-	if s.unresponsive {
-		c.mu.Unlock()
-		return specifier.ServerReport{}, specifier.OrderUnknown
-	}
-	if order.Fence < s.fence {
-		c.mu.Unlock()
-		return specifier.ServerReport{}, specifier.OrderFenced
 	}
-	s.fence = order.Fence
-	for len(s.ended) > 0 && s.ended[0].Number <= order.Acknowledged {
-		s.ended = s.ended[1:]
-	}
-	changed, wait := s.changed, order.Wait
-	if len(s.ended) > 0 {
-		wait = 0
-	}
-	c.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return specifier.ServerReport{}, specifier.OrderUnknown
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	report := specifier.ServerReport{Incarnation: 1, Clock: time.Since(s.startedAt), Ended: append([]specifier.EndedTask(nil), s.ended...)}
-	for task, run := range s.runs {
-		report.Running = append(report.Running, specifier.RunningTask{Task: task, Run: run, Percent: 100})
-	}
-	return report, specifier.OrderDone
+	return advice, nil
 }
 
 func (c *cell) submit(instance int, id specifier.JobID) error {
-	queue, err := c.instances[instance].Queue("h", "/q/x")
+	return c.submitSteps(instance, "/q/", id, specifier.Step{
+		Count: 3, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
+	})
+}
+
+func (c *cell) submitSteps(instance int, prefix string, id specifier.JobID, steps ...specifier.Step) error {
+	queue, err := c.instances[instance].Queue("h", prefix+"x")
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
-	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{{
-		Count: 3, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
-	}}})
+	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: steps})
 }
 
 func (c *cell) stop() {
@@ -227,9 +146,9 @@
 func runWithCell(t *testing.T, instances, servers int, test func(t *testing.T, c *cell)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, instances, servers)
+		defer c.stop()
 		time.Sleep(5 * time.Second)
 		test(t, c)
-		c.stop()
 	})
 }
 
