End the holds of steps that cannot start beside lasting runs

Cause: a hold counted what fits the empty servers, so that a gang that waits behind a service held servers that it could never use. Two such gangs took turns without a pause, and all other steps of the same priority waited. Each pass also sorted the servers for every step that no hold would help. Change: runs that last until their job is cancelled count as used; a step whose hold has expired is held for again only after 20 s, then 40 s and so on up to 10 minutes; after an expired hold no servers are held for 10 s; the check comes before the sort, and a step that no hold would help is checked once a second. A hold that waits for advice needs servers that could suffice.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,10 +30,12 @@
 	lastFences   map[specifier.ServerID]int64
 	waitingSteps map[specifier.StepID]*waitingStep
 	// holds is, for each service, the step that servers are held for, if any.
-	holds    map[string]*hold
-	lanes    [CommitLanes]lane
-	dirty    []*job
-	advisors adviser.Pool
+	holds map[string]*hold
+	// holdNotBefore is, for each service, the earliest time of the next hold after one that expired.
+	holdNotBefore map[string]time.Time
+	lanes         [CommitLanes]lane
+	dirty         []*job
+	advisors      adviser.Pool
 
 	commands []Command
 	// cancelledEarly are the jobs whose cancellation was read before the job itself.
@@ -100,6 +102,7 @@
 
 		cancelledEarly: make(map[specifier.JobID]bool),
 		holds:          make(map[string]*hold),
+		holdNotBefore:  make(map[string]time.Time),
 		renewalPass:    throttle{interval: renewalPassInterval},
 		sweepPass:      throttle{interval: sweepInterval},
 		expirePass:     throttle{interval: expireInterval},
--- a/conductor/gang_test.go
+++ b/conductor/gang_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,3 +74,27 @@
 	require.Empty(t, w.violations)
 	require.Equal(t, specifier.Completed, w.state(gang.ID))
 }
+
+// TestHoldsOfUnplaceableGangsLetOthersStart guards against gangs that cannot start beside a service and hold, in turns, the
+// servers that other jobs could use.
+func TestHoldsOfUnplaceableGangsLetOthersStart(t *testing.T) {
+	w := newSimulation(t, 1, 4)
+	full := specifier.Resources{MilliCores: 64000}
+	queue := specifier.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}
+	submit := func(id specifier.JobID, step specifier.Step) {
+		w.submit(specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{step}})
+	}
+	w.runUntil(time.Second)
+	submit("service", specifier.Step{Count: 2, Need: full, LongRunning: true, Estimate: time.Second})
+	w.runUntil(2 * time.Second)
+	submit("a", specifier.Step{Count: 3, Gang: true, Need: full, Estimate: time.Second})
+	submit("b", specifier.Step{Count: 3, Gang: true, Need: full, Estimate: time.Second})
+	w.runUntil(12 * time.Second)
+	for i := range 5 {
+		submit(specifier.JobID(fmt.Sprintf("c%d", i)), specifier.Step{Count: 1, Need: full, Estimate: time.Second})
+	}
+	w.runUntil(120 * time.Second)
+	for i := range 5 {
+		require.Equal(t, specifier.Completed, w.state(specifier.JobID(fmt.Sprintf("c%d", i))))
+	}
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -21,6 +21,12 @@
 	// holdTimeout is how long servers are held for a step that does not start. A straggler on one of them may take
 	// longer, and other steps wait for their turn.
 	holdTimeout = 20 * time.Second
+	// maxHoldBackoff bounds how often the time to the next hold of a step doubles after holds that have expired, and
+	// holdPause is how long no servers are held for any step of the service after one, so that others can start.
+	maxHoldBackoff = 5
+	holdPause      = 10 * time.Second
+	// holdRetryInterval is how long a step that no hold would help is skipped.
+	holdRetryInterval = time.Second
 	// holdInterval is how often the held servers are chosen anew; each choice sorts the servers.
 	holdInterval = 50 * time.Millisecond
 	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
@@ -76,7 +82,9 @@
 		}
 		if !p.now.Before(h.expiresAt) {
 			c.logDecision("HoldExpired", h.step.Task(w.waiting[0]), 0, "", "")
-			w.wait.holdNotBefore = p.now.Add(holdAfter)
+			w.wait.holdNotBefore = p.now.Add(holdTimeout << min(w.wait.expiredHolds, maxHoldBackoff))
+			w.wait.expiredHolds++
+			c.holdNotBefore[service] = p.now.Add(holdPause)
 			delete(c.holds, service)
 			continue
 		}
@@ -91,12 +99,18 @@
 		}
 	}
 	for _, w := range c.stepsToHoldFor(p) {
+		service := w.job.queue.Service
+		if c.holds[service] != nil || p.now.Before(c.holdNotBefore[service]) {
+			continue
+		}
 		h := &hold{step: w.step.ID, begunAt: p.now, expiresAt: p.now.Add(holdTimeout)}
-		if c.holds[w.job.queue.Service] == nil && c.chooseHeld(p, w, h) {
-			c.holds[w.job.queue.Service] = h
-			w.hold(h.servers)
-			c.logDecision("HoldBegun", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("%d servers", len(h.servers)))
+		if !c.chooseHeld(p, w, h) {
+			w.wait.holdNotBefore = p.now.Add(holdRetryInterval)
+			continue
 		}
+		c.holds[service] = h
+		w.hold(h.servers)
+		c.logDecision("HoldBegun", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("%d servers", len(h.servers)))
 	}
 }
 
@@ -148,22 +162,39 @@
 	return false
 }
 
-// chooseHeld chooses the servers to hold for a step: those on which its tasks fit soonest, until the step would fit if
-// they were empty, and some spare ones. It reports false when the step would not fit any servers.
+// chooseHeld chooses the servers to hold for a step: those on which its tasks fit soonest, until the step would fit once the
+// runs of others have ended, and some spare ones. It reports false when the step would not fit any servers then.
 func (c *Conductor) chooseHeld(p *pass, w *waitingStep, h *hold) bool {
 	h.servers = nil
 	admitted, unknown := c.admittedServers(p, w)
-	admitted = slices.DeleteFunc(admitted, func(s *session) bool {
-		return w.fitsEmpty(s) == 0
-	})
-	slices.SortFunc(admitted, w.compareNearness)
-	if !fitsOn(admitted, w.required(), w.fitsEmpty) {
-		return slices.ContainsFunc(unknown, func(s *session) bool { return w.fitsEmpty(s) > 0 })
+	fits := func(s *session) int { return c.fitsLater(w, s) }
+	if !fitsOn(admitted, w.required(), fits) {
+		return fitsOn(slices.Concat(admitted, unknown), w.required(), fits)
 	}
-	h.servers = admitted[:countServers(admitted, w.withSpare(), w.fitsEmpty)]
+	admitted = slices.DeleteFunc(admitted, func(s *session) bool { return fits(s) == 0 })
+	slices.SortFunc(admitted, w.compareNearness)
+	h.servers = admitted[:countServers(admitted, w.withSpare(), fits)]
 	return true
 }
 
+// fitsLater returns how many waiting tasks of the step the server could take once all runs have ended that do not last until
+// their job is cancelled.
+func (c *Conductor) fitsLater(w *waitingStep, s *session) int {
+	free := s.server.Capacity
+	for _, a := range s.allocations {
+		if c.lasts(a) {
+			free = free.Minus(a.need)
+		}
+	}
+	return w.need().Count(free, w.limitOn(s))
+}
+
+// lasts reports whether a run lasts until its job is cancelled.
+func (c *Conductor) lasts(a *allocation) bool {
+	j := c.jobs[a.task.Job]
+	return j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning
+}
+
 // admittedServers returns the usable servers that may run the step, whether or not a ticket is valid now, and those about
 // which advice was not requested yet.
 func (c *Conductor) admittedServers(p *pass, w *waitingStep) (admitted, unknown []*session) {
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -234,8 +234,7 @@
 // runsForGood reports whether a run on the server lasts until its job is cancelled.
 func (c *Conductor) runsForGood(s *session) bool {
 	for _, a := range s.allocations {
-		j := c.jobs[a.task.Job]
-		if j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning {
+		if c.lasts(a) {
 			return true
 		}
 	}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -140,14 +140,19 @@
 
 // fits returns how many waiting tasks of the step the server can take now.
 func (w *waitingStep) fits(s *session) int {
+	if limit := w.limitOn(s); limit > 0 {
+		return w.need().Count(s.freeCapacity(), limit)
+	}
+	return 0
+}
+
+// limitOn returns how many waiting tasks of the step the server may take, whatever its capacity.
+func (w *waitingStep) limitOn(s *session) int {
 	limit := len(w.waiting)
 	if bound := w.step.Spec.MaxPerServer; bound > 0 {
-		limit = min(limit, bound-s.taskCount(w.step.ID))
-	}
-	if limit <= 0 {
-		return 0
+		limit = min(limit, max(0, bound-s.taskCount(w.step.ID)))
 	}
-	return w.need().Count(s.freeCapacity(), limit)
+	return limit
 }
 
 func (s *session) taskCount(step specifier.StepID) int {
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -17,6 +17,8 @@
 	nextLineAt time.Time
 	// holdNotBefore is the earliest time of the next hold after one that expired.
 	holdNotBefore time.Time
+	// expiredHolds is the number of holds in which the step did not start.
+	expiredHolds int
 	// unfitSince is since when the step does not fit the servers of its shard; it lies in the future while the step must
 	// not borrow, or cannot. borrows is set while the step may run on servers of other shards.
 	unfitSince time.Time
@@ -106,13 +108,9 @@
 	return int(100 * used.MilliCores / max(capacity.MilliCores, 1)), int(100 * used.MemoryMB / max(capacity.MemoryMB, 1))
 }
 
-// fitsEmpty returns how many waiting tasks of the step the server could take without other runs.
+// fitsEmpty returns how many waiting tasks of the step the server could take without the runs of other steps.
 func (w *waitingStep) fitsEmpty(s *session) int {
-	limit := len(w.waiting)
-	if bound := w.step.Spec.MaxPerServer; bound > 0 {
-		limit = min(limit, bound)
-	}
-	return w.need().Count(s.server.Capacity, limit)
+	return w.need().Count(s.server.Capacity, w.limitOn(s))
 }
 
 // logAdvice logs the result of an advice call.
