Search the whole zone for a reservation when needed

Cause: reserve checked one window of 256 plus 8 backend servers for each task. A gang whose possible backend servers lie further apart never found enough in any window, got no reservation and starved under small tasks. Change: the search goes on while too few backend servers can hold a task. The jobs that wait for the reservation take turns: one whose search failed is searched for again after 1 s and behind the others, and 4096 checks of backend servers bound the searches of one pass. An urgent job whose search failed waits 1 s for the next one as well; placement is still attempted every 200 ms. What callers saw: the gang was accepted and assigned to a zone, and waited for ever. Evidence: TestGangWithDistantServersGetsReservation (1,000 backend servers, every hundredth large enough, gang of 10) before: reservation_test.go:101: expected: 10, actual: 0 (after 2 minutes) Why it works: an unsuccessful search has seen each backend server of the zone.

--- a/placer/harness_test.go
+++ b/placer/harness_test.go
@@ -114,3 +114,38 @@
 	require.NoError(h.t, err)
 	return number
 }
+
+// stream keeps tasks of a job pending, and ends each placed one after 4 to 10 s.
+type stream struct {
+	*harness
+	job  describer.Job
+	ends map[describer.TaskID]time.Time
+	next int
+}
+
+func (h *harness) stream(small describer.Job) *stream {
+	return &stream{harness: h, job: small, ends: make(map[describer.TaskID]time.Time)}
+}
+
+// run runs the stream until done returns true, at most for the given duration.
+func (s *stream) run(duration time.Duration, done func() bool) {
+	for until := s.now.Add(duration); s.now.Before(until) && !done(); s.wait(200 * time.Millisecond) {
+		var indices []int
+		for ; s.next < s.job.Tasks+len(s.ends); s.next++ {
+			indices = append(indices, s.next)
+		}
+		s.handle(placer.TasksSubmitted{Job: s.job, Indices: indices})
+		for id := range s.places {
+			if _, known := s.ends[id]; !known && id.Job == s.job.ID {
+				s.ends[id] = s.now.Add(time.Duration(4+id.Index%7) * time.Second)
+			}
+		}
+		for id, at := range s.ends {
+			if _, running := s.places[id]; running && (!s.now.Before(at) || s.evicted[id] != "") {
+				s.release(id, s.evicted[id] == "")
+			}
+		}
+	}
+}
+
+func never() bool { return false }
--- a/placer/job.go
+++ b/placer/job.go
@@ -62,15 +62,24 @@
 	// priorityTime is the time of submission, later by ageingStep for each class below Urgent.
 	priorityTime time.Time
 	// blockedSince is the time since which a task of the job has fitted on no backend server. It is reset by a
-	// placement, and set anew when no reservation is possible.
+	// placement.
 	blockedSince time.Time
+	// turn orders the jobs that wait for the reservation. It is priorityTime until a search for a reservation fails.
+	turn time.Time
+	// reserveAt is the earliest time of the next search for a reservation after one that failed.
+	reserveAt time.Time
 	// retryAt is the earliest time of the next placement attempt of a gang job. It limits the attempts, because each
 	// costs a search for each task.
 	retryAt time.Time
 }
 
 func newEntry(now time.Time, j *job) *entry {
-	return &entry{job: j, priorityTime: now.Add(time.Duration(j.description.Class) * ageingStep)}
+	at := priorityTime(now, j)
+	return &entry{job: j, priorityTime: at, turn: at}
+}
+
+func priorityTime(submittedAt time.Time, j *job) time.Time {
+	return submittedAt.Add(time.Duration(j.description.Class) * ageingStep)
 }
 
 // taskCount returns how many tasks of the entry have to be placed at the same time.
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -20,9 +20,12 @@
 	// maxWaitForUnknown is how long a reservation waits for batch tasks of unknown or very long run time before it may
 	// evict them.
 	maxWaitForUnknown = 5 * time.Minute
-	// minCandidates and candidatesPerTask bound the backend servers that are checked for a reservation.
+	// minCandidates and candidatesPerTask are how many backend servers are compared for a reservation. More are checked
+	// only while too few of them can hold a task.
 	minCandidates     = 256
 	candidatesPerTask = 8
+	// checksPerPass bounds the cost of the searches for a reservation in one pass when many jobs do not fit.
+	checksPerPass = 4096
 )
 
 // reservation keeps capacity on some backend servers for one job, beginning at a start time. A zone has at most one
@@ -51,23 +54,42 @@
 	return known && !now.Add(runTime).After(p.reservation.startsAt)
 }
 
-// reserveForBlocked creates the reservation for the first job in the queue that has fitted nowhere for at least
-// reserveAfter; an urgent job does not wait for that.
+// reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
+// least reserveAfter; an urgent job does not wait for that.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	if p.reservation != nil {
-		return
+	for checks := 0; p.reservation == nil && checks < checksPerPass; {
+		e := p.nextToReserve(now)
+		if e == nil {
+			return
+		}
+		checked, reserved := p.reserve(now, e)
+		checks += max(checked, 1)
+		if !reserved {
+			// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
+			// job.
+			e.loseTurn(now)
+		}
 	}
+}
+
+// nextToReserve returns the blocked entry whose turn for the reservation is first, or nil.
+func (p *Placer) nextToReserve(now time.Time) *entry {
+	var next *entry
 	for _, e := range p.pending {
-		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) {
+		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) {
 			continue
 		}
-		if p.reserve(now, e) {
-			return
+		if next == nil || e.turn.Before(next.turn) {
+			next = e
 		}
-		// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
-		// job.
-		e.blockedSince = now
 	}
+	return next
+}
+
+// loseTurn puts the entry behind the others that wait for the reservation, as if it had been submitted now.
+func (e *entry) loseTurn(now time.Time) {
+	e.turn = priorityTime(now, e.job)
+	e.reserveAt = now.Add(reserveAfter)
 }
 
 // maxWait returns how long the entry waits for other tasks; an urgent job does not wait.
@@ -78,30 +100,31 @@
 	return wait
 }
 
-// reserve computes the earliest start time of a job and reserves capacity for it. It returns false if the job would not
-// fit even after running tasks end.
-func (p *Placer) reserve(now time.Time, e *entry) bool {
+// reserve computes the earliest start time of a job and reserves capacity for it. It returns the number of checked
+// backend servers, and false if the job would not fit even after running tasks end.
+func (p *Placer) reserve(now time.Time, e *entry) (checked int, reserved bool) {
 	count := e.taskCount()
+	enough := minCandidates + candidatesPerTask*count
 	var slots []slotTime
-	for range min(len(p.servers), minCandidates+candidatesPerTask*count) {
+	for ; checked < len(p.servers) && (checked < enough || len(slots) < count); checked++ {
 		p.reserveFrom = (p.reserveFrom + 1) % len(p.servers)
 		slots = p.servers[p.reserveFrom].appendSlots(slots, now, e)
 	}
 	if len(slots) < count {
-		return false
+		return checked, false
 	}
 	slices.SortStableFunc(slots, func(a, b slotTime) int { return a.at.Compare(b.at) })
 	p.reservation = &reservation{holder: e, startsAt: slots[count-1].at}
 	for _, slot := range slots[:count] {
 		p.reserveOn(slot.server, e.job.need)
 	}
-	return true
+	return checked, true
 }
 
 // appendSlots appends the times at which the backend server is expected to have capacity for tasks of the entry, as its
 // running tasks end. A batch task that the holder may evict counts as ended after maxWaitForUnknown at the latest.
 func (s *server) appendSlots(slots []slotTime, now time.Time, e *entry) []slotTime {
-	if !s.accepts() || s.ejected {
+	if !s.accepts() || s.ejected || !e.job.need.Fits(s.Capacity) {
 		return slots
 	}
 	ends := make([]*placement, 0, len(s.placements))
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -81,3 +81,22 @@
 	}
 	require.Equal(t, 4, h.placed("gang"))
 }
+
+// TestGangWithDistantServersGetsReservation guards against a gang job that starves in a large zone because only the
+// backend servers of one window, of which too few are large enough, are checked for its reservation.
+func TestGangWithDistantServersGetsReservation(t *testing.T) {
+	servers := zone(1000)
+	for i := range servers {
+		if i%100 != 0 {
+			servers[i].Capacity = size(1, 4)
+		}
+	}
+	h := newHarness(t, servers)
+	small := job("small", describer.BatchJob, describer.Standard, 1200, size(1, 1))
+	small.ExpectedSeconds = 10
+	load := h.stream(small)
+	load.run(5*time.Second, never)
+	h.submit(job("gang", describer.GangJob, describer.Standard, 10, size(8, 8)))
+	load.run(2*time.Minute, func() bool { return h.placed("gang") == 10 })
+	require.Equal(t, 10, h.placed("gang"))
+}
