Reserve on backend servers whose tasks end

Cause: a gang task that runs longer than declared was expected to end at once, and may not be evicted. Its backend server came first in each reservation, the reservation timed out after 30 s, and the next one was on the same backend servers. Change: such a task is expected to run on for as long as it has run over, at most 10 minutes, which is longer than the wait for batch tasks that may be evicted. What callers saw: a gang that the zone could hold waited for as long as another gang ran over its declared time. Evidence: TestOverrunningGangIsAvoidedByReservation (8 backend servers, 4 of them under a gang declared with 1 s that does not end) before: reservation_test.go:141: expected: 4, actual: 0 (after 5 minutes) Why it works: after each reservation that times out the overrun is at least 30 s longer, so that capacity that becomes free sooner is chosen.

--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -20,6 +20,9 @@
 	// maxWaitForUnknown is how long a reservation waits for batch tasks of unknown or very long run time before it may
 	// evict them.
 	maxWaitForUnknown = 5 * time.Minute
+	// maxOverrun is the longest remaining run time that is expected of a task which runs longer than expected and may
+	// not be evicted. It is longer than maxWaitForUnknown, so that capacity freed by evictions is preferred.
+	maxOverrun = 2 * maxWaitForUnknown
 	// minCandidates and candidatesPerTask are how many backend servers are compared for a reservation. More are checked
 	// only while too few of them can hold a task.
 	minCandidates     = 256
@@ -157,7 +160,8 @@
 		!p.waiting
 }
 
-// freeAt returns the expected time at which the task has ended or may be evicted.
+// freeAt returns the expected time at which the task has ended or may be evicted. A task that runs longer than expected
+// and may not be evicted is expected to run on for as long as it has done so.
 func (p *placement) freeAt(now time.Time, holder *entry) time.Time {
 	if p.leaving {
 		return now
@@ -166,10 +170,13 @@
 	if p.isEvictableFor(holder) && (!p.endKnown || p.endsAt.After(latest)) {
 		return latest
 	}
-	if p.endsAt.Before(now) {
+	if !p.endsAt.Before(now) {
+		return p.endsAt
+	}
+	if p.isEvictableFor(holder) {
 		return now
 	}
-	return p.endsAt
+	return now.Add(min(now.Sub(p.endsAt), maxOverrun))
 }
 
 // reserveOn adds capacity on a backend server to the reservation.
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -100,3 +100,19 @@
 	load.run(2*time.Minute, func() bool { return h.placed("gang") == 10 })
 	require.Equal(t, 10, h.placed("gang"))
 }
+
+// TestOverrunningGangIsAvoidedByReservation guards against a gang job that starves because gang tasks which run longer
+// than declared are expected to end at once, so that each reservation is on their backend servers.
+func TestOverrunningGangIsAvoidedByReservation(t *testing.T) {
+	h := newHarness(t, zone(8))
+	endless := job("endless", describer.GangJob, describer.Standard, 4, size(8, 8))
+	endless.ExpectedSeconds = 1
+	h.submit(endless)
+	small := job("small", describer.BatchJob, describer.Standard, 40, size(1, 1))
+	small.ExpectedSeconds = 10
+	load := h.stream(small)
+	load.run(5*time.Second, never)
+	h.submit(job("gang", describer.GangJob, describer.Standard, 4, size(8, 8)))
+	load.run(5*time.Minute, func() bool { return h.placed("gang") == 4 })
+	require.Equal(t, 4, h.placed("gang"))
+}
