Take turns when a reservation is not fulfilled

Cause: after a reservation timed out, the first job in the queue that was still blocked got the next one, which was the same job again. Change: the holder goes behind the other jobs that wait for the reservation, as after a failed search, and the next holder is chosen before the pass gives the reserved capacity to other tasks. A job that waits alone gets the reservation again. What callers saw: one gang that waits for tasks which never end kept all other gangs and large tasks of the zone waiting. Evidence: TestUnfulfillableReservationLetsOthersTakeTurns (two gangs wait for accelerators under a gang that does not end, a third one fits the other backend servers) before: reservation_test.go:141: expected: 4, actual: 0 (after 5 minutes) Why it works: a holder that times out gets the reservation again only after all that waited before.

--- a/placer/job.go
+++ b/placer/job.go
@@ -64,7 +64,8 @@
 	// blockedSince is the time since which a task of the job has fitted on no backend server. It is reset by a
 	// placement.
 	blockedSince time.Time
-	// turn orders the jobs that wait for the reservation. It is priorityTime until a search for a reservation fails.
+	// turn orders the jobs that wait for the reservation. It is priorityTime until a search for a reservation fails
+	// or a reservation is not fulfilled in time.
 	turn time.Time
 	// reserveAt is the earliest time of the next search for a reservation after one that failed.
 	reserveAt time.Time
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -14,8 +14,8 @@
 	// overdueAfter is how long after its start time a reservation waits for tasks that run longer than expected before
 	// they are evicted.
 	overdueAfter = 2 * time.Second
-	// reservationTimeout is how long after its start time an unfulfilled reservation is cancelled and computed anew.
-	// A reservation cannot be fulfilled if, for example, one of its backend servers has failed.
+	// reservationTimeout is how long after its start time an unfulfilled reservation is cancelled, after which
+	// it is the turn of the next job. A reservation cannot be fulfilled if, for example, a backend server has failed.
 	reservationTimeout = 30 * time.Second
 	// maxWaitForUnknown is how long a reservation waits for batch tasks of unknown or very long run time before it may
 	// evict them.
@@ -71,6 +71,7 @@
 			// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
 			// job.
 			e.loseTurn(now)
+			e.reserveAt = now.Add(reserveAfter)
 		}
 	}
 }
@@ -92,7 +93,6 @@
 // loseTurn puts the entry behind the others that wait for the reservation, as if it had been submitted now.
 func (e *entry) loseTurn(now time.Time) {
 	e.turn = priorityTime(now, e.job)
-	e.reserveAt = now.Add(reserveAfter)
 }
 
 // maxWait returns how long the entry waits for other tasks; an urgent job does not wait.
@@ -234,7 +234,10 @@
 	}
 	switch {
 	case now.After(r.startsAt.Add(reservationTimeout)):
+		// The next holder is chosen before the pass can give the reserved capacity to other tasks.
 		p.cancelReservation()
+		holder.loseTurn(now)
+		p.reserveForBlocked(now)
 	case !now.Before(r.startsAt.Add(holder.maxWait(overdueAfter))) && !r.evicted:
 		r.evicted = true
 		p.evictOverdue(now, r)
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -116,3 +116,27 @@
 	load.run(5*time.Minute, func() bool { return h.placed("gang") == 4 })
 	require.Equal(t, 4, h.placed("gang"))
 }
+
+// TestUnfulfillableReservationLetsOthersTakeTurns guards against a gang job that starves because the reservation returns
+// to a job that is waiting for tasks which never end.
+func TestUnfulfillableReservationLetsOthersTakeTurns(t *testing.T) {
+	servers := zone(8)
+	for i := range 4 {
+		servers[i].Capacity.Accelerators = 1
+	}
+	h := newHarness(t, servers)
+	accelerated := size(8, 8).Plus(describer.Resources{Accelerators: 1})
+	endless := job("endless", describer.GangJob, describer.Standard, 4, accelerated)
+	endless.ExpectedSeconds = 5
+	h.submit(endless)
+	require.Equal(t, 4, h.placed("endless"))
+	small := job("small", describer.BatchJob, describer.Standard, 40, size(1, 1))
+	small.ExpectedSeconds = 10
+	load := h.stream(small)
+	load.run(5*time.Second, never)
+	h.submit(job("stuck-1", describer.GangJob, describer.Standard, 4, accelerated))
+	h.submit(job("stuck-2", describer.GangJob, describer.Standard, 4, accelerated))
+	h.submit(job("gang", describer.GangJob, describer.Standard, 4, size(8, 8)))
+	load.run(5*time.Minute, func() bool { return h.placed("gang") == 4 })
+	require.Equal(t, 4, h.placed("gang"))
+}
