Keep the reservation when backend servers come and go

Cause: each backend server that joined, left or changed cancelled the reservation of its zone, even if it held no reserved capacity. The same pass gave the capacity that had become free to small tasks, and the next reservation began with a new start time. Change: the reservation is kept while all its backend servers are live and large enough. Otherwise it is computed anew at once for the same job, before other tasks are placed. What callers saw: in a zone whose list changes more often than a reservation takes, a gang or large task waited for ever. Evidence: TestChangedServersKeepReservation (one backend server joins or leaves every 2 s, small tasks of 4 to 10 s) before: reservation_test.go:159: expected: 4, actual: 0 (after 2 minutes) Why it works: the reservation refers to backend servers and not to their numbers, and rebuild refreshes all indexes from them.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -71,7 +71,7 @@
 func (p *Placer) apply(now time.Time, event Event) {
 	switch e := event.(type) {
 	case ServersChanged:
-		p.changeServers(e.Servers)
+		p.changeServers(now, e.Servers)
 	case ServerEjected:
 		p.setEjected(e.Server, true, 0)
 	case ServerProbed:
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -267,6 +267,16 @@
 	return true
 }
 
+// isPossible reports whether each backend server of the reservation accepts work and is large enough.
+func (r *reservation) isPossible() bool {
+	for _, s := range r.servers {
+		if s.State != describer.Live || !s.reserved.Fits(s.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
 // evictOverdue evicts tasks that occupy the reserved capacity after the start time of the reservation.
 func (p *Placer) evictOverdue(now time.Time, r *reservation) {
 	for _, s := range r.servers {
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -140,3 +140,21 @@
 	load.run(5*time.Minute, func() bool { return h.placed("gang") == 4 })
 	require.Equal(t, 4, h.placed("gang"))
 }
+
+// TestChangedServersKeepReservation guards against a gang job that starves because each change of the list of backend
+// servers gives the capacity that was reserved for it to others.
+func TestChangedServersKeepReservation(t *testing.T) {
+	servers := zone(5)
+	h := newHarness(t, servers[:4])
+	small := job("small", describer.BatchJob, describer.Standard, 40, size(1, 1))
+	small.ExpectedSeconds = 10
+	load := h.stream(small)
+	load.run(5*time.Second, never)
+	h.submit(job("gang", describer.GangJob, describer.Standard, 4, size(8, 8)))
+	servers[4].Capacity = size(1, 1)
+	for i := 0; i < 60 && h.placed("gang") == 0; i++ {
+		load.run(2*time.Second, never)
+		h.handle(placer.ServersChanged{Servers: servers[:4+i%2]})
+	}
+	require.Equal(t, 4, h.placed("gang"))
+}
--- a/placer/server_list.go
+++ b/placer/server_list.go
@@ -1,10 +1,14 @@
 package placer
 
-import "egretring.example/egretring/describer"
+import (
+	"time"
+
+	"egretring.example/egretring/describer"
+)
 
 // changeServers applies a new list of backend servers. A backend server that is missing from the list is kept while it
 // has tasks, because they may still run there.
-func (p *Placer) changeServers(list []describer.BackendServer) {
+func (p *Placer) changeServers(now time.Time, list []describer.BackendServer) {
 	seen := make(map[describer.BackendServerID]bool, len(list))
 	rebuild := false
 	for _, described := range list {
@@ -25,9 +29,17 @@
 			rebuild = true
 		}
 	}
+	var holder *entry
+	if p.reservation != nil && !p.reservation.isPossible() {
+		holder = p.reservation.holder
+		p.cancelReservation()
+	}
 	if rebuild {
 		p.rebuild()
 	}
+	if holder != nil {
+		p.reserve(now, holder)
+	}
 	p.dirty = true
 }
 
@@ -58,7 +70,6 @@
 
 // rebuild renumbers the backend servers and rebuilds the indexes.
 func (p *Placer) rebuild() {
-	p.cancelReservation()
 	kept := make([]*server, 0, len(p.servers))
 	for _, s := range p.servers {
 		if s.State != describer.Gone || len(s.placements) > 0 {
