Expect tasks of unknown run time to end

Cause: the search for a reservation counted capacity of running tasks only if their run time was known or they might be evicted. A gang without a declared run time, and batch work of a higher class, counted as running for ever. Change: a task that is no service's, has no known run time and may not be evicted is expected to run on for as long as it has run, at most 10 minutes. What callers saw: a wide gang, accepted and assigned to a zone, waited as long as narrow gangs of unknown run time came. Evidence: TestReservationExpectsGangsOfUnknownRunTimeToEnd (4 backend servers, one narrow gang ends and one comes each second, gang of 4 that needs them all) before: reservation_test.go:181: expected: 4, actual: 0 (after 10 minutes) Why it works: the wide gang gets a reservation, and no task of unknown run time starts in the reserved capacity. If the tasks run longer, the next reservation expects a later end.

--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -20,8 +20,9 @@
 	// maxWaitForUnknown is how long a reservation waits for batch tasks of unknown or very long run time before it may
 	// evict them.
 	maxWaitForUnknown = 5 * time.Minute
-	// maxOverrun is the longest remaining run time that is expected of a task which runs longer than expected and may
-	// not be evicted. It is longer than maxWaitForUnknown, so that capacity freed by evictions is preferred.
+	// maxOverrun is the longest remaining run time that is expected of a task which may not be evicted and runs longer
+	// than expected or for an unknown time. It is longer than maxWaitForUnknown, so that capacity freed by evictions is
+	// preferred.
 	maxOverrun = 2 * maxWaitForUnknown
 	// minCandidates and candidatesPerTask are how many backend servers are compared for a reservation. More are checked
 	// only while too few of them can hold a task.
@@ -132,7 +133,7 @@
 	}
 	ends := make([]*placement, 0, len(s.placements))
 	for _, place := range s.placements {
-		if place.endKnown || place.leaving || place.isEvictableFor(e) {
+		if place.leaving || place.job.description.Policy != describer.ServiceJob {
 			ends = append(ends, place)
 		}
 	}
@@ -160,8 +161,9 @@
 		!p.waiting
 }
 
-// freeAt returns the expected time at which the task has ended or may be evicted. A task that runs longer than expected
-// and may not be evicted is expected to run on for as long as it has done so.
+// freeAt returns the expected time at which the task has ended or may be evicted. A task that may not be
+// evicted and runs longer than expected is expected to run on for as long as it has done so, and one of unknown run time
+// for as long as it has run.
 func (p *placement) freeAt(now time.Time, holder *entry) time.Time {
 	if p.leaving {
 		return now
@@ -170,10 +172,12 @@
 	if p.isEvictableFor(holder) && (!p.endKnown || p.endsAt.After(latest)) {
 		return latest
 	}
-	if !p.endsAt.Before(now) {
+	switch {
+	case !p.endKnown:
+		return now.Add(min(now.Sub(p.startedAt), maxOverrun))
+	case !p.endsAt.Before(now):
 		return p.endsAt
-	}
-	if p.isEvictableFor(holder) {
+	case p.isEvictableFor(holder):
 		return now
 	}
 	return now.Add(min(now.Sub(p.endsAt), maxOverrun))
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -158,3 +159,24 @@
 	}
 	require.Equal(t, 4, h.placed("gang"))
 }
+
+// TestReservationExpectsGangsOfUnknownRunTimeToEnd guards against a wide gang job that starves under narrow ones without
+// a declared run time, because none of their backend servers counts as free at any time.
+func TestReservationExpectsGangsOfUnknownRunTimeToEnd(t *testing.T) {
+	h := newHarness(t, zone(4))
+	narrow := func(number int) describer.Job {
+		return job(strconv.Itoa(number), describer.GangJob, describer.Standard, 1, size(4, 4))
+	}
+	for number := range 10 {
+		h.submit(narrow(number))
+	}
+	h.submit(job("wide", describer.GangJob, describer.Standard, 4, size(8, 8)))
+	for number := 0; number < 600 && h.placed("wide") == 0; number++ {
+		h.submit(narrow(10 + number))
+		h.wait(time.Second)
+		if h.placed(narrow(number).ID) == 1 {
+			h.release(task(strconv.Itoa(number), 0), true)
+		}
+	}
+	require.Equal(t, 4, h.placed("wide"))
+}
