Fall back to the declared need for a gang that does not fit

Cause: the learned need of a gang's tasks may exceed the declared one, already because of its 5% headroom. The planner chose the zone by the declared need. After an eviction or failure the gang was placed by the learned need, with which the zone may not hold it. Change: when the search for a reservation shows that a gang does not fit even after running tasks end, its learned need is limited to the declared one. The next usage report of a running task raises it again. What callers saw: a gang that had run waited for ever after its first eviction. Evidence: TestGangFitsAgainAfterLearning (two backend servers of 8 cores, 4 tasks of 4 cores that use 3.9) before: reservation_test.go:200: expected: 4, actual: 0 Why it works: the declared need is the one by which the planner found that the zone holds the gang. Single tasks are not changed: their need is limited to the largest backend server already.

--- a/placer/job.go
+++ b/placer/job.go
@@ -51,6 +51,14 @@
 	j.need = smaller(j.estimate.need(declared), larger(declared, largest))
 }
 
+// limitNeed limits the learned need of a gang job that does not fit the zone to the declared need, with which it was
+// assigned to the zone.
+func (j *job) limitNeed() {
+	if j.isGang() {
+		j.need = smaller(j.need, j.description.PerTask)
+	}
+}
+
 func (j *job) isGang() bool {
 	return j.description.Policy == describer.GangJob
 }
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -73,6 +73,7 @@
 			// job.
 			e.loseTurn(now)
 			e.reserveAt = now.Add(reserveAfter)
+			e.job.limitNeed()
 		}
 	}
 }
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -180,3 +180,22 @@
 	}
 	require.Equal(t, 4, h.placed("wide"))
 }
+
+// TestGangFitsAgainAfterLearning guards against a gang job that ran in its zone and never runs again, because with its
+// learned need fewer tasks fit on a backend server.
+func TestGangFitsAgainAfterLearning(t *testing.T) {
+	h := newHarness(t, zone(2))
+	gang := job("gang", describer.GangJob, describer.Standard, 4, size(4, 4))
+	h.submit(gang)
+	for range 100 {
+		h.handle(placer.UsageReported{Server: h.places[task("gang", 0)].Server, SampledAt: h.now, Tasks: []placer.TaskUsage{
+			{Task: task("gang", 0), Used: describer.Resources{MilliCores: 3900, MemoryBytes: 1 << 30}},
+		}})
+	}
+	for index := range 4 {
+		h.release(task("gang", index), false)
+	}
+	h.submit(gang)
+	h.wait(5 * time.Second)
+	require.Equal(t, 4, h.placed("gang"))
+}
