Assign large batch tasks in the order of the queue

Cause: a batch task had to fit below 110% of the capacity of a zone together with what is assigned there. Smaller tasks behind it in the queue fitted first each time that one ended, so that a zone in steady use never had room for a large one. Change: a zone whose assigned resources are below the limit accepts the next batch task, which may exceed the limit by one task. What callers saw: a large batch task stayed in the planner ("wait until the quota and a zone have room") and was passed by later ones. Evidence: TestLargeTaskIsNotPassed (zone of 80 cores, task of 8 cores, 600 tasks of 1 core) before: planner_test.go:333: expected: 1, actual: 0 Why it works: the first job in the queue takes the first room below the limit. In the zone the reservation of the placer gathers the capacity for it.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -301,3 +301,33 @@
 		}
 	}
 }
+
+// TestLargeTaskIsNotPassed guards against a large batch task that starves because each capacity that becomes free is
+// given to smaller tasks behind it in the queue.
+func TestLargeTaskIsNotPassed(t *testing.T) {
+	c := newCell("a")
+	c.flood("team", 200)
+	c.submit("large", "team", describer.BatchJob, 1, cores(8))
+	c.flood("team", 600)
+	require.Equal(t, 1, c.assigned("large"))
+}
+
+// flood submits small tasks, and finishes an assigned one after each.
+func (c *cell) flood(team string, tasks int) {
+	for range tasks {
+		id := fmt.Sprintf("small-%04d", len(c.jobs))
+		c.submit(id, team, describer.BatchJob, 1, cores(1))
+		var first describer.TaskID
+		for task := range c.zoneOf {
+			if c.jobs[task.Job].PerTask == cores(1) && c.jobs[task.Job].Policy == describer.BatchJob &&
+				(first.Job == "" || task.Job < first.Job) {
+				first = task
+			}
+		}
+		if c.assigned(id) == 1 {
+			continue
+		}
+		delete(c.zoneOf, first)
+		c.handle(planner.TasksFinished{Job: first.Job, Indices: []int{first.Index}})
+	}
+}
--- a/planner/zone.go
+++ b/planner/zone.go
@@ -45,7 +45,8 @@
 
 // accepts reports whether one more task of a job may be assigned to the zone now. Only batch jobs below class Urgent
 // have to wait here for free capacity: in the zone, services and gang jobs get it by reservation, urgent jobs by
-// preemption.
+// preemption. A zone below the limit accepts a task of any size that it can hold: if a large task had to fit below the
+// limit, smaller ones behind it in the queue would always take the capacity first.
 func (z *zone) accepts(j *job) bool {
 	if j.Policy != describer.BatchJob || j.Class == describer.Urgent {
 		return true
@@ -55,7 +56,15 @@
 		MemoryBytes:  z.capacity.MemoryBytes * queuePercent / 100,
 		Accelerators: z.capacity.Accelerators * queuePercent / 100,
 	}
-	return z.assigned.Plus(j.PerTask).Fits(limit)
+	return isBelow(z.assigned.MilliCores, limit.MilliCores, j.PerTask.MilliCores) &&
+		isBelow(z.assigned.MemoryBytes, limit.MemoryBytes, j.PerTask.MemoryBytes) &&
+		isBelow(z.assigned.Accelerators, limit.Accelerators, j.PerTask.Accelerators)
+}
+
+// isBelow reports whether the assigned amount of a resource is below the limit. A resource of which a task needs nothing
+// does not count.
+func isBelow(assigned, limit, need int64) bool {
+	return need == 0 || assigned < limit
 }
 
 // load returns the assigned share of the zone's capacity for the resource of which the largest share is assigned.
