Hold quota for the first waiting job of a team

Cause: a job that did not fit the free quota did not block the jobs behind it. Smaller jobs of its team, or of other borrowers, took each quota that became free, so that a gang or a large task never fitted. Change: each pass holds quota for the first waiting job of each team and for the first one that borrows. A hold lasts 5 minutes; after one without success others may use the quota for the same time, and the next hold is twice as long. Nothing is held for a job that would not fit beside the services and the own quotas of other teams. Urgent jobs ignore the holds of others. What callers saw: the gang waited in the planner ("wait until the quota and a zone have room") while later jobs of the team ran. Evidence: TestWideGangIsNotPassedInQuota (gang of 8 cores, quotas of 10 and 12 cores, 600 tasks of 1 core) before: own team: planner_test.go:322: expected: 8, actual: 0 other borrower: planner_test.go:322: expected: 8, actual: 0 TestHoldEnds guards the end of a hold under a task that never ends. Why it works: while quota is held, the team's use only falls until the job fits. A hold that doubles outlasts any run time, and the pauses let the other jobs run if some task never ends. A hold is lost with the planning member and begins anew with the next one.

--- a/planner/admission.go
+++ b/planner/admission.go
@@ -12,6 +12,7 @@
 	p.lastPass = now
 	p.dirty = false
 	p.budget = tasksPerPass
+	p.clearHolds()
 	p.reassignLost(now)
 	for _, j := range p.queue {
 		if p.budget <= 0 {
@@ -19,6 +20,7 @@
 		}
 		if j.reason == "" {
 			p.admit(j)
+			p.holdFor(now, j)
 		}
 	}
 	p.dirty = p.dirty || p.budget <= 0
@@ -95,7 +97,7 @@
 }
 
 // admit assigns as many waiting tasks of a job as the quotas and zones allow. A job that has to wait does not block the
-// jobs behind it in the queue.
+// jobs behind it in the queue, except by the quota that holdFor keeps for it.
 func (p *Planner) admit(j *job) {
 	chosen := make(map[*zone]*spans)
 	for len(j.waiting) > 0 && p.budget > 0 {
@@ -111,6 +113,7 @@
 			chosen[z] = &spans{}
 		}
 		taken := j.waiting.take(count)
+		j.holdUntil, j.holdDoublings = time.Time{}, 0
 		chosen[z].add(taken)
 		if j.tasksByZone[z.ID] == nil {
 			j.tasksByZone[z.ID] = &spans{}
@@ -130,22 +133,28 @@
 }
 
 // withinQuota reports whether count more tasks of a job fit into its team's quota or, if the team may borrow, into the
-// quota that other teams leave unused. All teams together never use more than the sum of all quotas.
+// quota that other teams leave unused. Quota that is held for an earlier job counts as used. All teams together never
+// use more than the sum of all quotas.
 func (p *Planner) withinQuota(j *job, count int) bool {
 	if len(p.quotas) == 0 {
 		return true
 	}
 	size := multiply(j.PerTask, count)
-	quota := p.quotas[j.Team]
-	within := p.used[j.Team].Plus(size).Fits(quota.Limit)
-	return (within || quota.MayBorrow) && p.totalUsed.Plus(size).Fits(p.totalQuota)
+	if p.withinOwnQuota(j, size) {
+		return p.totalUsed.Plus(size).Fits(p.totalQuota)
+	}
+	return p.quotas[j.Team].MayBorrow && p.totalUsed.Plus(p.heldTotal.against(j)).Plus(size).Fits(p.totalQuota)
+}
+
+func (p *Planner) withinOwnQuota(j *job, size describer.Resources) bool {
+	return p.used[j.Team].Plus(p.held[j.Team].against(j)).Plus(size).Fits(p.quotas[j.Team].Limit)
 }
 
 // reclaim withdraws tasks of teams that use more than their quota until count more tasks of a job fit into the sum of
 // all quotas, and reports whether they fit. It does so only if these tasks are within the quota of their own team.
 func (p *Planner) reclaim(j *job, count int) bool {
 	size := multiply(j.PerTask, count)
-	if !p.used[j.Team].Plus(size).Fits(p.quotas[j.Team].Limit) {
+	if !p.withinOwnQuota(j, size) {
 		return false
 	}
 	for _, borrower := range p.borrowers() {
--- a/planner/job.go
+++ b/planner/job.go
@@ -22,6 +22,11 @@
 	tasksByZone map[describer.AvailabilityZoneID]*spans
 	// reason is why the job can never run; it is empty for a job that can run.
 	reason Reason
+	// holdFrom and holdUntil are the start and end of the job's most recent hold on quota. holdDoublings is how often it
+	// has ended without success.
+	holdFrom      time.Time
+	holdUntil     time.Time
+	holdDoublings int
 }
 
 func newJob(now time.Time, description describer.Job, sequence int) *job {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -25,8 +25,16 @@
 	// used is the sum of the resources that the assigned tasks of each team declare, and totalUsed that of all teams.
 	used      map[describer.TeamID]describer.Resources
 	totalUsed describer.Resources
-	jobs      map[describer.JobID]*job
-	queue     []*job
+	// usedByServices is the part of used that services use.
+	usedByServices map[describer.TeamID]describer.Resources
+	// held is the quota that the current pass keeps for the first waiting job of each team, and heldTotal the part that
+	// the first borrowing one needs of all quotas.
+	held      map[describer.TeamID]hold
+	heldTotal hold
+	// holdsEndAt is the earliest end of a hold; it is zero if there is none.
+	holdsEndAt time.Time
+	jobs       map[describer.JobID]*job
+	queue      []*job
 	// requeued are jobs from which tasks were reclaimed during a pass; they return to the queue at its end.
 	requeued []*job
 	sequence int
@@ -41,9 +49,11 @@
 // New returns a planner without zones and jobs.
 func New() *Planner {
 	return &Planner{
-		quotas: make(map[describer.TeamID]describer.Quota),
-		used:   make(map[describer.TeamID]describer.Resources),
-		jobs:   make(map[describer.JobID]*job),
+		quotas:         make(map[describer.TeamID]describer.Quota),
+		used:           make(map[describer.TeamID]describer.Resources),
+		held:           make(map[describer.TeamID]hold),
+		jobs:           make(map[describer.JobID]*job),
+		usedByServices: make(map[describer.TeamID]describer.Resources),
 	}
 }
 
@@ -51,7 +61,7 @@
 func (p *Planner) Handle(now time.Time, event Event) []Command {
 	p.commands = nil
 	p.apply(now, event)
-	if !now.Before(p.lastPass.Add(passInterval)) && (p.dirty || p.hasLost()) {
+	if !now.Before(p.lastPass.Add(passInterval)) && (p.dirty || p.hasLost() || p.holdEnded(now)) {
 		p.pass(now)
 	}
 	return p.commands
@@ -62,7 +72,7 @@
 	if p.dirty {
 		return p.lastPass.Add(passInterval), true
 	}
-	var first time.Time
+	first := p.holdsEndAt
 	for _, z := range p.zones {
 		if z.unavailable && z.hasTasks() && (first.IsZero() || z.safeAt.Before(first)) {
 			first = z.safeAt
@@ -224,4 +234,7 @@
 	z.assigned = z.assigned.Plus(size)
 	p.used[j.Team] = p.used[j.Team].Plus(size)
 	p.totalUsed = p.totalUsed.Plus(size)
+	if j.Policy == describer.ServiceJob {
+		p.usedByServices[j.Team] = p.usedByServices[j.Team].Plus(size)
+	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -302,6 +302,42 @@
 	}
 }
 
+// TestWideGangIsNotPassedInQuota guards against a gang job that starves because each quota that becomes free is given to
+// smaller jobs behind it in the queue, of its own team or of other borrowers.
+func TestWideGangIsNotPassedInQuota(t *testing.T) {
+	for _, test := range []struct{ name, gangTeam, smallTeam string }{
+		{"own team", "lender", "lender"},
+		{"other borrower", "borrower", "other"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCell("a")
+			c.handle(planner.QuotasChanged{Quotas: []describer.Quota{
+				{Team: "lender", Limit: cores(10)},
+				{Team: "borrower", Limit: cores(1), MayBorrow: true},
+				{Team: "other", Limit: cores(1), MayBorrow: true},
+			}})
+			c.submit("service", test.smallTeam, describer.ServiceJob, 1, cores(1))
+			c.flood(test.smallTeam, 20)
+			c.submit("gang", test.gangTeam, describer.GangJob, 8, cores(1))
+			c.flood(test.smallTeam, 600)
+			require.Equal(t, 8, c.assigned("gang"))
+		})
+	}
+}
+
+// TestHoldEnds guards against a gang job that waits for quota and blocks the smaller jobs of its team while tasks that
+// never end use the quota.
+func TestHoldEnds(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{{Team: "team", Limit: cores(10)}}})
+	c.submit("endless", "team", describer.BatchJob, 5, cores(1))
+	c.submit("gang", "team", describer.GangJob, 8, cores(1))
+	c.submit("small", "team", describer.BatchJob, 1, cores(1))
+	require.Zero(t, c.assigned("small"))
+	c.wait(6 * time.Minute)
+	require.Equal(t, 1, c.assigned("small"))
+}
+
 // TestLargeTaskIsNotPassed guards against a large batch task that starves because each capacity that becomes free is
 // given to smaller tasks behind it in the queue.
 func TestLargeTaskIsNotPassed(t *testing.T) {
