Admit the unfinished tasks of a gang

Cause: a zone had to hold all tasks of a gang job, also those that had finished. Change: the unfinished tasks count. Jobs that are reported as impossible are evaluated again when tasks finish and after a restore. What callers saw: after its zone was lost or drained, or after a change of the job, a gang with finished tasks waited for ever, and might be reported as one that can never run. Evidence: TestUnfinishedTasksOfGangAreAdmitted (6 of 10 tasks finished, zone lost, other zone of 5 backend servers) before: planner_test.go:404: expected: 4, actual: 0 Why it works: only unfinished tasks start again, and the starter submits exactly those to the placer.

--- a/planner/job.go
+++ b/planner/job.go
@@ -56,10 +56,10 @@
 	return len(j.AvailabilityZones) == 0
 }
 
-// admissionSize returns how many tasks must fit together: all of a gang job, otherwise one.
+// admissionSize returns how many tasks must fit together: all unfinished ones of a gang job, otherwise one.
 func (j *job) admissionSize() int {
 	if j.Policy == describer.GangJob {
-		return j.Tasks
+		return j.assigned() + j.waiting.total()
 	}
 	return 1
 }
@@ -104,7 +104,8 @@
 	case largest == 0:
 		return NoServerLargeEnough, fmt.Sprintf("no backend server has room for a task of %+v", j.PerTask)
 	case largest < j.admissionSize():
-		return GangTooLarge, fmt.Sprintf("the gang job has %d tasks and the largest zone holds %d", j.Tasks, largest)
+		return GangTooLarge, fmt.Sprintf("the gang job has %d tasks and the largest zone holds %d",
+			j.admissionSize(), largest)
 	case len(p.quotas) > 0 && !limited:
 		return QuotaTooSmall, fmt.Sprintf("team %q has no quota", j.Team)
 	case limited && !quota.MayBorrow && !multiply(j.PerTask, j.admissionSize()).Fits(quota.Limit):
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -224,6 +224,8 @@
 	}
 	if j.assigned() == 0 && len(j.waiting) == 0 {
 		delete(p.jobs, e.Job)
+	} else if j.reason != "" {
+		p.evaluate(j)
 	}
 	p.dirty = true
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -367,3 +367,19 @@
 		c.handle(planner.TasksFinished{Job: first.Job, Indices: []int{first.Index}})
 	}
 }
+
+// TestUnfinishedTasksOfGangAreAdmitted guards against a gang job that needs a zone for all its tasks although some have
+// finished.
+func TestUnfinishedTasksOfGangAreAdmitted(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 5)}})
+	c.submit("gang", "team", describer.GangJob, 10, cores(8))
+	c.handle(planner.TasksFinished{Job: "gang", Indices: []int{0, 1, 2, 3, 4, 5}})
+	c.handle(planner.ZoneUnavailable{Zone: "a", SafeAt: c.now})
+	c.wait(time.Second)
+	require.Equal(t, 4, c.tasksIn("gang", "b"))
+}
+
+func zoneOf(id describer.AvailabilityZoneID, servers int) planner.Zone {
+	return planner.Zone{ID: id, ServerGroups: []planner.ServerGroup{{Capacity: cores(8), Count: servers}}}
+}
--- a/planner/restore.go
+++ b/planner/restore.go
@@ -38,6 +38,9 @@
 		for _, index := range restored.Finished {
 			j.waiting.remove(index)
 		}
+		if j.reason != "" {
+			p.evaluate(j)
+		}
 	}
 }
 
