Assign no tasks to a zone without backend servers

Cause: a zone that the instance list no longer named kept the capacity of its last description, and new jobs were assigned to it. Change: such a zone has no capacity. It keeps the tasks that it has until it is reported as lost. What callers saw: a job that other zones could hold was assigned to a zone without backend servers and waited for ever. Evidence: TestUnlistedZoneGetsNoTasks before: planner_test.go:392: expected: 10, actual: 0 Why it works: a zone needs capacity for a task to be chosen. An empty instance list does not reach the planner (server/tasks.go).

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -128,8 +128,12 @@
 	return nil
 }
 
-// changeZones updates the known zones. A zone that is no longer listed keeps its tasks until it is reported as lost.
+// changeZones updates the known zones. A zone that is no longer listed gets no more tasks, and keeps those that it has
+// until it is reported as lost.
 func (p *Planner) changeZones(list []Zone) {
+	for _, z := range p.zones {
+		z.describe(Zone{ID: z.ID})
+	}
 	for _, description := range list {
 		if z := p.zone(description.ID); z != nil {
 			z.describe(description)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -368,6 +368,14 @@
 	}
 }
 
+// TestUnlistedZoneGetsNoTasks guards against a job that is assigned to a zone without backend servers.
+func TestUnlistedZoneGetsNoTasks(t *testing.T) {
+	c := newCell("a", "b")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("b", 10)}})
+	c.submit("gang", "team", describer.GangJob, 10, cores(8))
+	require.Equal(t, 10, c.tasksIn("gang", "b"))
+}
+
 // TestUnfinishedTasksOfGangAreAdmitted guards against a gang job that needs a zone for all its tasks although some have
 // finished.
 func TestUnfinishedTasksOfGangAreAdmitted(t *testing.T) {
