Move tasks out of a zone that has become too small

Cause: a zone was chosen once. When it lost backend servers, a gang or a large task that it could no longer hold stayed assigned to it, because the planner only looks again at waiting jobs. Change: tasks that their available zone has not been able to hold for 30 s move if another allowed zone holds them, also after a restore. A zone without any listed backend server keeps its tasks, because it may be out of contact while they run, and an unavailable one keeps them until SafeAt as before. What callers saw: the gang was assigned to a zone and waited there for ever ("it waits for room on a backend server of the zone"). Evidence: TestGangLeavesZoneThatBecameTooSmall (gang of 10 servers, zone shrinks from 10 to 9) before: planner_test.go:380: expected: 10, actual: 0 Why it works: each change of zones finds such tasks, and a move goes through the same withdrawal and confirmation as a drained zone's.

--- a/planner/admission.go
+++ b/planner/admission.go
@@ -14,6 +14,7 @@
 	p.budget = tasksPerPass
 	p.clearHolds()
 	p.reassignLost(now)
+	p.moveMisfits(now)
 	for _, j := range p.queue {
 		if p.budget <= 0 {
 			break
--- a/planner/hold.go
+++ b/planner/hold.go
@@ -90,10 +90,6 @@
 	p.holdsEndAt = time.Time{}
 }
 
-func (p *Planner) holdEnded(now time.Time) bool {
-	return !p.holdsEndAt.IsZero() && !now.Before(p.holdsEndAt)
-}
-
 func larger(a, b describer.Resources) describer.Resources {
 	return describer.Resources{
 		MilliCores:   max(a.MilliCores, b.MilliCores),
--- a/planner/job.go
+++ b/planner/job.go
@@ -27,6 +27,8 @@
 	holdFrom      time.Time
 	holdUntil     time.Time
 	holdDoublings int
+	// moveAt is when tasks move out of a zone that can no longer hold them; it is zero if there are none.
+	moveAt time.Time
 }
 
 func newJob(now time.Time, description describer.Job, sequence int) *job {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -31,6 +31,8 @@
 	// the first borrowing one needs of all quotas.
 	held      map[describer.TeamID]hold
 	heldTotal hold
+	// moveAt is the earliest moveAt of the jobs; it is zero if there is none.
+	moveAt time.Time
 	// holdsEndAt is the earliest end of a hold; it is zero if there is none.
 	holdsEndAt time.Time
 	jobs       map[describer.JobID]*job
@@ -61,7 +63,7 @@
 func (p *Planner) Handle(now time.Time, event Event) []Command {
 	p.commands = nil
 	p.apply(now, event)
-	if !now.Before(p.lastPass.Add(passInterval)) && (p.dirty || p.hasLost() || p.holdEnded(now)) {
+	if !now.Before(p.lastPass.Add(passInterval)) && (p.dirty || p.hasLost() || isDue(now, p.moveAt) || isDue(now, p.holdsEndAt)) {
 		p.pass(now)
 	}
 	return p.commands
@@ -73,6 +75,9 @@
 		return p.lastPass.Add(passInterval), true
 	}
 	first := p.holdsEndAt
+	if !p.moveAt.IsZero() && (first.IsZero() || p.moveAt.Before(first)) {
+		first = p.moveAt
+	}
 	for _, z := range p.zones {
 		if z.unavailable && z.hasTasks() && (first.IsZero() || z.safeAt.Before(first)) {
 			first = z.safeAt
@@ -81,6 +86,11 @@
 	return first, !first.IsZero()
 }
 
+// isDue reports whether a deadline is set and has come.
+func isDue(now, deadline time.Time) bool {
+	return !deadline.IsZero() && !now.Before(deadline)
+}
+
 func (z *zone) hasTasks() bool {
 	return z.assigned != describer.Resources{}
 }
@@ -92,7 +102,7 @@
 func (p *Planner) apply(now time.Time, event Event) {
 	switch e := event.(type) {
 	case ZonesChanged:
-		p.changeZones(e.Zones)
+		p.changeZones(now, e.Zones)
 	case ZoneUnavailable:
 		if z := p.zone(e.Zone); z != nil {
 			z.unavailable, z.safeAt = true, e.SafeAt
@@ -130,7 +140,7 @@
 
 // changeZones updates the known zones. A zone that is no longer listed gets no more tasks, and keeps those that it has
 // until it is reported as lost.
-func (p *Planner) changeZones(list []Zone) {
+func (p *Planner) changeZones(now time.Time, list []Zone) {
 	for _, z := range p.zones {
 		z.describe(Zone{ID: z.ID})
 	}
@@ -141,6 +151,7 @@
 		}
 		p.zones = append(p.zones, newZone(description))
 	}
+	p.scheduleMoves(now)
 	p.evaluateAll()
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -368,6 +368,26 @@
 	}
 }
 
+// TestGangLeavesZoneThatBecameTooSmall guards against tasks that stay assigned to a zone which has lost the backend
+// servers that they need, although another zone holds them.
+func TestGangLeavesZoneThatBecameTooSmall(t *testing.T) {
+	c := newCell("a", "b")
+	c.submit("gang", "team", describer.GangJob, 10, cores(8), "a", "b")
+	c.submit("batch", "team", describer.BatchJob, 1, cores(1), "a")
+	require.Equal(t, 10, c.tasksIn("gang", "a"))
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 9), zoneOf("b", 10)}})
+	c.wait(time.Minute)
+	require.Equal(t, 10, c.tasksIn("gang", "b"))
+	require.Equal(t, 1, c.tasksIn("batch", "a"), "fits the smaller zone")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 0)}})
+	c.wait(time.Minute)
+	require.Equal(t, 10, c.tasksIn("gang", "b"), "a zone without backend servers may be out of contact")
+	c.handle(planner.ZoneUnavailable{Zone: "b", SafeAt: c.now.Add(time.Hour)})
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 9)}})
+	c.wait(time.Minute)
+	require.Equal(t, 10, c.tasksIn("gang", "b"), "moved before SafeAt")
+}
+
 // TestUnlistedZoneGetsNoTasks guards against a job that is assigned to a zone without backend servers.
 func TestUnlistedZoneGetsNoTasks(t *testing.T) {
 	c := newCell("a", "b")
--- a/planner/restore.go
+++ b/planner/restore.go
@@ -42,6 +42,7 @@
 			p.evaluate(j)
 		}
 	}
+	p.scheduleMoves(now)
 }
 
 // restorePart assigns tasks without a command. A zone that is no longer listed keeps its tasks.
