Reserve for others while a reservation starts late

Cause: a zone has one reservation. While it waited for tasks that are declared to run for hours, every other gang or large task waited as long, although those tasks were not in its way. Change: a zone may have up to four reservations on different backend servers, more than one only while the others start later than in 5 minutes. Backfilled tasks end before the start of the reservation on their backend server. What callers saw: gangs waited for the end of the longest declared run that any earlier gang waited for. Evidence: TestDistantReservationLetsOthersThrough (two gangs wait for accelerators under a gang declared with a million seconds, a third one fits the other backend servers) before: reservation_test.go:152: expected: 4, actual: 0 (after 5 minutes) Why it works: the late reservation keeps its capacity, and the next job in turn gets one on other backend servers. No two reservations share a backend server and each is placed as a whole, so that jobs do not wait for each other.

--- a/placer/job.go
+++ b/placer/job.go
@@ -161,9 +161,7 @@
 			return false
 		}
 		e.job.pending = nil
-		if p.reservation != nil && p.reservation.holder == e {
-			p.cancelReservation()
-		}
+		p.cancelReservation(p.reservationOf(e))
 		return true
 	})
 }
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -52,7 +53,9 @@
 func (p *Placer) pass(now time.Time) {
 	p.lastPass = now
 	p.dirty = false
-	p.updateReservation(now)
+	for _, r := range slices.Clone(p.reservations) {
+		p.updateReservation(now, r)
+	}
 	var blocked blockedNeeds
 	for _, e := range p.pending {
 		p.placePending(now, e, &blocked)
@@ -79,8 +82,8 @@
 	e.indices = e.indices[placed:]
 	if len(e.indices) > 0 {
 		e.block(now)
-	} else if p.reservation != nil && p.reservation.holder == e {
-		p.cancelReservation()
+	} else {
+		p.cancelReservation(p.reservationOf(e))
 	}
 }
 
@@ -160,7 +163,10 @@
 // end before the reservation starts is backfilled into the reserved capacity first.
 func (p *Placer) chooseBestFit(now time.Time, j *job) *server {
 	if p.endsBeforeReservation(now, j) {
-		number, _ := p.backfillCells.find(j.need, func(server int) bool { return j.need.Fits(p.servers[server].free()) })
+		number, _ := p.backfillCells.find(j.need, func(server int) bool {
+			s := p.servers[server]
+			return j.need.Fits(s.free()) && j.endsBefore(now, s.reservation.startsAt)
+		})
 		if number >= 0 {
 			return p.servers[number]
 		}
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -28,12 +28,15 @@
 	// only while too few of them can hold a task.
 	minCandidates     = 256
 	candidatesPerTask = 8
+	// maxReservations bounds the capacity that reservations keep idle. There is more than one only while the others start
+	// later than maxWaitForUnknown, so that no job waits for the end of long runs that are not in its way.
+	maxReservations = 4
 	// checksPerPass bounds the cost of the searches for a reservation in one pass when many jobs do not fit.
 	checksPerPass = 4096
 )
 
-// reservation keeps capacity on some backend servers for one job, beginning at a start time. A zone has at most one
-// reservation, so two partially placed jobs never wait for each other.
+// reservation keeps capacity on some backend servers for one job, beginning at a start time. A backend server has at
+// most one reservation, and a job is placed as a whole, so two partially placed jobs never wait for each other.
 type reservation struct {
 	holder   *entry
 	startsAt time.Time
@@ -49,19 +52,38 @@
 	at     time.Time
 }
 
-// endsBeforeReservation reports whether a task of a job, started now, is expected to end before the reservation starts.
+// endsBefore reports whether a task of the job, started now, is expected to end by the given time.
+func (j *job) endsBefore(now, at time.Time) bool {
+	runTime, known := j.runTime.expected(j.description)
+	return known && !now.Add(runTime).After(at)
+}
+
+// endsBeforeReservation reports whether a task of a job, started now, is expected to end before a reservation starts.
 func (p *Placer) endsBeforeReservation(now time.Time, j *job) bool {
-	if p.reservation == nil {
-		return false
+	return slices.ContainsFunc(p.reservations, func(r *reservation) bool { return j.endsBefore(now, r.startsAt) })
+}
+
+// reservationOf returns the reservation that an entry holds, or nil.
+func (p *Placer) reservationOf(e *entry) *reservation {
+	for _, r := range p.reservations {
+		if r.holder == e {
+			return r
+		}
 	}
-	runTime, known := j.runTime.expected(j.description)
-	return known && !now.Add(runTime).After(p.reservation.startsAt)
+	return nil
 }
 
-// reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
+// mayReserve reports whether another reservation is allowed: there are few, and none of them starts soon.
+func (p *Placer) mayReserve(now time.Time) bool {
+	soon := now.Add(maxWaitForUnknown)
+	return len(p.reservations) < maxReservations &&
+		!slices.ContainsFunc(p.reservations, func(r *reservation) bool { return !r.startsAt.After(soon) })
+}
+
+// reserveForBlocked creates a reservation for the job whose turn is first among those that have fitted nowhere for at
 // least reserveAfter; an urgent job does not wait for that.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	for checks := 0; p.reservation == nil && checks < checksPerPass; {
+	for checks := 0; p.mayReserve(now) && checks < checksPerPass; {
 		e := p.nextToReserve(now)
 		if e == nil {
 			return
@@ -73,7 +95,9 @@
 			// job.
 			e.loseTurn(now)
 			e.reserveAt = now.Add(reserveAfter)
-			e.job.limitNeed()
+			if len(p.reservations) == 0 {
+				e.job.limitNeed()
+			}
 		}
 	}
 }
@@ -82,7 +106,8 @@
 func (p *Placer) nextToReserve(now time.Time) *entry {
 	var next *entry
 	for _, e := range p.pending {
-		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) {
+		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) ||
+			p.reservationOf(e) != nil {
 			continue
 		}
 		if next == nil || e.turn.Before(next.turn) {
@@ -119,9 +144,10 @@
 		return checked, false
 	}
 	slices.SortStableFunc(slots, func(a, b slotTime) int { return a.at.Compare(b.at) })
-	p.reservation = &reservation{holder: e, startsAt: slots[count-1].at}
+	r := &reservation{holder: e, startsAt: slots[count-1].at}
+	p.reservations = append(p.reservations, r)
 	for _, slot := range slots[:count] {
-		p.reserveOn(slot.server, e.job.need)
+		p.reserveOn(slot.server, r)
 	}
 	return checked, true
 }
@@ -129,7 +155,7 @@
 // appendSlots appends the times at which the backend server is expected to have capacity for tasks of the entry, as its
 // running tasks end. A batch task that the holder may evict counts as ended after maxWaitForUnknown at the latest.
 func (s *server) appendSlots(slots []slotTime, now time.Time, e *entry) []slotTime {
-	if !s.accepts() || s.ejected || !e.job.need.Fits(s.Capacity) {
+	if !s.accepts() || s.ejected || s.reservation != nil || !e.job.need.Fits(s.Capacity) {
 		return slots
 	}
 	ends := make([]*placement, 0, len(s.placements))
@@ -184,26 +210,26 @@
 	return now.Add(min(now.Sub(p.endsAt), maxOverrun))
 }
 
-// reserveOn adds capacity on a backend server to the reservation.
-func (p *Placer) reserveOn(s *server, need describer.Resources) {
-	if !s.hasReserved {
-		s.hasReserved = true
-		p.reservation.servers = append(p.reservation.servers, s)
+// reserveOn adds capacity for one task on a backend server to a reservation.
+func (p *Placer) reserveOn(s *server, r *reservation) {
+	if s.reservation == nil {
+		s.reservation = r
+		r.servers = append(r.servers, s)
 		for _, place := range s.placements {
-			s.change(place, func() { place.overlapping = !place.endsBefore(p.reservation.startsAt) })
+			s.change(place, func() { place.overlapping = !place.endsBefore(r.startsAt) })
 		}
 	}
-	s.reserved = s.reserved.Plus(need)
+	s.reserved = s.reserved.Plus(r.holder.job.need)
 	p.refresh(s)
 }
 
-// cancelReservation cancels the reservation, if there is one, and frees the reserved capacity.
-func (p *Placer) cancelReservation() {
-	if p.reservation == nil {
+// cancelReservation cancels a reservation, unless it is nil, and frees the reserved capacity.
+func (p *Placer) cancelReservation(r *reservation) {
+	if r == nil {
 		return
 	}
-	for _, s := range p.reservation.servers {
-		s.hasReserved = false
+	for _, s := range r.servers {
+		s.reservation = nil
 		s.reserved = describer.Resources{}
 		for _, place := range s.placements {
 			place.overlapping = false
@@ -211,23 +237,19 @@
 		s.overlapping = describer.Resources{}
 		p.refresh(s)
 	}
-	p.reservation = nil
+	p.reservations = slices.DeleteFunc(p.reservations, func(other *reservation) bool { return other == r })
 	p.dirty = true
 }
 
-// updateReservation places the tasks of the holder as soon as the reserved capacity is free, evicts overdue tasks, and
-// cancels the reservation if it is not fulfilled in time.
-func (p *Placer) updateReservation(now time.Time) {
-	r := p.reservation
-	if r == nil {
-		return
-	}
+// updateReservation places the tasks of the holder of a reservation as soon as the reserved capacity is free, evicts
+// overdue tasks, and cancels the reservation if it is not fulfilled in time.
+func (p *Placer) updateReservation(now time.Time, r *reservation) {
 	holder := r.holder
 	if !r.due && !now.Before(r.startsAt) {
 		p.markDue(r)
 	}
 	if r.isFree() {
-		p.cancelReservation()
+		p.cancelReservation(r)
 		count := holder.taskCount()
 		if p.placeAll(now, holder, holder.indices[:count]) {
 			holder.indices = holder.indices[count:]
@@ -240,7 +262,7 @@
 	switch {
 	case now.After(r.startsAt.Add(reservationTimeout)):
 		// The next holder is chosen before the pass can give the reserved capacity to other tasks.
-		p.cancelReservation()
+		p.cancelReservation(r)
 		holder.loseTurn(now)
 		p.reserveForBlocked(now)
 	case !now.Before(r.startsAt.Add(holder.maxWait(overdueAfter))) && !r.evicted:
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -121,6 +121,16 @@
 // TestUnfulfillableReservationLetsOthersTakeTurns guards against a gang job that starves because the reservation returns
 // to a job that is waiting for tasks which never end.
 func TestUnfulfillableReservationLetsOthersTakeTurns(t *testing.T) {
+	testGangBesideEndless(t, 5)
+}
+
+// TestDistantReservationLetsOthersThrough guards against a gang job that waits until the end of long runs that are not in
+// its way, because another job holds the reservation until then.
+func TestDistantReservationLetsOthersThrough(t *testing.T) {
+	testGangBesideEndless(t, 1_000_000)
+}
+
+func testGangBesideEndless(t *testing.T, expectedSeconds int64) {
 	servers := zone(8)
 	for i := range 4 {
 		servers[i].Capacity.Accelerators = 1
@@ -128,7 +138,7 @@
 	h := newHarness(t, servers)
 	accelerated := size(8, 8).Plus(describer.Resources{Accelerators: 1})
 	endless := job("endless", describer.GangJob, describer.Standard, 4, accelerated)
-	endless.ExpectedSeconds = 5
+	endless.ExpectedSeconds = expectedSeconds
 	h.submit(endless)
 	require.Equal(t, 4, h.placed("endless"))
 	small := job("small", describer.BatchJob, describer.Standard, 40, size(1, 1))
--- a/placer/server_list.go
+++ b/placer/server_list.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -29,15 +30,17 @@
 			rebuild = true
 		}
 	}
-	var holder *entry
-	if p.reservation != nil && !p.reservation.isPossible() {
-		holder = p.reservation.holder
-		p.cancelReservation()
+	var holders []*entry
+	for _, r := range slices.Clone(p.reservations) {
+		if !r.isPossible() {
+			holders = append(holders, r.holder)
+			p.cancelReservation(r)
+		}
 	}
 	if rebuild {
 		p.rebuild()
 	}
-	if holder != nil {
+	for _, holder := range holders {
 		p.reserve(now, holder)
 	}
 	p.dirty = true
@@ -126,7 +129,7 @@
 func (p *Placer) refresh(s *server) {
 	p.unreservedCells.update(s.number, s.unreserved())
 	free := noCapacity
-	if s.hasReserved {
+	if s.reservation != nil {
 		free = s.free()
 	}
 	p.backfillCells.update(s.number, free)
@@ -187,7 +190,7 @@
 		sum.PlacedTasks += len(s.placements)
 		sum.Capacity = sum.Capacity.Plus(s.Capacity)
 		sum.Allocated = sum.Allocated.Plus(s.allocated)
-		if s.hasReserved && s.accepts() {
+		if s.reservation != nil && s.accepts() {
 			held := smaller(s.reserved, s.free())
 			sum.ReservedIdle = sum.ReservedIdle.Plus(larger(held, describer.Resources{}))
 		}
