Let a gang probe an ejected backend server as a whole

Cause: a probe allowed one task. A gang that needs an ejected backend server for several of its tasks was never placed, and each failed attempt used up the probe, so that no other task probed the backend server either. Change: a probe allows all tasks of one gang, and is used up only when the gang is placed. What callers saw: after an ejection, a gang that needs all backend servers of its zone waited for ever where nothing else came to probe it.

--- a/placer/pass.go
+++ b/placer/pass.go
@@ -114,7 +114,8 @@
 	return true
 }
 
-// placeAll places all given tasks of a job or none.
+// placeAll places all given tasks of a job or none. A gang job uses the probe of an ejected backend server as a whole and
+// only when it is placed.
 func (p *Placer) placeAll(now time.Time, e *entry, indices []int) bool {
 	placed := make([]*placement, 0, len(indices))
 	for _, index := range indices {
@@ -129,6 +130,10 @@
 	}
 	for _, place := range placed {
 		p.announce(place)
+		if s := p.servers[place.server]; s.ejected {
+			s.probes = 0
+			p.refresh(s)
+		}
 	}
 	return true
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -124,7 +124,7 @@
 	s.add(place)
 	j.placements[index] = place
 	j.racks[s.rack]++
-	if s.probes > 0 {
+	if s.probes > 0 && !j.isGang() {
 		s.probes--
 	}
 	p.refresh(s)
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -209,3 +209,22 @@
 	h.wait(5 * time.Second)
 	require.Equal(t, 4, h.placed("gang"))
 }
+
+// TestGangUsesProbeAsWhole guards against a gang job that starves because a probed backend server accepts only one of its
+// tasks, and against a gang job that uses up the probe of an ejected backend server without being placed.
+func TestGangUsesProbeAsWhole(t *testing.T) {
+	h := newHarness(t, zone(2))
+	h.handle(placer.ServerEjected{Server: "server-0"})
+	h.submit(job("wide", describer.GangJob, describer.Standard, 3, size(8, 8)))
+	h.handle(placer.ServerProbed{Server: "server-0"})
+	h.wait(time.Second)
+	h.submit(job("gang", describer.GangJob, describer.Standard, 4, size(4, 4)))
+	require.Equal(t, 4, h.placed("gang"))
+	h.release(task("gang", 0), false)
+	h.release(task("gang", 1), false)
+	h.submit(job("batch", describer.BatchJob, describer.Standard, 4, size(4, 4)))
+	require.LessOrEqual(t, len(h.places), 4, "more than the probe")
+	for id, place := range h.places {
+		require.False(t, id.Job == "batch" && place.Server == "server-0", "the probe is used up")
+	}
+}
