Prefer zones with room beside their services

Cause: the zone with the lowest load was chosen. If services fill much of it, a gang or a large task never fits there, although it fits another zone as soon as batch tasks end. An assignment is not changed while the empty zone would hold the job. Change: a zone whose services leave enough capacity for the job is preferred to one whose services do not. What callers saw: the job was assigned to a zone and waited there for ever. The check uses declared sums; without a zone that passes it the choice is as before, because learned needs may be lower.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -252,6 +252,7 @@
 	p.used[j.Team] = p.used[j.Team].Plus(size)
 	p.totalUsed = p.totalUsed.Plus(size)
 	if j.Policy == describer.ServiceJob {
+		z.services = z.services.Plus(size)
 		p.usedByServices[j.Team] = p.usedByServices[j.Team].Plus(size)
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -411,3 +411,21 @@
 func zoneOf(id describer.AvailabilityZoneID, servers int) planner.Zone {
 	return planner.Zone{ID: id, ServerGroups: []planner.ServerGroup{{Capacity: cores(8), Count: servers}}}
 }
+
+// TestZoneFilledByServicesIsAvoided guards against tasks that wait for ever in the zone with the lowest load, because
+// services, which do not end, occupy the capacity that they need there.
+func TestZoneFilledByServicesIsAvoided(t *testing.T) {
+	for _, test := range []struct {
+		policy   describer.JobPolicy
+		tasks    int
+		services int
+	}{{describer.GangJob, 10, 40}, {describer.BatchJob, 1, 76}, {describer.ServiceJob, 1, 76}} {
+		t.Run(string(test.policy), func(t *testing.T) {
+			c := newCell("a", "b")
+			c.submit("services", "team", describer.ServiceJob, test.services, cores(1), "a")
+			c.submit("batch", "team", describer.BatchJob, 78, cores(1), "b")
+			c.submit("case", "team", test.policy, test.tasks, cores(8))
+			require.Equal(t, test.tasks, c.tasksIn("case", "b"))
+		})
+	}
+}
--- a/planner/zone.go
+++ b/planner/zone.go
@@ -14,8 +14,10 @@
 // zone is the planning state of one availability zone.
 type zone struct {
 	Zone
-	capacity    describer.Resources
-	assigned    describer.Resources
+	capacity describer.Resources
+	assigned describer.Resources
+	// services is the part of assigned that services use.
+	services    describer.Resources
 	unavailable bool
 	safeAt      time.Time
 }
@@ -83,8 +85,14 @@
 	return float64(part) / float64(whole)
 }
 
-// chooseZone returns the zone for the next task of a job: for a service the one with the fewest of its tasks, otherwise
-// the one with the lowest load. Gang jobs need a zone that holds all their tasks.
+// hasRoomBesideServices reports whether the next tasks of a job fit the zone after all tasks that are not services' have
+// ended.
+func (z *zone) hasRoomBesideServices(j *job) bool {
+	return z.services.Plus(multiply(j.PerTask, j.admissionSize())).Fits(z.capacity)
+}
+
+// chooseZone returns the zone for the next task of a job. It prefers zones with room beside their services; among them,
+// for a service, the one with the fewest of its tasks, otherwise the one with the lowest load. Gang jobs need a zone that holds all their tasks.
 func (p *Planner) chooseZone(j *job) *zone {
 	var best *zone
 	for _, z := range p.zones {
@@ -100,6 +108,9 @@
 
 // better reports whether zone a is preferred to zone b for the next task of a job.
 func (p *Planner) better(j *job, a, b *zone) bool {
+	if inA, inB := a.hasRoomBesideServices(j), b.hasRoomBesideServices(j); inA != inB {
+		return inA
+	}
 	if j.Policy == describer.ServiceJob {
 		inA, inB := j.tasksIn(a.ID), j.tasksIn(b.ID)
 		if inA != inB {
