Postpone the write of a shard, not of the whole plan

Cause: each submitted or changed job postponed all writes of the plan by 200 ms, so that the planner's withdrawal and new assignment of a changed job are written together. Under steady changes the plan was never written. What callers saw: an accepted job was assigned but its zone never learned of it, as long as operators submitted or changed other jobs at intervals below 200 ms. Evidence: TestPlanIsWrittenUnderSteadyChanges (another job changes every 100 ms for 15 s) before: planner_test.go:71: expected: 1, actual: 0 Why it works: a job's plan is in one shard. TestStaleReportConfirmsNoLeavingTasks passes the time to nextWrite; what it checks is unchanged.

--- a/scheduler/plan_table.go
+++ b/scheduler/plan_table.go
@@ -15,6 +15,8 @@
 	versions [planShards]int64
 	// dirty are the numbers of the shards to be written, the one that has waited longest first.
 	dirty []int
+	// postponed are the shards that are not written yet, because a job of theirs was just submitted or changed.
+	postponed map[int]postponement
 	// unconfirmed is a write whose outcome is unknown; it is retried unchanged until it is confirmed.
 	unconfirmed *shardWrite
 }
@@ -34,7 +36,7 @@
 }
 
 func newPlanTable() *planTable {
-	return &planTable{jobs: make(map[describer.JobID]*jobPlan)}
+	return &planTable{jobs: make(map[describer.JobID]*jobPlan), postponed: make(map[int]postponement)}
 }
 
 func newJobPlan(job describer.Job) *jobPlan {
--- a/scheduler/plan_write.go
+++ b/scheduler/plan_write.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/rand"
 	"slices"
+	"time"
 
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/keeper"
@@ -16,16 +17,19 @@
 	shard   PlanShard
 }
 
-// nextWrite returns the write to do now, if any: the unconfirmed one again, otherwise that of the next dirty shard.
-func (t *planTable) nextWrite(epoch int64) (shardWrite, bool) {
+// nextWrite returns the write to do now, if any: the unconfirmed one again, otherwise that of the next dirty shard that
+// is not postponed.
+func (t *planTable) nextWrite(now time.Time, epoch int64) (shardWrite, bool) {
 	if t.unconfirmed != nil {
 		return *t.unconfirmed, true
 	}
-	if len(t.dirty) == 0 {
+	at := slices.IndexFunc(t.dirty, func(number int) bool { return !now.Before(t.postponed[number].until) })
+	if at < 0 {
 		return shardWrite{}, false
 	}
-	number := t.dirty[0]
-	t.dirty = t.dirty[1:]
+	number := t.dirty[at]
+	t.dirty = slices.Delete(t.dirty, at, at+1)
+	delete(t.postponed, number)
 	write := shardWrite{number: number, version: t.versions[number]}
 	write.shard = PlanShard{WriteID: rand.Text(), Epoch: epoch}
 	for _, id := range t.jobIDs() {
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -56,3 +56,18 @@
 		})
 	}
 }
+
+// TestPlanIsWrittenUnderSteadyChanges guards against jobs that do not start as long as others are submitted or changed at
+// short intervals, because the write of the plan is postponed each time.
+func TestPlanIsWrittenUnderSteadyChanges(t *testing.T) {
+	runCell(t, []describer.AvailabilityZoneID{zoneA}, configured(), func(t *testing.T, c *cell) {
+		first := job("first", describer.ServiceJob, 1)
+		c.apply(func(s ticketer.State) ticketer.State { return s.WithJob("web", nil).WithJob("first", &first) })
+		for i := range 150 {
+			other := job("other", describer.BatchJob, 1+i%3)
+			c.apply(func(s ticketer.State) ticketer.State { return s.WithJob("other", &other) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, 1, c.running()["first"])
+	}, moderateUse)
+}
--- a/scheduler/planning_term.go
+++ b/scheduler/planning_term.go
@@ -27,13 +27,8 @@
 	zones          []describer.AvailabilityZoneID
 	drained        map[describer.AvailabilityZoneID]bool
 	nextProgress   time.Time
-	// writeFrom is the time from which the plan may be written again.
-	writeFrom time.Time
 }
 
-// submitPause is how long the plan is not written after a job was submitted or changed: two passes of the planner.
-const submitPause = 2 * planningTick
-
 // runPlanningTerm plans until the lease is lost, a step fails or the context ends.
 func (s *Scheduler) runPlanningTerm(ctx context.Context, held *plannerLease) error {
 	p := &planningTerm{
@@ -181,7 +176,7 @@
 		p.handle(planner.TasksFinished{Job: job.ID, Indices: finished})
 		p.table.dropFinished(job.ID)
 	}
-	p.writeFrom = time.Now().Add(submitPause)
+	p.table.postpone(time.Now(), planShardOf(job.ID))
 }
 
 // setZoneDrained makes the planner move tasks out of a newly drained zone immediately: other zones start them only
@@ -226,10 +221,11 @@
 // write writes the shard that has waited longest. A conflict means that this member's own earlier write took effect but
 // its response was lost, or that another planning member has written the shard.
 func (p *planningTerm) write(ctx context.Context) error {
-	if now := time.Now(); now.Before(p.writeFrom) || !p.plannerLease.valid(now) {
+	now := time.Now()
+	if !p.plannerLease.valid(now) {
 		return nil
 	}
-	pending, ok := p.table.nextWrite(p.plannerLease.epoch)
+	pending, ok := p.table.nextWrite(now, p.plannerLease.epoch)
 	if !ok {
 		return nil
 	}
--- a/scheduler/right_test.go
+++ b/scheduler/right_test.go
@@ -117,7 +117,7 @@
 	left := JobProgress{Job: "night", Generation: 1, Revision: 10, Left: []Span{{Count: 4}}}
 	table.confirmLeft("hala-a", left)
 	require.Len(t, table.jobs["night"].leaving["hala-a"], 4, "the plan that names them is not written")
-	pending, ok := table.nextWrite(7)
+	pending, ok := table.nextWrite(time.Now(), 7)
 	require.True(t, ok)
 	table.completeWrite(pending, storeEntry(20))
 	table.confirmLeft("hala-a", left)
