Admit batch tasks beside an excess of gang jobs

Cause: a zone gets batch tasks while its assigned resources are below 110% of its capacity, but gang and urgent jobs are assigned without a limit. While waiting gangs kept the zone above it, no batch task was assigned, however long it had waited. Change: a zone above the limit gets batch tasks up to 10% of its capacity if they fit beside its services. What callers saw: the batch job stayed in the planner ("wait until the quota and a zone have room"). Evidence: TestBatchIsAdmittedBesideGangs (300 gangs of 20 cores in a zone of 80, 10 at a time) before: planner_test.go:446: expected: 1, actual: 0 Why it works: in the zone the batch task takes its turn with the gangs in the queue and the reservation of the placer.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -251,6 +251,9 @@
 	z.assigned = z.assigned.Plus(size)
 	p.used[j.Team] = p.used[j.Team].Plus(size)
 	p.totalUsed = p.totalUsed.Plus(size)
+	if j.waitsForZone() {
+		z.batch = z.batch.Plus(size)
+	}
 	if j.Policy == describer.ServiceJob {
 		z.services = z.services.Plus(size)
 		p.usedByServices[j.Team] = p.usedByServices[j.Team].Plus(size)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -429,3 +429,19 @@
 		})
 	}
 }
+
+// TestBatchIsAdmittedBesideGangs guards against batch tasks that starve in the planner while gang jobs, which are assigned
+// without a limit, keep the zone above the limit for batch tasks.
+func TestBatchIsAdmittedBesideGangs(t *testing.T) {
+	c := newCell("a")
+	for number := range 300 {
+		c.submit(fmt.Sprintf("gang-%d", number), "team", describer.GangJob, 20, cores(1))
+		if number == 10 {
+			c.submit("batch", "team", describer.BatchJob, 1, cores(1))
+		}
+		if number >= 10 {
+			c.handle(planner.JobWithdrawn{Job: describer.JobID(fmt.Sprintf("gang-%d", number-10))})
+		}
+	}
+	require.Equal(t, 1, c.assigned("batch"))
+}
--- a/planner/zone.go
+++ b/planner/zone.go
@@ -11,13 +11,19 @@
 // capacity.
 const queuePercent = 110
 
+// batchPercent is the percentage of a zone's capacity up to which batch tasks are assigned to it also above queuePercent,
+// because gang jobs and urgent ones are assigned without a limit. The reservation of the placer starts them in turn.
+const batchPercent = 10
+
 // zone is the planning state of one availability zone.
 type zone struct {
 	Zone
 	capacity describer.Resources
 	assigned describer.Resources
 	// services is the part of assigned that services use.
-	services    describer.Resources
+	services describer.Resources
+	// batch is the part of assigned that batch jobs below class Urgent use.
+	batch       describer.Resources
 	unavailable bool
 	safeAt      time.Time
 }
@@ -50,23 +56,20 @@
 // preemption. A zone below the limit accepts a task of any size that it can hold: if a large task had to fit below the
 // limit, smaller ones behind it in the queue would always take the capacity first.
 func (z *zone) accepts(j *job) bool {
-	if j.Policy != describer.BatchJob || j.Class == describer.Urgent {
-		return true
-	}
-	limit := describer.Resources{
-		MilliCores:   z.capacity.MilliCores * queuePercent / 100,
-		MemoryBytes:  z.capacity.MemoryBytes * queuePercent / 100,
-		Accelerators: z.capacity.Accelerators * queuePercent / 100,
-	}
-	return isBelow(z.assigned.MilliCores, limit.MilliCores, j.PerTask.MilliCores) &&
-		isBelow(z.assigned.MemoryBytes, limit.MemoryBytes, j.PerTask.MemoryBytes) &&
-		isBelow(z.assigned.Accelerators, limit.Accelerators, j.PerTask.Accelerators)
+	return !j.waitsForZone() || z.isBelow(queuePercent, z.assigned, j.PerTask) ||
+		z.isBelow(batchPercent, z.batch, j.PerTask) && z.hasRoomBesideServices(j)
+}
+
+// waitsForZone reports whether the job waits here until a zone has free capacity.
+func (j *job) waitsForZone() bool {
+	return j.Policy == describer.BatchJob && j.Class != describer.Urgent
 }
 
-// isBelow reports whether the assigned amount of a resource is below the limit. A resource of which a task needs nothing
-// does not count.
-func isBelow(assigned, limit, need int64) bool {
-	return need == 0 || assigned < limit
+// isBelow reports whether the assigned resources that a task needs are below a percentage of the capacity.
+func (z *zone) isBelow(percent int64, assigned, need describer.Resources) bool {
+	return (need.MilliCores == 0 || assigned.MilliCores*100 < z.capacity.MilliCores*percent) &&
+		(need.MemoryBytes == 0 || assigned.MemoryBytes*100 < z.capacity.MemoryBytes*percent) &&
+		(need.Accelerators == 0 || assigned.Accelerators*100 < z.capacity.Accelerators*percent)
 }
 
 // load returns the assigned share of the zone's capacity for the resource of which the largest share is assigned.
