--- a/placer/job.go
+++ b/placer/job.go
@@ -161,7 +161,9 @@
 			return false
 		}
 		e.job.pending = nil
-		p.cancelReservation(p.reservationOf(e))
+		if p.reservation != nil && p.reservation.holder == e {
+			p.cancelReservation()
+		}
 		return true
 	})
 }
--- a/placer/pass.go
+++ b/placer/pass.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -53,9 +52,7 @@
 func (p *Placer) pass(now time.Time) {
 	p.lastPass = now
 	p.dirty = false
-	for _, r := range slices.Clone(p.reservations) {
-		p.updateReservation(now, r)
-	}
+	p.updateReservation(now)
 	var blocked blockedNeeds
 	for _, e := range p.pending {
 		p.placePending(now, e, &blocked)
@@ -82,8 +79,8 @@
 	e.indices = e.indices[placed:]
 	if len(e.indices) > 0 {
 		e.block(now)
-	} else {
-		p.cancelReservation(p.reservationOf(e))
+	} else if p.reservation != nil && p.reservation.holder == e {
+		p.cancelReservation()
 	}
 }
 
@@ -168,10 +165,7 @@
 // end before the reservation starts is backfilled into the reserved capacity first.
 func (p *Placer) chooseBestFit(now time.Time, j *job) *server {
 	if p.endsBeforeReservation(now, j) {
-		number, _ := p.backfillCells.find(j.need, func(server int) bool {
-			s := p.servers[server]
-			return j.need.Fits(s.free()) && j.endsBefore(now, s.reservation.startsAt)
-		})
+		number, _ := p.backfillCells.find(j.need, func(server int) bool { return j.need.Fits(p.servers[server].free()) })
 		if number >= 0 {
 			return p.servers[number]
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,7 +27,7 @@
 	backfillCells      *cellIndex
 	jobs               map[describer.JobID]*job
 	pending            []*entry
-	reservations       []*reservation
+	reservation        *reservation
 	probing            []*server
 	dirty              bool
 	lastPass           time.Time
@@ -137,7 +137,7 @@
 	place.endKnown = known
 	place.endsAt = place.startedAt.Add(runTime)
 	s := p.servers[place.server]
-	place.overlapping = s.reservation != nil && !place.endsBefore(s.reservation.startsAt)
+	place.overlapping = s.hasReserved && !place.endsBefore(p.reservation.startsAt)
 }
 
 // removePlacement frees the capacity that is allocated to a task.
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -28,15 +28,12 @@
 	// only while too few of them can hold a task.
 	minCandidates     = 256
 	candidatesPerTask = 8
-	// maxReservations bounds the capacity that reservations keep idle. There is more than one only while the others start
-	// later than maxWaitForUnknown, so that no job waits for the end of long runs that are not in its way.
-	maxReservations = 4
 	// checksPerPass bounds the cost of the searches for a reservation in one pass when many jobs do not fit.
 	checksPerPass = 4096
 )
 
-// reservation keeps capacity on some backend servers for one job, beginning at a start time. A backend server has at
-// most one reservation, and a job is placed as a whole, so two partially placed jobs never wait for each other.
+// reservation keeps capacity on some backend servers for one job, beginning at a start time. A zone has at most one
+// reservation, so two partially placed jobs never wait for each other.
 type reservation struct {
 	holder   *entry
 	startsAt time.Time
@@ -52,38 +49,19 @@
 	at     time.Time
 }
 
-// endsBefore reports whether a task of the job, started now, is expected to end by the given time.
-func (j *job) endsBefore(now, at time.Time) bool {
-	runTime, known := j.runTime.expected(j.description)
-	return known && !now.Add(runTime).After(at)
-}
-
-// endsBeforeReservation reports whether a task of a job, started now, is expected to end before a reservation starts.
+// endsBeforeReservation reports whether a task of a job, started now, is expected to end before the reservation starts.
 func (p *Placer) endsBeforeReservation(now time.Time, j *job) bool {
-	return slices.ContainsFunc(p.reservations, func(r *reservation) bool { return j.endsBefore(now, r.startsAt) })
-}
-
-// reservationOf returns the reservation that an entry holds, or nil.
-func (p *Placer) reservationOf(e *entry) *reservation {
-	for _, r := range p.reservations {
-		if r.holder == e {
-			return r
-		}
+	if p.reservation == nil {
+		return false
 	}
-	return nil
-}
-
-// mayReserve reports whether another reservation is allowed: there are few, and none of them starts soon.
-func (p *Placer) mayReserve(now time.Time) bool {
-	soon := now.Add(maxWaitForUnknown)
-	return len(p.reservations) < maxReservations &&
-		!slices.ContainsFunc(p.reservations, func(r *reservation) bool { return !r.startsAt.After(soon) })
+	runTime, known := j.runTime.expected(j.description)
+	return known && !now.Add(runTime).After(p.reservation.startsAt)
 }
 
-// reserveForBlocked creates a reservation for the job whose turn is first among those that have fitted nowhere for at
+// reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
 // least reserveAfter; an urgent job does not wait for that.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	for checks := 0; p.mayReserve(now) && checks < checksPerPass; {
+	for checks := 0; p.reservation == nil && checks < checksPerPass; {
 		e := p.nextToReserve(now)
 		if e == nil {
 			return
@@ -95,9 +73,7 @@
 			// job.
 			e.loseTurn(now)
 			e.reserveAt = now.Add(reserveAfter)
-			if len(p.reservations) == 0 {
-				e.job.limitNeed()
-			}
+			e.job.limitNeed()
 		}
 	}
 }
@@ -106,8 +82,7 @@
 func (p *Placer) nextToReserve(now time.Time) *entry {
 	var next *entry
 	for _, e := range p.pending {
-		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) ||
-			p.reservationOf(e) != nil {
+		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) {
 			continue
 		}
 		if next == nil || e.turn.Before(next.turn) {
@@ -144,10 +119,9 @@
 		return checked, false
 	}
 	slices.SortStableFunc(slots, func(a, b slotTime) int { return a.at.Compare(b.at) })
-	r := &reservation{holder: e, startsAt: slots[count-1].at}
-	p.reservations = append(p.reservations, r)
+	p.reservation = &reservation{holder: e, startsAt: slots[count-1].at}
 	for _, slot := range slots[:count] {
-		p.reserveOn(slot.server, r)
+		p.reserveOn(slot.server, e.job.need)
 	}
 	return checked, true
 }
@@ -155,7 +129,7 @@
 // appendSlots appends the times at which the backend server is expected to have capacity for tasks of the entry, as its
 // running tasks end. A batch task that the holder may evict counts as ended after maxWaitForUnknown at the latest.
 func (s *server) appendSlots(slots []slotTime, now time.Time, e *entry) []slotTime {
-	if !s.accepts() || s.ejected || s.reservation != nil || !e.job.need.Fits(s.Capacity) {
+	if !s.accepts() || s.ejected || !e.job.need.Fits(s.Capacity) {
 		return slots
 	}
 	ends := make([]*placement, 0, len(s.placements))
@@ -210,26 +184,26 @@
 	return now.Add(min(now.Sub(p.endsAt), maxOverrun))
 }
 
-// reserveOn adds capacity for one task on a backend server to a reservation.
-func (p *Placer) reserveOn(s *server, r *reservation) {
-	if s.reservation == nil {
-		s.reservation = r
-		r.servers = append(r.servers, s)
+// reserveOn adds capacity on a backend server to the reservation.
+func (p *Placer) reserveOn(s *server, need describer.Resources) {
+	if !s.hasReserved {
+		s.hasReserved = true
+		p.reservation.servers = append(p.reservation.servers, s)
 		for _, place := range s.placements {
-			s.change(place, func() { place.overlapping = !place.endsBefore(r.startsAt) })
+			s.change(place, func() { place.overlapping = !place.endsBefore(p.reservation.startsAt) })
 		}
 	}
-	s.reserved = s.reserved.Plus(r.holder.job.need)
+	s.reserved = s.reserved.Plus(need)
 	p.refresh(s)
 }
 
-// cancelReservation cancels a reservation, unless it is nil, and frees the reserved capacity.
-func (p *Placer) cancelReservation(r *reservation) {
-	if r == nil {
+// cancelReservation cancels the reservation, if there is one, and frees the reserved capacity.
+func (p *Placer) cancelReservation() {
+	if p.reservation == nil {
 		return
 	}
-	for _, s := range r.servers {
-		s.reservation = nil
+	for _, s := range p.reservation.servers {
+		s.hasReserved = false
 		s.reserved = describer.Resources{}
 		for _, place := range s.placements {
 			place.overlapping = false
@@ -237,19 +211,23 @@
 		s.overlapping = describer.Resources{}
 		p.refresh(s)
 	}
-	p.reservations = slices.DeleteFunc(p.reservations, func(other *reservation) bool { return other == r })
+	p.reservation = nil
 	p.dirty = true
 }
 
-// updateReservation places the tasks of the holder of a reservation as soon as the reserved capacity is free, evicts
-// overdue tasks, and cancels the reservation if it is not fulfilled in time.
-func (p *Placer) updateReservation(now time.Time, r *reservation) {
+// updateReservation places the tasks of the holder as soon as the reserved capacity is free, evicts overdue tasks, and
+// cancels the reservation if it is not fulfilled in time.
+func (p *Placer) updateReservation(now time.Time) {
+	r := p.reservation
+	if r == nil {
+		return
+	}
 	holder := r.holder
 	if !r.due && !now.Before(r.startsAt) {
 		p.markDue(r)
 	}
 	if r.isFree() {
-		p.cancelReservation(r)
+		p.cancelReservation()
 		count := holder.taskCount()
 		if p.placeAll(now, holder, holder.indices[:count]) {
 			holder.indices = holder.indices[count:]
@@ -262,7 +240,7 @@
 	switch {
 	case now.After(r.startsAt.Add(reservationTimeout)):
 		// The next holder is chosen before the pass can give the reserved capacity to other tasks.
-		p.cancelReservation(r)
+		p.cancelReservation()
 		holder.loseTurn(now)
 		p.reserveForBlocked(now)
 	case !now.Before(r.startsAt.Add(holder.maxWait(overdueAfter))) && !r.evicted:
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -228,3 +228,24 @@
 		require.False(t, id.Job == "batch" && place.Server == "server-0", "the probe is used up")
 	}
 }
+
+// TestReservationLeavesCapacityToOthers guards against gangs that wait for the end of a long run and reserve all backend
+// servers until then, so that urgent gangs, services and batch tasks wait beside free capacity.
+func TestReservationLeavesCapacityToOthers(t *testing.T) {
+	h := newHarness(t, zone(8))
+	long := job("long", describer.GangJob, describer.Standard, 8, size(5, 8))
+	long.ExpectedSeconds = 100_000
+	h.submit(long)
+	require.Equal(t, 8, h.placed("long"))
+	for number := range 4 {
+		h.submit(job(strconv.Itoa(number), describer.GangJob, describer.Standard, 2, size(8, 8)))
+	}
+	h.wait(10 * time.Second)
+	h.submit(job("urgent", describer.GangJob, describer.Urgent, 4, size(2, 2)))
+	h.submit(job("service", describer.ServiceJob, describer.Standard, 1, size(2, 2)))
+	h.submit(job("batch", describer.BatchJob, describer.Standard, 1, size(2, 2)))
+	h.wait(time.Second)
+	require.Equal(t, 4, h.placed("urgent"))
+	require.Equal(t, 1, h.placed("service"))
+	require.Equal(t, 1, h.placed("batch"))
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -63,7 +63,7 @@
 	// that are expected to run beyond the start of the reservation.
 	reserved    describer.Resources
 	overlapping describer.Resources
-	reservation *reservation
+	hasReserved bool
 	// overloadActionAt is when a task was last throttled or evicted because of a high measured use.
 	overloadActionAt time.Time
 }
@@ -82,7 +82,7 @@
 
 // unreserved returns the free capacity for tasks that may run beyond the start of the reservation.
 func (s *server) unreserved() describer.Resources {
-	if s.reservation == nil || !s.accepts() {
+	if !s.hasReserved || !s.accepts() {
 		return s.free()
 	}
 	return smaller(s.free(), s.Capacity.Minus(s.reserved).Minus(s.overlapping))
--- a/placer/server_list.go
+++ b/placer/server_list.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"egretring.example/egretring/describer"
@@ -30,17 +29,15 @@
 			rebuild = true
 		}
 	}
-	var holders []*entry
-	for _, r := range slices.Clone(p.reservations) {
-		if !r.isPossible() {
-			holders = append(holders, r.holder)
-			p.cancelReservation(r)
-		}
+	var holder *entry
+	if p.reservation != nil && !p.reservation.isPossible() {
+		holder = p.reservation.holder
+		p.cancelReservation()
 	}
 	if rebuild {
 		p.rebuild()
 	}
-	for _, holder := range holders {
+	if holder != nil {
 		p.reserve(now, holder)
 	}
 	p.dirty = true
@@ -129,7 +126,7 @@
 func (p *Placer) refresh(s *server) {
 	p.unreservedCells.update(s.number, s.unreserved())
 	free := noCapacity
-	if s.reservation != nil {
+	if s.hasReserved {
 		free = s.free()
 	}
 	p.backfillCells.update(s.number, free)
@@ -190,7 +187,7 @@
 		sum.PlacedTasks += len(s.placements)
 		sum.Capacity = sum.Capacity.Plus(s.Capacity)
 		sum.Allocated = sum.Allocated.Plus(s.allocated)
-		if s.reservation != nil && s.accepts() {
+		if s.hasReserved && s.accepts() {
 			held := smaller(s.reserved, s.free())
 			sum.ReservedIdle = sum.ReservedIdle.Plus(larger(held, describer.Resources{}))
 		}
