Start a postponement anew after it has passed

Cause: a shard that waited for the store for over a second kept its old postponement, which no later change could extend. Change: a change starts the postponement anew if the shard could have been written for 200 ms. Until then steady changes still postpone the write by one second at most. What callers saw: a running service restarted after a change during slow writes of the plan, because the plan between the withdrawal and the new assignment of its tasks was written. Evidence: TestPostponementStartsAnew before: postponement_test.go:25: Should be false TestSteadyChangesDelayShardBriefly fails if each passed postponement is started anew at once: postponement_test.go:45: Should be true (100ms)

--- a/scheduler/postponement.go
+++ b/scheduler/postponement.go
@@ -16,10 +16,12 @@
 	latest time.Time
 }
 
-// postpone postpones the write of a shard after a change of one of its jobs.
+// postpone postpones the write of a shard after a change of one of its jobs. A postponement is started anew if the shard
+// could have been written for submitPause: it then waited for something else, and the plan right after the change must
+// not be written either.
 func (t *planTable) postpone(now time.Time, number int) {
 	current, postponed := t.postponed[number]
-	if !postponed {
+	if !postponed || !now.Before(current.until.Add(submitPause)) {
 		current.latest = now.Add(maxSubmitPause)
 	}
 	current.until = now.Add(submitPause)
