Let services pass held quota and limit a hold to 40 minutes

Cause: the hold for the first waiting job of a team applied to services, and doubled up to 3.5 days. Change: services ignore holds, as urgent jobs do, except those of urgent jobs. A hold lasts 40 minutes at most. holdFor checks for another borrowing hold before the costly searches for a zone and for quota. What callers saw: a service, or any job of the team, waited for hours beside free quota that was held for a gang which could not use it. Evidence: before: TestServiceIgnoresHold: planner_test.go:350: expected: 1, actual: 0 TestHoldsStayShort (24 hours): planner_test.go:371: "5h20m3.8s" is not less than or equal to "42m0s"

--- a/planner/hold.go
+++ b/planner/hold.go
@@ -8,10 +8,10 @@
 
 const (
 	// firstHold is how long quota is first held for a job. After a hold without success others may use the quota for the
-	// same time, and the next hold is twice as long, so that it outlasts any run time but never blocks others for good.
+	// same time, and the next hold is twice as long, so that it outlasts most run times but never blocks others for good.
 	firstHold = 5 * time.Minute
-	// maxHoldDoublings bounds a hold to 3.5 days.
-	maxHoldDoublings = 10
+	// maxHoldDoublings bounds a hold to 40 minutes.
+	maxHoldDoublings = 3
 )
 
 // hold is quota that one pass keeps for a waiting job.
@@ -20,9 +20,10 @@
 	class describer.Class
 }
 
-// against returns the part of the hold that a job may not use. Urgent jobs ignore the holds of others.
+// against returns the part of the hold that a job may not use. Urgent jobs and services ignore the holds of others, except
+// those of urgent jobs.
 func (h hold) against(j *job) describer.Resources {
-	if j.Class == describer.Urgent && h.class != describer.Urgent {
+	if (j.Class == describer.Urgent || j.Policy == describer.ServiceJob) && h.class != describer.Urgent {
 		return describer.Resources{}
 	}
 	return h.size
@@ -39,11 +40,11 @@
 		count = j.waiting.total()
 	}
 	size := multiply(j.PerTask, count)
-	if p.withinQuota(j, count) || p.chooseZone(j) == nil || !p.fitsWhenTasksEnd(j, size) {
+	borrows := !size.Plus(p.used[j.Team]).Fits(p.quotas[j.Team].Limit) && p.quotas[j.Team].MayBorrow
+	if borrows && p.heldTotal != (hold{}) || p.withinQuota(j, count) {
 		return
 	}
-	borrows := !size.Plus(p.used[j.Team]).Fits(p.quotas[j.Team].Limit) && p.quotas[j.Team].MayBorrow
-	if borrows && p.heldTotal != (hold{}) || !j.isHolding(now) {
+	if p.chooseZone(j) == nil || !p.fitsWhenTasksEnd(j, size) || !j.isHolding(now) {
 		return
 	}
 	p.held[j.Team] = hold{size: size, class: j.Class}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -338,6 +338,39 @@
 	require.Equal(t, 1, c.assigned("small"))
 }
 
+// TestServiceIgnoresHold guards against a service that waits for quota which is free, because it is held for a gang job.
+func TestServiceIgnoresHold(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{{Team: "team", Limit: cores(10)}}})
+	c.submit("endless", "team", describer.BatchJob, 5, cores(1))
+	c.submit("gang", "team", describer.GangJob, 8, cores(1))
+	c.submit("small", "team", describer.BatchJob, 1, cores(1))
+	require.Zero(t, c.assigned("small"), "the quota is held")
+	c.submit("service", "team", describer.ServiceJob, 1, cores(1))
+	require.Equal(t, 1, c.assigned("service"))
+}
+
+// TestHoldsStayShort guards against holds for a gang job that grow without a useful limit and block the smaller jobs of
+// its team for hours beside free quota.
+func TestHoldsStayShort(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{{Team: "team", Limit: cores(10)}}})
+	c.submit("endless", "team", describer.BatchJob, 5, cores(1))
+	c.submit("gang", "team", describer.GangJob, 8, cores(1))
+	longest, blockedSince := time.Duration(0), c.now
+	for minute := range 24 * 60 {
+		id := fmt.Sprintf("small-%d", minute)
+		c.submit(id, "team", describer.BatchJob, 1, cores(1))
+		if c.assigned(id) == 1 {
+			blockedSince = c.now
+		}
+		longest = max(longest, c.now.Sub(blockedSince))
+		c.handle(planner.JobWithdrawn{Job: describer.JobID(id)})
+		c.now = c.now.Add(time.Minute)
+	}
+	require.LessOrEqual(t, longest, 42*time.Minute)
+}
+
 // TestLargeTaskIsNotPassed guards against a large batch task that starves because each capacity that becomes free is
 // given to smaller tasks behind it in the queue.
 func TestLargeTaskIsNotPassed(t *testing.T) {
