Order the jobs that wait for the reservation once per pass

Cause: after each failed search for a reservation all pending jobs were scanned for the next one, also in a zone without backend servers. Change: the waiting jobs are sorted once per pass, and without backend servers nothing is searched. What callers saw: passes of hundreds of milliseconds while a zone had no backend servers and many gangs waited.

--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -61,35 +61,37 @@
 // reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
 // least reserveAfter; an urgent job does not wait for that.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	for checks := 0; p.reservation == nil && checks < checksPerPass; {
-		e := p.nextToReserve(now)
-		if e == nil {
+	if p.reservation != nil || len(p.servers) == 0 {
+		return
+	}
+	checks := 0
+	for _, e := range p.waitingForReservation(now) {
+		checked, reserved := p.reserve(now, e)
+		checks += checked
+		if reserved {
 			return
 		}
-		checked, reserved := p.reserve(now, e)
-		checks += max(checked, 1)
-		if !reserved {
-			// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
-			// job.
-			e.loseTurn(now)
-			e.reserveAt = now.Add(reserveAfter)
-			e.job.limitNeed()
+		// The job would not fit even after running tasks end. It waits without a reservation and so delays no other job.
+		e.loseTurn(now)
+		e.reserveAt = now.Add(reserveAfter)
+		e.job.limitNeed()
+		if checks >= checksPerPass {
+			return
 		}
 	}
 }
 
-// nextToReserve returns the blocked entry whose turn for the reservation is first, or nil.
-func (p *Placer) nextToReserve(now time.Time) *entry {
-	var next *entry
+// waitingForReservation returns the blocked entries in the order of their turns.
+func (p *Placer) waitingForReservation(now time.Time) []*entry {
+	var waiting []*entry
 	for _, e := range p.pending {
 		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) {
 			continue
 		}
-		if next == nil || e.turn.Before(next.turn) {
-			next = e
-		}
+		waiting = append(waiting, e)
 	}
-	return next
+	slices.SortStableFunc(waiting, func(a, b *entry) int { return a.turn.Compare(b.turn) })
+	return waiting
 }
 
 // loseTurn puts the entry behind the others that wait for the reservation, as if it had been submitted now.
