Let a late reservation yield to services and urgent jobs

Cause: since running gangs of unknown run time are expected to end, a gang behind one that never ends holds the zone's reservation for up to 10 minutes. No other job gets one in the meantime. Change: a reservation that has not started is replaced by that of a service, or of an urgent job whose turn is earlier, if the other one starts over 30 s sooner. Urgent holders and services do not yield. The earlier holder keeps its turn. What callers saw: a service of 4 tasks waited 4 to 10 minutes where it had started within seconds. Evidence: TestLateReservationYields before: service: reservation_test.go:274: expected: 4, actual: 0 (after 30 s) urgent gang: reservation_test.go:274: expected: 4, actual: 0 (after 30 s)

--- a/placer/job.go
+++ b/placer/job.go
@@ -63,6 +63,10 @@
 	return j.description.Policy == describer.GangJob
 }
 
+func (j *job) isService() bool {
+	return j.description.Policy == describer.ServiceJob
+}
+
 // entry is a job in the queue of tasks that wait for placement.
 type entry struct {
 	job     *job
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -15,7 +15,8 @@
 	// they are evicted.
 	overdueAfter = 2 * time.Second
 	// reservationTimeout is how long after its start time an unfulfilled reservation is cancelled, after which
-	// it is the turn of the next job. A reservation cannot be fulfilled if, for example, a backend server has failed.
+	// it is the turn of the next job. A reservation cannot be fulfilled if, for example, a backend server has failed. It
+	// is also how much sooner a job must start to replace a reservation.
 	reservationTimeout = 30 * time.Second
 	// maxWaitForUnknown is how long a reservation waits for batch tasks of unknown or very long run time before it may
 	// evict them.
@@ -59,23 +60,31 @@
 }
 
 // reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
-// least reserveAfter; an urgent job does not wait for that.
+// least reserveAfter; an urgent job does not wait for that. It replaces a reservation that is to start late by one for a
+// service or urgent job that would start sooner; the earlier holder keeps its turn.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	if p.reservation != nil || len(p.servers) == 0 {
+	if len(p.servers) == 0 || p.reservation != nil && !p.reservation.mayYield() {
 		return
 	}
 	checks := 0
 	for _, e := range p.waitingForReservation(now) {
-		checked, reserved := p.reserve(now, e)
-		checks += checked
-		if reserved {
+		if p.reservation != nil && !p.reservation.mayYieldTo(e) {
+			continue
+		}
+		slots, checked := p.findSlots(now, e)
+		if len(slots) > 0 && (p.reservation == nil || p.reservation.yieldsTo(slots)) {
+			p.cancelReservation()
+			p.reserveSlots(e, slots)
 			return
 		}
-		// The job would not fit even after running tasks end. It waits without a reservation and so delays no other job.
-		e.loseTurn(now)
 		e.reserveAt = now.Add(reserveAfter)
-		e.job.limitNeed()
-		if checks >= checksPerPass {
+		if len(slots) == 0 {
+			// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
+			// job.
+			e.loseTurn(now)
+			e.job.limitNeed()
+		}
+		if checks += checked; checks >= checksPerPass {
 			return
 		}
 	}
@@ -107,25 +116,57 @@
 	return wait
 }
 
-// reserve computes the earliest start time of a job and reserves capacity for it. It returns the number of checked
-// backend servers, and false if the job would not fit even after running tasks end.
-func (p *Placer) reserve(now time.Time, e *entry) (checked int, reserved bool) {
+// reserve computes the earliest start time of a job and reserves capacity for it, if it would fit after running tasks
+// end.
+func (p *Placer) reserve(now time.Time, e *entry) {
+	if slots, _ := p.findSlots(now, e); len(slots) > 0 {
+		p.reserveSlots(e, slots)
+	}
+}
+
+// findSlots returns the earliest slots for the tasks of a job in the order of their times, or none if the job would not
+// fit even after running tasks end. It also returns the number of checked backend servers.
+func (p *Placer) findSlots(now time.Time, e *entry) (slots []slotTime, checked int) {
 	count := e.taskCount()
 	enough := minCandidates + candidatesPerTask*count
-	var slots []slotTime
 	for ; checked < len(p.servers) && (checked < enough || len(slots) < count); checked++ {
 		p.reserveFrom = (p.reserveFrom + 1) % len(p.servers)
 		slots = p.servers[p.reserveFrom].appendSlots(slots, now, e)
 	}
 	if len(slots) < count {
-		return checked, false
+		return nil, checked
 	}
 	slices.SortStableFunc(slots, func(a, b slotTime) int { return a.at.Compare(b.at) })
-	p.reservation = &reservation{holder: e, startsAt: slots[count-1].at}
-	for _, slot := range slots[:count] {
+	return slots[:count], checked
+}
+
+// reserveSlots creates the reservation of slots for a job.
+func (p *Placer) reserveSlots(e *entry, slots []slotTime) {
+	p.reservation = &reservation{holder: e, startsAt: startOf(slots)}
+	for _, slot := range slots {
 		p.reserveOn(slot.server, e.job.need)
 	}
-	return checked, true
+}
+
+// startOf returns the time at which all slots, which are in the order of their times, are expected to be free.
+func startOf(slots []slotTime) time.Time {
+	return slots[len(slots)-1].at
+}
+
+// mayYield reports whether the reservation may be replaced by that of another job.
+func (r *reservation) mayYield() bool {
+	return !r.due && r.holder.job.description.Class != describer.Urgent && !r.holder.job.isService()
+}
+
+// mayYieldTo reports whether the reservation may be replaced by that of a job: a service, or an urgent job whose turn is
+// before that of the holder, so that the holder does not starve under a stream of urgent jobs.
+func (r *reservation) mayYieldTo(e *entry) bool {
+	return e.job.isService() || e.job.description.Class == describer.Urgent && e.turn.Before(r.holder.turn)
+}
+
+// yieldsTo reports whether a reservation of the slots would start so much earlier that it replaces this one.
+func (r *reservation) yieldsTo(slots []slotTime) bool {
+	return startOf(slots).Add(reservationTimeout).Before(r.startsAt)
 }
 
 // appendSlots appends the times at which the backend server is expected to have capacity for tasks of the entry, as its
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -249,3 +249,37 @@
 	require.Equal(t, 1, h.placed("service"))
 	require.Equal(t, 1, h.placed("batch"))
 }
+
+// TestLateReservationYields guards against services and urgent jobs that wait for minutes behind the reservation of a
+// standard gang job, which waits for tasks of unknown run time.
+func TestLateReservationYields(t *testing.T) {
+	const maxReservedFor = 11 * time.Minute
+	for _, late := range []describer.Job{
+		job("service", describer.ServiceJob, describer.Standard, 4, size(3, 2)),
+		job("urgent gang", describer.GangJob, describer.Urgent, 4, size(3, 2)),
+	} {
+		t.Run(string(late.ID), func(t *testing.T) {
+			h := newHarness(t, zone(8))
+			h.submit(job("endless", describer.GangJob, describer.Standard, 8, size(5, 8)))
+			require.Equal(t, 8, h.placed("endless"))
+			h.wait(10 * time.Minute)
+			small := job("small", describer.BatchJob, describer.Standard, 40, size(1, 1))
+			small.ExpectedSeconds = 10
+			load := h.stream(small)
+			load.run(5*time.Second, never)
+			h.submit(job("gang", describer.GangJob, describer.Standard, 8, size(8, 8)))
+			load.run(5*time.Second, never)
+			h.submit(late)
+			load.run(30*time.Second, func() bool { return h.placed(late.ID) == 4 })
+			require.Equal(t, 4, h.placed(late.ID))
+			for index := range 8 {
+				h.release(task("endless", index), true)
+			}
+			for index := range 4 {
+				h.release(task(string(late.ID), index), true)
+			}
+			load.run(maxReservedFor, func() bool { return h.placed("gang") == 8 })
+			require.Equal(t, 8, h.placed("gang"), "the earlier holder")
+		})
+	}
+}
