Keep the measured use of a gang that does not fit

Cause: the need of a gang that does not fit was limited to the declared one, also if its tasks really use more. Change: it is limited to the declared need or the highest measured use, whichever is higher, so that only the headroom is dropped. What callers saw: a gang that uses more than declared was placed, overloaded its backend servers, was evicted and restarted for ever. Evidence: TestGangFitsAgainAfterLearning with the new cases before: above the processors of the zone: reservation_test.go:225: expected: 0, actual: 4 above the memory of the zone: reservation_test.go:225: expected: 0, actual: 4 The earlier case of the test is its first line and is unchanged.

--- a/placer/job.go
+++ b/placer/job.go
@@ -16,7 +16,9 @@
 	description describer.Job
 	estimate    needEstimate
 	// need is the declared or learned need of a task.
-	need       describer.Resources
+	need describer.Resources
+	// peak is the highest measured use of a task in each dimension.
+	peak       describer.Resources
 	runTime    runTimeEstimate
 	placements map[int]*placement
 	// racks counts the placed tasks of a service by rack.
@@ -39,6 +41,7 @@
 	if description.PerTask != j.description.PerTask {
 		j.estimate = newNeedEstimate(description.PerTask)
 		j.need = description.PerTask
+		j.peak = describer.Resources{}
 	}
 	j.description = description
 }
@@ -47,15 +50,17 @@
 // to the declared need if that is larger, so that the job can still be placed.
 func (j *job) observe(used, largest describer.Resources) {
 	j.estimate.observe(used)
+	j.peak = larger(j.peak, used)
 	declared := j.description.PerTask
 	j.need = smaller(j.estimate.need(declared), larger(declared, largest))
 }
 
 // limitNeed limits the learned need of a gang job that does not fit the zone to the declared need, with which it was
-// assigned to the zone.
+// assigned to the zone, or to the measured use if that is higher: a gang that is placed with less than it uses would be
+// restarted again and again.
 func (j *job) limitNeed() {
 	if j.isGang() {
-		j.need = smaller(j.need, j.description.PerTask)
+		j.need = smaller(j.need, larger(j.description.PerTask, j.peak))
 	}
 }
 
--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -192,22 +192,39 @@
 }
 
 // TestGangFitsAgainAfterLearning guards against a gang job that ran in its zone and never runs again, because with its
-// learned need fewer tasks fit on a backend server.
+// learned need fewer tasks fit on a backend server, and against one that is placed with less than it uses and so is
+// restarted for ever.
 func TestGangFitsAgainAfterLearning(t *testing.T) {
-	h := newHarness(t, zone(2))
-	gang := job("gang", describer.GangJob, describer.Standard, 4, size(4, 4))
-	h.submit(gang)
-	for range 100 {
-		h.handle(placer.UsageReported{Server: h.places[task("gang", 0)].Server, SampledAt: h.now, Tasks: []placer.TaskUsage{
-			{Task: task("gang", 0), Used: describer.Resources{MilliCores: 3900, MemoryBytes: 1 << 30}},
-		}})
-	}
-	for index := range 4 {
-		h.release(task("gang", index), false)
+	for _, test := range []struct {
+		name           string
+		declared       describer.Resources
+		usedMilliCores int64
+		usedMemory     int64
+		placed         int
+	}{
+		{"below the declared need", size(4, 4), 3900, 1 << 30, 4},
+		{"only the headroom does not fit", size(2, 4), 4000, 1 << 30, 4},
+		{"above the processors of the zone", size(4, 4), 4200, 1 << 30, 0},
+		{"above the memory of the zone", size(4, 4), 3900, 17 << 30, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, zone(2))
+			gang := job("gang", describer.GangJob, describer.Standard, 4, test.declared)
+			h.submit(gang)
+			used := describer.Resources{MilliCores: test.usedMilliCores, MemoryBytes: test.usedMemory}
+			for range 100 {
+				h.handle(placer.UsageReported{Server: h.places[task("gang", 0)].Server, SampledAt: h.now, Tasks: []placer.TaskUsage{
+					{Task: task("gang", 0), Used: used},
+				}})
+			}
+			for index := range 4 {
+				h.release(task("gang", index), false)
+			}
+			h.submit(gang)
+			h.wait(5 * time.Second)
+			require.Equal(t, test.placed, h.placed("gang"))
+		})
 	}
-	h.submit(gang)
-	h.wait(5 * time.Second)
-	require.Equal(t, 4, h.placed("gang"))
 }
 
 // TestGangUsesProbeAsWhole guards against a gang job that starves because a probed backend server accepts only one of its
