Judge by the last description of an unlisted zone

Cause: a zone that the instance list no longer named lost its capacity, and waiting jobs that are allowed only there were reported as ones that can never run. Change: an unlisted zone keeps its last description and is marked as unlisted. It gets no tasks, but whether a job can ever run is judged by that description. What callers saw: a job was reported with NoServerLargeEnough while the list lacked its zone for a moment. Evidence: TestUnlistedZoneIsNotImpossible before: planner_test.go:440: Should be empty, but was map[first:NoServerLargeEnough second:NoServerLargeEnough]

--- a/planner/misfit.go
+++ b/planner/misfit.go
@@ -56,8 +56,8 @@
 	for _, z := range p.zones {
 		switch {
 		case z.taskCapacity(j.PerTask) >= j.admissionSize():
-			fitsElsewhere = fitsElsewhere || !z.unavailable && j.allows(z.ID)
-		case !z.unavailable && j.tasksIn(z.ID) > 0 && z.hasServers():
+			fitsElsewhere = fitsElsewhere || z.isOpenTo(j)
+		case !z.unavailable && !z.unlisted && j.tasksIn(z.ID) > 0 && z.hasServers():
 			found = append(found, z)
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -139,10 +139,11 @@
 }
 
 // changeZones updates the known zones. A zone that is no longer listed gets no more tasks, and keeps those that it has
-// until it is reported as lost.
+// until it is reported as lost. It keeps its description, because the list may lack it only for a moment: a job that is
+// allowed nowhere else waits and is not reported as one that can never run.
 func (p *Planner) changeZones(now time.Time, list []Zone) {
 	for _, z := range p.zones {
-		z.describe(Zone{ID: z.ID})
+		z.unlisted = true
 	}
 	for _, description := range list {
 		if z := p.zone(description.ID); z != nil {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -429,6 +429,23 @@
 	require.Equal(t, 10, c.tasksIn("gang", "b"))
 }
 
+// TestUnlistedZoneIsNotImpossible guards against a waiting job that is reported as one that can never run, because the
+// list lacks its only allowed zone for a moment.
+func TestUnlistedZoneIsNotImpossible(t *testing.T) {
+	c := newCell("a", "b")
+	c.submit("first", "team", describer.BatchJob, 100, cores(8), "a")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("b", 10)}})
+	c.submit("second", "team", describer.GangJob, 10, cores(8), "a")
+	c.wait(time.Minute)
+	require.Empty(t, c.impossible)
+	require.Zero(t, c.assigned("second"))
+	c.submit("third", "team", describer.GangJob, 11, cores(8), "a")
+	require.Equal(t, planner.GangTooLarge, c.impossible["third"], "judged by the last description")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 10)}})
+	c.wait(time.Second)
+	require.Equal(t, 10, c.tasksIn("second", "a"))
+}
+
 // TestUnfinishedTasksOfGangAreAdmitted guards against a gang job that needs a zone for all its tasks although some have
 // finished.
 func TestUnfinishedTasksOfGangAreAdmitted(t *testing.T) {
--- a/planner/zone.go
+++ b/planner/zone.go
@@ -17,7 +17,10 @@
 
 // zone is the planning state of one availability zone.
 type zone struct {
+	// Zone is the latest description.
 	Zone
+	// unlisted is true while the list of zones does not contain the zone.
+	unlisted bool
 	capacity describer.Resources
 	assigned describer.Resources
 	// services is the part of assigned that services use.
@@ -36,12 +39,18 @@
 
 func (z *zone) describe(description Zone) {
 	z.Zone = description
+	z.unlisted = false
 	z.capacity = describer.Resources{}
 	for _, group := range description.ServerGroups {
 		z.capacity = z.capacity.Plus(multiply(group.Capacity, group.Count))
 	}
 }
 
+// isOpenTo reports whether tasks of a job may be assigned to the zone at present.
+func (z *zone) isOpenTo(j *job) bool {
+	return !z.unavailable && !z.unlisted && j.allows(z.ID)
+}
+
 // taskCapacity returns how many tasks that each declare the same resources the empty zone holds.
 func (z *zone) taskCapacity(each describer.Resources) int {
 	capacity := 0
@@ -95,11 +104,12 @@
 }
 
 // chooseZone returns the zone for the next task of a job. It prefers zones with room beside their services; among them,
-// for a service, the one with the fewest of its tasks, otherwise the one with the lowest load. Gang jobs need a zone that holds all their tasks.
+// for a service, the one with the fewest of its tasks, otherwise the one with the lowest load. Gang jobs need a zone that
+// holds all their tasks.
 func (p *Planner) chooseZone(j *job) *zone {
 	var best *zone
 	for _, z := range p.zones {
-		if z.unavailable || !j.allows(z.ID) || z.taskCapacity(j.PerTask) < j.admissionSize() || !z.accepts(j) {
+		if !z.isOpenTo(j) || z.taskCapacity(j.PerTask) < j.admissionSize() || !z.accepts(j) {
 			continue
 		}
 		if best == nil || p.better(j, z, best) {
