Double the wait for a probe once for each probe

Cause: a gang probes an ejected backend server with all its tasks, and each of their failures doubled the wait for the next probe. Change: the wait is doubled by the first failure of a probe only. What callers saw: a backend server that was repaired after a failed probe by a gang got no work for up to 10 minutes. Evidence: TestFailedProbeByGangDoublesWaitOnce (12 tasks on 3 backend servers, one broken) before: lifecycle_test.go:199: "8m1s" is not less than "1m30s"

--- a/starter/health.go
+++ b/starter/health.go
@@ -30,6 +30,9 @@
 	probeAt   time.Time
 	probedAt  time.Time
 	probeWait time.Duration
+	// failedProbeAt is the probedAt of the latest probe that failed. A gang job probes with several tasks, which fail
+	// together.
+	failedProbeAt time.Time
 }
 
 // evaluateAttempt updates the health of the backend server and the failures of the job after an attempt has ended. It
@@ -68,6 +71,10 @@
 		return true
 	}
 	if h.ejected {
+		if h.failedProbeAt.Equal(h.probedAt) {
+			return true
+		}
+		h.failedProbeAt = h.probedAt
 		h.probeWait = min(2*h.probeWait, maxProbeWait)
 		h.probeAt = now.Add(h.probeWait)
 		return true
--- a/starter/lifecycle_test.go
+++ b/starter/lifecycle_test.go
@@ -158,6 +158,56 @@
 	require.Equal(t, 5, onBroken, "starts with one probe")
 }
 
+// TestFailedProbeByGangDoublesWaitOnce guards against a backend server that is probed far too late, because each failed
+// task of a gang job doubles the wait for the next probe.
+func TestFailedProbeByGangDoublesWaitOnce(t *testing.T) {
+	first := batch("first", 4)
+	first.MaxAttempts = 50
+	s := newScript(t, 3, first)
+	var bad describer.BackendServerID
+	s.fail = func(c starter.StartTask) string {
+		if bad == "" {
+			bad = c.Server
+		}
+		if c.Server == bad && c.Attempt.Task.Job == "first" {
+			return "disk is read-only"
+		}
+		return ""
+	}
+	s.send(starter.RecordsRecovered{})
+	s.wait(20 * time.Second)
+	s.endAll(s.starts, func(starter.StartTask) committer.Outcome { return committer.Succeeded })
+	gang := batch("gang", 12)
+	gang.Policy, gang.MaxAttempts = describer.GangJob, 50
+	s.send(starter.TasksAssigned{Job: gang, Count: 12})
+	var probes []time.Time
+	for seen := len(s.starts); len(probes) < 2 && s.now.Sub(startTime) < 10*time.Minute; s.wait(time.Second) {
+		if len(s.starts) == seen {
+			continue
+		}
+		probes = append(probes, s.now)
+		started := s.starts[seen:]
+		seen = len(s.starts)
+		s.endAll(started, func(c starter.StartTask) committer.Outcome {
+			if c.Server == bad {
+				return committer.Failed
+			}
+			return committer.Stopped
+		})
+	}
+	require.Len(t, probes, 2)
+	require.Less(t, probes[1].Sub(probes[0]), 90*time.Second)
+}
+
+// endAll ends the attempts with the given outcomes.
+func (s *script) endAll(starts []starter.StartTask, outcome func(starter.StartTask) committer.Outcome) {
+	for _, c := range starts {
+		s.send(starter.AttemptEnded{
+			Server: c.Server, Task: c.Attempt.Task, Attempt: c.Attempt.Number, Outcome: outcome(c),
+		})
+	}
+}
+
 // TestNoStartWithoutRight guards against a start by a member that was paused between the commit and the start, and
 // whose right to start tasks has expired.
 func TestNoStartWithoutRight(t *testing.T) {
