--- a/placer/reservation_test.go
+++ b/placer/reservation_test.go
@@ -213,9 +213,10 @@
 			h.submit(gang)
 			used := describer.Resources{MilliCores: test.usedMilliCores, MemoryBytes: test.usedMemory}
 			for range 100 {
-				h.handle(placer.UsageReported{Server: h.places[task("gang", 0)].Server, SampledAt: h.now, Tasks: []placer.TaskUsage{
-					{Task: task("gang", 0), Used: used},
-				}})
+				h.handle(placer.UsageReported{
+					Server: h.places[task("gang", 0)].Server, SampledAt: h.now,
+					Tasks: []placer.TaskUsage{{Task: task("gang", 0), Used: used}},
+				})
 			}
 			for index := range 4 {
 				h.release(task("gang", index), false)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -63,7 +63,8 @@
 func (p *Planner) Handle(now time.Time, event Event) []Command {
 	p.commands = nil
 	p.apply(now, event)
-	if !now.Before(p.lastPass.Add(passInterval)) && (p.dirty || p.hasLost() || isDue(now, p.moveAt) || isDue(now, p.holdsEndAt)) {
+	due := p.dirty || p.hasLost() || isDue(now, p.moveAt) || isDue(now, p.holdsEndAt)
+	if due && !now.Before(p.lastPass.Add(passInterval)) {
 		p.pass(now)
 	}
 	return p.commands
