--- a/placer/job.go
+++ b/placer/job.go
@@ -16,7 +16,9 @@
 	description describer.Job
 	estimate    needEstimate
 	// need is the declared or learned need of a task.
-	need       describer.Resources
+	need describer.Resources
+	// peak is the highest measured use of a task in each dimension.
+	peak       describer.Resources
 	runTime    runTimeEstimate
 	placements map[int]*placement
 	// racks counts the placed tasks of a service by rack.
@@ -39,6 +41,7 @@
 	if description.PerTask != j.description.PerTask {
 		j.estimate = newNeedEstimate(description.PerTask)
 		j.need = description.PerTask
+		j.peak = describer.Resources{}
 	}
 	j.description = description
 }
@@ -47,14 +50,28 @@
 // to the declared need if that is larger, so that the job can still be placed.
 func (j *job) observe(used, largest describer.Resources) {
 	j.estimate.observe(used)
+	j.peak = larger(j.peak, used)
 	declared := j.description.PerTask
 	j.need = smaller(j.estimate.need(declared), larger(declared, largest))
 }
 
+// limitNeed limits the learned need of a gang job that does not fit the zone to the declared need, with which it was
+// assigned to the zone, or to the measured use if that is higher: a gang that is placed with less than it uses would be
+// restarted again and again.
+func (j *job) limitNeed() {
+	if j.isGang() {
+		j.need = smaller(j.need, larger(j.description.PerTask, j.peak))
+	}
+}
+
 func (j *job) isGang() bool {
 	return j.description.Policy == describer.GangJob
 }
 
+func (j *job) isService() bool {
+	return j.description.Policy == describer.ServiceJob
+}
+
 // entry is a job in the queue of tasks that wait for placement.
 type entry struct {
 	job     *job
@@ -62,15 +79,25 @@
 	// priorityTime is the time of submission, later by ageingStep for each class below Urgent.
 	priorityTime time.Time
 	// blockedSince is the time since which a task of the job has fitted on no backend server. It is reset by a
-	// placement, and set anew when no reservation is possible.
+	// placement.
 	blockedSince time.Time
+	// turn orders the jobs that wait for the reservation. It is priorityTime until a search for a reservation fails
+	// or a reservation is not fulfilled in time.
+	turn time.Time
+	// reserveAt is the earliest time of the next search for a reservation after one that failed.
+	reserveAt time.Time
 	// retryAt is the earliest time of the next placement attempt of a gang job. It limits the attempts, because each
 	// costs a search for each task.
 	retryAt time.Time
 }
 
 func newEntry(now time.Time, j *job) *entry {
-	return &entry{job: j, priorityTime: now.Add(time.Duration(j.description.Class) * ageingStep)}
+	at := priorityTime(now, j)
+	return &entry{job: j, priorityTime: at, turn: at}
+}
+
+func priorityTime(submittedAt time.Time, j *job) time.Time {
+	return submittedAt.Add(time.Duration(j.description.Class) * ageingStep)
 }
 
 // taskCount returns how many tasks of the entry have to be placed at the same time.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -71,7 +71,7 @@
 func (p *Placer) apply(now time.Time, event Event) {
 	switch e := event.(type) {
 	case ServersChanged:
-		p.changeServers(e.Servers)
+		p.changeServers(now, e.Servers)
 	case ServerEjected:
 		p.setEjected(e.Server, true, 0)
 	case ServerProbed:
@@ -124,7 +124,7 @@
 	s.add(place)
 	j.placements[index] = place
 	j.racks[s.rack]++
-	if s.probes > 0 {
+	if s.probes > 0 && !j.isGang() {
 		s.probes--
 	}
 	p.refresh(s)
--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -14,15 +14,23 @@
 	// overdueAfter is how long after its start time a reservation waits for tasks that run longer than expected before
 	// they are evicted.
 	overdueAfter = 2 * time.Second
-	// reservationTimeout is how long after its start time an unfulfilled reservation is cancelled and computed anew.
-	// A reservation cannot be fulfilled if, for example, one of its backend servers has failed.
+	// reservationTimeout is how long after its start time an unfulfilled reservation is cancelled, after which
+	// it is the turn of the next job. A reservation cannot be fulfilled if, for example, a backend server has failed. It
+	// is also how much sooner a job must start to replace a reservation.
 	reservationTimeout = 30 * time.Second
 	// maxWaitForUnknown is how long a reservation waits for batch tasks of unknown or very long run time before it may
 	// evict them.
 	maxWaitForUnknown = 5 * time.Minute
-	// minCandidates and candidatesPerTask bound the backend servers that are checked for a reservation.
+	// maxOverrun is the longest remaining run time that is expected of a task which may not be evicted and runs longer
+	// than expected or for an unknown time. It is longer than maxWaitForUnknown, so that capacity freed by evictions is
+	// preferred.
+	maxOverrun = 2 * maxWaitForUnknown
+	// minCandidates and candidatesPerTask are how many backend servers are compared for a reservation. More are checked
+	// only while too few of them can hold a task.
 	minCandidates     = 256
 	candidatesPerTask = 8
+	// checksPerPass bounds the cost of the searches for a reservation in one pass when many jobs do not fit.
+	checksPerPass = 4096
 )
 
 // reservation keeps capacity on some backend servers for one job, beginning at a start time. A zone has at most one
@@ -51,23 +59,53 @@
 	return known && !now.Add(runTime).After(p.reservation.startsAt)
 }
 
-// reserveForBlocked creates the reservation for the first job in the queue that has fitted nowhere for at least
-// reserveAfter; an urgent job does not wait for that.
+// reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
+// least reserveAfter; an urgent job does not wait for that. It replaces a reservation that is to start late by one for a
+// service or urgent job that would start sooner; the earlier holder keeps its turn.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	if p.reservation != nil {
+	if len(p.servers) == 0 || p.reservation != nil && !p.reservation.mayYield() {
 		return
 	}
-	for _, e := range p.pending {
-		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) {
+	checks := 0
+	for _, e := range p.waitingForReservation(now) {
+		if p.reservation != nil && !p.reservation.mayYieldTo(e) {
 			continue
 		}
-		if p.reserve(now, e) {
+		slots, checked := p.findSlots(now, e)
+		if len(slots) > 0 && (p.reservation == nil || p.reservation.yieldsTo(slots)) {
+			p.cancelReservation()
+			p.reserveSlots(e, slots)
 			return
 		}
-		// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
-		// job.
-		e.blockedSince = now
+		e.reserveAt = now.Add(reserveAfter)
+		if len(slots) == 0 {
+			// The job would not fit even after running tasks end. It waits without a reservation and so delays no other
+			// job.
+			e.loseTurn(now)
+			e.job.limitNeed()
+		}
+		if checks += checked; checks >= checksPerPass {
+			return
+		}
+	}
+}
+
+// waitingForReservation returns the blocked entries in the order of their turns.
+func (p *Placer) waitingForReservation(now time.Time) []*entry {
+	var waiting []*entry
+	for _, e := range p.pending {
+		if e.blockedSince.IsZero() || now.Sub(e.blockedSince) < e.maxWait(reserveAfter) || now.Before(e.reserveAt) {
+			continue
+		}
+		waiting = append(waiting, e)
 	}
+	slices.SortStableFunc(waiting, func(a, b *entry) int { return a.turn.Compare(b.turn) })
+	return waiting
+}
+
+// loseTurn puts the entry behind the others that wait for the reservation, as if it had been submitted now.
+func (e *entry) loseTurn(now time.Time) {
+	e.turn = priorityTime(now, e.job)
 }
 
 // maxWait returns how long the entry waits for other tasks; an urgent job does not wait.
@@ -78,35 +116,68 @@
 	return wait
 }
 
-// reserve computes the earliest start time of a job and reserves capacity for it. It returns false if the job would not
-// fit even after running tasks end.
-func (p *Placer) reserve(now time.Time, e *entry) bool {
+// reserve computes the earliest start time of a job and reserves capacity for it, if it would fit after running tasks
+// end.
+func (p *Placer) reserve(now time.Time, e *entry) {
+	if slots, _ := p.findSlots(now, e); len(slots) > 0 {
+		p.reserveSlots(e, slots)
+	}
+}
+
+// findSlots returns the earliest slots for the tasks of a job in the order of their times, or none if the job would not
+// fit even after running tasks end. It also returns the number of checked backend servers.
+func (p *Placer) findSlots(now time.Time, e *entry) (slots []slotTime, checked int) {
 	count := e.taskCount()
-	var slots []slotTime
-	for range min(len(p.servers), minCandidates+candidatesPerTask*count) {
+	enough := minCandidates + candidatesPerTask*count
+	for ; checked < len(p.servers) && (checked < enough || len(slots) < count); checked++ {
 		p.reserveFrom = (p.reserveFrom + 1) % len(p.servers)
 		slots = p.servers[p.reserveFrom].appendSlots(slots, now, e)
 	}
 	if len(slots) < count {
-		return false
+		return nil, checked
 	}
 	slices.SortStableFunc(slots, func(a, b slotTime) int { return a.at.Compare(b.at) })
-	p.reservation = &reservation{holder: e, startsAt: slots[count-1].at}
-	for _, slot := range slots[:count] {
+	return slots[:count], checked
+}
+
+// reserveSlots creates the reservation of slots for a job.
+func (p *Placer) reserveSlots(e *entry, slots []slotTime) {
+	p.reservation = &reservation{holder: e, startsAt: startOf(slots)}
+	for _, slot := range slots {
 		p.reserveOn(slot.server, e.job.need)
 	}
-	return true
+}
+
+// startOf returns the time at which all slots, which are in the order of their times, are expected to be free.
+func startOf(slots []slotTime) time.Time {
+	return slots[len(slots)-1].at
+}
+
+// mayYield reports whether the reservation may be replaced by that of another job.
+func (r *reservation) mayYield() bool {
+	return !r.due && r.holder.job.description.Class != describer.Urgent && !r.holder.job.isService()
+}
+
+// mayYieldTo reports whether the reservation may be replaced by that of a job: a service, or an urgent job whose turn is
+// before that of the holder, so that the holder does not starve under a stream of urgent jobs.
+func (r *reservation) mayYieldTo(e *entry) bool {
+	return e.job.isService() || e.job.description.Class == describer.Urgent && e.turn.Before(r.holder.turn)
+}
+
+// yieldsTo reports whether a reservation of the slots would start so much earlier that it replaces this one.
+func (r *reservation) yieldsTo(slots []slotTime) bool {
+	return startOf(slots).Add(reservationTimeout).Before(r.startsAt)
 }
 
 // appendSlots appends the times at which the backend server is expected to have capacity for tasks of the entry, as its
 // running tasks end. A batch task that the holder may evict counts as ended after maxWaitForUnknown at the latest.
 func (s *server) appendSlots(slots []slotTime, now time.Time, e *entry) []slotTime {
-	if !s.accepts() || s.ejected {
+	if !s.accepts() || s.ejected || !e.job.need.Fits(s.Capacity) {
 		return slots
 	}
 	ends := make([]*placement, 0, len(s.placements))
 	for _, place := range s.placements {
-		if place.endKnown || place.leaving || place.isEvictableFor(e) {
+		if place.leaving || place.job.description.Policy != describer.ServiceJob {
 			ends = append(ends, place)
 		}
 	}
@@ -134,7 +205,9 @@
 		!p.waiting
 }
 
-// freeAt returns the expected time at which the task has ended or may be evicted.
+// freeAt returns the expected time at which the task has ended or may be evicted. A task that may not be
+// evicted and runs longer than expected is expected to run on for as long as it has done so, and one of unknown run time
+// for as long as it has run.
 func (p *placement) freeAt(now time.Time, holder *entry) time.Time {
 	if p.leaving {
 		return now
@@ -143,10 +216,15 @@
 	if p.isEvictableFor(holder) && (!p.endKnown || p.endsAt.After(latest)) {
 		return latest
 	}
-	if p.endsAt.Before(now) {
+	switch {
+	case !p.endKnown:
+		return now.Add(min(now.Sub(p.startedAt), maxOverrun))
+	case !p.endsAt.Before(now):
+		return p.endsAt
+	case p.isEvictableFor(holder):
 		return now
 	}
-	return p.endsAt
+	return now.Add(min(now.Sub(p.endsAt), maxOverrun))
 }
 
 // reserveOn adds capacity on a backend server to the reservation.
@@ -204,7 +282,10 @@
 	}
 	switch {
 	case now.After(r.startsAt.Add(reservationTimeout)):
+		// The next holder is chosen before the pass can give the reserved capacity to other tasks.
 		p.cancelReservation()
+		holder.loseTurn(now)
+		p.reserveForBlocked(now)
 	case !now.Before(r.startsAt.Add(holder.maxWait(overdueAfter))) && !r.evicted:
 		r.evicted = true
 		p.evictOverdue(now, r)
@@ -234,6 +315,16 @@
 	return true
 }
 
+// isPossible reports whether each backend server of the reservation accepts work and is large enough.
+func (r *reservation) isPossible() bool {
+	for _, s := range r.servers {
+		if s.State != describer.Live || !s.reserved.Fits(s.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
 // evictOverdue evicts tasks that occupy the reserved capacity after the start time of the reservation.
 func (p *Placer) evictOverdue(now time.Time, r *reservation) {
 	for _, s := range r.servers {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -25,8 +25,18 @@
 	// used is the sum of the resources that the assigned tasks of each team declare, and totalUsed that of all teams.
 	used      map[describer.TeamID]describer.Resources
 	totalUsed describer.Resources
-	jobs      map[describer.JobID]*job
-	queue     []*job
+	// usedByServices is the part of used that services use.
+	usedByServices map[describer.TeamID]describer.Resources
+	// held is the quota that the current pass keeps for the first waiting job of each team, and heldTotal the part that
+	// the first borrowing one needs of all quotas.
+	held      map[describer.TeamID]hold
+	heldTotal hold
+	// moveAt is the earliest moveAt of the jobs; it is zero if there is none.
+	moveAt time.Time
+	// holdsEndAt is the earliest end of a hold; it is zero if there is none.
+	holdsEndAt time.Time
+	jobs       map[describer.JobID]*job
+	queue      []*job
 	// requeued are jobs from which tasks were reclaimed during a pass; they return to the queue at its end.
 	requeued []*job
 	sequence int
@@ -41,9 +51,11 @@
 // New returns a planner without zones and jobs.
 func New() *Planner {
 	return &Planner{
-		quotas: make(map[describer.TeamID]describer.Quota),
-		used:   make(map[describer.TeamID]describer.Resources),
-		jobs:   make(map[describer.JobID]*job),
+		quotas:         make(map[describer.TeamID]describer.Quota),
+		used:           make(map[describer.TeamID]describer.Resources),
+		held:           make(map[describer.TeamID]hold),
+		jobs:           make(map[describer.JobID]*job),
+		usedByServices: make(map[describer.TeamID]describer.Resources),
 	}
 }
 
@@ -51,7 +63,8 @@
 func (p *Planner) Handle(now time.Time, event Event) []Command {
 	p.commands = nil
 	p.apply(now, event)
-	if !now.Before(p.lastPass.Add(passInterval)) && (p.dirty || p.hasLost()) {
+	due := p.dirty || p.hasLost() || isDue(now, p.moveAt) || isDue(now, p.holdsEndAt)
+	if due && !now.Before(p.lastPass.Add(passInterval)) {
 		p.pass(now)
 	}
 	return p.commands
@@ -62,7 +75,10 @@
 	if p.dirty {
 		return p.lastPass.Add(passInterval), true
 	}
-	var first time.Time
+	first := p.holdsEndAt
+	if !p.moveAt.IsZero() && (first.IsZero() || p.moveAt.Before(first)) {
+		first = p.moveAt
+	}
 	for _, z := range p.zones {
 		if z.unavailable && z.hasTasks() && (first.IsZero() || z.safeAt.Before(first)) {
 			first = z.safeAt
@@ -71,6 +87,11 @@
 	return first, !first.IsZero()
 }
 
+// isDue reports whether a deadline is set and has come.
+func isDue(now, deadline time.Time) bool {
+	return !deadline.IsZero() && !now.Before(deadline)
+}
+
 func (z *zone) hasTasks() bool {
 	return z.assigned != describer.Resources{}
 }
@@ -82,7 +103,7 @@
 func (p *Planner) apply(now time.Time, event Event) {
 	switch e := event.(type) {
 	case ZonesChanged:
-		p.changeZones(e.Zones)
+		p.changeZones(now, e.Zones)
 	case ZoneUnavailable:
 		if z := p.zone(e.Zone); z != nil {
 			z.unavailable, z.safeAt = true, e.SafeAt
@@ -118,8 +139,13 @@
 	return nil
 }
 
-// changeZones updates the known zones. A zone that is no longer listed keeps its tasks until it is reported as lost.
-func (p *Planner) changeZones(list []Zone) {
+// changeZones updates the known zones. A zone that is no longer listed gets no more tasks, and keeps those that it has
+// until it is reported as lost. It keeps its description, because the list may lack it only for a moment: a job that is
+// allowed nowhere else waits and is not reported as one that can never run.
+func (p *Planner) changeZones(now time.Time, list []Zone) {
+	for _, z := range p.zones {
+		z.unlisted = true
+	}
 	for _, description := range list {
 		if z := p.zone(description.ID); z != nil {
 			z.describe(description)
@@ -127,6 +153,7 @@
 		}
 		p.zones = append(p.zones, newZone(description))
 	}
+	p.scheduleMoves(now)
 	p.evaluateAll()
 }
 
@@ -214,6 +241,8 @@
 	}
 	if j.assigned() == 0 && len(j.waiting) == 0 {
 		delete(p.jobs, e.Job)
+	} else if j.reason != "" {
+		p.evaluate(j)
 	}
 	p.dirty = true
 }
@@ -224,4 +253,11 @@
 	z.assigned = z.assigned.Plus(size)
 	p.used[j.Team] = p.used[j.Team].Plus(size)
 	p.totalUsed = p.totalUsed.Plus(size)
+	if j.waitsForZone() {
+		z.batch = z.batch.Plus(size)
+	}
+	if j.Policy == describer.ServiceJob {
+		z.services = z.services.Plus(size)
+		p.usedByServices[j.Team] = p.usedByServices[j.Team].Plus(size)
+	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -301,3 +301,197 @@
 		}
 	}
 }
+
+// TestWideGangIsNotPassedInQuota guards against a gang job that starves because each quota that becomes free is given to
+// smaller jobs behind it in the queue, of its own team or of other borrowers.
+func TestWideGangIsNotPassedInQuota(t *testing.T) {
+	for _, test := range []struct{ name, gangTeam, smallTeam string }{
+		{"own team", "lender", "lender"},
+		{"other borrower", "borrower", "other"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCell("a")
+			c.handle(planner.QuotasChanged{Quotas: []describer.Quota{
+				{Team: "lender", Limit: cores(10)},
+				{Team: "borrower", Limit: cores(1), MayBorrow: true},
+				{Team: "other", Limit: cores(1), MayBorrow: true},
+			}})
+			c.submit("service", test.smallTeam, describer.ServiceJob, 1, cores(1))
+			c.flood(test.smallTeam, 20)
+			c.submit("gang", test.gangTeam, describer.GangJob, 8, cores(1))
+			c.flood(test.smallTeam, 600)
+			require.Equal(t, 8, c.assigned("gang"))
+		})
+	}
+}
+
+// TestHoldEnds guards against a gang job that waits for quota and blocks the smaller jobs of its team while tasks that
+// never end use the quota.
+func TestHoldEnds(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{{Team: "team", Limit: cores(10)}}})
+	c.submit("endless", "team", describer.BatchJob, 5, cores(1))
+	c.submit("gang", "team", describer.GangJob, 8, cores(1))
+	c.submit("small", "team", describer.BatchJob, 1, cores(1))
+	require.Zero(t, c.assigned("small"))
+	c.wait(6 * time.Minute)
+	require.Equal(t, 1, c.assigned("small"))
+}
+
+// TestServiceIgnoresHold guards against a service that waits for quota which is free, because it is held for a gang job.
+func TestServiceIgnoresHold(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{{Team: "team", Limit: cores(10)}}})
+	c.submit("endless", "team", describer.BatchJob, 5, cores(1))
+	c.submit("gang", "team", describer.GangJob, 8, cores(1))
+	c.submit("small", "team", describer.BatchJob, 1, cores(1))
+	require.Zero(t, c.assigned("small"), "the quota is held")
+	c.submit("service", "team", describer.ServiceJob, 1, cores(1))
+	require.Equal(t, 1, c.assigned("service"))
+}
+
+// TestHoldsStayShort guards against holds for a gang job that grow without a useful limit and block the smaller jobs of
+// its team for hours beside free quota.
+func TestHoldsStayShort(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.QuotasChanged{Quotas: []describer.Quota{{Team: "team", Limit: cores(10)}}})
+	c.submit("endless", "team", describer.BatchJob, 5, cores(1))
+	c.submit("gang", "team", describer.GangJob, 8, cores(1))
+	longest, blockedSince := time.Duration(0), c.now
+	for minute := range 24 * 60 {
+		id := fmt.Sprintf("small-%d", minute)
+		c.submit(id, "team", describer.BatchJob, 1, cores(1))
+		if c.assigned(id) == 1 {
+			blockedSince = c.now
+		}
+		longest = max(longest, c.now.Sub(blockedSince))
+		c.handle(planner.JobWithdrawn{Job: describer.JobID(id)})
+		c.now = c.now.Add(time.Minute)
+	}
+	require.LessOrEqual(t, longest, 42*time.Minute)
+}
+
+// TestLargeTaskIsNotPassed guards against a large batch task that starves because each capacity that becomes free is
+// given to smaller tasks behind it in the queue.
+func TestLargeTaskIsNotPassed(t *testing.T) {
+	c := newCell("a")
+	c.flood("team", 200)
+	c.submit("large", "team", describer.BatchJob, 1, cores(8))
+	c.flood("team", 600)
+	require.Equal(t, 1, c.assigned("large"))
+}
+
+// flood submits small tasks, and finishes an assigned one after each.
+func (c *cell) flood(team string, tasks int) {
+	for range tasks {
+		id := fmt.Sprintf("small-%04d", len(c.jobs))
+		c.submit(id, team, describer.BatchJob, 1, cores(1))
+		var first describer.TaskID
+		for task := range c.zoneOf {
+			if c.jobs[task.Job].PerTask == cores(1) && c.jobs[task.Job].Policy == describer.BatchJob &&
+				(first.Job == "" || task.Job < first.Job) {
+				first = task
+			}
+		}
+		if c.assigned(id) == 1 {
+			continue
+		}
+		delete(c.zoneOf, first)
+		c.handle(planner.TasksFinished{Job: first.Job, Indices: []int{first.Index}})
+	}
+}
+
+// TestGangLeavesZoneThatBecameTooSmall guards against tasks that stay assigned to a zone which has lost the backend
+// servers that they need, although another zone holds them.
+func TestGangLeavesZoneThatBecameTooSmall(t *testing.T) {
+	c := newCell("a", "b")
+	c.submit("gang", "team", describer.GangJob, 10, cores(8), "a", "b")
+	c.submit("batch", "team", describer.BatchJob, 1, cores(1), "a")
+	require.Equal(t, 10, c.tasksIn("gang", "a"))
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 9), zoneOf("b", 10)}})
+	c.wait(time.Minute)
+	require.Equal(t, 10, c.tasksIn("gang", "b"))
+	require.Equal(t, 1, c.tasksIn("batch", "a"), "fits the smaller zone")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 0)}})
+	c.wait(time.Minute)
+	require.Equal(t, 10, c.tasksIn("gang", "b"), "a zone without backend servers may be out of contact")
+	c.handle(planner.ZoneUnavailable{Zone: "b", SafeAt: c.now.Add(time.Hour)})
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 9)}})
+	c.wait(time.Minute)
+	require.Equal(t, 10, c.tasksIn("gang", "b"), "moved before SafeAt")
+}
+
+// TestUnlistedZoneGetsNoTasks guards against a job that is assigned to a zone without backend servers.
+func TestUnlistedZoneGetsNoTasks(t *testing.T) {
+	c := newCell("a", "b")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("b", 10)}})
+	c.submit("gang", "team", describer.GangJob, 10, cores(8))
+	require.Equal(t, 10, c.tasksIn("gang", "b"))
+}
+
+// TestUnlistedZoneIsNotImpossible guards against a waiting job that is reported as one that can never run, because the
+// list lacks its only allowed zone for a moment.
+func TestUnlistedZoneIsNotImpossible(t *testing.T) {
+	c := newCell("a", "b")
+	c.submit("first", "team", describer.BatchJob, 100, cores(8), "a")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("b", 10)}})
+	c.submit("second", "team", describer.GangJob, 10, cores(8), "a")
+	c.wait(time.Minute)
+	require.Empty(t, c.impossible)
+	require.Zero(t, c.assigned("second"))
+	c.submit("third", "team", describer.GangJob, 11, cores(8), "a")
+	require.Equal(t, planner.GangTooLarge, c.impossible["third"], "judged by the last description")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 10)}})
+	c.wait(time.Second)
+	require.Equal(t, 10, c.tasksIn("second", "a"))
+}
+
+// TestUnfinishedTasksOfGangAreAdmitted guards against a gang job that needs a zone for all its tasks although some have
+// finished.
+func TestUnfinishedTasksOfGangAreAdmitted(t *testing.T) {
+	c := newCell("a")
+	c.handle(planner.ZonesChanged{Zones: []planner.Zone{zoneOf("a", 10), zoneOf("b", 5)}})
+	c.submit("gang", "team", describer.GangJob, 10, cores(8))
+	c.handle(planner.TasksFinished{Job: "gang", Indices: []int{0, 1, 2, 3, 4, 5}})
+	c.handle(planner.ZoneUnavailable{Zone: "a", SafeAt: c.now})
+	c.wait(time.Second)
+	require.Equal(t, 4, c.tasksIn("gang", "b"))
+}
+
+func zoneOf(id describer.AvailabilityZoneID, servers int) planner.Zone {
+	return planner.Zone{ID: id, ServerGroups: []planner.ServerGroup{{Capacity: cores(8), Count: servers}}}
+}
+
+// TestZoneFilledByServicesIsAvoided guards against tasks that wait for ever in the zone with the lowest load, because
+// services, which do not end, occupy the capacity that they need there.
+func TestZoneFilledByServicesIsAvoided(t *testing.T) {
+	for _, test := range []struct {
+		policy   describer.JobPolicy
+		tasks    int
+		services int
+	}{{describer.GangJob, 10, 40}, {describer.BatchJob, 1, 76}, {describer.ServiceJob, 1, 76}} {
+		t.Run(string(test.policy), func(t *testing.T) {
+			c := newCell("a", "b")
+			c.submit("services", "team", describer.ServiceJob, test.services, cores(1), "a")
+			c.submit("batch", "team", describer.BatchJob, 78, cores(1), "b")
+			c.submit("case", "team", test.policy, test.tasks, cores(8))
+			require.Equal(t, test.tasks, c.tasksIn("case", "b"))
+		})
+	}
+}
+
+// TestBatchIsAdmittedBesideGangs guards against batch tasks that starve in the planner while gang jobs, which are assigned
+// without a limit, keep the zone above the limit for batch tasks.
+func TestBatchIsAdmittedBesideGangs(t *testing.T) {
+	c := newCell("a")
+	for number := range 300 {
+		c.submit(fmt.Sprintf("gang-%d", number), "team", describer.GangJob, 20, cores(1))
+		if number == 10 {
+			c.submit("batch", "team", describer.BatchJob, 1, cores(1))
+		}
+		if number >= 10 {
+			c.handle(planner.JobWithdrawn{Job: describer.JobID(fmt.Sprintf("gang-%d", number-10))})
+		}
+	}
+	require.Equal(t, 1, c.assigned("batch"))
+}
--- a/planner/restore.go
+++ b/planner/restore.go
@@ -38,7 +38,11 @@
 		for _, index := range restored.Finished {
 			j.waiting.remove(index)
 		}
+		if j.reason != "" {
+			p.evaluate(j)
+		}
 	}
+	p.scheduleMoves(now)
 }
 
 // restorePart assigns tasks without a command. A zone that is no longer listed keeps its tasks.
