Ignore the outcome of an earlier move of a server

An owner that lends a server, gets it back and lends it again has two transactions whose outcomes it waits for. A Moved did not say which one it reports, so that the late outcome of the first ended the wait for the second: the owner renewed the lease of a server that the second may have given to another shard.

Moves are numbered, and an outcome counts only for the servers that are still moving under its number. This is enough because each newer transfer and each newer Move of a server replaces the number.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -241,7 +241,7 @@
 	idle := now.Sub(c.borrower.neededAt) >= returnAfter
 	var returned []Transfer
 	for id, t := range c.shard.transfers {
-		if t.Home == c.shard.index || !c.isOwn(t) || c.shard.moving[id] {
+		if t.Home == c.shard.index || !c.isOwn(t) || c.isMoving(id) {
 			continue
 		}
 		s := c.sessions[id]
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -111,7 +111,7 @@
 	c.predecessorLeasesEnd = now.Add(handoverGrace + c.settings.lease)
 	c.shard = shard{
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
-		moving: make(map[specifier.ServerID]bool), others: make(map[specifier.ServerID]specifier.Server),
+		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -271,14 +271,14 @@
 // move transfers servers to the shard that the function returns for each.
 func (c *Conductor) move(from []Transfer, target func(Transfer) Transfer) {
 	slices.SortFunc(from, func(a, b Transfer) int { return cmp.Or(cmp.Compare(a.Home, b.Home), cmp.Compare(a.Server, b.Server)) })
-	var command Move
+	command := c.newMove()
 	for _, t := range from {
 		to := target(t)
 		if len(command.To) == maxMoves || len(command.To) > 0 && command.To[0].Shard != to.Shard {
 			c.emit(command)
-			command = Move{}
+			command = c.newMove()
 		}
-		c.shard.moving[t.Server] = true
+		c.shard.moving[t.Server] = command.Number
 		command.From, command.To = append(command.From, t), append(command.To, to)
 		if s := c.sessions[t.Server]; s != nil {
 			s.moving = true
@@ -289,6 +289,11 @@
 	}
 }
 
+func (c *Conductor) newMove() Move {
+	c.shard.lastMove++
+	return Move{Number: c.shard.lastMove}
+}
+
 // FollowsTransfers reports whether the transfers may change: servers are lent, borrowed or asked for.
 func (c *Conductor) FollowsTransfers(now time.Time) bool {
 	if now.Sub(c.borrower.askedAt) < 2*wishLifetime {
--- a/conductor/lend_test.go
+++ b/conductor/lend_test.go
@@ -139,7 +139,7 @@
 	o.Handle(o.now, before)
 	require.False(t, o.renewsServer(time.Second), "the outcome is still unknown")
 	move.To[0].Revision = 150
-	o.Handle(o.now, conductor.Moved{Transfers: move.To})
+	o.Handle(o.now, conductor.Moved{Number: move.Number, Transfers: move.To})
 	o.Handle(o.now, before)
 	require.False(t, o.renewsServer(time.Second), "the server is lent")
 	before.Transfers = []conductor.Transfer{{Server: "i-1", Shard: 1, Home: 1, Epoch: lendEpoch, Revision: 140}}
@@ -155,7 +155,7 @@
 func TestServerIsUsedAfterFailedMove(t *testing.T) {
 	o := newShardOwner()
 	move := lendServer(t, o)
-	o.Handle(o.now, conductor.Moved{Transfers: move.From})
+	o.Handle(o.now, conductor.Moved{Number: move.Number, Transfers: move.From})
 	require.True(t, o.renewsServer(time.Second))
 	require.Empty(t, commandsOf[conductor.Move](o.planFor(time.Second)))
 }
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -19,8 +19,10 @@
 	// readRevision is a revision of the store up to which all transfers were read: the owner's epoch, or that of a transfer
 	// in a later list.
 	readRevision int64
-	// moving are the servers of a Move whose outcome is not known yet. They count as not held.
-	moving map[specifier.ServerID]bool
+	// moving are the servers of a Move whose outcome is not known yet, with its number. They count as not held.
+	moving map[specifier.ServerID]int
+	// lastMove is the number of the last Move; the first is 1.
+	lastMove int
 	// others are the listed servers that other shards hold, or held when the servers were last listed.
 	others map[specifier.ServerID]specifier.Server
 	// listedHome is the number of listed servers whose home is this shard.
@@ -49,7 +51,11 @@
 // hasServer reports whether a server belongs to this owner. A transfer since its election belongs to it only if it names its
 // epoch: earlier owners of the shard would otherwise use the server under the same fencing tokens.
 func (c *Conductor) hasServer(server specifier.Server) bool {
-	return !c.sharded() || !c.shard.moving[server.ID] && c.isOwn(c.transferOf(server))
+	return !c.sharded() || !c.isMoving(server.ID) && c.isOwn(c.transferOf(server))
+}
+
+func (c *Conductor) isMoving(id specifier.ServerID) bool {
+	return c.shard.moving[id] != 0
 }
 
 func (c *Conductor) isOwn(t Transfer) bool {
@@ -135,9 +141,13 @@
 	}
 }
 
-// moved applies the outcome of a Move.
+// moved applies the outcome of a Move. A server may have been received again and be moving since, so that the outcome of an
+// earlier Move says nothing about it.
 func (c *Conductor) moved(now time.Time, e Moved) {
 	for _, t := range e.Transfers {
+		if c.shard.moving[t.Server] != e.Number {
+			continue
+		}
 		known := c.shard.transfers[t.Server].Revision
 		switch {
 		case t.Revision > known:
--- a/conductor/transfer.go
+++ b/conductor/transfer.go
@@ -19,6 +19,8 @@
 
 // Move requests that the store transfers servers to another shard. Its outcome is reported as Moved.
 type Move struct {
+	// Number distinguishes the Moves of an owner.
+	Number int
 	// From are the transfers on whose revisions the new ones are conditional, in the order of To.
 	From []Transfer
 	// To have no revisions. All have the same shard and epoch; an epoch of zero stands for the present owner of that shard.
@@ -26,7 +28,11 @@
 }
 
 // Moved reports the transfers of servers as they are in the store after a Move, whether or not that took effect.
-type Moved struct{ Transfers []Transfer }
+type Moved struct {
+	// Number is that of the Move.
+	Number    int
+	Transfers []Transfer
+}
 
 func (Move) command() {}
 func (Moved) event()  {}
--- a/coordinator/transfer.go
+++ b/coordinator/transfer.go
@@ -91,7 +91,7 @@
 		epoch = o.ownerEpochOf(target)
 	}
 	if epoch == 0 {
-		o.post(conductor.Moved{Transfers: c.From})
+		o.post(conductor.Moved{Number: c.Number, Transfers: c.From})
 		return
 	}
 	transaction := keeper.Transaction{Conditions: []keeper.Condition{
@@ -103,7 +103,7 @@
 		value, err := json.Marshal(to)
 		if err != nil {
 			o.settings.logger.Error("failed to encode the transfer of a backend server", "Server", to.Server, "Error", err.Error())
-			o.post(conductor.Moved{Transfers: c.From})
+			o.post(conductor.Moved{Number: c.Number, Transfers: c.From})
 			return
 		}
 		key := transferKey(to.Server)
@@ -118,7 +118,7 @@
 			for i := range c.To {
 				c.To[i].Revision = revision
 			}
-			o.post(conductor.Moved{Transfers: c.To})
+			o.post(conductor.Moved{Number: c.Number, Transfers: c.To})
 			return
 		case errors.As(err, &conflict):
 			o.moveConflicted(c, conflict)
@@ -149,7 +149,7 @@
 		}
 		current = append(current, transfer)
 	}
-	o.post(conductor.Moved{Transfers: current})
+	o.post(conductor.Moved{Number: c.Number, Transfers: current})
 }
 
 // ownerEpochOf returns the epoch of the owner of another shard, or zero while none is known.
