Take a return whose key was deleted for done

A missing key means that the server is at home. The outcome of a Move took it for a failure in any case. If the response to a return was lost and a new owner of the home shard had deleted the key before the retry, the borrower and the home shard both renewed the server's lease.

Without a key the Move has failed only if this shard is the home of the server. Otherwise the server is no longer held; the known revision is kept, so that a read from before the return does not bring it back.

TestReturnWithDeletedKeyIsNoFailure fails without this case and passes with it.

--- a/conductor/move_test.go
+++ b/conductor/move_test.go
@@ -29,3 +29,24 @@
 	o.Handle(o.now, conductor.Moved{Number: second[0].Number, Transfers: []conductor.Transfer{returned}})
 	require.True(t, o.renewsServer(200*time.Millisecond), "the second move has failed")
 }
+
+// TestReturnWithDeletedKeyIsNoFailure guards against a server with two owners after a return whose response was lost and whose
+// key a new owner of the home shard has deleted.
+func TestReturnWithDeletedKeyIsNoFailure(t *testing.T) {
+	o := newShardOwner()
+	received := conductor.ServersListed{
+		Servers:   []specifier.Server{serverAt("0")},
+		Transfers: []conductor.Transfer{{Server: "i-1", Shard: 1, Home: 0, Epoch: lendEpoch, Revision: 130}},
+	}
+	o.Handle(o.now, received)
+	moves := commandsOf[conductor.Move](o.planFor(5 * time.Second))
+	require.Len(t, moves, 1)
+	o.Handle(o.now, conductor.Moved{Number: moves[0].Number, Transfers: []conductor.Transfer{{Server: "i-1", Shard: 0, Home: 0}}})
+	require.False(t, o.renewsServer(time.Second), "the server is back at its home shard")
+	o.Handle(o.now, received)
+	require.False(t, o.renewsServer(time.Second), "the transfers were read before the return")
+	received.Transfers[0].Revision = 170
+	o.Handle(o.now, received)
+	o.Handle(o.now, received)
+	require.True(t, o.renewsServer(time.Second), "the server was lent again")
+}
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -152,6 +152,10 @@
 		switch {
 		case t.Revision > known:
 			c.applyTransfer(t)
+		case t.Revision == 0 && t.Home != c.shard.index:
+			// The server was returned and its key deleted. Reads from before the return have no higher revision.
+			t.Revision = known
+			c.applyTransfer(t)
 		case t.Revision == known || t.Revision == 0:
 			c.moveFailed(now, t)
 		}
