Leave the fencing tokens of a lent server to its holder

A transfer to another shard raised the token of a session with allocations to the first token of the new holder, and its lease was renewed under it. Two owners then gave orders under the same token, and the server could not tell them apart.

The token is raised only by a transfer to this owner, and no lease is renewed for a server that this owner does not hold. Its runs here end with their lease.

TestLentServerWithRunsIsNotRenewed fails without the change and passes with it. It reads the transfer from the store, as the outcome of another Move no longer counts.

--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -115,6 +115,10 @@
 		if !s.listed && len(s.allocations) == 0 {
 			continue
 		}
+		// The fencing token of the transfer belongs to the new holder.
+		if !c.hasServer(s.server) {
+			continue
+		}
 		c.sendRenewal(now, s)
 	}
 }
--- a/conductor/move_test.go
+++ b/conductor/move_test.go
@@ -50,3 +50,30 @@
 	o.Handle(o.now, received)
 	require.True(t, o.renewsServer(time.Second), "the server was lent again")
 }
+
+// TestLentServerWithRunsIsNotRenewed guards against a lender that uses the fencing tokens of the new holder.
+func TestLentServerWithRunsIsNotRenewed(t *testing.T) {
+	o := newShardOwner()
+	move := lendServer(t, o)
+	o.Handle(o.now, conductor.Moved{Number: move.Number, Transfers: move.From})
+	o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+		ID: "0000000000000001", AcceptedAt: o.now,
+		Queue: specifier.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second},
+		Steps: []specifier.Step{{Count: 1, Need: specifier.Resources{MilliCores: 1000}, Estimate: time.Second}},
+	}})
+	require.True(t, o.placesRun(200*time.Millisecond))
+	o.Handle(o.now, conductor.ServersListed{
+		Servers:   []specifier.Server{serverAt("1")},
+		Transfers: []conductor.Transfer{{Server: "i-1", Shard: 0, Home: 1, Epoch: 110, Revision: 170}},
+	})
+	require.False(t, o.renewsServer(2*time.Second))
+}
+
+func (o *shardOwner) placesRun(d time.Duration) bool {
+	for _, decision := range commandsOf[conductor.Decision](o.planFor(d)) {
+		if decision.Name == "RunPlaced" {
+			return true
+		}
+	}
+	return false
+}
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -126,7 +126,9 @@
 	}
 	// The records of an earlier owner name the server; their runs are compared with its next report.
 	s.listed = false
-	s.fence = max(s.fence, c.firstFenceOf(t.Server))
+	if c.isOwn(t) {
+		s.fence = max(s.fence, c.firstFenceOf(t.Server))
+	}
 }
 
 func (c *Conductor) logTransfer(before, t Transfer) {
