Lend no idle servers for long-running steps

A long-running step that waited on other runs for two seconds borrowed idle servers although it fits its shard. Its task then kept the borrowed server until the job was cancelled, and the home shard lacked it.

Only steps that end may borrow idle servers.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -180,9 +180,9 @@
 
 // waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, and not on advice or
 // behind jobs that can meet their objective: these may not run on borrowed servers, and would lack those that they are lent
-// from.
+// from. A long-running step would keep the servers for good.
 func (c *Conductor) waitsForOthers(now time.Time, w *waitingStep, home []*session) bool {
-	return w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home) &&
+	return !w.step.Spec.LongRunning && w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home) &&
 		!c.hasBacklog(now, w.job.queue.Service)
 }
 
