Read the transfers of servers also when none is expected

A lender retries a transfer until its outcome is known, but the borrower read the transfers only until 5 s after it last asked. A transfer that took effect later, as after an outage of the store, left the server with no user for the rest of the borrower's term.

The owner reads the transfers at least every 3 s in a cell of several shards, so that it finds such servers and returns them. A failed read no longer withholds the list of servers, because the read is now made in a calm cell too, and servers that drain during an outage must get no new runs.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -132,7 +132,7 @@
 	case RenewEnded:
 		c.renewalEnded(now, e)
 	case ServersListed:
-		c.applyTransfers(e.Transfers)
+		c.applyTransfers(now, e.Transfers)
 		c.updateServers(now, c.heldServers(e.Servers))
 	case Configured:
 		c.applyConfiguration(e.Configuration)
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -41,7 +41,7 @@
 }
 
 // ServersListed reports all registered backend servers of the cell. Transfers are those that were read since the last
-// list; those of a new owner were read after its election.
+// list, or nil if none were read; those of a new owner were read after its election.
 type ServersListed struct {
 	Servers   []specifier.Server
 	Transfers []Transfer
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -24,6 +24,9 @@
 	// maxMoves bounds the servers in a transaction of the store, which admits 32 entries: two for each server and the keys
 	// of both owners.
 	maxMoves = 15
+	// maxTransfersAge is how old the owner's view of the transfers becomes while it expects none. A transfer may take effect
+	// long after the server was asked for, because the lender retries it.
+	maxTransfersAge = 3 * time.Second
 )
 
 // lender decides which servers this shard lends to others.
@@ -294,9 +297,10 @@
 	return Move{Number: c.shard.lastMove}
 }
 
-// FollowsTransfers reports whether the transfers may change: servers are lent, borrowed or asked for.
+// FollowsTransfers reports whether the transfers are to be read: servers are lent, borrowed or asked for, or the last read was
+// long ago.
 func (c *Conductor) FollowsTransfers(now time.Time) bool {
-	if now.Sub(c.borrower.askedAt) < 2*wishLifetime {
+	if now.Sub(c.borrower.askedAt) < 2*wishLifetime || now.Sub(c.shard.transfersReadAt) >= maxTransfersAge {
 		return true
 	}
 	for _, t := range c.shard.transfers {
--- a/conductor/move_test.go
+++ b/conductor/move_test.go
@@ -77,3 +77,18 @@
 	}
 	return false
 }
+
+// TestTransfersAreReadWithoutWish guards against a server that stays lent because its transfer took effect long after the last
+// wish and is never read.
+func TestTransfersAreReadWithoutWish(t *testing.T) {
+	o := newShardOwner()
+	o.Handle(o.now, conductor.ServersListed{Servers: []specifier.Server{serverAt("1")}, Transfers: []conductor.Transfer{}})
+	require.False(t, o.FollowsTransfers(o.now))
+	require.False(t, o.FollowsTransfers(o.now.Add(2*time.Second)))
+	require.True(t, o.FollowsTransfers(o.now.Add(3*time.Second)))
+	o.now = o.now.Add(3 * time.Second)
+	o.Handle(o.now, conductor.ServersListed{Servers: []specifier.Server{serverAt("1")}})
+	require.True(t, o.FollowsTransfers(o.now), "the list was read without the transfers")
+	o.Handle(o.now, conductor.ServersListed{Servers: []specifier.Server{serverAt("1")}, Transfers: []conductor.Transfer{}})
+	require.False(t, o.FollowsTransfers(o.now))
+}
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -19,6 +19,8 @@
 	// readRevision is a revision of the store up to which all transfers were read: the owner's epoch, or that of a transfer
 	// in a later list.
 	readRevision int64
+	// transfersReadAt is when the transfers were last read.
+	transfersReadAt time.Time
 	// moving are the servers of a Move whose outcome is not known yet, with its number. They count as not held.
 	moving map[specifier.ServerID]int
 	// lastMove is the number of the last Move; the first is 1.
@@ -92,7 +94,10 @@
 
 // applyTransfers applies transfers that were read from the store. The read may have begun before a transaction of this
 // owner took effect, so that only newer revisions count.
-func (c *Conductor) applyTransfers(transfers []Transfer) {
+func (c *Conductor) applyTransfers(now time.Time, transfers []Transfer) {
+	if transfers != nil {
+		c.shard.transfersReadAt = now
+	}
 	for _, t := range transfers {
 		c.shard.readRevision = max(c.shard.readRevision, t.Revision)
 		if t.Revision > c.shard.transfers[t.Server].Revision {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -168,8 +168,9 @@
 	}
 	var err error
 	if follows {
+		// Without the store the list still shows which servers are draining.
 		if listed.Transfers, err = o.readTransfers(ctx); err != nil {
-			return listed, err
+			o.settings.meter.Count("Store.TransferReadFailures", 1)
 		}
 	}
 	listed.Servers, err = o.settings.directory.Servers(ctx)
--- a/sharder/store_link_test.go
+++ b/sharder/store_link_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 
+	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/keeper"
 )
 
@@ -11,6 +14,8 @@
 type storeLink struct {
 	keeper.TransactionalStore
 	cut atomic.Bool
+	// refusesTransfers makes the commits fail that transfer servers.
+	refusesTransfers atomic.Bool
 }
 
 func (c *cell) link() *storeLink {
@@ -40,6 +45,12 @@
 	if l.cut.Load() {
 		return 0, keeper.ErrUnavailable
 	}
+	transfers := slices.ContainsFunc(transaction.Writes, func(w keeper.Write) bool {
+		return strings.HasPrefix(w.Key, coordinator.TransferPrefix)
+	})
+	if transfers && l.refusesTransfers.Load() {
+		return 0, keeper.ErrUnavailable
+	}
 	return l.TransactionalStore.Commit(ctx, transaction)
 }
 
