Borrow for steps that do not fit their shard first

At most four steps borrow at a time, the oldest first. Steps that only borrow idle servers counted among them, so that a backlog of these kept a younger gang that does not fit its shard from asking for servers; it did not start.

Steps that do not fit their shard are chosen first, then those that borrow idle servers.

TestWideStepBorrowsDespiteBacklog fails with the former order and passes with this one. The gang arrives after its objective has passed: while a job is on time, the backlog does not borrow. Steps that borrow idle servers can still run on servers that were lent for others.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -67,16 +68,21 @@
 	}
 	c.borrower.needs = c.borrower.needs[:0]
 	usable := c.usableByHome(now)
-	var borrowing []*waitingStep
+	var borrowing []borrowingStep
 	for _, w := range c.waitingSteps {
 		if c.needsForeign(now, w, usable) {
-			borrowing = append(borrowing, w)
+			wanted := w.wanted()
+			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
+			borrowing = append(borrowing, borrowingStep{w, wanted})
 		}
 	}
-	slices.SortFunc(borrowing, func(a, b *waitingStep) int { return compareAge(a.wanted(), b.wanted()) })
-	for i, w := range borrowing {
-		if w.wait.borrows = i < maxBorrowingSteps; w.wait.borrows {
-			c.ask(now, w, usable)
+	// A backlog of steps that fit the shard would otherwise keep wider steps from borrowing.
+	slices.SortFunc(borrowing, func(a, b borrowingStep) int {
+		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareAge(a.wanted, b.wanted))
+	})
+	for i, b := range borrowing {
+		if b.step.wait.borrows = i < maxBorrowingSteps; b.step.wait.borrows {
+			c.ask(now, b.step, b.wanted, usable)
 		}
 	}
 	if len(c.borrower.needs) > 0 {
@@ -85,6 +91,12 @@
 	c.returnForeign(now)
 }
 
+// borrowingStep is a waiting step that needs foreign servers, and its description for other shards.
+type borrowingStep struct {
+	step   *waitingStep
+	wanted ServersWanted
+}
+
 // serversByHome are the usable servers of the shard, those at home and those that are borrowed.
 type serversByHome struct{ home, foreign []*session }
 
@@ -192,11 +204,9 @@
 }
 
 // ask records that a step needs foreign servers, and asks other shards for those that it lacks.
-func (c *Conductor) ask(now time.Time, w *waitingStep, usable serversByHome) {
-	wanted := w.wanted()
+func (c *Conductor) ask(now time.Time, w *waitingStep, wanted ServersWanted, usable serversByHome) {
 	adv := w.job.advice[w.step.ID]
 	home, foreign := w.tasksThatFit(wanted, usable.home), w.tasksThatFit(wanted, usable.foreign)
-	wanted.IdleOnly = home >= wanted.Tasks
 	missing := wanted.Tasks - foreign
 	if !wanted.IdleOnly {
 		missing -= home
--- a/conductor/borrow_test.go
+++ b/conductor/borrow_test.go
@@ -1,6 +1,8 @@
 package conductor_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,3 +33,34 @@
 	}})
 	require.Empty(t, commandsOf[conductor.Borrow](o.planFor(6*time.Second)))
 }
+
+// TestWideStepBorrowsDespiteBacklog guards against a gang that does not fit its shard and never asks for servers because older
+// steps that wait on other runs borrow idle ones.
+func TestWideStepBorrowsDespiteBacklog(t *testing.T) {
+	o := newShardOwner()
+	queue := specifier.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second}
+	full := specifier.Resources{MilliCores: 64000}
+	const wide specifier.JobID = "ffffffffffffffff"
+	servers := []specifier.Server{serverAt("1")}
+	for i := range 10 {
+		server := serverAt("0")
+		server.ID, server.Address = specifier.ServerID(fmt.Sprintf("f-%d", i)), fmt.Sprintf("f-%d", i)
+		servers = append(servers, server)
+	}
+	o.Handle(o.now, conductor.ServersListed{Servers: servers})
+	// The first task occupies the server because its record is never committed.
+	for i := range 14 {
+		o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+			ID: specifier.JobID(fmt.Sprintf("%016x", i)), AcceptedAt: o.now, Queue: queue,
+			Steps: []specifier.Step{{Count: 1, Need: full, Estimate: time.Second}},
+		}})
+	}
+	acceptedAt := o.now.Add(time.Millisecond)
+	require.NotEmpty(t, commandsOf[conductor.Borrow](o.planFor(8*time.Second)))
+	o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+		ID: wide, AcceptedAt: acceptedAt, Queue: queue, Steps: []specifier.Step{{Count: 3, Gang: true, Need: full, Estimate: time.Second}},
+	}})
+	require.True(t, slices.ContainsFunc(commandsOf[conductor.Borrow](o.planFor(20*time.Second)), func(b conductor.Borrow) bool {
+		return b.Wanted.Step.Job == wide
+	}))
+}
