Use a server after a failed move only once it has responded

The lists of servers do not update a session while its server is being moved, and no lease is renewed. After a Move that failed, the session was used as it was before: a server that had been listed as draining or had stopped responding in the meantime got new runs.

The session takes the newest entry of the server from the lists, and the server gets no runs before its next response.

TestServerDrainingDuringMoveGetsNoRun and TestServerIsContactedAfterFailedMove fail without these two steps and pass with them.

--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -43,15 +43,7 @@
 	for _, server := range servers {
 		present[server.ID] = true
 		s := c.session(server.ID)
-		if s.server.Incarnation != 0 && server.Incarnation > s.server.Incarnation {
-			c.serverRestarted(now, s, server.Incarnation)
-		}
-		if server.Incarnation >= s.server.Incarnation {
-			if server.Draining && !s.server.Draining {
-				c.logDecision("ServerDraining", specifier.TaskID{}, 0, server.ID, "")
-			}
-			s.server = server
-		}
+		c.updateServer(now, s, server)
 		s.listed = true
 		s.foreign = c.isForeign(server.ID)
 	}
@@ -65,6 +57,19 @@
 	}
 }
 
+// updateServer applies the entry of a server in a list.
+func (c *Conductor) updateServer(now time.Time, s *session, server specifier.Server) {
+	if s.server.Incarnation != 0 && server.Incarnation > s.server.Incarnation {
+		c.serverRestarted(now, s, server.Incarnation)
+	}
+	if server.Incarnation >= s.server.Incarnation {
+		if server.Draining && !s.server.Draining {
+			c.logDecision("ServerDraining", specifier.TaskID{}, 0, server.ID, "")
+		}
+		s.server = server
+	}
+}
+
 // serverRestarted handles a new incarnation of a server. A start order may have reached the new incarnation before the
 // restart was noticed, so the next response under a higher fencing token decides which runs are lost. The lease end of
 // such an order is on the clock of the earlier incarnation, so that the new one may keep the run for the longest lease
--- a/conductor/move_test.go
+++ b/conductor/move_test.go
@@ -92,3 +92,41 @@
 	o.Handle(o.now, conductor.ServersListed{Servers: []specifier.Server{serverAt("1")}, Transfers: []conductor.Transfer{}})
 	require.False(t, o.FollowsTransfers(o.now))
 }
+
+// TestServerDrainingDuringMoveGetsNoRun guards against a run on a server that was listed as draining during a Move that failed.
+func TestServerDrainingDuringMoveGetsNoRun(t *testing.T) {
+	o := newShardOwner()
+	move := lendServer(t, o)
+	draining := serverAt("1")
+	draining.Draining = true
+	for range 10 {
+		o.Handle(o.now, conductor.ServersListed{Servers: []specifier.Server{draining}})
+		o.planFor(300 * time.Millisecond)
+	}
+	o.Handle(o.now, conductor.JobArrived{Job: smallJob(o.now)})
+	o.Handle(o.now, conductor.Moved{Number: move.Number, Transfers: move.From})
+	require.False(t, o.placesRun(200*time.Millisecond))
+}
+
+// TestServerIsContactedAfterFailedMove guards against a run on a server that became unreachable while it was moving.
+func TestServerIsContactedAfterFailedMove(t *testing.T) {
+	o := newShardOwner()
+	move := lendServer(t, o)
+	o.planFor(10 * time.Second)
+	o.Handle(o.now, conductor.JobArrived{Job: smallJob(o.now)})
+	o.Handle(o.now, conductor.Moved{Number: move.Number, Transfers: move.From})
+	for range 10 {
+		o.now = o.now.Add(20 * time.Millisecond)
+		for _, decision := range commandsOf[conductor.Decision](o.Plan(o.now)) {
+			require.NotEqual(t, "RunPlaced", decision.Name, "the server has not responded yet")
+		}
+	}
+}
+
+func smallJob(now time.Time) specifier.Job {
+	return specifier.Job{
+		ID: "0000000000000001", AcceptedAt: now,
+		Queue: specifier.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second},
+		Steps: []specifier.Step{{Count: 1, Need: specifier.Resources{MilliCores: 1000}, Estimate: time.Second}},
+	}
+}
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -177,7 +177,12 @@
 	delete(c.shard.moving, t.Server)
 	if s := c.sessions[t.Server]; s != nil && s.moving {
 		c.dropWishes(s.lentTo)
-		s.moving, s.renewalInFlight, s.nextRenewalAt = false, false, now
+		s.moving = false
+		// While the server was moving, its entries in the lists did not update the session and it was not contacted.
+		if newest, listed := c.shard.others[t.Server]; listed {
+			c.updateServer(now, s, newest)
+		}
+		c.probe(now, s)
 	}
 }
 
