Report the conflict of a move with an undecodable transfer

After a conflict, a transfer that could not be decoded was left out of the outcome, so that its server stayed in the Move until a later read of the transfers, and for the rest of the term if there was none.

It is now reported with an unknown holder, as it is when the transfers are read. No owner uses the server until the key has a newer value.

TestMoveConflictWithUnknownHolder checks that the state machine takes such an outcome; it also passes without this change. No test covers the conflict in the store: since the transfers are read every 3 s, the difference cannot be seen from outside.

--- a/conductor/move_test.go
+++ b/conductor/move_test.go
@@ -130,3 +130,18 @@
 		Steps: []specifier.Step{{Count: 1, Need: specifier.Resources{MilliCores: 1000}, Estimate: time.Second}},
 	}
 }
+
+// TestMoveConflictWithUnknownHolder guards against a server that stays in a Move for the rest of the term because its transfer
+// in the store cannot be decoded.
+func TestMoveConflictWithUnknownHolder(t *testing.T) {
+	o := newShardOwner()
+	move := lendServer(t, o)
+	o.Handle(o.now, conductor.Moved{Number: move.Number, Transfers: []conductor.Transfer{{Server: "i-1", Shard: -1, Home: -1, Revision: 120}}})
+	require.False(t, o.renewsServer(time.Second), "the holder is not known")
+	repaired := conductor.ServersListed{
+		Servers:   []specifier.Server{serverAt("1")},
+		Transfers: []conductor.Transfer{{Server: "i-1", Shard: 1, Home: 1, Epoch: lendEpoch, Revision: 130}},
+	}
+	o.Handle(o.now, repaired)
+	require.True(t, o.renewsServer(time.Second))
+}
--- a/coordinator/transfer.go
+++ b/coordinator/transfer.go
@@ -29,16 +29,22 @@
 	}
 	transfers := make([]conductor.Transfer, 0, len(page.Entries))
 	for _, entry := range page.Entries {
-		transfer, err := decodeTransfer(entry)
-		if err != nil {
-			o.settings.logger.Error("transfer cannot be decoded; its server is not used", "Key", entry.Key, "Error", err.Error())
-			transfer.Shard, transfer.Home = noShard, noShard
-		}
-		transfers = append(transfers, transfer)
+		transfers = append(transfers, o.transferIn(entry))
 	}
 	return transfers, nil
 }
 
+// transferIn returns the transfer in an entry of the store. One that cannot be decoded has no known holder, so that no owner
+// uses the server.
+func (o *owner) transferIn(entry keeper.Entry) conductor.Transfer {
+	transfer, err := decodeTransfer(entry)
+	if err != nil {
+		o.settings.logger.Error("transfer cannot be decoded; its server is not used", "Key", entry.Key, "Error", err.Error())
+		transfer.Shard, transfer.Home = noShard, noShard
+	}
+	return transfer
+}
+
 func decodeTransfer(entry keeper.Entry) (conductor.Transfer, error) {
 	var transfer conductor.Transfer
 	err := json.Unmarshal(entry.Value, &transfer)
@@ -142,12 +148,7 @@
 			current = append(current, conductor.Transfer{Server: from.Server, Shard: from.Home, Home: from.Home})
 			continue
 		}
-		transfer, err := decodeTransfer(entry)
-		if err != nil {
-			o.settings.logger.Error("failed to decode the transfer of a backend server", "Key", entry.Key, "Error", err.Error())
-			continue
-		}
-		current = append(current, transfer)
+		current = append(current, o.transferIn(entry))
 	}
 	o.post(conductor.Moved{Number: c.Number, Transfers: current})
 }
