--- a/sharder/late_transfer_test.go
+++ b/sharder/late_transfer_test.go
@@ -31,6 +31,26 @@
 	})
 }
 
+// TestServersAreListedWithoutTransfers guards against an owner that keeps an old list of servers while it cannot read the
+// transfers.
+func TestServersAreListedWithoutTransfers(t *testing.T) {
+	runWithCell(t, 2, 300, func(t *testing.T, c *cell) {
+		for _, link := range c.links {
+			link.refusesTransferReads.Store(true)
+		}
+		time.Sleep(4 * time.Second)
+		labelled := slices.Clone(c.listed)
+		for i := range labelled {
+			labelled[i].Labels = []string{"x"}
+		}
+		c.setListed(labelled)
+		step := specifier.Step{Count: 2, Need: specifier.Resources{MilliCores: 1000}, RequiredLabel: "x", Estimate: runTime}
+		require.NoError(t, c.submitSteps(0, "/q/", "a", step))
+		time.Sleep(3 * time.Second)
+		c.requireCompleted("a")
+	})
+}
+
 func (c *cell) refuseTransfers(refused bool) {
 	for _, link := range c.links {
 		link.refusesTransfers.Store(refused)
--- a/sharder/store_link_test.go
+++ b/sharder/store_link_test.go
@@ -16,6 +16,8 @@
 	cut atomic.Bool
 	// refusesTransfers makes the commits fail that transfer servers.
 	refusesTransfers atomic.Bool
+	// refusesTransferReads makes the reads of all transfers fail.
+	refusesTransferReads atomic.Bool
 }
 
 func (c *cell) link() *storeLink {
@@ -34,7 +36,7 @@
 
 // List implements keeper.TransactionalStore.
 func (l *storeLink) List(ctx context.Context, prefix string) (keeper.Page, error) {
-	if l.cut.Load() {
+	if l.cut.Load() || prefix == coordinator.TransferPrefix && l.refusesTransferReads.Load() {
 		return keeper.Page{}, keeper.ErrUnavailable
 	}
 	return l.TransactionalStore.List(ctx, prefix)
