--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -67,16 +68,21 @@
 	}
 	c.borrower.needs = c.borrower.needs[:0]
 	usable := c.usableByHome(now)
-	var borrowing []*waitingStep
+	var borrowing []borrowingStep
 	for _, w := range c.waitingSteps {
 		if c.needsForeign(now, w, usable) {
-			borrowing = append(borrowing, w)
+			wanted := w.wanted()
+			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
+			borrowing = append(borrowing, borrowingStep{w, wanted})
 		}
 	}
-	slices.SortFunc(borrowing, func(a, b *waitingStep) int { return compareAge(a.wanted(), b.wanted()) })
-	for i, w := range borrowing {
-		if w.wait.borrows = i < maxBorrowingSteps; w.wait.borrows {
-			c.ask(now, w, usable)
+	// A backlog of steps that fit the shard would otherwise keep wider steps from borrowing.
+	slices.SortFunc(borrowing, func(a, b borrowingStep) int {
+		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareAge(a.wanted, b.wanted))
+	})
+	for i, b := range borrowing {
+		if b.step.wait.borrows = i < maxBorrowingSteps; b.step.wait.borrows {
+			c.ask(now, b.step, b.wanted, usable)
 		}
 	}
 	if len(c.borrower.needs) > 0 {
@@ -85,6 +91,12 @@
 	c.returnForeign(now)
 }
 
+// borrowingStep is a waiting step that needs foreign servers, and its description for other shards.
+type borrowingStep struct {
+	step   *waitingStep
+	wanted ServersWanted
+}
+
 // serversByHome are the usable servers of the shard, those at home and those that are borrowed.
 type serversByHome struct{ home, foreign []*session }
 
@@ -180,9 +192,9 @@
 
 // waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, and not on advice or
 // behind jobs that can meet their objective: these may not run on borrowed servers, and would lack those that they are lent
-// from.
+// from. A long-running step would keep the servers for good.
 func (c *Conductor) waitsForOthers(now time.Time, w *waitingStep, home []*session) bool {
-	return w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home) &&
+	return !w.step.Spec.LongRunning && w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home) &&
 		!c.hasBacklog(now, w.job.queue.Service)
 }
 
@@ -192,11 +204,9 @@
 }
 
 // ask records that a step needs foreign servers, and asks other shards for those that it lacks.
-func (c *Conductor) ask(now time.Time, w *waitingStep, usable serversByHome) {
-	wanted := w.wanted()
+func (c *Conductor) ask(now time.Time, w *waitingStep, wanted ServersWanted, usable serversByHome) {
 	adv := w.job.advice[w.step.ID]
 	home, foreign := w.tasksThatFit(wanted, usable.home), w.tasksThatFit(wanted, usable.foreign)
-	wanted.IdleOnly = home >= wanted.Tasks
 	missing := wanted.Tasks - foreign
 	if !wanted.IdleOnly {
 		missing -= home
@@ -241,7 +251,7 @@
 	idle := now.Sub(c.borrower.neededAt) >= returnAfter
 	var returned []Transfer
 	for id, t := range c.shard.transfers {
-		if t.Home == c.shard.index || !c.isOwn(t) || c.shard.moving[id] {
+		if t.Home == c.shard.index || !c.isOwn(t) || c.isMoving(id) {
 			continue
 		}
 		s := c.sessions[id]
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -114,7 +114,7 @@
 	c.predecessorLeasesEnd = now.Add(handoverGrace + c.settings.lease)
 	c.shard = shard{
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
-		moving: make(map[specifier.ServerID]bool), others: make(map[specifier.ServerID]specifier.Server),
+		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
@@ -135,7 +135,7 @@
 	case RenewEnded:
 		c.renewalEnded(now, e)
 	case ServersListed:
-		c.applyTransfers(e.Transfers)
+		c.applyTransfers(now, e.Transfers)
 		c.updateServers(now, c.heldServers(e.Servers))
 	case Configured:
 		c.applyConfiguration(e.Configuration)
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -24,6 +24,9 @@
 	// maxMoves bounds the servers in a transaction of the store, which admits 32 entries: two for each server and the keys
 	// of both owners.
 	maxMoves = 15
+	// maxTransfersAge is how old the owner's view of the transfers becomes while it expects none. A transfer may take effect
+	// long after the server was asked for, because the lender retries it.
+	maxTransfersAge = 3 * time.Second
 )
 
 // lender decides which servers this shard lends to others.
@@ -270,14 +273,14 @@
 // move transfers servers to the shard that the function returns for each.
 func (c *Conductor) move(from []Transfer, target func(Transfer) Transfer) {
 	slices.SortFunc(from, func(a, b Transfer) int { return cmp.Or(cmp.Compare(a.Home, b.Home), cmp.Compare(a.Server, b.Server)) })
-	var command Move
+	command := c.newMove()
 	for _, t := range from {
 		to := target(t)
 		if len(command.To) == maxMoves || len(command.To) > 0 && command.To[0].Shard != to.Shard {
 			c.emit(command)
-			command = Move{}
+			command = c.newMove()
 		}
-		c.shard.moving[t.Server] = true
+		c.shard.moving[t.Server] = command.Number
 		command.From, command.To = append(command.From, t), append(command.To, to)
 		if s := c.sessions[t.Server]; s != nil {
 			s.moving = true
@@ -288,9 +291,15 @@
 	}
 }
 
-// FollowsTransfers reports whether the transfers may change: servers are lent, borrowed or asked for.
+func (c *Conductor) newMove() Move {
+	c.shard.lastMove++
+	return Move{Number: c.shard.lastMove}
+}
+
+// FollowsTransfers reports whether the transfers are to be read: servers are lent, borrowed or asked for, or the last read was
+// long ago.
 func (c *Conductor) FollowsTransfers(now time.Time) bool {
-	if now.Sub(c.borrower.askedAt) < 2*wishLifetime {
+	if now.Sub(c.borrower.askedAt) < 2*wishLifetime || now.Sub(c.shard.transfersReadAt) >= maxTransfersAge {
 		return true
 	}
 	for _, t := range c.shard.transfers {
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -19,8 +19,12 @@
 	// readRevision is a revision of the store up to which all transfers were read: the owner's epoch, or that of a transfer
 	// in a later list.
 	readRevision int64
-	// moving are the servers of a Move whose outcome is not known yet. They count as not held.
-	moving map[specifier.ServerID]bool
+	// transfersReadAt is when the transfers were last read.
+	transfersReadAt time.Time
+	// moving are the servers of a Move whose outcome is not known yet, with its number. They count as not held.
+	moving map[specifier.ServerID]int
+	// lastMove is the number of the last Move; the first is 1.
+	lastMove int
 	// others are the listed servers that other shards hold, or held when the servers were last listed.
 	others map[specifier.ServerID]specifier.Server
 	// listedHome is the number of listed servers whose home is this shard.
@@ -49,7 +53,11 @@
 // hasServer reports whether a server belongs to this owner. A transfer since its election belongs to it only if it names its
 // epoch: earlier owners of the shard would otherwise use the server under the same fencing tokens.
 func (c *Conductor) hasServer(server specifier.Server) bool {
-	return !c.sharded() || !c.shard.moving[server.ID] && c.isOwn(c.transferOf(server))
+	return !c.sharded() || !c.isMoving(server.ID) && c.isOwn(c.transferOf(server))
+}
+
+func (c *Conductor) isMoving(id specifier.ServerID) bool {
+	return c.shard.moving[id] != 0
 }
 
 func (c *Conductor) isOwn(t Transfer) bool {
@@ -86,7 +94,10 @@
 
 // applyTransfers applies transfers that were read from the store. The read may have begun before a transaction of this
 // owner took effect, so that only newer revisions count.
-func (c *Conductor) applyTransfers(transfers []Transfer) {
+func (c *Conductor) applyTransfers(now time.Time, transfers []Transfer) {
+	if transfers != nil {
+		c.shard.transfersReadAt = now
+	}
 	for _, t := range transfers {
 		c.shard.readRevision = max(c.shard.readRevision, t.Revision)
 		if t.Revision > c.shard.transfers[t.Server].Revision {
@@ -120,7 +131,9 @@
 	}
 	// The records of an earlier owner name the server; their runs are compared with its next report.
 	s.listed = false
-	s.fence = max(s.fence, c.firstFenceOf(t.Server))
+	if c.isOwn(t) {
+		s.fence = max(s.fence, c.firstFenceOf(t.Server))
+	}
 }
 
 func (c *Conductor) logTransfer(before, t Transfer) {
@@ -135,13 +148,21 @@
 	}
 }
 
-// moved applies the outcome of a Move.
+// moved applies the outcome of a Move. A server may have been received again and be moving since, so that the outcome of an
+// earlier Move says nothing about it.
 func (c *Conductor) moved(now time.Time, e Moved) {
 	for _, t := range e.Transfers {
+		if c.shard.moving[t.Server] != e.Number {
+			continue
+		}
 		known := c.shard.transfers[t.Server].Revision
 		switch {
 		case t.Revision > known:
 			c.applyTransfer(t)
+		case t.Revision == 0 && t.Home != c.shard.index:
+			// The server was returned and its key deleted. Reads from before the return have no higher revision.
+			t.Revision = known
+			c.applyTransfer(t)
 		case t.Revision == known || t.Revision == 0:
 			c.moveFailed(now, t)
 		}
@@ -156,7 +177,12 @@
 	delete(c.shard.moving, t.Server)
 	if s := c.sessions[t.Server]; s != nil && s.moving {
 		c.dropWishes(s.lentTo)
-		s.moving, s.renewalInFlight, s.nextRenewalAt = false, false, now
+		s.moving = false
+		// While the server was moving, its entries in the lists did not update the session and it was not contacted.
+		if newest, listed := c.shard.others[t.Server]; listed {
+			c.updateServer(now, s, newest)
+		}
+		c.probe(now, s)
 	}
 }
 
--- a/sharder/store_link_test.go
+++ b/sharder/store_link_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 
+	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/keeper"
 )
 
@@ -11,6 +14,10 @@
 type storeLink struct {
 	keeper.TransactionalStore
 	cut atomic.Bool
+	// refusesTransfers makes the commits fail that transfer servers.
+	refusesTransfers atomic.Bool
+	// refusesTransferReads makes the reads of all transfers fail.
+	refusesTransferReads atomic.Bool
 }
 
 func (c *cell) link() *storeLink {
@@ -29,7 +36,7 @@
 
 // List implements keeper.TransactionalStore.
 func (l *storeLink) List(ctx context.Context, prefix string) (keeper.Page, error) {
-	if l.cut.Load() {
+	if l.cut.Load() || prefix == coordinator.TransferPrefix && l.refusesTransferReads.Load() {
 		return keeper.Page{}, keeper.ErrUnavailable
 	}
 	return l.TransactionalStore.List(ctx, prefix)
@@ -40,6 +47,12 @@
 	if l.cut.Load() {
 		return 0, keeper.ErrUnavailable
 	}
+	transfers := slices.ContainsFunc(transaction.Writes, func(w keeper.Write) bool {
+		return strings.HasPrefix(w.Key, coordinator.TransferPrefix)
+	})
+	if transfers && l.refusesTransfers.Load() {
+		return 0, keeper.ErrUnavailable
+	}
 	return l.TransactionalStore.Commit(ctx, transaction)
 }
 
