Let steps on time borrow idle servers, too

Change: a waiting step asks for idle servers whatever others wait for; the lender still lends only while little of its capacity is in use and nothing waits.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -166,7 +166,7 @@
 	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
-	if home >= wanted.Tasks && !c.waitsForOthers(now, w, usable.home) {
+	if home >= wanted.Tasks && !w.waitsForOthers(now, usable.home) {
 		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
 		return false
 	}
@@ -190,12 +190,10 @@
 	return true
 }
 
-// waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, and not on advice or
-// behind jobs that can meet their objective: these may not run on borrowed servers, and would lack those that they are lent
-// from. A long-running step would keep the servers for good.
-func (c *Conductor) waitsForOthers(now time.Time, w *waitingStep, home []*session) bool {
-	return !w.step.Spec.LongRunning && w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home) &&
-		!c.hasBacklog(now, w.job.queue.Service)
+// waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, and not on advice. A
+// long-running step would keep the servers for good.
+func (w *waitingStep) waitsForOthers(now time.Time, home []*session) bool {
+	return !w.step.Spec.LongRunning && w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home)
 }
 
 // hasWaitedFor reports whether none of the step's tasks has been placed for the given time.
