--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -118,18 +118,10 @@
 func (w *waitingStep) wanted() ServersWanted {
 	return ServersWanted{
 		Step: w.step.ID, AcceptedAt: w.job.Spec.AcceptedAt, Service: w.job.queue.Service, Need: w.need(),
-		MaxPerServer: w.step.Spec.MaxPerServer, RequiredLabel: w.step.Spec.RequiredLabel, Tasks: w.neededTasks(),
+		MaxPerServer: w.step.Spec.MaxPerServer, RequiredLabel: w.step.Spec.RequiredLabel, Tasks: w.required(),
 	}
 }
 
-// neededTasks returns how many tasks of the step must fit at the same time.
-func (w *waitingStep) neededTasks() int {
-	if w.step.Spec.Gang {
-		return len(w.waiting)
-	}
-	return 1
-}
-
 // tasksThatFit returns how many tasks, up to the wanted number, fit the servers if these are empty.
 func (w *waitingStep) tasksThatFit(wanted ServersWanted, servers []*session) int {
 	adv := w.job.advice[w.step.ID]
@@ -232,7 +224,7 @@
 	}
 	c.logAsked(w, fmt.Sprintf(
 		"%d tasks, %d fit the shard's servers, %d the borrowed ones, %d those of other shards; %d refused, asked for %d tasks, whole %t, idle only %t",
-		w.neededTasks(), home, foreign, elsewhere, len(wanted.Refused), wanted.Tasks, wanted.Whole, wanted.IdleOnly))
+		w.required(), home, foreign, elsewhere, len(wanted.Refused), wanted.Tasks, wanted.Whole, wanted.IdleOnly))
 	c.emit(Borrow{Wanted: wanted})
 }
 
