Bound the silence of the store instead of its whole responses

Cause: a call to the store had to end within 0.8 s, whatever the size of its response. A response of more than a megabyte does not fit into that time on 10 Mbit/s. It was cut off, its data dropped, and the next call began anew, so that no read ever succeeded. Class of fault: a time limit on a whole transfer whose size is not limited. Change: the time limit bounds how long the store may be silent: until its response begins, and between two pieces of it (package watchdog).

--- /dev/null
+++ b/watchdog/watchdog.go
@@ -0,0 +1,46 @@
+// Package watchdog ends calls that make no progress. Its timeout bounds the time between two pieces of progress instead of
+// the whole call, so that a large transfer over a slow link can end, while a silent peer is still noticed.
+package watchdog
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoProgress is the cause with which the context of a call ends that makes no progress.
+var ErrNoProgress = errors.New("no progress within the timeout")
+
+// Watchdog cancels the context of a call when no progress is reported for its timeout.
+type Watchdog struct {
+	timeout time.Duration
+	timer   *time.Timer
+	cancel  context.CancelCauseFunc
+}
+
+// Watch returns a context that ends with ErrNoProgress when the watchdog gets no first report of progress within the wait
+// and the timeout, or no further one within the timeout. Stop must be called when the call has ended.
+func Watch(ctx context.Context, wait, timeout time.Duration) (context.Context, *Watchdog) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &Watchdog{timeout: timeout, cancel: cancel}
+	w.timer = time.AfterFunc(wait+timeout, func() { cancel(ErrNoProgress) })
+	return ctx, w
+}
+
+// Progress restarts the timeout.
+func (w *Watchdog) Progress() {
+	w.timer.Reset(w.timeout)
+}
+
+// Stop ends the context and releases the watchdog's timer.
+func (w *Watchdog) Stop() {
+	w.timer.Stop()
+	w.cancel(context.Canceled)
+}
+
+// Reader returns a reader that reports progress with each piece of data that it reads.
+func (w *Watchdog) Reader(source io.Reader) io.Reader {
+	return &reader{source: source, watchdog: w}
+}
