Follow the configuration with one watch an instance instead of reading it whole for each shard

Cause: each shard of an instance read the whole configuration every 0.6 s, whether it had changed or not, and shared a read with the other shards for 0.4 s only. On a link of 10 Mbit/s and with some thousand routes the reads followed each other without a break, so that the read of a new version waited for that of the old one, and shared the link with everything else. A failed read also counted as a failed call to the store, after which the instance was not ready. Class of fault: polling work that grows with the size of the polled data and with the number of pollers. Change: package follower keeps the newest configuration for all shards of an instance. It watches for changes, with a bound on the response (a watch returns each version since its revision whole), and then reads the newest version alone. Reads without a noticed change take at most a sixth of the link. Log lines say when an instance learns of a newer version, which one it uses meanwhile, how the change was found and how long the read and its decoding took.

--- a/buffer/ring.go
+++ b/buffer/ring.go
@@ -1,5 +1,5 @@
-// Package buffer provides bounded first-in, first-out queues: Queue passes items between goroutines, and Ring is not
-// safe for concurrent use.
+// Package buffer provides bounded first-in, first-out queues and a holder of the newest value: Queue and Latest pass values
+// between goroutines, and Ring is not safe for concurrent use.
 package buffer
 
 // Ring is a bounded first-in, first-out queue. It is not safe for concurrent use.
--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -119,6 +119,7 @@
 	p.sharder = sharder.New(sharder.Options{
 		Store: userPlatform.Store, Directory: userPlatform.Directory, Instance: p.settings.Instance,
 		Processors: p.settings.ProcessorsOfProcess(), Build: build, Logger: p.logger,
+		Meter: p.meter,
 	})
 	p.sharder.Start()
 	for address, handler := range p.handlers() {
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -16,9 +16,11 @@
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/follower"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
 	"egretring.example/egretring/tester"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -144,14 +146,33 @@
 	return []specifier.Server{d.cell.servers.server}, nil
 }
 
-// Configuration implements coordinator.Directory.
-func (d *directory) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
+// Configuration implements follower.Source. An older configuration than the known one is returned, too, as by a store whose
+// responses overtake each other.
+func (d *directory) Configuration(ctx context.Context, _ int64) (follower.Reading, error) {
 	if _, err := d.store.Get(ctx, "op"); err != nil {
-		return specifier.Configuration{}, false, err
+		return follower.Reading{}, err
 	}
 	d.cell.mu.Lock()
 	defer d.cell.mu.Unlock()
-	return d.cell.current, true, nil
+	current := d.cell.current
+	return follower.Reading{Newer: &current, StoreRevision: current.Revision}, nil
+}
+
+// changePollInterval is the interval at which the directory looks for a change.
+const changePollInterval = 10 * time.Millisecond
+
+// AwaitChange implements follower.Source. A configuration that reverts is a change, too.
+func (d *directory) AwaitChange(ctx context.Context, after int64, wait time.Duration) (follower.Change, error) {
+	for limit := time.Now().Add(wait); time.Now().Before(limit) && ctx.Err() == nil; timekeeper.Sleep(ctx, changePollInterval) {
+		d.cell.mu.Lock()
+		changed := d.cell.current.Revision != after
+		d.cell.mu.Unlock()
+		if changed {
+			timekeeper.Sleep(ctx, changePollInterval)
+			return follower.Change{Changed: true}, d.store.fault(ctx)
+		}
+	}
+	return follower.Change{StoreRevision: after}, d.store.fault(ctx)
 }
 
 // Advise implements coordinator.AdviceService.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"egretring.example/egretring/elector"
+	"egretring.example/egretring/follower"
 	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
@@ -29,6 +30,8 @@
 	// connection, and a late advice call must not end the connection of the short calls.
 	shortCalls *messenger.Client
 	longCalls  *messenger.Client
+	// ownFollower is nil when the coordinator shares a follower with others.
+	ownFollower *follower.Follower
 
 	configuration atomic.Pointer[specifier.Configuration]
 	owner         atomic.Pointer[owner]
@@ -53,6 +56,10 @@
 	}
 	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
 	c.elector = elector.New(s.store, self, c.runOwner, s.clock, s.logger, elector.WithDelay(c.electionDelay))
+	if s.configurations == nil {
+		c.ownFollower = follower.New(s.directory, follower.WithLogger(s.logger), follower.WithMeter(s.meter))
+		c.settings.configurations = c.ownFollower
+	}
 	c.listener = messenger.ServeMethods(accept, c.methods(), messenger.WithLogger(s.logger))
 	return c, nil
 }
@@ -66,9 +73,15 @@
 	return messenger.NewClient(options...)
 }
 
-// Start begins to read the configuration, registers this instance as a member, and takes part in elections.
+// Start begins to follow the configuration, registers this instance as a member, and takes part in elections.
 func (c *Coordinator) Start() {
 	ctx := c.tomb.Context(context.Background())
+	if c.ownFollower != nil {
+		c.tomb.Go(func() error {
+			c.ownFollower.Run(ctx)
+			return nil
+		})
+	}
 	c.tomb.Go(func() error { return c.followConfiguration(ctx) })
 	c.tomb.Go(func() error { return c.keepMembership(ctx) })
 	c.tomb.Go(func() error {
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/follower"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
@@ -12,9 +13,6 @@
 )
 
 const (
-	// configurationInterval is how often the configuration is read; operators expect a new one to be in force within
-	// seconds.
-	configurationInterval = 600 * time.Millisecond
 	// listInterval is how often the owner reads the registered backend servers.
 	listInterval = 300 * time.Millisecond
 	// memberInterval is how often the owner reads the members, memberRenewal how often members renew their lease, and
@@ -69,12 +67,14 @@
 	store     keeper.TransactionalStore
 	servers   BackendServers
 	directory Directory
-	advice    AdviceService
-	clock     timekeeper.Clock
-	logger    *slog.Logger
-	meter     *meter.Meter
-	conductor []conductor.Option
-	instance  string
+	// configurations follows the configuration; nil until New if the coordinator runs a follower of its own.
+	configurations *follower.Follower
+	advice         AdviceService
+	clock          timekeeper.Clock
+	logger         *slog.Logger
+	meter          *meter.Meter
+	conductor      []conductor.Option
+	instance       string
 	// address is where other instances call this one.
 	address string
 	dial    messenger.Dial
@@ -110,6 +110,12 @@
 	return func(s *settings) { s.directory = directory }
 }
 
+// WithConfigurations sets a follower of the configuration that several coordinators share. Without it, the coordinator runs
+// one of its own.
+func WithConfigurations(configurations *follower.Follower) Option {
+	return func(s *settings) { s.configurations = configurations }
+}
+
 // WithAdvice sets the advice service.
 func WithAdvice(advice AdviceService) Option {
 	return func(s *settings) { s.advice = advice }
--- a/coordinator/port.go
+++ b/coordinator/port.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/follower"
 	"egretring.example/egretring/specifier"
 )
 
@@ -19,8 +20,7 @@
 type Directory interface {
 	// Servers returns the registered backend servers.
 	Servers(ctx context.Context) ([]specifier.Server, error)
-	// Configuration returns the newest configuration; it reports false when there is none yet.
-	Configuration(ctx context.Context) (specifier.Configuration, bool, error)
+	follower.Source
 }
 
 // Advice is the response of the advice service.
--- a/fakekeeper/transactional.go
+++ b/fakekeeper/transactional.go
@@ -149,9 +149,20 @@
 	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
 		return keeper.Changes{Revision: options.AfterRevision}, nil
 	}
+	if options.MaxBytes > 0 && valueBytes(changes) > options.MaxBytes {
+		return keeper.Changes{}, keeper.ErrResponseTooLarge
+	}
 	return changes, err
 }
 
+func valueBytes(changes keeper.Changes) int64 {
+	total := 0
+	for _, change := range changes.Changes {
+		total += len(change.Entry.Value)
+	}
+	return int64(total)
+}
+
 // Keys returns all keys with a prefix, sorted.
 func (t *Transactional) Keys(prefix string) []string {
 	t.store.mu.Lock()
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -21,6 +21,8 @@
 	ErrLeaseExpired = errors.New("lease has expired or does not exist")
 	// ErrValueTooLarge is returned when a value is larger than MaxValueBytes; nothing was written.
 	ErrValueTooLarge = errors.New("value is too large")
+	// ErrResponseTooLarge is returned when a response is larger than the call admits.
+	ErrResponseTooLarge = errors.New("response of the store is too large")
 	// ErrCompacted is returned when a watch starts at a revision whose changes the store has compacted.
 	ErrCompacted = errors.New("revision has been compacted in the store")
 )
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -10,7 +10,9 @@
 
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/coordinator"
+	"egretring.example/egretring/follower"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/meter"
 	"egretring.example/egretring/specifier"
 )
 
@@ -30,8 +32,10 @@
 // Sharder takes part in all shards of a cell.
 type Sharder struct {
 	store     keeper.TransactionalStore
-	directory *sharedDirectory
-	instance  string
+	directory coordinator.Directory
+	// configurations follows the configuration for all shards.
+	configurations *follower.Follower
+	instance       string
 	// processors is the number of processors, possibly a fraction, that the instance may use; zero is unknown.
 	processors float64
 	build      Build
@@ -51,18 +55,23 @@
 	Processors float64
 	Build      Build
 	Logger     *slog.Logger
+	Meter      *meter.Meter
 }
 
 // New returns a Sharder that is not started.
 func New(o Options) *Sharder {
 	return &Sharder{
-		store: o.Store, directory: &sharedDirectory{Directory: o.Directory}, instance: o.Instance,
-		processors: o.Processors, build: o.Build, logger: o.Logger,
+		store: o.Store, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
+		logger: o.Logger, configurations: follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter)),
 	}
 }
 
-// Start determines the layout and then joins all shards, in the background.
+// Start follows the configuration, determines the layout and then joins all shards, in the background.
 func (s *Sharder) Start() {
+	s.tomb.Go(func() error {
+		s.configurations.Run(s.tomb.Context(context.Background()))
+		return nil
+	})
 	s.tomb.Go(func() error {
 		count, err := s.awaitLayout(s.tomb.Context(context.Background()))
 		if err != nil {
@@ -98,7 +107,7 @@
 func (s *Sharder) optionsOf(shard Shard) []coordinator.Option {
 	options := []coordinator.Option{
 		coordinator.WithStore(shardStore{TransactionalStore: s.store, prefix: shard.Prefix()}),
-		coordinator.WithDirectory(s.directory),
+		coordinator.WithDirectory(s.directory), coordinator.WithConfigurations(s.configurations),
 	}
 	if shard.Count == 1 {
 		return options
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -17,6 +17,9 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/follower"
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/meter"
 	"egretring.example/egretring/sharder"
 	"egretring.example/egretring/specifier"
 	"egretring.example/egretring/tester"
@@ -64,7 +67,7 @@
 	for i := range instances {
 		instance := sharder.New(sharder.Options{
 			Store: c.link(), Directory: c, Instance: fmt.Sprintf("instance-%d", i), Build: c.builder(i),
-			Logger: c.logger(i),
+			Logger: c.logger(i), Meter: meter.New(),
 		})
 		instance.Start()
 		c.instances = append(c.instances, instance)
@@ -96,16 +99,28 @@
 	c.listed = servers
 }
 
-// Configuration implements coordinator.Directory.
-func (c *cell) Configuration(ctx context.Context) (specifier.Configuration, bool, error) {
-	if _, err := c.store.Get(ctx, "op"); err != nil {
-		return specifier.Configuration{}, false, err
+// Configuration implements follower.Source.
+func (c *cell) Configuration(ctx context.Context, known int64) (follower.Reading, error) {
+	page, err := c.store.List(ctx, "op")
+	reading := follower.Reading{StoreRevision: page.Revision}
+	if err != nil || known >= 1 {
+		return reading, err
 	}
 	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}
 	advised := queue
 	advised.Name, advised.Prefix = "advised", "/advised/"
 	advised.Advice = specifier.AdviceCost{Needed: true, Fixed: 50 * time.Millisecond, TicketLife: ticketLife}
-	return specifier.Configuration{Version: 1, Revision: 1, Queues: specifier.NewQueues(queue, advised)}, true, nil
+	reading.Newer = &specifier.Configuration{Version: 1, Revision: 1, Queues: specifier.NewQueues(queue, advised)}
+	return reading, nil
+}
+
+// AwaitChange implements follower.Source.
+func (c *cell) AwaitChange(ctx context.Context, after int64, wait time.Duration) (follower.Change, error) {
+	changes, err := c.store.Watch(ctx, keeper.WatchOptions{Prefix: "op", AfterRevision: after, Wait: wait})
+	if keeper.IsErrCompacted(err) {
+		return follower.Change{Changed: true}, nil
+	}
+	return follower.Change{StoreRevision: changes.Revision}, err
 }
 
 // Advise implements coordinator.AdviceService.
@@ -220,6 +235,7 @@
 		c.setListed(c.listed[:10])
 		late := sharder.New(sharder.Options{
 			Store: c.store, Directory: c, Instance: "late", Build: c.builder(9), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Meter: meter.New(),
 		})
 		late.Start()
 		c.instances = append(c.instances, late)
