Bound the silence of store and instance list instead of whole responses on the daemon's path, too

An instance with a small link would never have read a large list, ticket log or plan. Besides, a reader of an HTTP response in chunks fills the buffer of its caller before it returns, so that a transfer into a large buffer reported no progress. Change: a context carries the watchdog of its caller, and clients report progress to all of them (watchdog.Reader); a piece has at most 16 KiB. distributor, scheduler, keeper and lister use it. The limits of registrar stay: its values are small and the time after which the store counts as unreachable follows from them. Not changed: peers send each other their tickets in one message, which has a limit of 4 MiB and 1 s; an instance that lacks more than that gets the tickets from the store.

--- a/distributor/monitor.go
+++ b/distributor/monitor.go
@@ -6,15 +6,17 @@
 	"time"
 
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/watchdog"
 )
 
 const (
-	// callTimeout is the timeout of a call other than a watch; it is long enough for a store that is slow but responds.
+	// callTimeout is the longest time without progress of a call other than a watch; it is long enough for a store that is
+	// slow but responds.
 	callTimeout = 5 * time.Second
 	// slowAfter is the duration of a call at or above which the store counts as slow; it normally responds in
 	// milliseconds.
 	slowAfter = time.Second
-	// watchTimeout bounds the duration of one watch, so that a connection that was lost silently is noticed.
+	// watchTimeout bounds the time in which a watch gets no data, so that a connection that was lost silently is noticed.
 	watchTimeout = 10 * time.Second
 )
 
@@ -78,8 +80,8 @@
 // watch returns the changes of the tickets after a revision. If there are none within watchTimeout, it returns no
 // changes and the same revision.
 func (m *monitor) watch(ctx context.Context, after int64) (keeper.Changes, error) {
-	watchContext, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
+	watchContext, progress := watchdog.Watch(ctx, 0, watchTimeout)
+	defer progress.Stop()
 	began := time.Now()
 	changes, err := m.store.Watch(watchContext, ticketsPrefix, after)
 	if err == nil {
@@ -96,8 +98,8 @@
 
 // call runs a call to the store with callTimeout. A call that the caller cancelled is not recorded.
 func (m *monitor) call(ctx context.Context, run func(ctx context.Context) error) error {
-	callContext, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	callContext, progress := watchdog.Watch(ctx, 0, callTimeout)
+	defer progress.Stop()
 	began := time.Now()
 	err := run(callContext)
 	if ctx.Err() == nil {
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"egretring.example/egretring/watchdog"
 )
 
-// callTimeout bounds a call that does not wait for changes.
+// callTimeout bounds the time until the response to a call that does not wait for changes begins, and between two pieces of it.
 const callTimeout = 2 * time.Second
 
 // Client is a Store that is reached over HTTP.
@@ -75,8 +77,8 @@
 }
 
 func (c *Client) call(ctx context.Context, path string, call Call) (Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, progress := watchdog.Watch(ctx, 0, callTimeout)
+	defer progress.Stop()
 	return c.post(ctx, path, call)
 }
 
@@ -95,7 +97,7 @@
 	}
 	defer response.Body.Close()
 	var reply Reply
-	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+	if err := json.NewDecoder(watchdog.Reader(ctx, response.Body)).Decode(&reply); err != nil {
 		return Reply{}, errors.Wrapf(ErrUnavailable, "decode response to store call %s: %v", path, err)
 	}
 	if reply.Failure != "" {
--- a/lister/client.go
+++ b/lister/client.go
@@ -9,12 +9,13 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/describer"
+	"egretring.example/egretring/watchdog"
 )
 
 // PathList is the path of the instance list.
 const PathList = "/v1/instances"
 
-// listTimeout bounds one read of the list.
+// listTimeout bounds the time until the response begins, and between two pieces of it.
 const listTimeout = 2 * time.Second
 
 // Listing is the response of the instance list.
@@ -48,8 +49,8 @@
 
 // Listing implements Reader.
 func (c *Client) Listing(ctx context.Context) (Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
+	ctx, progress := watchdog.Watch(ctx, 0, listTimeout)
+	defer progress.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathList, nil)
 	if err != nil {
 		return Listing{}, errors.Wrap(err, "build instance list request")
@@ -63,7 +64,7 @@
 		return Listing{}, errors.Errorf("instance list returned status %d", response.StatusCode)
 	}
 	var listing Listing
-	if err := json.NewDecoder(response.Body).Decode(&listing); err != nil {
+	if err := json.NewDecoder(watchdog.Reader(ctx, response.Body)).Decode(&listing); err != nil {
 		return Listing{}, errors.Wrap(err, "decode instance list")
 	}
 	return listing, nil
--- a/scheduler/placing_term.go
+++ b/scheduler/placing_term.go
@@ -12,6 +12,7 @@
 	"egretring.example/egretring/forwarder"
 	"egretring.example/egretring/starter"
 	"egretring.example/egretring/timekeeper"
+	"egretring.example/egretring/watchdog"
 )
 
 const (
@@ -22,7 +23,7 @@
 	// holdHorizon is how far ahead a hold agreement allows renewals before the right is checked again. A hold agreement
 	// lets the members of a zone continue in their epoch while the store is unreachable for all of them.
 	holdHorizon = time.Second
-	// recoveryTimeout bounds one attempt at the recovery; it is retried after an error.
+	// recoveryTimeout is the longest time without progress of one attempt at the recovery; it is retried after an error.
 	recoveryTimeout = 10 * time.Second
 )
 
@@ -97,7 +98,7 @@
 // this member starts a task.
 func (t *placingTerm) recover(ctx context.Context) (committer.State, bool) {
 	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, recoveryTimeout)
+		limited, progress := watchdog.Watch(ctx, 0, recoveryTimeout)
 		journal, state, err := committer.Recover(limited, t.Store, t.Zone, t.epoch, t.writer())
 		if err == nil {
 			err = t.claimProgress(limited)
@@ -105,7 +106,7 @@
 		if err == nil {
 			_, err = t.readPlan(limited)
 		}
-		cancel()
+		progress.Stop()
 		_, version := t.allServers()
 		switch {
 		case err == nil && version > 0:
--- a/scheduler/plan_reader.go
+++ b/scheduler/plan_reader.go
@@ -12,12 +12,13 @@
 	"egretring.example/egretring/describer"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/timekeeper"
+	"egretring.example/egretring/watchdog"
 )
 
 const (
-	// storeTimeout bounds a store call.
+	// storeTimeout is the longest time without progress of a store call.
 	storeTimeout = time.Second
-	// planWatchTimeout bounds a watch of the plan, which is a long poll of the store.
+	// planWatchTimeout bounds the time in which a watch of the plan, which is a long poll of the store, gets no data.
 	planWatchTimeout = 30 * time.Second
 	// retryInterval is the time between two attempts at a store call.
 	retryInterval = time.Second
@@ -55,8 +56,8 @@
 
 // followPlan applies the plan changes after a revision and returns the revision from which to watch next.
 func (s *Scheduler) followPlan(ctx context.Context, revision int64) (int64, error) {
-	watch, cancel := context.WithTimeout(ctx, planWatchTimeout)
-	defer cancel()
+	watch, progress := watchdog.Watch(ctx, 0, planWatchTimeout)
+	defer progress.Stop()
 	changes, err := s.Store.Watch(watch, planPrefix, revision)
 	if watch.Err() != nil {
 		return revision, nil
@@ -74,8 +75,8 @@
 
 // readPlan reads the whole plan and returns the revision at which it was read. Shards are never deleted.
 func (s *Scheduler) readPlan(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
+	ctx, progress := watchdog.Watch(ctx, 0, storeTimeout)
+	defer progress.Stop()
 	page, err := s.Store.List(ctx, planPrefix)
 	if err != nil {
 		return 0, errors.Wrap(err, "read the plan")
--- a/scheduler/planning_term.go
+++ b/scheduler/planning_term.go
@@ -13,6 +13,7 @@
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/planner"
 	"egretring.example/egretring/ticketer"
+	"egretring.example/egretring/watchdog"
 )
 
 // planningTerm is the period in which this instance is the planning member under one epoch.
@@ -80,8 +81,8 @@
 
 // load reads the plan of the earlier planning member and gives it to the new planner.
 func (p *planningTerm) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
+	ctx, progress := watchdog.Watch(ctx, 0, storeTimeout)
+	defer progress.Stop()
 	page, err := p.Store.List(ctx, planPrefix)
 	if err != nil {
 		return errors.Wrap(err, "read the plan")
@@ -199,9 +200,9 @@
 	}
 	p.nextProgress = now.Add(progressInterval)
 	for _, zone := range p.zones {
-		limited, cancel := context.WithTimeout(ctx, storeTimeout)
+		limited, watched := watchdog.Watch(ctx, 0, storeTimeout)
 		entry, err := p.Store.Get(limited, progressKey(zone))
-		cancel()
+		watched.Stop()
 		if err != nil {
 			return
 		}
--- a/watchdog/reader.go
+++ b/watchdog/reader.go
@@ -2,6 +2,10 @@
 
 import "io"
 
+// pieceBytes bounds the data that is read before progress is reported. Some readers, such as that of an HTTP response in
+// chunks, otherwise fill the whole buffer of their caller first.
+const pieceBytes = 16 << 10
+
 type reader struct {
 	source   io.Reader
 	watchdog *Watchdog
@@ -9,7 +13,7 @@
 
 // Read implements io.Reader.
 func (r *reader) Read(data []byte) (int, error) {
-	n, err := r.source.Read(data)
+	n, err := r.source.Read(data[:min(len(data), pieceBytes)])
 	if n > 0 {
 		r.watchdog.Progress()
 	}
--- a/watchdog/watchdog_test.go
+++ b/watchdog/watchdog_test.go
@@ -27,7 +27,7 @@
 			}
 			_ = sink.Close()
 		}()
-		text, err := io.ReadAll(w.Reader(source))
+		text, err := io.ReadAll(watchdog.Reader(ctx, source))
 		require.NoError(t, err)
 		require.Len(t, text, 10)
 		require.NoError(t, ctx.Err())
@@ -68,3 +68,47 @@
 		require.Error(t, ctx.Err())
 	})
 }
+
+// fillingReader fills the whole buffer of its caller, at 32 bytes a millisecond.
+type fillingReader struct{ left int }
+
+func (r *fillingReader) Read(data []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(data), r.left)
+	time.Sleep(time.Duration(n) * time.Millisecond / 32)
+	r.left -= n
+	return n, nil
+}
+
+// TestReadIntoLargeBufferReportsProgress guards against transfers that end although data arrives, because the buffer into
+// which it is read takes longer to fill than the timeout.
+func TestReadIntoLargeBufferReportsProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, w := watchdog.Watch(t.Context(), 0, timeout)
+		defer w.Stop()
+		const bytes = 1 << 20
+		n, err := io.ReadFull(watchdog.Reader(ctx, &fillingReader{left: bytes}), make([]byte, bytes))
+		require.NoError(t, err)
+		require.Equal(t, bytes, n)
+		require.NoError(t, ctx.Err())
+	})
+}
+
+// TestProgressReachesOuterWatchdog guards against a caller whose timeout ends a transfer although the client that it calls
+// receives data.
+func TestProgressReachesOuterWatchdog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		outer, w := watchdog.Watch(t.Context(), 0, timeout)
+		defer w.Stop()
+		inner, w := watchdog.Watch(outer, 0, timeout)
+		defer w.Stop()
+		for range 10 {
+			time.Sleep(timeout * 9 / 10)
+			w.Progress()
+		}
+		require.NoError(t, inner.Err())
+		require.NoError(t, outer.Err())
+	})
+}
