--- a/tester/link.go
+++ b/tester/link.go
@@ -10,9 +10,22 @@
 // linkChunkBytes is the maximum number of bytes that a link delivers at once.
 const linkChunkBytes = 4 << 10
 
-// Link limits the rate at which one instance receives data on all of its connections together.
+// Link limits the rate at which one instance receives data on all of its connections together, and that at which it sends
+// data.
 type Link struct {
-	network        *Network
+	network       *Network
+	receive, send direction
+}
+
+// NewLink returns a link to a network with the same rate in both directions.
+func NewLink(network *Network, bytesPerSecond int) *Link {
+	return &Link{
+		network: network, receive: direction{bytesPerSecond: bytesPerSecond}, send: direction{bytesPerSecond: bytesPerSecond},
+	}
+}
+
+// direction is one direction of a link.
+type direction struct {
 	bytesPerSecond int
 
 	mu sync.Mutex
@@ -20,11 +33,6 @@
 	freeAt time.Time
 }
 
-// NewLink returns a link to a network.
-func NewLink(network *Network, bytesPerSecond int) *Link {
-	return &Link{network: network, bytesPerSecond: bytesPerSecond}
-}
-
 // Dial connects to an address of the network through the link.
 func (l *Link) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	conn, err := l.network.Dial(ctx, address)
@@ -35,15 +43,15 @@
 }
 
 // deliver blocks until the link has delivered a number of bytes.
-func (l *Link) deliver(count int) {
-	l.mu.Lock()
+func (d *direction) deliver(count int) {
+	d.mu.Lock()
 	now := time.Now()
-	if l.freeAt.Before(now) {
-		l.freeAt = now
+	if d.freeAt.Before(now) {
+		d.freeAt = now
 	}
-	l.freeAt = l.freeAt.Add(time.Duration(count) * time.Second / time.Duration(l.bytesPerSecond))
-	wait := l.freeAt.Sub(now)
-	l.mu.Unlock()
+	d.freeAt = d.freeAt.Add(time.Duration(count) * time.Second / time.Duration(d.bytesPerSecond))
+	wait := d.freeAt.Sub(now)
+	d.mu.Unlock()
 	time.Sleep(wait)
 }
 
@@ -56,6 +64,21 @@
 // Read implements net.Conn.
 func (c *linkConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data[:min(len(data), linkChunkBytes)])
-	c.link.deliver(n)
+	c.link.receive.deliver(n)
 	return n, err
 }
+
+// Write implements net.Conn.
+func (c *linkConn) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		piece := data[written:min(written+linkChunkBytes, len(data))]
+		c.link.send.deliver(len(piece))
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
