--- /dev/null
+++ b/conductor/crash_test.go
@@ -0,0 +1,106 @@
+package conductor_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/tester"
+)
+
+const (
+	// maxCrashes is the number of crashes under a task after which it must not start maxStartsAfterCrashes times more.
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+	// crashTime is how long a server is down after a crash.
+	crashTime = 3300 * time.Millisecond
+)
+
+// crashDelays are the specs of jobs whose first task crashes its server, with the time after the start.
+var crashDelays = map[string]time.Duration{"crashes": 10 * time.Millisecond, "crashes late": 1500 * time.Millisecond}
+
+// scheduleCrash crashes the server of a run that is still there after a delay.
+func (w *simulation) scheduleCrash(r *fakeRun, delay time.Duration) {
+	incarnation := r.server.server.Incarnation
+	w.after(delay, func() {
+		if !r.ended && r.server.server.Incarnation == incarnation && r.server.downUntil.IsZero() {
+			w.crashes[r.task]++
+			r.server.crash(w, crashTime)
+		}
+	})
+}
+
+// TestCrashingTaskIsGivenUp guards against the failure that the Guards field of each case names: a task that crashes server
+// after server, or jobs that are given up although they crash none.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	for _, s := range tester.ReadCases[struct {
+		script
+		// MaxCrashes bounds the crashes that each task causes.
+		MaxCrashes int
+		// LongRunning makes the first job last until it is cancelled.
+		LongRunning bool
+	}](t, "crashes.hujson") {
+		t.Run(s.Name, func(t *testing.T) {
+			w := newSimulation(t, 1, s.Servers)
+			for i, submission := range s.Jobs {
+				job := newJob(i, submission.Job)
+				job.Steps[0].LongRunning = i == 0 && s.LongRunning
+				w.at(w.start.Add(seconds(submission.At)), func() { w.submit(job) })
+			}
+			for _, event := range s.Events {
+				w.schedule(event)
+			}
+			w.runUntil(seconds(s.Until))
+			require.Empty(t, w.violations, s.Guards)
+			for i, want := range s.Want {
+				require.Equal(t, want, stateNames[w.state(w.submitted[i].ID)], "job %d: %s", i, s.Guards)
+			}
+			for task, crashes := range w.crashes {
+				require.LessOrEqual(t, crashes, s.MaxCrashes, "%s: %s", task, s.Guards)
+			}
+		})
+	}
+}
+
+// TestCrashingTasksSpareTheirNeighbours guards against jobs that are given up, or do not complete, because others crash the
+// servers that they share. The seed of each case is its number.
+func TestCrashingTasksSpareTheirNeighbours(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := newSimulation(t, seed, 12)
+			crashing := make(map[specifier.JobID]bool)
+			for i := range 300 {
+				job := newJob(i, jobOptions{
+					Tasks: 1 + w.random.IntN(4), MilliCores: int64(1000 + w.random.IntN(8000)), Seconds: 0.3 + 3*w.random.Float64(),
+					Priority: w.random.IntN(3), Attempts: 3, Gang: w.random.IntN(10) == 0,
+				})
+				if w.random.IntN(25) == 0 {
+					job.Spec = "crashes"
+					crashing[job.ID] = true
+				}
+				w.at(w.start.Add(seconds(1+20*w.random.Float64())), func() { w.submit(job) })
+			}
+			if seed%2 == 1 {
+				for range 3 {
+					w.schedule(scriptEvent{At: 2 + 20*w.random.Float64(), Kind: "LoseOwner"})
+				}
+			}
+			w.runUntil(seconds(90))
+			if t.Failed() || len(w.violations) > 0 {
+				t.Log(strings.Join(w.decisions, "\n"))
+			}
+			require.Empty(t, w.violations)
+			for _, job := range w.submitted {
+				want := specifier.Completed
+				if crashing[job.ID] {
+					want = specifier.Failed
+				}
+				require.Equal(t, stateNames[want], stateNames[w.state(job.ID)], "job %s", job.ID)
+			}
+		})
+	}
+}
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -46,6 +46,12 @@
 	if w.failures[o.Task] >= job.Queue.MaxAttempts {
 		w.violate("BUDGET: %s starts after %d failed runs", o.Task, w.failures[o.Task])
 	}
+	if w.crashes[o.Task] >= maxCrashes {
+		w.startsAfterCrashes[o.Task]++
+		if w.startsAfterCrashes[o.Task] == maxStartsAfterCrashes {
+			w.violate("BUDGET: %s starts %d times after %d crashes", o.Task, maxStartsAfterCrashes, maxCrashes)
+		}
+	}
 	if job.Queue.Advice.Needed && o.Ticket == "" {
 		w.violate("TICKET: %s starts without a ticket", o.Task)
 	}
@@ -58,6 +64,9 @@
 	}
 	s.runs[o.Task] = r
 	w.runs = append(w.runs, r)
+	if delay, crashes := crashDelays[job.Spec]; crashes && o.Task.Index == 0 {
+		w.scheduleCrash(r, delay)
+	}
 	if !step.Gang {
 		w.scheduleEnd(r)
 		return
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -59,7 +59,10 @@
 	finished     map[specifier.TaskID]bool
 	acknowledged map[specifier.TaskID]bool
 	failures     map[specifier.TaskID]int
-	violations   []string
+	// crashes counts the crashes that each task has caused, and startsAfterCrashes the starts since maxCrashes of them.
+	crashes            map[specifier.TaskID]int
+	startsAfterCrashes map[specifier.TaskID]int
+	violations         []string
 	starts       int
 	// resignations counts the owners that resigned.
 	resignations int
@@ -95,7 +98,8 @@
 		servers: make(map[specifier.ServerID]*fakeServer), cancelled: make(map[specifier.JobID]bool),
 		records: make(map[specifier.JobID]lifecycler.Record), acknowledged: make(map[specifier.TaskID]bool),
 		finished: make(map[specifier.TaskID]bool),
-		failures: make(map[specifier.TaskID]int), epoch: 9, muteAdvisors: make(map[string]time.Time),
+		failures: make(map[specifier.TaskID]int), crashes: make(map[specifier.TaskID]int),
+		startsAfterCrashes: make(map[specifier.TaskID]int), epoch: 9, muteAdvisors: make(map[string]time.Time),
 		advisors: []string{"a", "b", "c"},
 	}
 	w.start = w.now
