Count the crashes of backend servers under a task, and give up a task that causes them

Cause: a run that is lost with its server returned to the waiting tasks without any trace, and the record of a run named its server, but not the incarnation, so that a later owner could not notice a crash either. A task that had crashed a server was placed like any other, on the fullest server that it fits. Change: the record of a task has the crashes under its runs; it is written with the next start, so that no write is added. A run is likely to have caused a crash if its start was confirmed and the server is not known to have worked for 0.5 s after it. A task is given up, and its job is failed, after two such crashes if no other job can have caused one of them, after three in any case, or after five crashes of whatever cause; a run that lasts 30 s clears it. A suspect starts on a server where no other run can cause a crash, with little work on it, and the server gets no other runs until it has outlived the start. All suspects of a job are tried at once, because a crash settles the job. A gang waits 1.5 s for quiet servers. Neighbours of a crash are only suspects if they were started within the same half second.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -80,6 +80,8 @@
 	advice       map[specifier.StepID]*advice
 	// avoid are servers on which a run of the job failed.
 	avoid map[specifier.ServerID]bool
+	// trial is where the last suspect of the job was placed; nil if there was none.
+	trial *session
 }
 
 type reservation struct {
@@ -187,6 +189,7 @@
 			s := c.session(task.Server)
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
+				incarnation: task.Incarnation,
 			})
 		}
 	}
--- /dev/null
+++ b/conductor/crash.go
@@ -0,0 +1,138 @@
+package conductor
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// crashWindow is how long a server has to work after the start of a run so that the run counts as not having crashed it.
+	crashWindow = 500 * time.Millisecond
+	// survivalTime is how long a run has to last so that earlier crashes under its task are forgotten.
+	survivalTime = 30 * time.Second
+	// claimTime is how long a server gets no new runs for a suspect that waits for it to be quiet, unless the claim is renewed.
+	claimTime = 200 * time.Millisecond
+	// gangTrialPatience is how long a gang with suspects waits for enough quiet servers.
+	gangTrialPatience = 1500 * time.Millisecond
+)
+
+// outlived reports whether the server is known to have worked for crashWindow after the start of a run.
+func (s *session) outlived(a *allocation) bool {
+	return a.state == confirmed && s.aliveAt.Sub(a.startedAt) > crashWindow
+}
+
+// onTrial reports whether a suspect was placed on the server that may still crash it. Meanwhile the server gets no other runs:
+// they would be lost, and be suspects themselves. A protected run gets no other runs beside it until it has lasted for long.
+func (s *session) onTrial() bool {
+	if s.trial == nil || s.allocations[s.trial.task] != s.trial {
+		return false
+	}
+	return !s.outlived(s.trial) || s.trial.protected && !s.trial.survived
+}
+
+// outlivedAll reports whether the server has outlived all of its runs, so that only a new run can crash it soon after its start.
+func (s *session) outlivedAll() bool {
+	for _, a := range s.allocations {
+		if !s.outlived(a) {
+			return false
+		}
+	}
+	return true
+}
+
+// findCause marks the runs that are likely to have crashed the server, once it has restarted or its lease has ended. A run whose
+// start got no response may never have begun.
+func (s *session) findCause() {
+	jobs := make(map[specifier.JobID]bool)
+	for _, a := range s.allocations {
+		if a.state == confirmed && !a.resolvedAt.IsZero() && !s.outlived(a) {
+			a.mayHaveCrashed = true
+			jobs[a.task.Job] = true
+		}
+	}
+	for _, a := range s.allocations {
+		a.alone = a.mayHaveCrashed && len(jobs) == 1
+	}
+}
+
+// recordCrash records a crash of the server under a run, and gives up the job of a task under which servers crash again and
+// again.
+func (c *Conductor) recordCrash(now time.Time, s *session, a *allocation) {
+	j := c.jobs[a.task.Job]
+	if j == nil {
+		return
+	}
+	givenUp := j.Crashed(now, a.task, lifecycler.Crash{Run: a.run, Caused: a.mayHaveCrashed, Alone: a.alone})
+	if a.mayHaveCrashed {
+		c.logDecision("TaskSuspected", a.task, a.run, s.server.ID, fmt.Sprintf("the server crashed soon after the start; alone: %t", a.alone))
+	}
+	c.changed(j)
+	if givenUp {
+		c.logDecision("JobGivenUp", a.task, a.run, s.server.ID, fmt.Sprintf("servers crash under the task; run %d was the last", a.run))
+		c.stopAll(now, j)
+	}
+}
+
+// placeSuspects places the suspects among the waiting tasks of a step on one server, where no other run can cause a crash, as
+// far as they fit. It reports whether it placed any. A job has one trial at a time, because a crash settles it for all of its
+// suspects.
+func (c *Conductor) placeSuspects(p *pass, w *waitingStep, suspects []int, servers []*session) bool {
+	if len(suspects) == 0 || w.job.trial != nil && w.job.trial.onTrial() && w.job.trial.trial.task.Job == w.job.Spec.ID {
+		return false
+	}
+	s := w.serverForTrial(servers)
+	if s == nil {
+		return false
+	}
+	if !s.outlivedAll() {
+		s.claimedBy, s.claimedUntil = w.job, p.now.Add(claimTime)
+		return false
+	}
+	s.claimedBy, w.job.trial = nil, s
+	placed := false
+	for _, index := range suspects[:min(len(suspects), w.fits(s))] {
+		if !placedOn(s, w.step, index) {
+			c.reserve(w, s, index, w.step.NextRun(index))
+			placed = true
+		}
+	}
+	return placed
+}
+
+// serverForTrial returns the server that the job has claimed for its suspects or should claim: one that is quiet already if
+// there is one, and otherwise one with little work that a crash would end.
+func (w *waitingStep) serverForTrial(servers []*session) *session {
+	servers = slices.DeleteFunc(slices.Clone(servers), func(s *session) bool { return w.fits(s) == 0 })
+	if len(servers) == 0 {
+		return nil
+	}
+	return slices.MinFunc(servers, func(a, b *session) int {
+		return cmp.Or(
+			compareBool(a.outlivedAll(), b.outlivedAll()),
+			compareBool(a.claimedBy == w.job, b.claimedBy == w.job),
+			cmp.Compare(a.used.MilliCores, b.used.MilliCores),
+			cmp.Compare(a.server.ID, b.server.ID),
+		)
+	})
+}
+
+// pairSuspects reorders a gang's waiting tasks and the servers chosen for them, so that suspects get servers on which no other
+// run can cause a crash, if there are some.
+func (w *waitingStep) pairSuspects(servers []*session) {
+	slices.SortStableFunc(w.waiting, func(a, b int) int { return compareBool(w.isSuspect(a), w.isSuspect(b)) })
+	quiet := make(map[*session]bool, len(servers))
+	for _, s := range servers {
+		quiet[s] = s.outlivedAll()
+	}
+	slices.SortStableFunc(servers, func(a, b *session) int { return compareBool(quiet[a], quiet[b]) })
+}
+
+// isSuspect reports whether a task of the step is likely to crash the server on which it starts.
+func (w *waitingStep) isSuspect(index int) bool {
+	return w.step.Tasks[index].Suspect()
+}
--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -90,9 +90,11 @@
 				}
 			}
 			w.runUntil(seconds(90))
-			if t.Failed() || len(w.violations) > 0 {
-				t.Log(strings.Join(w.decisions, "\n"))
-			}
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Log(strings.Join(w.decisions, "\n"))
+				}
+			})
 			require.Empty(t, w.violations)
 			for _, job := range w.submitted {
 				want := specifier.Completed
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -4,7 +4,7 @@
 
 // placeGang places all tasks of a gang or none, and reports whether it placed them.
 func (c *Conductor) placeGang(p *pass, w *waitingStep, servers []*session) bool {
-	chosen := w.chooseForGang(servers)
+	chosen := c.chooseForGang(p, w, servers)
 	if chosen == nil {
 		if w.tier == onTime {
 			w.holdCapacity(servers)
@@ -19,9 +19,24 @@
 	return true
 }
 
-// chooseForGang returns a server for each task, or nil when not all fit. A gang with SameRack goes to servers with one
+// chooseForGang returns a server for each task, or nil when not all fit. A gang with suspects waits for some time for servers
+// on which no other run can cause a crash.
+func (c *Conductor) chooseForGang(p *pass, w *waitingStep, servers []*session) []*session {
+	if !slices.ContainsFunc(w.waiting, w.isSuspect) {
+		return w.chooseByRack(servers)
+	}
+	quiet := slices.DeleteFunc(slices.Clone(servers), func(s *session) bool { return !s.outlivedAll() })
+	if chosen := w.chooseByRack(quiet); chosen != nil || !w.hasWaitedFor(p.now, gangTrialPatience) {
+		return chosen
+	}
+	chosen := w.chooseByRack(servers)
+	w.pairSuspects(chosen)
+	return chosen
+}
+
+// chooseByRack returns a server for each task, or nil when not all fit. A gang with SameRack goes to servers with one
 // common label if all of its tasks fit there, and anywhere otherwise.
-func (w *waitingStep) chooseForGang(servers []*session) []*session {
+func (w *waitingStep) chooseByRack(servers []*session) []*session {
 	if !w.step.Spec.SameRack {
 		return w.fill(servers)
 	}
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -76,6 +76,7 @@
 // that servers grant.
 func (c *Conductor) serverRestarted(now time.Time, s *session, incarnation int64) {
 	c.logDecision("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs in doubt", len(s.allocations)))
+	s.findCause()
 	earliest := time.UnixMilli(incarnation).Add(-wallClockSkew)
 	for _, a := range s.allocations {
 		if a.state == reserved {
@@ -95,13 +96,19 @@
 	c.forgetAdvice(s.server.ID)
 }
 
+// requeueAll requeues the runs of a server whose lease has ended. A server that is cut off cannot be told from one that has
+// crashed and does not return under its ID.
 func (c *Conductor) requeueAll(now time.Time, s *session) {
+	s.findCause()
 	lost := make([]*allocation, 0, len(s.allocations))
 	for _, a := range s.allocations {
 		lost = append(lost, a)
 	}
 	for _, a := range lost {
 		c.requeue(now, s, a)
+		if a.mayHaveCrashed || !s.listed && a.state != reserved {
+			c.recordCrash(now, s, a)
+		}
 	}
 }
 
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -11,6 +11,7 @@
 func (c *Conductor) sendStart(now time.Time, s *session, a *allocation) {
 	a.state = sent
 	a.startedAt = now
+	a.incarnation = s.server.Incarnation
 	a.order.Fence = s.fence
 	a.fence = s.fence
 	a.order.LeaseEnd = s.serverTime(now) + startLease
@@ -25,6 +26,11 @@
 	if s == nil || s.server.Incarnation != e.Incarnation {
 		return
 	}
+	switch e.Result {
+	case specifier.OrderUnknown, specifier.OrderUnhealthy, specifier.OrderOtherIncarnation:
+	default:
+		s.aliveAt = now
+	}
 	a := s.allocations[e.Task]
 	if a == nil || a.run != e.Run {
 		return
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -32,6 +32,9 @@
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
 	for _, s := range c.sessions {
 		s.holder = nil
+		if !now.Before(s.claimedUntil) {
+			s.claimedBy = nil
+		}
 		if s.usable(now) {
 			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
 		}
@@ -112,7 +115,7 @@
 	if w.step.Spec.Gang {
 		placed = c.placeGang(p, w, candidates)
 	} else {
-		placed = c.placeTasks(w, candidates)
+		placed = c.placeTasks(p, w, candidates)
 	}
 	if placed {
 		p.updateMaxFree(service)
@@ -140,7 +143,7 @@
 
 // fits returns how many waiting tasks of the step the server can take now.
 func (w *waitingStep) fits(s *session) int {
-	if limit := w.limitOn(s); limit > 0 {
+	if limit := w.limitOn(s); limit > 0 && !s.onTrial() && (s.claimedBy == nil || s.claimedBy == w.job) {
 		return w.need().Count(s.freeCapacity(), limit)
 	}
 	return 0
@@ -196,11 +199,16 @@
 }
 
 // placeTasks places as many waiting tasks as fit, and reports whether it placed any.
-func (c *Conductor) placeTasks(w *waitingStep, servers []*session) bool {
+func (c *Conductor) placeTasks(p *pass, w *waitingStep, servers []*session) bool {
 	servers = slices.DeleteFunc(servers, func(s *session) bool { return w.fits(s) == 0 })
 	w.sortByPreference(servers)
 	placed := false
+	var suspects []int
 	for _, index := range w.waiting {
+		if w.isSuspect(index) {
+			suspects = append(suspects, index)
+			continue
+		}
 		for _, s := range servers {
 			if w.fits(s) > 0 && !placedOn(s, w.step, index) {
 				c.reserve(w, s, index, w.step.NextRun(index))
@@ -209,6 +217,7 @@
 			}
 		}
 	}
+	placed = c.placeSuspects(p, w, suspects, servers) || placed
 	if placed {
 		c.changed(w.job)
 	}
@@ -217,7 +226,7 @@
 
 // reserve places a run and allocates its capacity; its start order is sent once its record is in the store.
 func (c *Conductor) reserve(w *waitingStep, s *session, index, run int) {
-	w.job.Place(w.step, index, run, s.server.ID)
+	w.job.Place(w.step, index, run, s.server)
 	a := &allocation{
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
 		order: specifier.StartOrder{
@@ -226,6 +235,10 @@
 		},
 	}
 	s.add(a)
+	if w.isSuspect(index) {
+		a.protected = w.step.Tasks[index].CrashesOften()
+		s.trial = a
+	}
 	w.job.reserved = append(w.job.reserved, &reservation{session: s, allocation: a})
 	c.logDecision("RunPlaced", a.task, run, s.server.ID, "")
 }
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -12,7 +12,7 @@
 		c.logDecision("ServerAnswers", specifier.TaskID{}, 0, s.server.ID, "")
 	}
 	s.renewalFailures, s.suspect = 0, false
-	s.clock, s.clockReadAt, s.clockKnown = e.Report.Clock, now, true
+	s.clock, s.clockReadAt, s.clockKnown, s.aliveAt = e.Report.Clock, now, true, now
 	if s.predecessorLease {
 		// An earlier owner may have renewed the lease until this first response; from now on the fencing token prevents
 		// it.
@@ -106,6 +106,9 @@
 	for _, a := range lost {
 		c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
 		c.requeue(now, s, a)
+		if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
+			c.recordCrash(now, s, a)
+		}
 	}
 	for id, r := range running {
 		if s.allocations[id] == nil && ended[id] < r.Run {
@@ -121,9 +124,16 @@
 		a.state = confirmed
 		a.resolvedAt = now
 	}
-	if j := c.jobs[a.task.Job]; j != nil && r.Checkpoint != "" {
+	j := c.jobs[a.task.Job]
+	if j != nil && r.Checkpoint != "" {
 		j.SetCheckpoint(a.task, r.Checkpoint)
 	}
+	if j != nil && !a.survived && now.Sub(a.startedAt) > survivalTime {
+		a.survived = true
+		if j.Survived(a.task, a.run) {
+			c.markDirty(j)
+		}
+	}
 }
 
 // stopOrphan stops a run that no allocation covers; its capacity is allocated until its end is reported.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -28,6 +28,15 @@
 	run   int
 	need  specifier.Resources
 	state allocationState
+	// incarnation is that of the server when the start was sent.
+	incarnation int64
+	// mayHaveCrashed is set when the server has restarted and the run is likely to have crashed it, and alone if that holds for
+	// no run of another job.
+	mayHaveCrashed, alone bool
+	// protected is set for a task under which servers have crashed often, whatever the cause.
+	protected bool
+	// survived is set once the run has lasted for survivalTime.
+	survived bool
 	// version is the version of the job that records the start.
 	version uint64
 	order   specifier.StartOrder
@@ -71,7 +80,14 @@
 
 	allocations map[specifier.TaskID]*allocation
 	used        specifier.Resources
-
+	// trial is the last suspect that was placed on the server; see onTrial.
+	trial *allocation
+	// claimedBy is the job for whose suspects the server gets no other runs until claimedUntil.
+	claimedBy    *job
+	claimedUntil time.Time
+
+	// aliveAt is when the present incarnation of the server last responded.
+	aliveAt     time.Time
 	clock       time.Duration
 	clockReadAt time.Time
 	clockKnown  bool
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -63,7 +63,7 @@
 	crashes            map[specifier.TaskID]int
 	startsAfterCrashes map[specifier.TaskID]int
 	violations         []string
-	starts       int
+	starts             int
 	// resignations counts the owners that resigned.
 	resignations int
 }
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -7,11 +7,11 @@
 )
 
 // Place records that a run of a task was assigned to a server.
-func (j *Job) Place(step *Step, index, run int, server specifier.ServerID) {
+func (j *Job) Place(step *Step, index, run int, server specifier.Server) {
 	task := &step.Tasks[index]
 	task.State = Placed
 	task.Run = run
-	task.Server = server
+	task.Server, task.Incarnation = server.ID, server.Incarnation
 	j.version++
 }
 
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -28,12 +28,14 @@
 
 // TaskRecord is the progress of a task that was started at least once.
 type TaskRecord struct {
-	Index      int `json:",omitempty"`
-	State      TaskState
-	Run        int
-	FailedRuns []int              `json:",omitempty"`
-	Server     specifier.ServerID `json:",omitempty"`
-	Checkpoint string             `json:",omitempty"`
+	Index       int `json:",omitempty"`
+	State       TaskState
+	Run         int
+	FailedRuns  []int              `json:",omitempty"`
+	Server      specifier.ServerID `json:",omitempty"`
+	Incarnation int64              `json:",omitempty"`
+	Checkpoint  string             `json:",omitempty"`
+	Crashes     []Crash            `json:",omitempty"`
 }
 
 // Record returns the job's progress as a record.
@@ -64,7 +66,7 @@
 		}
 		kept.Tasks = append(kept.Tasks, TaskRecord{
 			Index: i, State: task.State, Run: task.Run, FailedRuns: task.FailedRuns,
-			Server: task.Server, Checkpoint: task.Checkpoint,
+			Server: task.Server, Incarnation: task.Incarnation, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
 		})
 	}
 	return kept, len(kept.Tasks) > 0
@@ -124,7 +126,7 @@
 		}
 		s.Tasks[task.Index] = Task{
 			State: task.State, Run: task.Run, FailedRuns: task.FailedRuns, Server: task.Server,
-			Checkpoint: task.Checkpoint,
+			Incarnation: task.Incarnation, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
 		}
 		if task.State == Done {
 			s.done++
@@ -136,7 +138,7 @@
 // hasRun reports whether the state restored from the record shows that a task has run.
 func (s *Step) hasRun() bool {
 	for _, task := range s.Tasks {
-		if task.State == Done || len(task.FailedRuns) > 0 || task.Checkpoint != "" {
+		if task.State == Done || len(task.FailedRuns) > 0 || len(task.Crashes) > 0 || task.Checkpoint != "" {
 			return true
 		}
 	}
--- a/lifecycler/script_test.go
+++ b/lifecycler/script_test.go
@@ -26,7 +26,7 @@
 	WantWaiting []string
 }
 
-// action is one change of the job. Kind is Due, Place, End, Unplace, Cancel or Restore.
+// action is one change of the job. Kind is Due, Place, End, Unplace, Crash, Survive, Cancel or Restore.
 type action struct {
 	Kind       string
 	Occurrence int
@@ -34,6 +34,8 @@
 	Index      int
 	Run        int
 	Reason     specifier.EndReason
+	Caused     bool
+	Alone      bool
 	// Now is in seconds after the job's acceptance.
 	Now float64
 }
@@ -64,11 +66,16 @@
 	case "Place":
 		step, ok := job.Step(id)
 		require.True(t, ok)
-		job.Place(step, a.Index, a.Run, "i-1")
+		job.Place(step, a.Index, a.Run, specifier.Server{ID: "i-1", Incarnation: 1})
 	case "End":
 		job.End(now, specifier.EndedTask{Number: 1, Task: id.Task(a.Index), Run: a.Run, Reason: a.Reason})
 	case "Unplace":
 		job.Unplace(id.Task(a.Index), a.Run)
+	case "Crash":
+		job.Unplace(id.Task(a.Index), a.Run)
+		job.Crashed(now, id.Task(a.Index), lifecycler.Crash{Run: a.Run, Caused: a.Caused, Alone: a.Alone})
+	case "Survive":
+		job.Survived(id.Task(a.Index), a.Run)
 	case "Cancel":
 		job.Cancel(now)
 	case "Restore":
