Compare the capacity again before a start is sent

What callers would see: the users' new rule lets the capacity of a backend server shrink while it runs; a start that exceeds it breaks LIMIT on servers that do not guard it. Cause: a run is placed, its record is committed, and then its start is sent. The capacity was compared at the placement only. The list of servers, which shows the capacity, is read every 0.3 s and applied to the session, but a start that waited for the store was sent to a server that had shrunk in the meantime. Change: the start is withheld and the task waits again if the runs of the server, this one included, exceed its present capacity (decision StartWithheld).

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -103,6 +103,10 @@
 			// The server has restarted since the placement, and the lease end of the order would have to be on the clock
 			// of the new incarnation, which is not known yet.
 			c.requeue(now, r.session, r.allocation)
+		case !r.session.used.Fits(r.session.server.Capacity):
+			// The capacity has shrunk since the placement.
+			c.logDecision("StartWithheld", r.task, r.run, r.session.server.ID, "the capacity of the server has shrunk")
+			c.requeue(now, r.session, r.allocation)
 		default:
 			c.sendStart(now, r.session, r.allocation)
 		}
