Let a suspect start while another one of its job has outlived its own start

A task under which servers had crashed three times was on trial for 30 s, and the other task of its job waited for the end of that trial although several servers were free. Cause: a job has one trial at a time, and a trial of a task under which servers crash often lasted until it had survived. Change: the next trial of a job waits only until the suspects placed before have outlived their start. A run of a task under which servers have crashed often gets no other runs beside it for 5 s instead of 30 s.

--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -13,6 +13,9 @@
 const (
 	// crashWindow is how long a server has to work after the start of a run so that the run counts as not having crashed it.
 	crashWindow = 500 * time.Millisecond
+	// protectionTime is how long a run has to last so that a task under which servers have crashed often gets other runs beside
+	// it.
+	protectionTime = 5 * time.Second
 	// survivalTime is how long a run has to last so that earlier crashes under its task are forgotten.
 	survivalTime = 30 * time.Second
 	// claimTime is how long a server gets no new runs for a suspect that waits for it to be quiet, unless the claim is renewed.
@@ -27,12 +30,12 @@
 }
 
 // onTrial reports whether a suspect was placed on the server that may still crash it. Meanwhile the server gets no other runs:
-// they would be lost, and be suspects themselves. A protected run gets no other runs beside it until it has lasted for long.
+// they would be lost, and be suspects themselves. A protected run gets no other runs beside it for longer.
 func (s *session) onTrial() bool {
 	if s.trial == nil || s.allocations[s.trial.task] != s.trial {
 		return false
 	}
-	return !s.outlived(s.trial) || s.trial.protected && !s.trial.survived
+	return !s.outlived(s.trial) || s.trial.protected && s.aliveAt.Sub(s.trial.startedAt) <= protectionTime
 }
 
 // outlivedAll reports whether the server has outlived all of its runs, so that only a new run can crash it soon after its start.
@@ -82,7 +85,7 @@
 // far as they fit. It reports whether it placed any. A job has one trial at a time, because a crash settles it for all of its
 // suspects.
 func (c *Conductor) placeSuspects(p *pass, w *waitingStep, suspects []int, servers []*session) bool {
-	if len(suspects) == 0 || w.job.trial != nil && w.job.trial.onTrial() && w.job.trial.trial.task.Job == w.job.Spec.ID {
+	if len(suspects) == 0 || w.job.hasOpenTrial() {
 		return false
 	}
 	s := w.serverForTrial(servers)
@@ -104,6 +107,12 @@
 	return placed
 }
 
+// hasOpenTrial reports whether it is not known yet whether the suspects of the job that were placed last crash their server.
+func (j *job) hasOpenTrial() bool {
+	s := j.trial
+	return s != nil && s.onTrial() && s.trial.task.Job == j.Spec.ID && !s.outlived(s.trial)
+}
+
 // serverForTrial returns the server that the job has claimed for its suspects or should claim: one that is quiet already if
 // there is one, and otherwise one with little work that a crash would end.
 func (w *waitingStep) serverForTrial(servers []*session) *session {
--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -41,6 +41,8 @@
 		script
 		// MaxCrashes bounds the crashes that each task causes.
 		MaxCrashes int
+		// MinRunning is the number of runs that there must be at the end.
+		MinRunning int
 		// LongRunning makes the first job last until it is cancelled.
 		LongRunning bool
 	}](t, "crashes.hujson") {
@@ -59,6 +61,11 @@
 			for i, want := range s.Want {
 				require.Equal(t, want, stateNames[w.state(w.submitted[i].ID)], "job %d: %s", i, s.Guards)
 			}
+			running := 0
+			for _, server := range w.servers {
+				running += len(server.runs)
+			}
+			require.GreaterOrEqual(t, running, s.MinRunning, s.Guards)
 			for task, crashes := range w.crashes {
 				require.LessOrEqual(t, crashes, s.MaxCrashes, "%s: %s", task, s.Guards)
 			}
