Pause after a watch of the configuration whose change a read does not find

What was seen: in a test with 40 instances each follower read the configuration about a hundred times a second, without an end. Cause: the stand-in of the store left out the revision of the store in responses to reads of a key. The follower watched from revision 0, was told of a change at once, and read again. But nothing in the follower bounded the reads if watches report changes that are none. Evidence: TestWatchWithoutNewVersionDoesNotFillTheLink did not end before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -102,11 +102,17 @@
 	f.meter.Observe("Configuration.ReadMicroseconds", readTime)
 	f.readAt = now.Add(max(minReadInterval, readIntervalFactor*readTime))
 	f.storeRevision = max(f.storeRevision, reading.StoreRevision)
-	if reading.Newer != nil && reading.Newer.Revision > f.revision() {
+	newer := reading.Newer != nil && reading.Newer.Revision > f.revision()
+	if newer {
 		f.accept(reading, startedAt, now)
 	}
 	f.publish(true)
+	noticed := !f.noticedAt.IsZero()
 	f.noticedAt = time.Time{}
+	if noticed && !newer {
+		// The store reports changes that are none; reading them at its pace would fill the link.
+		timekeeper.Sleep(ctx, retryInterval)
+	}
 }
 
 func (f *Follower) accept(reading Reading, startedAt, now time.Time) {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -166,3 +166,26 @@
 		})
 	}
 }
+
+// restlessSource is a source whose watches always report a change.
+type restlessSource struct{ *source }
+
+// AwaitChange implements follower.Source.
+func (restlessSource) AwaitChange(context.Context, int64, time.Duration) (follower.Change, error) {
+	return follower.Change{Changed: true}, nil
+}
+
+// TestWatchWithoutNewVersionDoesNotFillTheLink guards against reads that follow each other without a pause because each watch
+// reports a change that a read does not find.
+func TestWatchWithoutNewVersionDoesNotFillTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := restlessSource{newSource()}
+		s.write(1)
+		go follower.New(s, follower.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil)))).Run(t.Context())
+		const period = time.Minute
+		time.Sleep(period)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		require.LessOrEqual(t, s.reads, int(period/(250*time.Millisecond))+2)
+	})
+}
