Get a changed configuration from the owner of a shard, compressed, instead of reading it from the store everywhere

The time in which a large configuration reaches all instances grew with their number, because each read the whole value from the store, over its one link, when it changed and every few seconds after that. On a link of 10 Mbit/s the largest value took 1.6 s, so that a version written just after such a read began could be late. Change: a follower asks the owner of a shard for the configuration that a watch has announced; owners read the store themselves. The owner encodes it once and compresses it (5,000 queues in less than 100 kB). Without a noticed change the follower asks every second whether there is a newer one, instead of reading the whole value again. When the owner does not know or does not answer, the store is read, and after a failure the owner is left alone for 10 s. TestStoreIsReadWithoutPeer and TestPeerSparesTheStore test the fallback.

--- a/buffer/latest.go
+++ b/buffer/latest.go
@@ -32,6 +32,13 @@
 	l.changed = make(chan struct{})
 }
 
+// Get returns the newest value with its sequence number, which is zero if there is none yet.
+func (l *Latest[T]) Get() (T, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.value, l.sequence
+}
+
 // Await waits for a value that is newer than the one with the given sequence number, and returns it with its own. Sequence
 // numbers start at one.
 func (l *Latest[T]) Await(ctx context.Context, seen uint64) (T, uint64, error) {
--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/follower"
+	"egretring.example/egretring/messenger"
 )
 
 // followConfiguration uses each newer configuration of the follower until the context ends.
@@ -24,6 +27,50 @@
 	}
 }
 
+// maxConfigurationTime bounds a call for a newer configuration.
+const maxConfigurationTime = time.Second
+
+// newerRequest requests the newest configuration of the owner if its revision is higher than the known one.
+type newerRequest struct {
+	Known int64
+	// Wait is how long the owner waits for a newer one.
+	Wait time.Duration
+}
+
+type newerReply struct {
+	// Knows is false if the instance cannot tell the newest configuration.
+	Knows bool
+	// Data is encoded with follower.Encode; it is empty if there is no newer configuration.
+	Data []byte `json:",omitempty"`
+}
+
+// handleNewer responds only as the owner, so that instances do not wait for each other in a circle.
+func (c *Coordinator) handleNewer(ctx context.Context, request newerRequest) (newerReply, error) {
+	if !c.IsOwner() {
+		return newerReply{}, nil
+	}
+	data, err := c.settings.configurations.Newer(ctx, request.Known, request.Wait)
+	if errors.Is(err, follower.ErrNoPeer) {
+		return newerReply{}, nil
+	}
+	return newerReply{Knows: true, Data: data}, err
+}
+
+// NewerConfiguration is a follower.Peer that asks the owner.
+func (c *Coordinator) NewerConfiguration(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+	current := c.elector.Current()
+	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance {
+		return nil, follower.ErrNoPeer
+	}
+	response, err := messenger.Call[newerRequest, newerReply](
+		ctx, c.configurationCalls, current.Owner.Address, methodNewer, newerRequest{Known: known, Wait: wait},
+	)
+	if err == nil && !response.Knows {
+		err = follower.ErrNoPeer
+	}
+	return response.Data, err
+}
+
 func (c *Coordinator) configure(update follower.Update) {
 	configuration := update.Configuration
 	old := c.configuration.Load()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -30,6 +30,8 @@
 	// connection, and a late advice call must not end the connection of the short calls.
 	shortCalls *messenger.Client
 	longCalls  *messenger.Client
+	// configurationCalls have connections of their own, because a large configuration delays what follows it.
+	configurationCalls *messenger.Client
 	// ownFollower is nil when the coordinator shares a follower with others.
 	ownFollower *follower.Follower
 
@@ -53,6 +55,8 @@
 		intaker:    intaker.New(s.store, s.logger),
 		shortCalls: s.client(shortCallTimeout),
 		longCalls:  s.client(maxAdviceTime),
+
+		configurationCalls: s.client(maxConfigurationTime),
 	}
 	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
 	c.elector = elector.New(s.store, self, c.runOwner, s.clock, s.logger, elector.WithDelay(c.electionDelay))
@@ -112,6 +116,9 @@
 	if closeErr := c.longCalls.Close(); err == nil {
 		err = closeErr
 	}
+	if closeErr := c.configurationCalls.Close(); err == nil {
+		err = closeErr
+	}
 	return err
 }
 
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -21,6 +21,7 @@
 	methodAccept   = "Accept"
 	methodStopped  = "Stopped"
 	methodLend     = "Lend"
+	methodNewer    = "NewerConfiguration"
 )
 
 // maxAdviceTime bounds the calls of longCalls: advice calls through another instance and relayed submissions.
@@ -105,6 +106,7 @@
 		methodAccept:   messenger.NewMethod(c.handleAccept),
 		methodStopped:  messenger.NewMethod(c.handleStopped),
 		methodLend:     messenger.NewMethod(c.handleLend),
+		methodNewer:    messenger.NewMethod(c.handleNewer),
 	}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"egretring.example/egretring/buffer"
@@ -40,6 +41,13 @@
 	noticedAt time.Time
 	// failing reports whether the last call failed.
 	failing bool
+	// peer is nil if the configuration is always read from the store. It is not asked before peerNotBefore.
+	peer          Peer
+	peerNotBefore time.Time
+
+	encodedMu       sync.Mutex
+	encodedRevision int64
+	encodedData     []byte
 }
 
 // New returns a follower that does nothing until Run.
@@ -90,7 +98,11 @@
 // read reads the configuration and makes a newer one known.
 func (f *Follower) read(ctx context.Context) {
 	startedAt := time.Now()
-	reading, err := f.source.Configuration(ctx, f.revision())
+	var err error
+	reading, fromPeer := f.readFromPeer(ctx)
+	if !fromPeer {
+		reading, err = f.source.Configuration(ctx, f.revision())
+	}
 	now := time.Now()
 	readTime := now.Sub(startedAt)
 	if err != nil {
@@ -101,10 +113,13 @@
 	f.failing = false
 	f.meter.Observe("Configuration.ReadMicroseconds", readTime)
 	f.readAt = now.Add(max(minReadInterval, readIntervalFactor*readTime))
+	if fromPeer {
+		f.readAt = now.Add(peerCheckInterval)
+	}
 	f.storeRevision = max(f.storeRevision, reading.StoreRevision)
 	newer := reading.Newer != nil && reading.Newer.Revision > f.revision()
 	if newer {
-		f.accept(reading, startedAt, now)
+		f.accept(reading, fromPeer, startedAt, now)
 	}
 	f.publish(true)
 	noticed := !f.noticedAt.IsZero()
@@ -115,13 +130,13 @@
 	}
 }
 
-func (f *Follower) accept(reading Reading, startedAt, now time.Time) {
+func (f *Follower) accept(reading Reading, fromPeer bool, startedAt, now time.Time) {
 	foundBy := "Watch"
 	if f.noticedAt.IsZero() {
 		foundBy, f.noticedAt = "Read", startedAt
 	}
 	f.logger.Info("configuration read", "Version", reading.Newer.Version, "Revision", reading.Newer.Revision, "InForce", f.version(),
-		"FoundBy", foundBy, "SinceNoticed", now.Sub(f.noticedAt).String(), "ReadTime", now.Sub(startedAt).String(),
+		"FoundBy", foundBy, "FromPeer", fromPeer, "SinceNoticed", now.Sub(f.noticedAt).String(), "ReadTime", now.Sub(startedAt).String(),
 		"DecodeTime", reading.DecodeTime.String(), "Bytes", reading.Bytes)
 	f.newest.Configuration, f.newest.NoticedAt = reading.Newer, f.noticedAt
 	f.meter.Set("Configuration.Version", reading.Newer.Version)
--- a/follower/option.go
+++ b/follower/option.go
@@ -14,6 +14,12 @@
 	return func(f *Follower) { f.logger = logger }
 }
 
+// WithPeer sets the peer from which configurations are read that a watch has announced, so that the link of the store does not
+// carry a large configuration to every instance.
+func WithPeer(peer Peer) Option {
+	return func(f *Follower) { f.peer = peer }
+}
+
 // WithMeter sets the registry of metrics.
 func WithMeter(m *meter.Meter) Option {
 	return func(f *Follower) { f.meter = m }
--- /dev/null
+++ b/follower/peer_test.go
@@ -0,0 +1,125 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/follower"
+	"egretring.example/egretring/specifier"
+)
+
+// TestEncodedConfigurationIsDecoded guards against parts of a configuration that get lost on the way to a peer, and against an
+// encoding that is too large to spare the store's link.
+func TestEncodedConfigurationIsDecoded(t *testing.T) {
+	var queues []specifier.Queue
+	for i := range 5000 {
+		queues = append(queues, specifier.Queue{
+			Name: fmt.Sprint("name-", i), Host: fmt.Sprintf("host-%d.example", i), Prefix: "/q/", Service: "s", Priority: i % 3, MaxAttempts: 3,
+			Stretch: 1.5, TargetLatency: time.Second, Advice: specifier.AdviceCost{Needed: i%2 == 0, Fixed: time.Millisecond},
+		})
+	}
+	want := &specifier.Configuration{
+		Version: 7, Revision: 9, Queues: specifier.NewQueues(queues...), CapacityEnforcingServices: map[string]bool{"s": true}, MaxBodyBytes: 5,
+	}
+	data, err := follower.Encode(want)
+	require.NoError(t, err)
+	require.Less(t, len(data), 100_000)
+	got, err := follower.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	_, err = follower.Decode(data[:len(data)/2])
+	require.Error(t, err)
+}
+
+// pair is a follower that asks another one, which reads the store.
+type pair struct {
+	leaderSource, source *source
+	follower             *follower.Follower
+	asked                atomic.Int64
+	peerDown             atomic.Bool
+}
+
+func newPair(t *testing.T) *pair {
+	p := &pair{leaderSource: newSource(), source: newSource()}
+	logger := follower.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	leader := follower.New(p.leaderSource, logger)
+	p.follower = follower.New(p.source, logger, follower.WithPeer(func(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+		p.asked.Add(1)
+		if p.peerDown.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return leader.Newer(ctx, known, wait)
+	}))
+	go leader.Run(t.Context())
+	go p.follower.Run(t.Context())
+	return p
+}
+
+func (p *pair) write(revision int64) {
+	p.leaderSource.write(revision)
+	p.source.write(revision)
+}
+
+func (s *source) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+// TestPeerSparesTheStore guards against instances that all read a large configuration from the store at once, and that then
+// miss changes after the one that a peer has sent.
+func TestPeerSparesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.leaderSource.readTime, p.source.readTime = 100*time.Millisecond, 2*time.Second
+		p.write(1)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, int64(1), known(t, p.follower))
+		reads := p.source.readCount()
+		for revision := range int64(5) {
+			p.write(revision + 2)
+			time.Sleep(300 * time.Millisecond)
+			require.Equal(t, revision+2, known(t, p.follower))
+		}
+		require.Equal(t, reads, p.source.readCount())
+	})
+}
+
+// TestStoreIsReadWithoutPeer guards against a configuration that is not in force in time because peers do not respond or cannot
+// reach the store, and against peers that are asked again and again although they do not respond.
+func TestStoreIsReadWithoutPeer(t *testing.T) {
+	for _, down := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPair(t)
+			p.write(1)
+			time.Sleep(3 * time.Second)
+			p.peerDown.Store(down)
+			p.leaderSource.setOutage(true)
+			asked := p.asked.Load()
+			for revision := range int64(5) {
+				p.source.write(revision + 2)
+				time.Sleep(time.Second)
+				require.Equal(t, revision+2, known(t, p.follower))
+			}
+			if down {
+				require.Equal(t, asked+1, p.asked.Load())
+			}
+			p.leaderSource.setOutage(false)
+			p.peerDown.Store(false)
+			time.Sleep(10 * time.Second)
+			p.write(9)
+			time.Sleep(300 * time.Millisecond)
+			require.Equal(t, int64(9), known(t, p.follower))
+			require.Greater(t, p.asked.Load(), asked+1)
+		})
+	}
+}
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -60,10 +61,23 @@
 
 // New returns a Sharder that is not started.
 func New(o Options) *Sharder {
-	return &Sharder{
+	s := &Sharder{
 		store: o.Store, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
-		logger: o.Logger, configurations: follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter)),
+		logger: o.Logger,
 	}
+	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter),
+		follower.WithPeer(s.newerConfiguration))
+	return s
+}
+
+// newerConfiguration is a follower.Peer that asks the owner of a shard; the instances are spread over the shards. Owners read
+// the store themselves.
+func (s *Sharder) newerConfiguration(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+	shards := s.coordinators()
+	if len(shards) == 0 || slices.ContainsFunc(shards, (*coordinator.Coordinator).IsOwner) {
+		return nil, follower.ErrNoPeer
+	}
+	return shards[hashOf(s.instance)%len(shards)].NewerConfiguration(ctx, known, wait)
 }
 
 // Start follows the configuration, determines the layout and then joins all shards, in the background.
--- a/specifier/queues.go
+++ b/specifier/queues.go
@@ -43,6 +43,11 @@
 	return q
 }
 
+// All returns the queues in the order of the configuration.
+func (q Queues) All() []Queue {
+	return slices.Clone(q.list)
+}
+
 // Len returns the number of queues.
 func (q Queues) Len() int {
 	return len(q.list)
--- a/tester/link.go
+++ b/tester/link.go
@@ -39,7 +39,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &linkConn{Conn: conn, link: l}, nil
+	return l.Wrap(conn), nil
+}
+
+// Wrap returns a connection whose data goes through the link.
+func (l *Link) Wrap(conn net.Conn) net.Conn {
+	return &linkConn{Conn: conn, link: l}
 }
 
 // deliver blocks until the link has delivered a number of bytes.
