Let a reservation that starts in more than ten minutes yield to any job that would start sooner

Cause: a gang that waits for the end of a long declared run held the zone's only reservation until then, so that no other gang got one (TestDistantReservationLetsOthersThrough, listed in KNOWN-RED.txt). Change: such a reservation is replaced by that of any job that would start at least 30 s sooner; the earlier holder keeps its turn. It is near again ten minutes before its capacity becomes free, so that its holder does not starve.

--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -61,14 +61,14 @@
 
 // reserveForBlocked creates the reservation for the job whose turn is first among those that have fitted nowhere for at
 // least reserveAfter; an urgent job does not wait for that. It replaces a reservation that is to start late by one for a
-// service or urgent job that would start sooner; the earlier holder keeps its turn.
+// service or urgent job that would start sooner, and a distant one by that for any job; the earlier holder keeps its turn.
 func (p *Placer) reserveForBlocked(now time.Time) {
-	if len(p.servers) == 0 || p.reservation != nil && !p.reservation.mayYield() {
+	if len(p.servers) == 0 || p.reservation != nil && !p.reservation.mayYield(now) {
 		return
 	}
 	checks := 0
 	for _, e := range p.waitingForReservation(now) {
-		if p.reservation != nil && !p.reservation.mayYieldTo(e) {
+		if p.reservation != nil && !p.reservation.mayYieldTo(now, e) {
 			continue
 		}
 		slots, checked := p.findSlots(now, e)
@@ -153,15 +153,21 @@
 	return slots[len(slots)-1].at
 }
 
+// isDistant reports whether the reservation starts so late that others should not wait for it. It is near again before the
+// capacity becomes free, so that the holder does not starve.
+func (r *reservation) isDistant(now time.Time) bool {
+	return r.startsAt.Sub(now) > maxOverrun
+}
+
 // mayYield reports whether the reservation may be replaced by that of another job.
-func (r *reservation) mayYield() bool {
-	return !r.due && r.holder.job.description.Class != describer.Urgent && !r.holder.job.isService()
+func (r *reservation) mayYield(now time.Time) bool {
+	return !r.due && (r.isDistant(now) || r.holder.job.description.Class != describer.Urgent && !r.holder.job.isService())
 }
 
-// mayYieldTo reports whether the reservation may be replaced by that of a job: a service, or an urgent job whose turn is
-// before that of the holder, so that the holder does not starve under a stream of urgent jobs.
-func (r *reservation) mayYieldTo(e *entry) bool {
-	return e.job.isService() || e.job.description.Class == describer.Urgent && e.turn.Before(r.holder.turn)
+// mayYieldTo reports whether the reservation may be replaced by that of a job: any job if the reservation is distant, a service,
+// or an urgent job whose turn is before that of the holder, so that the holder does not starve under a stream of urgent jobs.
+func (r *reservation) mayYieldTo(now time.Time, e *entry) bool {
+	return r.isDistant(now) || e.job.isService() || e.job.description.Class == describer.Urgent && e.turn.Before(r.holder.turn)
 }
 
 // yieldsTo reports whether a reservation of the slots would start so much earlier that it replaces this one.
