Reserve capacity for several tasks of a service at a time

Each of its four tasks waited in turn until the runs on one server had ended, which took up to 8 s: a traced failure placed them 7.6, 13.8, 24 and 30.2 s after the submission, and the test allows 30 s. The order of a map decided which servers became free. Change: a service gets a reservation for up to eight of its tasks, as far as there are slots.

--- a/placer/reservation.go
+++ b/placer/reservation.go
@@ -29,6 +29,8 @@
 	// only while too few of them can hold a task.
 	minCandidates     = 256
 	candidatesPerTask = 8
+	// serviceTasks is the maximum number of tasks of a service for which capacity is reserved at a time.
+	serviceTasks = 8
 	// checksPerPass bounds the cost of the searches for a reservation in one pass when many jobs do not fit.
 	checksPerPass = 4096
 )
@@ -39,6 +41,8 @@
 	holder   *entry
 	startsAt time.Time
 	servers  []*server
+	// tasks is the number of tasks of the holder for which capacity is reserved.
+	tasks int
 	// due is true once the start time has come, after which no other task may be started in the reserved capacity.
 	due     bool
 	evicted bool
@@ -124,25 +128,35 @@
 	}
 }
 
+// reservedCount returns for how many tasks of the entry capacity is reserved at a time: for a service for several, because
+// a reservation for each of them in turn would take as long as several runs of other tasks.
+func (e *entry) reservedCount() int {
+	if e.job.isService() {
+		return min(len(e.indices), serviceTasks)
+	}
+	return e.taskCount()
+}
+
 // findSlots returns the earliest slots for the tasks of a job in the order of their times, or none if the job would not
 // fit even after running tasks end. It also returns the number of checked backend servers.
 func (p *Placer) findSlots(now time.Time, e *entry) (slots []slotTime, checked int) {
-	count := e.taskCount()
+	count := e.reservedCount()
 	enough := minCandidates + candidatesPerTask*count
 	for ; checked < len(p.servers) && (checked < enough || len(slots) < count); checked++ {
 		p.reserveFrom = (p.reserveFrom + 1) % len(p.servers)
 		slots = p.servers[p.reserveFrom].appendSlots(slots, now, e)
 	}
-	if len(slots) < count {
+	if len(slots) < e.taskCount() {
 		return nil, checked
 	}
+	count = min(count, len(slots))
 	slices.SortStableFunc(slots, func(a, b slotTime) int { return a.at.Compare(b.at) })
 	return slots[:count], checked
 }
 
 // reserveSlots creates the reservation of slots for a job.
 func (p *Placer) reserveSlots(e *entry, slots []slotTime) {
-	p.reservation = &reservation{holder: e, startsAt: startOf(slots)}
+	p.reservation = &reservation{holder: e, startsAt: startOf(slots), tasks: len(slots)}
 	for _, slot := range slots {
 		p.reserveOn(slot.server, e.job.need)
 	}
@@ -277,7 +291,7 @@
 	}
 	if r.isFree() {
 		p.cancelReservation()
-		count := holder.taskCount()
+		count := min(r.tasks, len(holder.indices))
 		if p.placeAll(now, holder, holder.indices[:count]) {
 			holder.indices = holder.indices[count:]
 			holder.blockedSince = time.Time{}
