Count a closed connection to a backend server until the server has closed it

Cause: one of the ways in which a backend server gets more connections than its limit (KNOWN-RED.txt, TestDemoBreaksNoGuarantee): an idle connection stopped counting when this side closed it, but the server counts it until it notices that. The next connection came on top. Change: the connection is half-closed and counts until the server closes its side, for at most a second. Aborted exchanges did so before.

--- a/forwarder/tracked_conn.go
+++ b/forwarder/tracked_conn.go
@@ -13,8 +13,12 @@
 // pastDeadline is a deadline that interrupts reads and writes in progress.
 var pastDeadline = time.Unix(1, 0)
 
-// maxDrainedBytes bounds how much of an abandoned response is read.
-const maxDrainedBytes = 1 << 20
+const (
+	// maxDrainedBytes bounds how much of an abandoned response is read.
+	maxDrainedBytes = 1 << 20
+	// closeWait is how long a closed connection waits for the server to close its side.
+	closeWait = time.Second
+)
 
 // trackedConn is a connection that records whether an exchange has written to it. While an exchange uses it, Close only
 // interrupts its reads and writes; the underlying connection is closed by connUse.done or connUse.release.
@@ -106,7 +110,25 @@
 	if c.user != nil {
 		return c.Conn.SetDeadline(pastDeadline)
 	}
-	return c.closeUnderlying()
+	return c.closeIdle()
+}
+
+// closeIdle closes a connection that no exchange uses. The server counts the connection until it notices that, so that it
+// counts here until the server has closed its side, too.
+func (c *trackedConn) closeIdle() error {
+	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return c.closeUnderlying()
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(closeWait))
+	if err := halfCloser.CloseWrite(); err != nil {
+		return c.closeUnderlying()
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDrainedBytes))
+		_ = c.closeUnderlying()
+	}()
+	return nil
 }
 
 func (c *trackedConn) closeUnderlying() error {
@@ -125,7 +147,7 @@
 	}
 	c.user = nil
 	if c.closed {
-		_ = c.closeUnderlying()
+		_ = c.closeIdle()
 	}
 }
 
