Keep what is known of the cause of a crash when the lease ends after the restart

Cause: found while reading the change: a server that restarts and does not respond until its lease ends is examined twice for the cause of its crash. The second time no run counts as confirmed, which cleared the mark that no other job may have caused the crash. Change: only the runs that are found to be suspects are marked.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -66,29 +66,6 @@
 	lender   lender
 }
 
-// job is a job with its state machine and what the conductor needs to place and commit it.
-type job struct {
-	*lifecycler.Job
-	queue    specifier.Queue
-	dirty    bool
-	inFlight bool
-	// deleting is set while the job's keys are being deleted from the store.
-	deleting bool
-	// reserved are the placed runs whose start waits for the commit of their record.
-	reserved     []*reservation
-	waitingSteps []*waitingStep
-	advice       map[specifier.StepID]*advice
-	// avoid are servers on which a run of the job failed.
-	avoid map[specifier.ServerID]bool
-	// trial is where the last suspect of the job was placed; nil if there was none.
-	trial *session
-}
-
-type reservation struct {
-	session *session
-	*allocation
-}
-
 // New returns the state machine of an owner whose ownership began at the given time under the given epoch.
 func New(now time.Time, epoch int64, options ...Option) *Conductor {
 	c := &Conductor{
@@ -255,13 +232,6 @@
 	}
 }
 
-// updateQueue applies the current settings of the job's queue; a job keeps its settings when its queue was removed.
-func (j *job) updateQueue(configuration *specifier.Configuration) {
-	if newer, ok := configuration.Queues.Named(j.queue.Name); ok {
-		j.queue = newer
-	}
-}
-
 // beginDue starts the due occurrences of scheduled jobs.
 func (c *Conductor) beginDue(now time.Time) {
 	for id, j := range c.scheduled {
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -51,15 +51,16 @@
 // findCause marks the runs that are likely to have crashed the server, once it has restarted or its lease has ended. A run whose
 // start got no response may never have begun.
 func (s *session) findCause() {
+	var suspects []*allocation
 	jobs := make(map[specifier.JobID]bool)
 	for _, a := range s.allocations {
 		if a.state == confirmed && !a.resolvedAt.IsZero() && !s.outlived(a) {
-			a.mayHaveCrashed = true
+			suspects = append(suspects, a)
 			jobs[a.task.Job] = true
 		}
 	}
-	for _, a := range s.allocations {
-		a.alone = a.mayHaveCrashed && len(jobs) == 1
+	for _, a := range suspects {
+		a.mayHaveCrashed, a.alone = true, len(jobs) == 1
 	}
 }
 
@@ -107,12 +108,6 @@
 	return placed
 }
 
-// hasOpenTrial reports whether it is not known yet whether the suspects of the job that were placed last crash their server.
-func (j *job) hasOpenTrial() bool {
-	s := j.trial
-	return s != nil && s.onTrial() && s.trial.task.Job == j.Spec.ID && !s.outlived(s.trial)
-}
-
 // serverForTrial returns the server that the job has claimed for its suspects or should claim: one that is quiet already if
 // there is one, and otherwise one with little work that a crash would end.
 func (w *waitingStep) serverForTrial(servers []*session) *session {
--- /dev/null
+++ b/conductor/job.go
@@ -0,0 +1,42 @@
+package conductor
+
+import (
+	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/specifier"
+)
+
+// job is a job with its state machine and what the conductor needs to place and commit it.
+type job struct {
+	*lifecycler.Job
+	queue    specifier.Queue
+	dirty    bool
+	inFlight bool
+	// deleting is set while the job's keys are being deleted from the store.
+	deleting bool
+	// reserved are the placed runs whose start waits for the commit of their record.
+	reserved     []*reservation
+	waitingSteps []*waitingStep
+	advice       map[specifier.StepID]*advice
+	// avoid are servers on which a run of the job failed.
+	avoid map[specifier.ServerID]bool
+	// trial is where the last suspect of the job was placed; nil if there was none.
+	trial *session
+}
+
+type reservation struct {
+	session *session
+	*allocation
+}
+
+// updateQueue applies the current settings of the job's queue; a job keeps its settings when its queue was removed.
+func (j *job) updateQueue(configuration *specifier.Configuration) {
+	if newer, ok := configuration.Queues.Named(j.queue.Name); ok {
+		j.queue = newer
+	}
+}
+
+// hasOpenTrial reports whether it is not known yet whether the suspects of the job that were placed last crash their server.
+func (j *job) hasOpenTrial() bool {
+	s := j.trial
+	return s != nil && s.onTrial() && s.trial.task.Job == j.Spec.ID && !s.outlived(s.trial)
+}
