Leave out single entries of the instance list that cannot be used

The instance list was decoded as one value, so that an entry with a wrong type, a number that is too large or more than 10,000 levels of nesting made the whole list unreadable and no instance followed it. Change: the elements are separated first and decoded one by one; entries without an ID or with an address that cannot be called are left out.

--- a/lister/client.go
+++ b/lister/client.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -18,6 +18,9 @@
 // listTimeout bounds the time until the response begins, and between two pieces of it.
 const listTimeout = 2 * time.Second
 
+// maxListBytes bounds the response; an entry has a few hundred bytes.
+const maxListBytes = 64 << 20
+
 // Listing is the response of the instance list.
 type Listing struct {
 	BackendServers []describer.BackendServer
@@ -63,9 +66,12 @@
 	if response.StatusCode != http.StatusOK {
 		return Listing{}, errors.Errorf("instance list returned status %d", response.StatusCode)
 	}
-	var listing Listing
-	if err := json.NewDecoder(watchdog.Reader(ctx, response.Body)).Decode(&listing); err != nil {
-		return Listing{}, errors.Wrap(err, "decode instance list")
+	text, err := io.ReadAll(watchdog.Reader(ctx, io.LimitReader(response.Body, maxListBytes+1)))
+	switch {
+	case err != nil:
+		return Listing{}, errors.Wrap(err, "read instance list")
+	case len(text) > maxListBytes:
+		return Listing{}, errors.Errorf("instance list has more than %d bytes", maxListBytes)
 	}
-	return listing, nil
+	return decodeListing(text)
 }
