Do not count a peer's response as a response of the store

Cause: an instance that the store does not serve asked a peer for the configuration, counted its response as one of the store, and went on to send submissions to the store whose outcome then was unknown. Change: only calls to the store change whether it counts as serving. Result: TestPeerDoesNotStandForTheStore fails before and passes now.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -121,7 +121,8 @@
 	if newer {
 		f.accept(reading, fromPeer, startedAt, now)
 	}
-	f.publish(true)
+	// The response of a peer does not show that the store serves this instance.
+	f.publish(!fromPeer || f.newest.Served)
 	noticed := !f.noticedAt.IsZero()
 	f.noticedAt = time.Time{}
 	if noticed && !newer {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -26,7 +26,9 @@
 
 // source is a configuration store in memory.
 type source struct {
-	readTime           time.Duration
+	readTime time.Duration
+	// outageTime is how long a call takes that gets no response.
+	outageTime         time.Duration
 	watchesOmitChanges bool
 
 	mu       sync.Mutex
@@ -82,6 +84,7 @@
 	revision, outage, changed := s.state()
 	switch {
 	case outage:
+		timekeeper.Sleep(ctx, s.outageTime)
 		return follower.Change{}, errOutage
 	case s.watchesOmitChanges:
 		timekeeper.Sleep(ctx, wait)
--- a/follower/peer_test.go
+++ b/follower/peer_test.go
@@ -123,3 +123,24 @@
 		})
 	}
 }
+
+// TestPeerDoesNotStandForTheStore guards against an instance that counts the store as reachable because a peer responds, and
+// then keeps callers waiting for a store that does not serve it.
+func TestPeerDoesNotStandForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.write(1)
+		time.Sleep(3 * time.Second)
+		p.source.outageTime = time.Second
+		p.source.setOutage(true)
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, seen, err := p.follower.Await(ctx, 0)
+		for err == nil {
+			var update follower.Update
+			update, seen, err = p.follower.Await(ctx, seen)
+			require.False(t, err == nil && update.Served)
+		}
+	})
+}
--- a/follower/update.go
+++ b/follower/update.go
@@ -12,6 +12,6 @@
 	Configuration *specifier.Configuration
 	// NoticedAt is when the change was noticed that led to the configuration.
 	NoticedAt time.Time
-	// Served reports whether the store served the call.
+	// Served reports whether the store served the last call to it.
 	Served bool
 }
