Submissions outlast outages of the store; one membership and one view of the store an instance

Change: all calls of an instance report to one keeper.Health. While it says that the store fails, submissions are not sent; they are refused with a Retry-After that leaves time for one more try, and the last try of a caller waits for the store. A submission that was sent is tried until its caller's time ends. Beside that, the owner is requested to store it after 0.2 s, or at once while the store fails; with an owner that cannot be reached, the outcome is reported as unknown after 0.7 s as before.

Cause 2: each instance joined each shard: a renewal a second and an election with a listing and a watch every 2 s, 882 of each at 147 instances. Change: one membership for all shards. Eight candidates of a shard, chosen by rendezvous hashing among the largest members, read the owner every 2 s; all others every 12 s. The watch of the owner reports a change to all of them at once, as before. An entry of a member that cannot be decoded is left out instead of making the list unreadable.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -116,8 +116,12 @@
 	build := func(shard sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
 		return p.coordinator(shard, userPlatform, clock, options)
 	}
+	address, err := p.settings.AnnouncedPeerAddressOf(0)
+	if err != nil {
+		return err
+	}
 	p.sharder = sharder.New(sharder.Options{
-		Store: userPlatform.Store, Directory: userPlatform.Directory, Instance: p.settings.Instance,
+		Store: userPlatform.Store, Directory: userPlatform.Directory, Instance: p.settings.Instance, Address: address,
 		Processors: p.settings.ProcessorsOfProcess(), Build: build, Logger: p.logger,
 		Meter: p.meter,
 	})
--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -33,26 +33,6 @@
 	return 0
 }
 
-// Submit accepts a job. The context's deadline is the time until which the caller waits. If the store refuses this
-// instance's calls or does not respond to them, the owner stores the job instead.
-func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
-	job.AcceptedAt = c.settings.clock.Now()
-	if !c.intaker.Reachable() {
-		if _, tried, err := c.acceptThroughOwner(ctx, acceptRequest{Job: &job}); tried {
-			return err
-		}
-	}
-	err := c.accept(ctx, job)
-	if classifier.KindOf(err) != classifier.OutcomeUnknown || ctx.Err() != nil {
-		return err
-	}
-	if _, tried, relayErr := c.acceptThroughOwner(ctx, acceptRequest{Job: &job}); tried && relayErr == nil {
-		return nil
-	}
-	// A refusal by the owner does not settle the outcome of the first attempt, which may still take effect.
-	return err
-}
-
 func (c *Coordinator) accept(ctx context.Context, job specifier.Job) error {
 	if err := c.intaker.Accept(ctx, job); err != nil {
 		return err
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/follower"
 	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/specifier"
@@ -32,6 +34,8 @@
 	longCalls  *messenger.Client
 	// configurationCalls have connections of their own, because a large configuration delays what follows it.
 	configurationCalls *messenger.Client
+	// ownMembership is false when the coordinator shares its membership with others.
+	ownMembership bool
 	// ownFollower is nil when the coordinator shares a follower with others.
 	ownFollower *follower.Follower
 
@@ -50,16 +54,24 @@
 	if s.store == nil || s.servers == nil || s.directory == nil || s.advice == nil || s.instance == "" {
 		return nil, errors.New("a coordinator needs a store, backend servers, a directory, an advice service and a name")
 	}
+	if s.health == nil {
+		s.health = keeper.NewHealth(s.logger)
+	}
+	ownMembership := s.membership == nil
+	if ownMembership {
+		s.membership = NewMembership(s.store, s.instance, s.address, s.processors)
+	}
 	c := &Coordinator{
-		settings:   s,
-		intaker:    intaker.New(s.store, s.logger),
+		settings: s, ownMembership: ownMembership,
+		intaker:    intaker.New(s.store, s.logger, intaker.WithHealth(s.health)),
 		shortCalls: s.client(shortCallTimeout),
 		longCalls:  s.client(maxAdviceTime),
 
 		configurationCalls: s.client(maxConfigurationTime),
 	}
 	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
-	c.elector = elector.New(s.store, self, c.runOwner, s.clock, s.logger, elector.WithDelay(c.electionDelay))
+	c.elector = elector.New(s.store, self, c.runOwner, s.clock, s.logger, elector.WithDelay(c.electionDelay),
+		elector.WithWatchTime(func() time.Duration { return s.membership.watchTime(s.shardName()) }))
 	if s.configurations == nil {
 		c.ownFollower = follower.New(s.directory, follower.WithLogger(s.logger), follower.WithMeter(s.meter))
 		c.settings.configurations = c.ownFollower
@@ -68,6 +80,14 @@
 	return c, nil
 }
 
+// shardName returns a name of the shard.
+func (s settings) shardName() string {
+	if s.shards == nil {
+		return ""
+	}
+	return strconv.Itoa(s.shards.Index)
+}
+
 // client returns a pool of connections to other instances.
 func (s settings) client(timeout time.Duration) *messenger.Client {
 	options := []messenger.Option{messenger.WithLogger(s.logger), messenger.WithCallTimeout(timeout)}
@@ -87,7 +107,12 @@
 		})
 	}
 	c.tomb.Go(func() error { return c.followConfiguration(ctx) })
-	c.tomb.Go(func() error { return c.keepMembership(ctx) })
+	if c.ownMembership {
+		c.tomb.Go(func() error {
+			c.settings.membership.Run(ctx)
+			return nil
+		})
+	}
 	c.tomb.Go(func() error {
 		c.elector.Run(ctx)
 		return nil
--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -12,6 +12,9 @@
 	"egretring.example/egretring/timekeeper"
 )
 
+// maxProcessors is the largest number of processors of an instance that is believed.
+const maxProcessors = 4096
+
 // member is the value of the key under which an instance registers.
 type member struct {
 	Instance string
@@ -50,7 +53,7 @@
 	if c.settings.electionDelay != nil {
 		delay = c.settings.electionDelay()
 	}
-	members, err := c.members(ctx)
+	members, err := c.settings.membership.members(ctx)
 	if err != nil {
 		c.settings.logger.Info("failed to read the members before an election", "Error", err.Error())
 		return delay
@@ -84,53 +87,65 @@
 	return designated
 }
 
-// keepMembership registers this instance under a lease and renews the lease, so that the owner can request advice calls
-// from it.
-func (c *Coordinator) keepMembership(ctx context.Context) error {
+// keep registers this instance under a lease and renews the lease, so that owners can request advice calls from it.
+func (m *Membership) keep(ctx context.Context) {
 	for ctx.Err() == nil {
-		lease, err := c.join(ctx)
+		lease, err := m.join(ctx)
 		if err != nil {
 			timekeeper.Sleep(ctx, retryInterval*4)
 			continue
 		}
 		for ctx.Err() == nil {
 			timekeeper.Sleep(ctx, memberRenewal)
-			if err := c.settings.store.Renew(ctx, lease); keeper.IsErrLeaseExpired(err) {
+			if err := m.store.Renew(ctx, lease); keeper.IsErrLeaseExpired(err) {
 				break
 			}
 		}
 	}
-	return nil
 }
 
-func (c *Coordinator) join(ctx context.Context) (keeper.LeaseID, error) {
-	lease, err := c.settings.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: memberLeaseTTL})
+func (m *Membership) join(ctx context.Context) (keeper.LeaseID, error) {
+	lease, err := m.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: memberLeaseTTL})
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(member{Instance: c.settings.instance, Address: c.settings.address, Processors: c.settings.processors})
+	value, err := json.Marshal(m.self)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode member")
 	}
-	_, err = c.settings.store.Commit(ctx, keeper.Transaction{
-		Writes: []keeper.Write{{Key: memberKey(c.settings.instance), Value: value, Lease: lease}},
+	_, err = m.store.Commit(ctx, keeper.Transaction{
+		Writes: []keeper.Write{{Key: memberKey(m.self.Instance), Value: value, Lease: lease}},
 	})
 	return lease, err
 }
 
-// members returns all registered instances.
-func (c *Coordinator) members(ctx context.Context) ([]member, error) {
-	page, err := c.settings.store.List(ctx, memberPrefix)
+// members reads all registered instances. An entry that cannot be decoded names no member.
+func (m *Membership) members(ctx context.Context) ([]member, error) {
+	page, err := m.store.List(ctx, memberPrefix)
 	if err != nil {
 		return nil, err
 	}
-	var members []member
+	members := make([]member, 0, len(page.Entries))
 	for _, entry := range page.Entries {
-		var m member
-		if err := json.Unmarshal(entry.Value, &m); err != nil {
-			return nil, errors.Wrapf(err, "decode member %s", entry.Key)
+		if found, err := decodeMember(entry.Value); err == nil {
+			members = append(members, found)
 		}
-		members = append(members, m)
 	}
+	m.setKnown(members)
 	return members, nil
 }
+
+// decodeMember decodes the entry of a member, which another program may have written.
+func decodeMember(value []byte) (member, error) {
+	var found member
+	if err := json.Unmarshal(value, &found); err != nil {
+		return member{}, errors.Wrap(err, "decode member")
+	}
+	if found.Instance == "" || found.Address == "" {
+		return member{}, errors.New("instance or address is missing")
+	}
+	if found.Processors < 0 || found.Processors > maxProcessors {
+		return member{}, errors.Errorf("%g processors are not possible", found.Processors)
+	}
+	return found, nil
+}
--- /dev/null
+++ b/coordinator/membership.go
@@ -0,0 +1,104 @@
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/timekeeper"
+)
+
+const (
+	// candidates is how many instances notice within candidateWatchTime that a shard has no owner, even if the store does not
+	// report it to them.
+	candidates = 8
+	// candidateWatchTime and standbyWatchTime are how long candidates and all other instances wait for a change of the owner
+	// before they read it again.
+	candidateWatchTime = 2 * time.Second
+	standbyWatchTime   = 12 * time.Second
+	// candidateInterval is how often an instance reads the members to find out whether it is a candidate.
+	candidateInterval = 10 * time.Second
+)
+
+// Membership is the registration of an instance, and its view of the other ones. The coordinators of all shards of an instance
+// share it, so that its cost does not grow with the shards.
+type Membership struct {
+	store keeper.TransactionalStore
+	self  member
+	mu    sync.Mutex
+	// known are the members when they were last read; nil before.
+	known []member
+}
+
+// NewMembership returns the membership of an instance that other instances call at an address. The store has the members of
+// the whole cell.
+func NewMembership(store keeper.TransactionalStore, instance, address string, processors float64) *Membership {
+	return &Membership{store: store, self: member{Instance: instance, Address: address, Processors: processors}}
+}
+
+// Run registers the instance and follows the members until the context ends.
+func (m *Membership) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { m.keep(ctx) })
+	group.Go(func() {
+		for ctx.Err() == nil {
+			_, err := m.members(ctx)
+			if err != nil {
+				timekeeper.Sleep(ctx, retryInterval*4)
+				continue
+			}
+			timekeeper.Sleep(ctx, candidateInterval)
+		}
+	})
+	group.Wait()
+}
+
+// watchTime returns how long the instance waits for a change of the owner of a shard.
+func (m *Membership) watchTime(shard string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if isCandidate(m.self, m.known, shard) {
+		return candidateWatchTime
+	}
+	return standbyWatchTime
+}
+
+// isCandidate reports whether an instance is one of the candidates of a shard: the largest members, and among those of similar
+// size the ones that rendezvous hashing prefers for the shard.
+func isCandidate(self member, members []member, shard string) bool {
+	better := 0
+	for _, other := range members {
+		if other.Instance != self.Instance && compareCandidates(other, self, shard) < 0 {
+			better++
+		}
+	}
+	return better < candidates
+}
+
+// compareCandidates orders the better candidate of a shard first.
+func compareCandidates(a, b member, shard string) int {
+	switch {
+	case a.Processors > largerFactor*b.Processors:
+		return -1
+	case b.Processors > largerFactor*a.Processors:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(rendezvous(b.Instance, shard), rendezvous(a.Instance, shard)), cmp.Compare(a.Instance, b.Instance))
+}
+
+func rendezvous(instance, shard string) uint64 {
+	h := fnv.New64a()
+	// Write of a hash never returns an error.
+	_, _ = h.Write([]byte(instance + "/" + shard))
+	return h.Sum64()
+}
+
+func (m *Membership) setKnown(members []member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known = slices.Clone(members)
+}
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -90,6 +90,10 @@
 	advises func(instance string) bool
 	// shards is nil when the cell has one shard.
 	shards *Shards
+	// membership is nil until New if the coordinator has one of its own.
+	membership *Membership
+	// health tells whether the store serves this instance; nil until New if the coordinator does not share it.
+	health *keeper.Health
 }
 
 // Option configures a Coordinator.
@@ -168,6 +172,16 @@
 	return func(s *settings) { s.advises = advises }
 }
 
+// WithHealth shares what is known of the store with its other users.
+func WithHealth(health *keeper.Health) Option {
+	return func(s *settings) { s.health = health }
+}
+
+// WithMembership sets a membership that several coordinators share. Without it, the coordinator has one of its own.
+func WithMembership(membership *Membership) Option {
+	return func(s *settings) { s.membership = membership }
+}
+
 // WithDial replaces the function that opens connections to other instances.
 func WithDial(dial messenger.Dial) Option {
 	return func(s *settings) { s.dial = dial }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -180,7 +180,7 @@
 func (o *owner) followMembers(ctx context.Context) {
 	beganAt := o.settings.clock.Now()
 	for ctx.Err() == nil {
-		members, err := o.Coordinator.members(ctx)
+		members, err := o.settings.membership.members(ctx)
 		if err != nil {
 			timekeeper.Sleep(ctx, retryInterval)
 			continue
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -124,9 +124,12 @@
 	defer cancel()
 	response := acceptReply{Known: true}
 	var err error
-	if request.Job != nil {
+	switch {
+	case request.Job != nil && !c.intaker.Reachable():
+		err = classifier.New(classifier.Overloaded, "store does not answer the owner either")
+	case request.Job != nil:
 		err = c.accept(ctx, *request.Job)
-	} else {
+	default:
 		response.Known, err = c.cancel(ctx, request.Cancelled)
 	}
 	if err != nil {
--- /dev/null
+++ b/coordinator/submit.go
@@ -0,0 +1,114 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// relayAfter is how long the store may take to confirm a submission before the owner is requested to store it, too.
+	relayAfter = 200 * time.Millisecond
+	// unconfirmedAfter is how long a submission without a confirmation is waited for when no other instance has said that the
+	// store does not serve it either. Its caller may then submit it elsewhere.
+	unconfirmedAfter = 700 * time.Millisecond
+)
+
+// Submit accepts a job. The context's deadline is the time until which the caller waits. If the store does not serve this
+// instance, or takes long, the owner is requested to store the job, too. The store has one job for an ID, so that both may
+// succeed.
+func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
+	job.AcceptedAt = c.settings.clock.Now()
+	own := c.storeJob(ctx, job)
+	defer own.cancel()
+	if !c.intaker.Failing() {
+		patience := time.NewTimer(relayAfter)
+		defer patience.Stop()
+		select {
+		case err := <-own.result:
+			return err
+		case <-patience.C:
+		}
+	}
+	relayed := make(chan relayResult, 1)
+	go func() {
+		_, tried, err := c.acceptThroughOwner(ctx, acceptRequest{Job: &job})
+		relayed <- relayResult{tried: tried, err: err}
+	}()
+	return own.combine(relayed)
+}
+
+// attempt is an attempt of this instance to store a job.
+type attempt struct {
+	result  chan error
+	cancel  context.CancelFunc
+	begunAt time.Time
+}
+
+// relayResult is the result of a request to the owner to store a job.
+type relayResult struct {
+	tried bool
+	err   error
+}
+
+// outage reports whether the owner has refused the job, so that the store is likely to serve no instance.
+func (r relayResult) outage() bool {
+	return r.tried && classifier.IsErrNotRun(r.err)
+}
+
+// mayHaveRun reports whether the job may be stored although the result is an error.
+func (r relayResult) mayHaveRun() bool {
+	return r.tried && !classifier.IsErrNotRun(r.err)
+}
+
+func (c *Coordinator) storeJob(ctx context.Context, job specifier.Job) *attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{result: make(chan error, 1), cancel: cancel, begunAt: time.Now()}
+	go func() { a.result <- c.accept(ctx, job) }()
+	return a
+}
+
+// combine waits until one of the two attempts to store a job has succeeded or both have failed, and returns the outcome.
+func (a *attempt) combine(relayed <-chan relayResult) error {
+	var own error
+	var relay relayResult
+	select {
+	case own = <-a.result:
+		if own == nil {
+			return nil
+		}
+		relay = <-relayed
+	case relay = <-relayed:
+		if relay.tried && relay.err == nil {
+			return nil
+		}
+		own = a.await(relay)
+	}
+	switch {
+	case own == nil || relay.tried && relay.err == nil:
+		return nil
+	case classifier.IsErrNotRun(own) && relay.mayHaveRun():
+		return relay.err
+	default:
+		return own
+	}
+}
+
+// await waits for the attempt after the owner has not stored the job. While the store serves no instance, nothing is gained by
+// submitting the job elsewhere.
+func (a *attempt) await(relay relayResult) error {
+	if relay.outage() {
+		return <-a.result
+	}
+	patience := time.NewTimer(unconfirmedAfter - time.Since(a.begunAt))
+	defer patience.Stop()
+	select {
+	case err := <-a.result:
+		return err
+	case <-patience.C:
+		a.cancel()
+		return <-a.result
+	}
+}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -26,9 +26,9 @@
 	retryInterval = 150 * time.Millisecond
 	// checkInterval is how often an owner reads its key, because a store may delete keys without ending their lease.
 	checkInterval = time.Second
-	// watchWait bounds a watch of the key; the key is read after each watch, so that a change that a watch misses is
+	// defaultWatchTime bounds a watch of the key; the key is read after each watch, so that a change that a watch misses is
 	// found.
-	watchWait = 2 * time.Second
+	defaultWatchTime = 2 * time.Second
 	// candidateJitter is the maximum random delay of a candidate after the owner key is deleted, so that candidates do
 	// not all write at the same time.
 	candidateJitter = 40 * time.Millisecond
@@ -53,6 +53,8 @@
 	clock    timekeeper.Clock
 	logger   *slog.Logger
 	delay    func(ctx context.Context) time.Duration
+	// watchTime returns how long to wait for a change of the owner before it is read again.
+	watchTime func() time.Duration
 
 	mu      sync.Mutex
 	current Ownership
@@ -95,6 +97,12 @@
 	return func(e *Elector) { e.delay = delay }
 }
 
+// WithWatchTime sets a function that returns how long the instance waits for a change of the owner before it reads the owner
+// again, because a watch may miss a change.
+func WithWatchTime(watchTime func() time.Duration) Option {
+	return func(e *Elector) { e.watchTime = watchTime }
+}
+
 // New returns an elector.
 func New(
 	store keeper.TransactionalStore, self Owner, runOwner OwnerFunc, clock timekeeper.Clock, logger *slog.Logger,
@@ -102,7 +110,7 @@
 ) *Elector {
 	e := &Elector{
 		store: store, self: self, runOwner: runOwner, clock: clock, logger: logger,
-		resignations: make(chan resignation, 1),
+		resignations: make(chan resignation, 1), watchTime: func() time.Duration { return defaultWatchTime },
 	}
 	for _, option := range options {
 		option(e)
@@ -220,10 +228,10 @@
 	}
 }
 
-// awaitOwnerChange waits until the owner key changes after a revision of the store, for at most watchWait.
+// awaitOwnerChange waits until the owner key changes after a revision of the store, for at most the watch time.
 func (e *Elector) awaitOwnerChange(ctx context.Context, revision int64) {
 	_, err := e.store.Watch(ctx, keeper.WatchOptions{
-		Prefix: OwnerKey, AfterRevision: revision, Wait: watchWait,
+		Prefix: OwnerKey, AfterRevision: revision, Wait: e.watchTime(),
 	})
 	if err != nil {
 		timekeeper.Sleep(ctx, retryInterval)
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -34,41 +34,50 @@
 	// minRetryAfter and maxRetryAfter bound the time after which refused callers should retry.
 	minRetryAfter = time.Second
 	maxRetryAfter = 4 * time.Second
+	// lastAttemptTime is the time left to a caller in which it makes no further attempt that could be answered. Its submission
+	// waits for the store instead of being refused.
+	lastAttemptTime = 1500 * time.Millisecond
 	// failFastAfter is how long the store must have refused calls, or not responded to them, before submissions are
 	// refused immediately.
 	failFastAfter = 700 * time.Millisecond
+	// suspectAfter is how long the store must have failed before no further submissions are sent to it. What was not sent can
+	// be refused with a certain outcome.
+	suspectAfter = 250 * time.Millisecond
+	// probeInterval is the pause between two reads that find out whether a failing store serves calls again, and probeTimeout
+	// bounds each of them.
+	probeInterval = 100 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
 )
 
 // Intaker stores submitted jobs and cancellations.
 type Intaker struct {
-	store  keeper.TransactionalStore
-	queue  *buffer.Queue[*submission]
-	logger *slog.Logger
-	tomb   tomb.Tomb
+	store keeper.TransactionalStore
+	queue *buffer.Queue[*submission]
+	tomb  tomb.Tomb
 	// writerToken holds one token. The writer that receives it takes the queued submissions.
 	writerToken chan struct{}
 	// commitTimeout bounds the wait for the store's responses.
 	commitTimeout keeper.AdaptiveTimeout
-
-	mu sync.Mutex
-	// failingSince is when calls to the store began to be refused or to get no response; zero while the store serves
-	// them.
-	failingSince time.Time
+	// health may be shared with other users of the store.
+	health *keeper.Health
 }
 
-type submission struct {
-	job   specifier.Job
-	value []byte
-	// deadline is when the caller stops waiting.
-	deadline time.Time
-	done     chan error
+// Option configures an Intaker.
+type Option func(*Intaker)
+
+// WithHealth makes the intaker share what is known of the store with other users of it.
+func WithHealth(health *keeper.Health) Option {
+	return func(i *Intaker) { i.health = health }
 }
 
 // New returns an intaker that runs until Close.
-func New(store keeper.TransactionalStore, logger *slog.Logger) *Intaker {
+func New(store keeper.TransactionalStore, logger *slog.Logger, options ...Option) *Intaker {
 	i := &Intaker{
-		store: store, queue: buffer.NewQueue[*submission](submissionQueueSize), logger: logger,
-		writerToken: make(chan struct{}, 1),
+		store: store, queue: buffer.NewQueue[*submission](submissionQueueSize), writerToken: make(chan struct{}, 1),
+		health: keeper.NewHealth(logger),
+	}
+	for _, option := range options {
+		option(i)
 	}
 	i.writerToken <- struct{}{}
 	for range writers {
@@ -84,32 +93,59 @@
 }
 
 // Accept stores a job. After an error with outcome NotRun the job is not stored and never will be; after another error
-// it may be. A job whose ID is stored already is accepted as the same job.
+// it may be. A job whose ID is stored already is accepted as the same job. While the store does not serve this instance, a
+// caller that has time for another attempt is refused, and one that has not waits for the store until its deadline.
 func (i *Intaker) Accept(ctx context.Context, job specifier.Job) error {
 	value, err := json.Marshal(job)
 	if err != nil {
 		return classifier.Wrap(err, classifier.Internal, "encode job %s", job.ID)
 	}
-	if !i.Reachable() {
-		return classifier.New(classifier.Overloaded, "store does not answer; job %s was not accepted", job.ID).
-			WithRetryAt(i.retryAt())
-	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return classifier.New(classifier.BadDeadline, "submission of job %s has no deadline", job.ID)
 	}
+	if !i.Reachable() && time.Until(deadline) > lastAttemptTime {
+		return i.refusal(job.ID, deadline)
+	}
 	s := &submission{job: job, value: value, deadline: deadline, done: make(chan error, 1)}
 	if i.queue.Offer(s) != nil {
 		return classifier.New(classifier.QueueFull, "%d submissions wait for the store", submissionQueueSize)
 	}
-	select {
-	case err := <-s.done:
-		return err
-	case <-ctx.Done():
-		return classifier.New(classifier.OutcomeUnknown, "store did not confirm job %s in time", job.ID)
-	case <-i.tomb.Dying():
-		return classifier.New(classifier.OutcomeUnknown, "instance stops before the store confirmed job %s", job.ID)
+	return i.await(ctx, s)
+}
+
+// await waits until a submission is stored or refused. It withdraws one that was not sent yet when the store does not serve
+// this instance and its caller can come back, or when the caller's time ends.
+func (i *Intaker) await(ctx context.Context, s *submission) error {
+	checks := time.NewTicker(suspectAfter)
+	defer checks.Stop()
+	for {
+		select {
+		case err := <-s.done:
+			return err
+		case <-checks.C:
+			if !i.Reachable() && time.Until(s.deadline) > lastAttemptTime && s.withdraw() {
+				return i.refusal(s.job.ID, s.deadline)
+			}
+		case <-ctx.Done():
+			return i.abandon(s, "store did not confirm job %s in time")
+		case <-i.tomb.Dying():
+			return i.abandon(s, "instance stops before the store confirmed job %s")
+		}
+	}
+}
+
+// abandon returns the error for a submission that is no longer waited for.
+func (i *Intaker) abandon(s *submission, format string) error {
+	if s.withdraw() {
+		return i.refusal(s.job.ID, s.deadline)
 	}
+	return classifier.New(classifier.OutcomeUnknown, format, s.job.ID)
+}
+
+// refusal returns the error for a submission that was not sent to the store.
+func (i *Intaker) refusal(id specifier.JobID, deadline time.Time) error {
+	return classifier.New(classifier.Overloaded, "store does not answer; job %s was not accepted", id).WithRetryAt(i.retryAt(deadline))
 }
 
 // Cancel stores the cancellation of a job. It reports whether there is such a job.
@@ -144,40 +180,30 @@
 }
 
 // Reachable reports whether the store serves this instance: it is false once calls have been refused, or have got no
-// response, for failFastAfter. Submissions are then refused immediately, until RecordStoreCall reports a served call.
+// response, for failFastAfter, until a call is served.
 func (i *Intaker) Reachable() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.failingSince.IsZero() || time.Since(i.failingSince) < failFastAfter
+	return i.health.FailingFor() < failFastAfter
+}
+
+// Failing reports whether the last call to the store was refused or got no response.
+func (i *Intaker) Failing() bool {
+	return i.health.FailingFor() > 0
 }
 
 // retryAt returns when refused callers should retry. The wait is as long as the store has been failing so far, within
-// the bounds, so that the few attempts of a caller last longer than an outage.
-func (i *Intaker) retryAt() time.Time {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	wait := minRetryAfter
-	if !i.failingSince.IsZero() {
-		wait = min(max(time.Since(i.failingSince), minRetryAfter), maxRetryAfter)
+// the bounds, so that the few attempts of a caller last longer than an outage, but leaves time for one more attempt
+// before the caller's deadline.
+func (i *Intaker) retryAt(deadline time.Time) time.Time {
+	wait := min(i.health.FailingFor(), maxRetryAfter)
+	if left := time.Until(deadline); left > 0 {
+		wait = min(wait, left-minRetryAfter)
 	}
-	return time.Now().Add(wait)
+	return time.Now().Add(max(wait, minRetryAfter))
 }
 
-// RecordStoreCall records whether the store served a call; it did not if it refused the call or did not respond. Other
-// users of the store report their calls, too.
+// RecordStoreCall records whether the store served a call of another user of it.
 func (i *Intaker) RecordStoreCall(served bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	switch {
-	case served:
-		if !i.failingSince.IsZero() && time.Since(i.failingSince) >= failFastAfter {
-			i.logger.Info("store answers again", "FailingSince", i.failingSince)
-		}
-		i.failingSince = time.Time{}
-	case i.failingSince.IsZero():
-		i.failingSince = time.Now()
-		i.logger.Warn("store gave no answer")
-	}
+	i.health.Record(served)
 }
 
 func (i *Intaker) run() error {
@@ -189,6 +215,7 @@
 		}
 		select {
 		case first := <-i.queue.Items():
+			i.awaitStore()
 			i.writeWithToken(i.gather(first))
 		case <-i.tomb.Dying():
 			return nil
@@ -196,6 +223,20 @@
 	}
 }
 
+// awaitStore returns once the store does not fail, or has failed for less than suspectAfter.
+func (i *Intaker) awaitStore() {
+	ctx := i.tomb.Context(context.Background())
+	for i.health.FailingFor() >= suspectAfter && ctx.Err() == nil {
+		probe, cancel := context.WithTimeout(ctx, probeTimeout)
+		_, err := i.store.Get(probe, probeKey)
+		cancel()
+		i.health.Record(err == nil)
+		if err != nil {
+			timekeeper.Sleep(ctx, probeInterval)
+		}
+	}
+}
+
 // writeWithToken writes a batch. It returns the writer token when the write ends, or after extraWriterAfter if that is
 // earlier.
 func (i *Intaker) writeWithToken(batch []*submission) {
@@ -207,13 +248,19 @@
 	}
 }
 
-// gather returns the first submission and those that are queued behind it, up to the size of a batch.
+// gather claims the first submission and those that are queued behind it, up to the size of a batch, and returns those that
+// were not withdrawn.
 func (i *Intaker) gather(first *submission) []*submission {
-	batch := []*submission{first}
+	var batch []*submission
+	if first.claim() {
+		batch = append(batch, first)
+	}
 	for len(batch) < batchSize {
 		select {
 		case next := <-i.queue.Items():
-			batch = append(batch, next)
+			if next.claim() {
+				batch = append(batch, next)
+			}
 		default:
 			return batch
 		}
@@ -221,8 +268,8 @@
 	return batch
 }
 
-// write tries to store a batch until its outcome is known, the store has refused it for maxRefusalTime, the store no
-// longer responds, or no caller waits any more.
+// write tries to store a batch until its outcome is known, the store has refused it for maxRefusalTime, or no caller waits any
+// more.
 func (i *Intaker) write(batch []*submission) {
 	ctx := i.tomb.Context(context.Background())
 	startedAt := time.Now()
@@ -240,18 +287,11 @@
 			continue
 		case keeper.IsErrNoEffect(err):
 			if !unconfirmed && time.Since(startedAt) > maxRefusalTime {
-				complete(batch, classifier.Wrap(err, classifier.Overloaded, "job was not accepted").WithRetryAt(i.retryAt()))
-				return
+				batch = i.refuse(batch)
 			}
 		default:
 			unconfirmed = true
 		}
-		if unconfirmed && !i.Reachable() {
-			// Callers with time left can resubmit to another instance; the job keeps its ID, so that it is not
-			// duplicated.
-			complete(batch, classifier.Wrap(err, classifier.OutcomeUnknown, "store does not confirm the job"))
-			return
-		}
 		batch = withoutExpired(batch)
 		select {
 		case <-time.After(retryInterval):
@@ -261,6 +301,19 @@
 	}
 }
 
+// refuse refuses the submissions of a batch without effect whose callers can come back, and returns the others.
+func (i *Intaker) refuse(batch []*submission) []*submission {
+	var remaining []*submission
+	for _, s := range batch {
+		if time.Until(s.deadline) > lastAttemptTime {
+			s.done <- i.refusal(s.job.ID, s.deadline)
+			continue
+		}
+		remaining = append(remaining, s)
+	}
+	return remaining
+}
+
 func transactionOf(batch []*submission) keeper.Transaction {
 	var transaction keeper.Transaction
 	seen := make(map[string]bool, len(batch))
--- /dev/null
+++ b/intaker/submission.go
@@ -0,0 +1,29 @@
+package intaker
+
+import (
+	"sync/atomic"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// submission is a job that its caller waits to be stored.
+type submission struct {
+	job   specifier.Job
+	value []byte
+	// deadline is when the caller stops waiting.
+	deadline time.Time
+	done     chan error
+	// taken is set by a writer before it sends the job to the store, or when the submission is withdrawn, whichever comes first.
+	taken atomic.Bool
+}
+
+// claim reports whether a writer may send the job to the store: the submission was not withdrawn.
+func (s *submission) claim() bool {
+	return s.taken.CompareAndSwap(false, true)
+}
+
+// withdraw reports whether the job was not sent to the store, and never will be.
+func (s *submission) withdraw() bool {
+	return s.taken.CompareAndSwap(false, true)
+}
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -32,10 +32,13 @@
 
 // Sharder takes part in all shards of a cell.
 type Sharder struct {
-	store     keeper.TransactionalStore
+	store keeper.TransactionalStore
+	// health tells whether the store serves this instance, for all shards.
+	health    *keeper.Health
 	directory coordinator.Directory
-	// configurations follows the configuration for all shards.
+	// configurations follows the configuration for all shards, and membership registers the instance for all of them.
 	configurations *follower.Follower
+	membership     *coordinator.Membership
 	instance       string
 	// processors is the number of processors, possibly a fraction, that the instance may use; zero is unknown.
 	processors float64
@@ -50,9 +53,10 @@
 type Options struct {
 	Store     keeper.TransactionalStore
 	Directory coordinator.Directory
-	// Instance is the name of this instance, and Processors the number of processors, possibly a fraction, that it may
+	// Instance is the name of this instance, Address where other instances call it, and Processors the number of processors, possibly a fraction, that it may
 	// use, zero if that is unknown.
 	Instance   string
+	Address    string
 	Processors float64
 	Build      Build
 	Logger     *slog.Logger
@@ -61,10 +65,12 @@
 
 // New returns a Sharder that is not started.
 func New(o Options) *Sharder {
+	health := keeper.NewHealth(o.Logger)
 	s := &Sharder{
-		store: o.Store, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
+		store: keeper.Monitor(o.Store, health), health: health, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
 		logger: o.Logger,
 	}
+	s.membership = coordinator.NewMembership(s.store, o.Instance, o.Address, o.Processors)
 	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter),
 		follower.WithPeer(s.newerConfiguration))
 	return s
@@ -86,6 +92,10 @@
 		s.configurations.Run(s.tomb.Context(context.Background()))
 		return nil
 	})
+	s.tomb.Go(func() error {
+		s.membership.Run(s.tomb.Context(context.Background()))
+		return nil
+	})
 	s.tomb.Go(func() error {
 		count, err := s.awaitLayout(s.tomb.Context(context.Background()))
 		if err != nil {
@@ -122,6 +132,7 @@
 	options := []coordinator.Option{
 		coordinator.WithStore(shardStore{TransactionalStore: s.store, prefix: shard.Prefix()}),
 		coordinator.WithDirectory(s.directory), coordinator.WithConfigurations(s.configurations),
+		coordinator.WithHealth(s.health), coordinator.WithMembership(s.membership),
 	}
 	if shard.Count == 1 {
 		return options
