--- a/conductor/gang_test.go
+++ b/conductor/gang_test.go
@@ -98,3 +98,20 @@
 		require.Equal(t, specifier.Completed, w.state(specifier.JobID(fmt.Sprintf("c%d", i))))
 	}
 }
+
+// TestCompletedGangNeedsNoStops guards against an order for each member of a gang that has ended: they end together, and the
+// reports of their servers arrive one after the other.
+func TestCompletedGangNeedsNoStops(t *testing.T) {
+	w := newSimulation(t, 5, 20)
+	for n := range 10 {
+		job := newJob(n, jobOptions{Tasks: 8, MilliCores: 30000, Seconds: 0.5, Gang: true})
+		w.at(w.start.Add(time.Duration(1+n)*time.Second), func() { w.submit(job) })
+	}
+	w.runUntil(15 * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, 80, w.starts)
+	require.Zero(t, w.stops)
+	for _, job := range w.submitted {
+		require.Equal(t, specifier.Completed, w.state(job.ID))
+	}
+}
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// inGang reports whether a task belongs to a gang.
+func (j *job) inGang(task specifier.TaskID) bool {
+	return task.Step < len(j.Spec.Steps) && j.Spec.Steps[task.Step].Gang
+}
+
 // hasOpenTrial reports whether it is not known yet whether the suspects of the job that were placed last crash their server.
 func (j *job) hasOpenTrial() bool {
 	s := j.trial
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -177,13 +177,25 @@
 func (c *Conductor) stopAll(now time.Time, j *job) {
 	for _, s := range c.sessions {
 		for _, a := range s.allocations {
-			if a.task.Job == j.Spec.ID {
+			switch {
+			case a.task.Job != j.Spec.ID:
+			case j.State() == specifier.Completed && a.state == confirmed && j.inGang(a.task):
+				// All members of a gang end together, and the reports of their servers are on the way.
+				c.stopLater(now, a)
+			default:
 				c.stop(now, s, a)
 			}
 		}
 	}
 }
 
+// stopLater makes resendStops order the stop of a run that has not ended by then.
+func (c *Conductor) stopLater(now time.Time, a *allocation) {
+	if !a.stopping {
+		a.stopping, a.stopSentAt = true, now
+	}
+}
+
 func (c *Conductor) resendStops(now time.Time) {
 	for _, s := range c.sessions {
 		if s.renewalFailures > 0 {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -63,7 +63,7 @@
 	crashes            map[specifier.TaskID]int
 	startsAfterCrashes map[specifier.TaskID]int
 	violations         []string
-	starts             int
+	starts, stops      int
 	// resignations counts the owners that resigned.
 	resignations int
 }
@@ -231,6 +231,7 @@
 				})
 			})
 	case conductor.Stop:
+		w.stops++
 		w.servers[c.Server.ID].sendOrder(w, epoch, func(s *fakeServer) specifier.OrderResult { return s.stopRun(w, c) },
 			func(result specifier.OrderResult) {
 				w.deliver(epoch, conductor.OrderEnded{
