Keep the order of servers between passes, and skip the choice for gangs that cannot fit

Cause: each pass of an owner sorted all servers by ID, and sorted the servers of each waiting gang before it counted whether all tasks fit. Change: the order is kept until a server comes or goes; a gang whose tasks do not fit is not sorted.

--- a/conductor/benchmark_test.go
+++ b/conductor/benchmark_test.go
@@ -13,12 +13,16 @@
 	advisors int
 	// interval is the time between two jobs.
 	interval time.Duration
-	job      func(w *simulation) jobOptions
+	// grantOneIn and grantsDiffer are those of the simulation.
+	grantOneIn   int
+	grantsDiffer bool
+	job          func(w *simulation) jobOptions
 }
 
 func (l load) run(b *testing.B) {
 	for range b.N {
 		w := newSimulation(&testing.T{}, 1, l.servers)
+		w.grantOneIn, w.grantsDiffer = l.grantOneIn, l.grantsDiffer
 		for i := range l.advisors {
 			w.advisors = append(w.advisors, fmt.Sprintf("advisor-%d", i))
 		}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -25,6 +25,8 @@
 
 	jobs     map[specifier.JobID]*job
 	sessions map[specifier.ServerID]*session
+	// ordered has the sessions in the order of their servers' IDs; nil when it has to be made anew.
+	ordered []*session
 	// lastFences are the fencing tokens of servers that were removed from the list. A server that is listed again has
 	// seen them.
 	lastFences   map[specifier.ServerID]int64
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -22,6 +22,9 @@
 // chooseForGang returns a server for each task, or nil when not all fit. A gang with suspects waits for some time for servers
 // on which no other run can cause a crash.
 func (c *Conductor) chooseForGang(p *pass, w *waitingStep, servers []*session) []*session {
+	if !fitsOn(servers, len(w.waiting), w.fits) {
+		return nil
+	}
 	if !slices.ContainsFunc(w.waiting, w.isSuspect) {
 		return w.chooseByRack(servers)
 	}
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -1,7 +1,10 @@
 package conductor
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"egretring.example/egretring/assessor"
@@ -17,10 +20,18 @@
 	created := newSession(specifier.Server{ID: id}, c.firstFenceOf(id))
 	created.predecessorLease = true
 	created.leaseEnd = c.predecessorLeasesEnd
-	c.sessions[id] = created
+	c.sessions[id], c.ordered = created, nil
 	return created
 }
 
+// orderedSessions returns all sessions in the order of their servers' IDs.
+func (c *Conductor) orderedSessions() []*session {
+	if c.ordered == nil {
+		c.ordered = slices.SortedFunc(maps.Values(c.sessions), func(a, b *session) int { return cmp.Compare(a.id, b.id) })
+	}
+	return c.ordered
+}
+
 // predecessorsStopped shortens the leases of the servers that have not responded yet: only this owner can renew them
 // now.
 func (c *Conductor) predecessorsStopped(now time.Time) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -30,7 +30,7 @@
 		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources),
 	}
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
-	for _, s := range c.sessions {
+	for _, s := range c.orderedSessions() {
 		s.holder = nil
 		if !now.Before(s.claimedUntil) {
 			s.claimedBy = nil
@@ -40,7 +40,6 @@
 		}
 	}
 	for service, servers := range p.usable {
-		slices.SortFunc(servers, func(a, b *session) int { return cmp.Compare(a.server.ID, b.server.ID) })
 		p.updateMaxFree(service)
 		p.contended[service] = isBusy(servers) && c.hasBacklog(now, service)
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -57,6 +57,8 @@
 
 // session is the owner's view of a backend server. Most of it is reset when the server restarts.
 type session struct {
+	// id is that of the server. It never changes.
+	id     specifier.ServerID
 	server specifier.Server
 	listed bool
 	// reconciled is set once the server has responded under this owner's fencing token and its report was compared with
@@ -119,7 +121,7 @@
 }
 
 func newSession(server specifier.Server, fence int64) *session {
-	return &session{server: server, fence: fence, firstFence: fence, allocations: make(map[specifier.TaskID]*allocation)}
+	return &session{id: server.ID, server: server, fence: fence, firstFence: fence, allocations: make(map[specifier.TaskID]*allocation)}
 }
 
 func (s *session) add(a *allocation) {
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -205,4 +205,5 @@
 func (c *Conductor) removeSession(s *session) {
 	c.lastFences[s.server.ID] = s.fence
 	delete(c.sessions, s.server.ID)
+	c.ordered = nil
 }
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -156,10 +157,14 @@
 type jobOptions struct {
 	Tasks      int
 	MilliCores int64
-	Seconds    float64
-	Steps      int
-	Gang       bool
-	Advice     bool
+	// MemoryMB is a hundred if it is zero.
+	MemoryMB int64
+	Seconds  float64
+	Steps    int
+	Gang     bool
+	Advice   bool
+	// AdviceCost is 70 ms and 1 ms a server if it is zero.
+	AdviceCost specifier.AdviceCost
 	Priority   int
 	Attempts   int
 	Spec       string
@@ -172,11 +177,14 @@
 	}
 	if o.Advice {
 		queue.Advice = specifier.AdviceCost{Needed: true, Fixed: 70 * time.Millisecond, PerServer: time.Millisecond}
+		if o.AdviceCost.Fixed > 0 {
+			queue.Advice.Fixed, queue.Advice.PerServer = o.AdviceCost.Fixed, o.AdviceCost.PerServer
+		}
 	}
 	job := specifier.Job{ID: specifier.JobID("job" + strconv.Itoa(number)), Queue: queue, Spec: o.Spec}
 	for i := range max(o.Steps, 1) {
 		step := specifier.Step{
-			Count: max(o.Tasks, 1), Need: specifier.Resources{MilliCores: o.MilliCores, MemoryMB: 100}, Gang: o.Gang,
+			Count: max(o.Tasks, 1), Need: specifier.Resources{MilliCores: o.MilliCores, MemoryMB: cmp.Or(o.MemoryMB, 100)}, Gang: o.Gang,
 			Estimate: time.Duration(o.Seconds * float64(time.Second)),
 		}
 		if i > 0 {
