Keep listening for other instances after a failed accept

Cause: found while reading (report of other operators: one unexpected error takes a whole process down): any error of accept, such as running out of descriptors for a moment, ended the listener, and the instance answered no other one until its restart. Change: only a closed listener ends; other errors are logged and followed by a pause.

--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -5,10 +5,13 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"gopkg.in/tomb.v2"
+
+	"egretring.example/egretring/timekeeper"
 )
 
 // Handler handles the calls of peers. Heartbeat and Release must return without blocking, because the next message of
@@ -20,6 +23,9 @@
 	Report(ctx context.Context, request ReportRequest) (ReportReply, error)
 }
 
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 50 * time.Millisecond
+
 // Listener accepts the connections of peers.
 type Listener struct {
 	settings settings
@@ -70,9 +76,15 @@
 		if !l.tomb.Alive() {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "accept peer connection")
 		}
+		if err != nil {
+			// The process may be out of descriptors for a moment.
+			l.settings.logger.Warn("peer connection cannot be accepted", "Error", err.Error())
+			timekeeper.Sleep(l.ctx, acceptRetryInterval)
+			continue
+		}
 		if !l.admit() {
 			l.settings.logger.Warn("too many peer connections; closing a new one", "Peer", conn.RemoteAddr().String())
 			_ = conn.Close()
