Let an owner have connections of a thousand instances

Change: 3,200 connections. A relayed submission leaves the owner 80 ms instead of 30 ms to respond in time, because a call that times out ends its connection and with it the calls of others. Result: TestOwnerServesHundredsOfInstances fails at connection 256 before, and passes now.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -76,7 +76,8 @@
 		c.ownFollower = follower.New(s.directory, follower.WithLogger(s.logger), follower.WithMeter(s.meter))
 		c.settings.configurations = c.ownFollower
 	}
-	c.listener = messenger.ServeMethods(accept, c.methods(), messenger.WithLogger(s.logger))
+	c.listener = messenger.ServeMethods(accept, c.methods(), messenger.WithLogger(s.logger),
+		messenger.WithConnections(maxPeerConnections))
 	return c, nil
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -13,6 +13,7 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/fakekeeper"
+	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/specifier"
 )
 
@@ -273,3 +274,17 @@
 		require.False(t, known)
 	})
 }
+
+// TestOwnerServesHundredsOfInstances guards against an owner that turns away the calls of other instances because each of them
+// has several connections to it.
+func TestOwnerServesHundredsOfInstances(t *testing.T) {
+	runWithCell(t, 1, func(t *testing.T, c *cell) {
+		const connections = 3 * 300
+		for i := range connections {
+			client := messenger.NewClient(messenger.WithDial(c.network.Dial))
+			defer func() { require.NoError(t, client.Close()) }()
+			_, err := messenger.Call[struct{ Queue string }, struct{ Owner bool }](t.Context(), client, "instance-0", "Waiting", struct{ Queue string }{"q"})
+			require.NoError(t, err, "connection %d", i)
+		}
+	})
+}
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -56,7 +56,10 @@
 	// instance.
 	minTermBeforeHandOver = 2 * time.Second
 	// relayMargin leaves time for the owner's response to arrive.
-	relayMargin = 30 * time.Millisecond
+	relayMargin = 80 * time.Millisecond
+	// maxPeerConnections bounds the connections of other instances to this one. Each of a thousand instances has one to an owner
+	// for each of its three kinds of calls, and a process on the smallest instances may have 4,100 descriptors.
+	maxPeerConnections = 3200
 	// eventQueueSize bounds the events that are queued for the owner's goroutine.
 	eventQueueSize = 8192
 	// maxEventsPerPlan bounds the events that are applied before the next plan.
