Place urgent steps between the passes over all steps

Change: the time between passes over all steps grows with the product of steps and servers. In between, only urgent steps that are new or have got tickets are placed; servers stay held as in the last pass.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -238,6 +238,10 @@
 	if j == nil || j.State().Final() {
 		return
 	}
+	if w := c.waitingSteps[e.Step]; w != nil {
+		w.fresh = true
+		c.hasFresh = c.hasFresh || w.urgent()
+	}
 	adv := j.adviceFor(e.Step)
 	adv.calls--
 	if adv.calls <= 0 {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -48,8 +48,10 @@
 	// even without it.
 	replan       bool
 	placeAgainAt time.Time
-	// placeNotBefore is the earliest time of the next placement pass.
-	placeNotBefore time.Time
+	// placeNotBefore is the earliest time of the next placement pass, and fullPassNotBefore that of the next one over all steps.
+	placeNotBefore, fullPassNotBefore time.Time
+	// hasFresh is set when an urgent step is new or has got tickets since the last pass.
+	hasFresh bool
 	// commitNotBefore is the earliest time of the next commit, unless a full batch waits.
 	commitNotBefore time.Time
 	// renewalPass and sweepPass limit how often all servers are scanned, expirePass how often all jobs are, and holdPass
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -74,6 +74,9 @@
 // updateHolds applies the holds to a pass. Every holdInterval it ends the holds that have expired, holds servers for the
 // step of each service that has waited longest, and chooses the held servers anew.
 func (c *Conductor) updateHolds(p *pass) {
+	for _, s := range c.sessions {
+		s.holder = nil
+	}
 	for service, h := range c.holds {
 		w := c.waitingSteps[h.step]
 		if w == nil || w.wait.since.IsZero() || w.wait.since.After(h.begunAt) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -31,7 +31,6 @@
 	}
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
 	for _, s := range c.orderedSessions() {
-		s.holder = nil
 		if !now.Before(s.claimedUntil) {
 			s.claimedBy = nil
 		}
@@ -39,13 +38,19 @@
 			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
 		}
 	}
-	for service, servers := range p.usable {
+	for service := range p.usable {
 		p.updateMaxFree(service)
-		p.contended[service] = isBusy(servers) && c.hasBacklog(now, service)
 	}
 	return p
 }
 
+// findContended finds the services that are contended.
+func (c *Conductor) findContended(p *pass) {
+	for service, servers := range p.usable {
+		p.contended[service] = isBusy(servers) && c.hasBacklog(p.now, service)
+	}
+}
+
 // candidates returns the usable servers that may run the step, without regard to advice.
 func (p *pass) candidates(w *waitingStep) []*session {
 	var found []*session
@@ -67,24 +72,61 @@
 }
 
 // place places the tasks that fit, in the order of the waiting steps, and requests the advice that the steps need. The
-// time between passes grows with the number of waiting steps, so that a backlog does not take a whole processor.
+// time between passes over all steps grows with their number and that of the servers, so that a backlog does not take a whole
+// processor. Between these passes, urgent steps are placed that are new or have got tickets.
 func (c *Conductor) place(now time.Time) {
-	if now.Before(c.placeNotBefore) || (!c.replan && now.Before(c.placeAgainAt)) {
+	if now.Before(c.placeNotBefore) {
 		return
 	}
+	switch {
+	case !now.Before(c.fullPassNotBefore) && (c.replan || !now.Before(c.placeAgainAt)):
+		c.placeAll(now)
+	case c.hasFresh:
+		c.placeFresh(now)
+	default:
+		return
+	}
+	c.hasFresh = false
+	c.placeNotBefore = now.Add(minPassInterval)
+}
+
+// placeAll is a pass over all waiting steps.
+func (c *Conductor) placeAll(now time.Time) {
 	c.replan, c.placeAgainAt = false, now.Add(placeInterval)
-	c.placeNotBefore = now.Add(min(max(time.Duration(len(c.waitingSteps))*passTimePerStep, minPassInterval), placeInterval))
+	pairs := len(c.waitingSteps) * len(c.sessions)
+	c.fullPassNotBefore = now.Add(min(max(time.Duration(pairs)*passTimePerPair, minPassInterval), placeInterval))
 	p := c.newPass(now)
+	c.findContended(p)
 	c.updateHolds(p)
 	for _, w := range c.inPlacementOrder(now) {
+		w.fresh = false
 		c.placeStep(p, w)
 	}
 	c.logWaits(p)
 }
 
+// placeFresh is a pass over the fresh urgent steps. Servers stay held as in the last pass over all steps.
+func (c *Conductor) placeFresh(now time.Time) {
+	var fresh []*waitingStep
+	for _, w := range c.waitingSteps {
+		if w.fresh && w.urgent() {
+			w.fresh, w.tier = false, w.tierAt(now)
+			fresh = append(fresh, w)
+		}
+	}
+	slices.SortFunc(fresh, compareWaitingSteps)
+	p := c.newPass(now)
+	for _, w := range fresh {
+		c.placeStep(p, w)
+	}
+}
+
 // NextPlan returns when Plan should be called again for deferred work, if there is any.
 func (c *Conductor) NextPlan() (time.Time, bool) {
-	next, due := c.placeNotBefore, c.replan
+	next, due := c.placeNotBefore, c.replan || c.hasFresh
+	if !c.hasFresh && c.fullPassNotBefore.After(next) {
+		next = c.fullPassNotBefore
+	}
 	if len(c.dirty) > 0 && (!due || c.commitNotBefore.Before(next)) {
 		next, due = c.commitNotBefore, true
 	}
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -21,7 +21,14 @@
 	// worthlessAt is when the result of the job stops having any value to its caller.
 	worthlessAt time.Time
 	tier        tier
-	wait        wait
+	// fresh is set until the first pass after the step began to wait, or got tickets.
+	fresh bool
+	wait  wait
+}
+
+// urgent reports whether the step may be placed before a pass over all steps.
+func (w *waitingStep) urgent() bool {
+	return w.job.queue.Priority == 0
 }
 
 // tier groups waiting steps by the value that the result of their job still has for its caller.
@@ -62,7 +69,10 @@
 			job: j, step: step, waiting: waiting, due: due, worthlessAt: due.Add(worthlessAfter * allowed),
 			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)),
 		}
-		if before := previous[step.ID]; before != nil {
+		before := previous[step.ID]
+		w.fresh = before == nil || before.fresh
+		c.hasFresh = c.hasFresh || w.fresh && w.urgent()
+		if before != nil {
 			w.wait = before.wait
 			if len(waiting) < len(before.waiting) {
 				w.wait.since = time.Time{}
