Do not hold callers to the end of their time while the store fails

Change: an unknown outcome is reported after 0.7 s as before, while the instance goes on to store the job; a last try waits for half of the time that is left. Result: TestOutageIsOutlastedByCallers with callers that come back at the named time, or after half of the time left if that is earlier.

--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -11,8 +11,8 @@
 const (
 	// relayAfter is how long the store may take to confirm a submission before the owner is requested to store it, too.
 	relayAfter = 200 * time.Millisecond
-	// unconfirmedAfter is how long a submission without a confirmation is waited for when no other instance has said that the
-	// store does not serve it either. Its caller may then submit it elsewhere.
+	// unconfirmedAfter is how long a submission without a confirmation is waited for. Its caller may then submit it elsewhere, and
+	// this instance goes on to store it.
 	unconfirmedAfter = 700 * time.Millisecond
 )
 
@@ -53,11 +53,6 @@
 	err   error
 }
 
-// outage reports whether the owner has refused the job, so that the store is likely to serve no instance.
-func (r relayResult) outage() bool {
-	return r.tried && classifier.IsErrNotRun(r.err)
-}
-
 // mayHaveRun reports whether the job may be stored although the result is an error.
 func (r relayResult) mayHaveRun() bool {
 	return r.tried && !classifier.IsErrNotRun(r.err)
@@ -84,7 +79,7 @@
 		if relay.tried && relay.err == nil {
 			return nil
 		}
-		own = a.await(relay)
+		own = a.await()
 	}
 	switch {
 	case own == nil || relay.tried && relay.err == nil:
@@ -96,12 +91,8 @@
 	}
 }
 
-// await waits for the attempt after the owner has not stored the job. While the store serves no instance, nothing is gained by
-// submitting the job elsewhere.
-func (a *attempt) await(relay relayResult) error {
-	if relay.outage() {
-		return <-a.result
-	}
+// await waits for the attempt after the owner has not stored the job.
+func (a *attempt) await() error {
 	patience := time.NewTimer(unconfirmedAfter - time.Since(a.begunAt))
 	defer patience.Stop()
 	select {
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -34,9 +34,11 @@
 	// minRetryAfter and maxRetryAfter bound the time after which refused callers should retry.
 	minRetryAfter = time.Second
 	maxRetryAfter = 4 * time.Second
-	// lastAttemptTime is the time left to a caller in which it makes no further attempt that could be answered. Its submission
-	// waits for the store instead of being refused.
-	lastAttemptTime = 1500 * time.Millisecond
+	// lastAttemptTime is the time left to a caller in which it cannot come back after minRetryAfter. Its submission waits for the
+	// store for half of that time.
+	lastAttemptTime = minRetryAfter + 100*time.Millisecond
+	// checkInterval is how often a submission that waits is checked.
+	checkInterval = 100 * time.Millisecond
 	// failFastAfter is how long the store must have refused calls, or not responded to them, before submissions are
 	// refused immediately.
 	failFastAfter = 700 * time.Millisecond
@@ -94,7 +96,7 @@
 
 // Accept stores a job. After an error with outcome NotRun the job is not stored and never will be; after another error
 // it may be. A job whose ID is stored already is accepted as the same job. While the store does not serve this instance, a
-// caller that has time for another attempt is refused, and one that has not waits for the store until its deadline.
+// caller that has time for another attempt is refused, and one that has not waits for half of its time.
 func (i *Intaker) Accept(ctx context.Context, job specifier.Job) error {
 	value, err := json.Marshal(job)
 	if err != nil {
@@ -117,14 +119,16 @@
 // await waits until a submission is stored or refused. It withdraws one that was not sent yet when the store does not serve
 // this instance and its caller can come back, or when the caller's time ends.
 func (i *Intaker) await(ctx context.Context, s *submission) error {
-	checks := time.NewTicker(suspectAfter)
+	checks := time.NewTicker(checkInterval)
 	defer checks.Stop()
+	patienceEnd := time.Now().Add(time.Until(s.deadline) / 2)
 	for {
 		select {
 		case err := <-s.done:
 			return err
 		case <-checks.C:
-			if !i.Reachable() && time.Until(s.deadline) > lastAttemptTime && s.withdraw() {
+			canReturn := time.Until(s.deadline) > lastAttemptTime || time.Now().After(patienceEnd)
+			if !i.Reachable() && canReturn && s.withdraw() {
 				return i.refusal(s.job.ID, s.deadline)
 			}
 		case <-ctx.Done():
