Let the shards of a cell grow with its size

Change: the number of shards grows with the power 2/3 of the servers for each processor: 2 shards at 350 servers as before, 3 instead of 6 at 1,100. Weighed: the same number of servers for each processor in all cells (440 instead of 220).

--- a/sharder/shard.go
+++ b/sharder/shard.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// serversPerProcessor is the number of backend servers that one owner serves with a whole processor. It is a compromise:
-	// owners of 88 servers with 0.8 of a core kept up with their load best, but advice admits a third of a shard's servers, and
-	// gangs of up to 120 tasks with two on a server did not fit into 88 servers; they fit into 175.
+	// serversPerProcessor is the number of backend servers that one owner serves with a whole processor in a small cell.
 	serversPerProcessor = 220
+	// shardGrowth is the power of the cell's size with which the number of shards grows. The shards grow, too, because gangs are
+	// wider in larger cells and advice admits only a part of a shard's servers to each of them.
+	shardGrowth = 2.0 / 3
 	// defaultProcessors is assumed for an instance whose number of processors is unknown.
 	defaultProcessors = 0.8
 	// maxShards bounds the number of shards, because each needs its own port for calls between instances.
@@ -34,7 +35,8 @@
 	if processors <= 0 {
 		processors = defaultProcessors
 	}
-	return min(max(1, int(math.Round(float64(servers)/(serversPerProcessor*processors)))), maxShards)
+	needed := math.Pow(float64(servers)/(serversPerProcessor*processors), shardGrowth)
+	return min(max(1, int(math.Round(needed))), maxShards)
 }
 
 // Prefix returns the prefix of the shard's keys. The only shard of a cell has no index in its prefix.
