Lend idle servers beside a step that waits for tickets

Change: only a step that would not fit if advice admitted it to all servers keeps a shard from lending idle ones. Servers to which advice has admitted a waiting step of the shard are kept. Result: TestIdleServersAreLentBesideStepThatWaitsForAdvice fails before (no server is lent) and passes now.

--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -140,14 +140,9 @@
 	})
 }
 
-// isIdle reports whether the shard needs few of the service's servers: no step waits for longer than advice takes, and less
-// than idlePercent of their capacity is in use.
+// isIdle reports whether the shard needs few of the service's servers: less than idlePercent of their capacity is in use, and
+// no step waits for capacity for longer than advice takes. A step that would fit waits for tickets.
 func (c *Conductor) isIdle(now time.Time, service string) bool {
-	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) {
-			return false
-		}
-	}
 	var servers []*session
 	for _, s := range c.sessions {
 		if s.server.Service == service && s.available(now) {
@@ -155,7 +150,27 @@
 		}
 	}
 	cores, memory := percentInUse(servers)
-	return max(cores, memory) < idlePercent
+	if max(cores, memory) >= idlePercent {
+		return false
+	}
+	for _, w := range c.waitingSteps {
+		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), servers) {
+			return false
+		}
+	}
+	return true
+}
+
+// isAdmitted reports whether advice has admitted a waiting step of this shard to the server.
+func (c *Conductor) isAdmitted(s *session) bool {
+	for _, w := range c.waitingSteps {
+		if adv := w.job.advice[w.step.ID]; adv != nil {
+			if _, granted := adv.granted[s.id]; granted {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // choose chooses servers for a wish until they and those on their way fit the wanted tasks. Idle servers come first, then
@@ -165,7 +180,7 @@
 	var candidates []*session
 	for _, s := range c.sessions {
 		// Servers that are held for a step of this shard are not lent.
-		if s.holder != nil || w.IdleOnly && len(s.allocations) > 0 {
+		if s.holder != nil || w.IdleOnly && (len(s.allocations) > 0 || c.isAdmitted(s)) {
 			continue
 		}
 		if s.usable(now) && !w.refused[s.server.ID] && w.fitsEmpty(s.server) > 0 && !c.runsForGood(s) {
--- a/conductor/lend_test.go
+++ b/conductor/lend_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -168,3 +169,44 @@
 	require.Len(t, moves, 1)
 	require.Equal(t, []conductor.Transfer{{Server: "i-1", Shard: 0, Home: 0}}, moves[0].To)
 }
+
+// TestIdleServersAreLentBesideStepThatWaitsForAdvice guards against a shard with idle servers that lends none to one with a
+// backlog, because one of its own steps waits for tickets and not for capacity.
+func TestIdleServersAreLentBesideStepThatWaitsForAdvice(t *testing.T) {
+	o := newShardOwner()
+	var servers []specifier.Server
+	for i := range 8 {
+		server := serverAt("1")
+		server.ID, server.Address = specifier.ServerID(fmt.Sprintf("h-%d", i)), fmt.Sprintf("h-%d", i)
+		servers = append(servers, server)
+	}
+	for range 2 {
+		o.Handle(o.now, conductor.ServersListed{Servers: servers})
+		o.planFor(100 * time.Millisecond)
+	}
+	queue := specifier.Queue{
+		Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second,
+		Advice: specifier.AdviceCost{Needed: true, Fixed: 50 * time.Millisecond, PerServer: time.Millisecond},
+	}
+	o.Handle(o.now, conductor.AdvisorsChanged{Advisors: []string{"a"}})
+	o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+		ID: "0000000000000001", AcceptedAt: o.now, Queue: queue,
+		Steps: []specifier.Step{{Count: 3, Gang: true, Need: specifier.Resources{MilliCores: 60000}, Estimate: time.Second}},
+	}})
+	advise := commandsOf[conductor.Advise](o.planFor(time.Second))
+	require.NotEmpty(t, advise)
+	o.Handle(o.now, conductor.Advised{
+		Step: advise[0].Step, Advisor: "a", Servers: advise[0].Servers[:2], ValidUntil: o.now.Add(time.Minute),
+		Grants: []specifier.Grant{{Server: "h-1", Ticket: "t"}},
+	})
+	o.planFor(time.Second)
+	o.Handle(o.now, conductor.ServersWanted{
+		Shard: 0, Epoch: 110, Service: "s", Need: specifier.Resources{MilliCores: 60000}, Tasks: 4, ReadRevision: lendEpoch, IdleOnly: true,
+	})
+	moves := commandsOf[conductor.Move](o.planFor(200 * time.Millisecond))
+	require.Len(t, moves, 1)
+	require.Len(t, moves[0].To, 4)
+	for _, transfer := range moves[0].To {
+		require.NotEqual(t, specifier.ServerID("h-1"), transfer.Server, "the step that waits is admitted to it")
+	}
+}
