--- a/sharder/shard.go
+++ b/sharder/shard.go
@@ -15,7 +15,7 @@
 	serversPerProcessor = 220
 	// shardGrowth is the power of the cell's size with which the number of shards grows. The shards grow, too, because gangs are
 	// wider in larger cells and advice admits only a part of a shard's servers to each of them.
-	shardGrowth = 2.0 / 3
+	shardGrowth = 0.75
 	// defaultProcessors is assumed for an instance whose number of processors is unknown.
 	defaultProcessors = 0.8
 	// maxShards bounds the number of shards, because each needs its own port for calls between instances.
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -77,7 +77,7 @@
 }
 
 // cellProcessors is the number of processors of an instance: 300 servers form two shards, and 480 three.
-const cellProcessors = 0.4
+const cellProcessors = 0.5
 
 func (c *cell) builder(instance int) sharder.Build {
 	return func(shard sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
@@ -299,11 +299,11 @@
 		{120, 0.4, 1},
 		{162, 0.4, 2},
 		{350, 0.8, 2},
-		{600, 0.8, 2},
-		{1100, 0.8, 3},
+		{600, 0.8, 3},
+		{1100, 0.8, 4},
 		{120, 0, 1},
 		{350, 0, 2},
-		{1000, 0, 3},
+		{1000, 0, 4},
 		{11_000, 0.8, 8},
 		{350, 4, 1},
 	}
