Review case 5: one job with 600 steps hangs the owner

Rule: LOST ("for 3 s, a job has nothing running while a task's turn has come"; tasks that last). Disruption: large jobs come at once (burst): one job of 600 steps with one task each.

It replaces the job with 10,000 due occurrences, which has the same cause.

--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command 5 hands in one scheduled job, thousands of whose occurrences are due already, and then small jobs.
+// Command 5 hands in one job with hundreds of steps, and then small jobs.
 package main
 
 import (
@@ -11,11 +11,11 @@
 )
 
 const (
-	lastingJob   = "7e2a9c43fb6d5000"
-	scheduledJob = "5c0e7a21d94b36f8"
-	smallJobs    = 10
-	// occurrences of the scheduled job are one second apart.
-	occurrences = 10_000
+	lastingJob = "7e2a9c43fb6d5000"
+	largeJob   = "5c0e7a21d94b36f8"
+	smallJobs  = 10
+	// tasks are those of the large job: one in each step, or all in one step.
+	tasks = 600
 	// finish is finish_s of the bounds, and lapse the time in which a job must have something running.
 	finish = 14 * time.Second
 	lapse  = 3 * time.Second
@@ -41,14 +41,15 @@
 		c.Record("the lasting task does not run")
 		c.Exit(standin.CannotRun)
 	}
-	first := time.Now()
+	large := standin.Job{Spec: "season reconciliation"}
 	if c.Trouble {
-		first = first.Add(-occurrences * time.Second)
+		for range tasks {
+			large.Steps = append(large.Steps, step(1))
+		}
+	} else {
+		large.Steps = []standin.Step{step(tasks)}
 	}
-	submit(c, scheduledJob, standin.Job{
-		Spec: "nightly merge", Steps: []standin.Step{{Count: 1, CPU: 100, Memory: 64, Estimated: 1000}},
-		First: first.UnixMilli(), Interval: 1000, Repeat: occurrences,
-	})
+	submit(c, largeJob, large)
 	time.Sleep(time.Second)
 	for n := range smallJobs {
 		submit(c, small(n), standin.Job{
@@ -71,14 +72,19 @@
 			lapsed++
 		}
 	}
-	c.Record("%d of %d small jobs have had no run; the scheduled job has had %d runs; %d runs of the lasting task have lapsed",
-		lost, smallJobs, len(c.RunsOf(scheduledJob)), lapsed)
+	c.Record("%d of %d small jobs have had no run; the large job has had %d runs; %d runs of the lasting task have lapsed",
+		lost, smallJobs, len(c.RunsOf(largeJob)), lapsed)
 	if lost > 0 {
 		c.Exit(standin.Broken)
 	}
 	c.Exit(standin.Held)
 }
 
+// step returns a step that needs no other one.
+func step(count int) standin.Step {
+	return standin.Step{Count: count, CPU: 500, Memory: 64, Estimated: 1000}
+}
+
 func small(n int) string { return fmt.Sprintf("6d1f8b32ea5c4%03x", n) }
 
 func submit(c *standin.Cell, id string, job standin.Job) {
--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -378,6 +378,7 @@
 	Memory      int64 `json:"mem_mb"`
 	Estimated   int64 `json:"estimated_ms"`
 	LongRunning bool  `json:"long_running,omitempty"`
+	After       []int `json:"after,omitempty"`
 }
 
 // call sends a request of a client to an instance and records it.
