Review case 3: the script cuts workers off instead of crashing them

Rule: LOST ("shown as failed without cause (only ends failed count as attempts)"). Disruption: workers are cut off and run on (node_cut), 5.5 s, soon after two starts of a lasting task.

The users' news allow it to give up a task under which two workers have crashed, so the script with crashes was no fair case. Cuts end no worker.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command 3 crashes the worker of a lasting task soon after two of its starts.
+// Command 3 cuts the worker of a lasting task off soon after two of its starts. The workers run on.
 package main
 
 import (
@@ -11,12 +11,13 @@
 
 const (
 	job = "5c0e7a21d94b36f8"
-	// crashes is the number of crashes, each of one of 48 workers.
-	crashes = 2
-	// crashAfter is the time from the start of the task to the crash, and downTime how long the worker is down.
-	crashAfter = 300 * time.Millisecond
-	downTime   = time.Second
-	// watched is how long the job is watched after the last crash.
+	// cuts is the number of cuts, each of one of 48 workers.
+	cuts = 2
+	// cutAfter is the time from the start of the task to the cut, and cutTime how long it lasts: for_s of node_cut in the site
+	// file.
+	cutAfter = 300 * time.Millisecond
+	cutTime  = 5500 * time.Millisecond
+	// watched is how long the job is watched after the last cut.
 	watched = 30 * time.Second
 )
 
@@ -35,7 +36,7 @@
 	}) {
 		c.Exit(standin.CannotRun)
 	}
-	for range crashes {
+	for range cuts {
 		var w *standin.Worker
 		select {
 		case w = <-starts:
@@ -46,15 +47,11 @@
 		if !c.Trouble {
 			break
 		}
-		time.Sleep(crashAfter)
-		w.Crash()
-		time.Sleep(downTime)
-		if err := w.Start(); err != nil {
-			c.Record("worker %s does not start again: %v", w.ID, err)
-			c.Exit(standin.CannotRun)
-		}
-		c.Record("worker %s is back", w.ID)
+		time.Sleep(cutAfter)
+		w.SetCut(true)
+		time.AfterFunc(cutTime, func() { w.SetCut(false) })
 	}
+	time.Sleep(cutTime)
 	failed, lastState := false, ""
 	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(2 * time.Second) {
 		lastState = c.State(job)
@@ -73,7 +70,7 @@
 	c.Record("%d runs, %d of them ended failed; last state %q; a run is at work: %t", len(c.RunsOf(job)), failedEnds, lastState,
 		running)
 	if failed || !running {
-		c.Record("LOST: the job is shown as failed, or its task does not run %s after the last crash", watched)
+		c.Record("LOST: the job is shown as failed, or its task does not run %s after the last cut", watched)
 		c.Exit(standin.Broken)
 	}
 	c.Exit(standin.Held)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -55,6 +55,7 @@
 	listener net.Listener
 	server   *http.Server
 	up       bool
+	cut      bool
 	life     int
 	born     time.Time
 	fence    int64
@@ -108,6 +109,25 @@
 	w.Cell.Record("worker %s crashes", w.ID)
 }
 
+// SetCut begins or ends a cut: the worker runs on, but no call reaches it, none of its answers arrives, and it can't write to the
+// store.
+func (w *Worker) SetCut(cut bool) {
+	w.mu.Lock()
+	w.cut = cut
+	w.mu.Unlock()
+	if cut {
+		w.Cell.Record("worker %s is cut off", w.ID)
+	} else {
+		w.Cell.Record("worker %s can be reached again", w.ID)
+	}
+}
+
+func (w *Worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
 // live registers the worker and ends its runs when its lease lapses, for one life.
 func (w *Worker) live(life int) {
 	var written time.Time
@@ -124,7 +144,7 @@
 			}
 		}
 		var entry map[string]any
-		if time.Since(written) >= heartbeat {
+		if time.Since(written) >= heartbeat && !w.cut {
 			w.sequence++
 			entry = map[string]any{
 				"service": w.Cell.Service, "address": w.address, "zone": w.Zone, "version": "v1", "slots": 8,
@@ -171,6 +191,10 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+	if w.isCut() {
+		<-in.Context().Done()
+		return
+	}
 	if in.URL.Path == "/health" {
 		out.Header().Set("X-Instance-Id", w.ID)
 		return
@@ -293,6 +317,11 @@
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	if w.cut {
+		w.mu.Unlock()
+		<-in.Context().Done()
+		return
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
 		running = append(running, []any{r.Task, r.Number, "", 100, 0})
