Review: keep the scripts' sources in test files of one folder

The test of the README's diagram lists the packages of all Go files that are no test files, whatever their build tag, and failed with review/standin. The scripts are built by go test -c; their logic is unchanged.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for main in review/*/main.go; do
-	folder=$(dirname "$main")
-	go build -tags review -o "target/review/$(basename "$folder")" "./$folder"
-done
+go test -c -tags review -o target/review/scripts ./review/scripts
--- a/review/3/main.go
+++ b/review/scripts/case3_test.go
@@ -1,16 +1,13 @@
 //go:build review
 
-// Command 3 cuts the worker of a lasting task off soon after two of its starts. The workers run on.
-package main
+// Case 3 cuts the worker of a lasting task off soon after two of its starts. The workers run on.
+package scripts
 
 import (
 	"time"
-
-	"egretring.example/egretring/review/standin"
 )
 
 const (
-	job = "5c0e7a21d94b36f8"
 	// cuts is the number of cuts, each of one of 48 workers.
 	cuts = 2
 	// cutAfter is the time from the start of the task to the cut, and cutTime how long it lasts: for_s of node_cut in the site
@@ -21,28 +18,28 @@
 	watched = 30 * time.Second
 )
 
-func main() {
-	starts := make(chan *standin.Worker, 100)
-	c, ok := standin.NewCell(standin.Options{
+func case3() {
+	starts := make(chan *Worker, 100)
+	c, ok := NewCell(Options{
 		Folder: "review/3", Instances: 7, Workers: 48,
-		Work:    func(*standin.Run) (time.Duration, string) { return 0, "" },
-		OnStart: func(w *standin.Worker, _ *standin.Run) { starts <- w },
+		Work:    func(*Run) (time.Duration, string) { return 0, "" },
+		OnStart: func(w *Worker, _ *Run) { starts <- w },
 	})
 	if !ok {
-		c.Exit(standin.CannotRun)
+		c.Exit(CannotRun)
 	}
-	if !c.Submit(job, standin.Job{
-		Spec: "dispatch desk", Steps: []standin.Step{{Count: 1, CPU: 4000, Memory: 4096, Estimated: 30000, LongRunning: true}},
+	if !c.Submit(job, Job{
+		Spec: "dispatch desk", Steps: []Step{{Count: 1, CPU: 4000, Memory: 4096, Estimated: 30000, LongRunning: true}},
 	}) {
-		c.Exit(standin.CannotRun)
+		c.Exit(CannotRun)
 	}
 	for range cuts {
-		var w *standin.Worker
+		var w *Worker
 		select {
 		case w = <-starts:
 		case <-time.After(20 * time.Second):
 			c.Record("the task does not run")
-			c.Exit(standin.CannotRun)
+			c.Exit(CannotRun)
 		}
 		if !c.Trouble {
 			break
@@ -71,7 +68,7 @@
 		running)
 	if failed || !running {
 		c.Record("LOST: the job is shown as failed, or its task does not run %s after the last cut", watched)
-		c.Exit(standin.Broken)
+		c.Exit(Broken)
 	}
-	c.Exit(standin.Held)
+	c.Exit(Held)
 }
--- a/review/4/main.go
+++ b/review/scripts/case4_test.go
@@ -1,13 +1,11 @@
 //go:build review
 
-// Command 4 hands in four large jobs within a second, and then small ones.
-package main
+// Case 4 hands in four large jobs within a second, and then small ones.
+package scripts
 
 import (
 	"fmt"
 	"time"
-
-	"egretring.example/egretring/review/standin"
 )
 
 const (
@@ -16,40 +14,36 @@
 	largeTasks = 13_000
 	calmTasks  = 500
 	largeGap   = 200 * time.Millisecond
-	smallJobs  = 10
-	// finish is finish_s of the bounds, and lapse the time in which a job must have something running.
-	finish = 14 * time.Second
-	lapse  = 3 * time.Second
 )
 
-func main() {
-	c, ok := standin.NewCell(standin.Options{
+func case4() {
+	c, ok := NewCell(Options{
 		Folder: "review/4", Instances: 7, Workers: 48,
-		Work: func(*standin.Run) (time.Duration, string) { return time.Second, "done" },
+		Work: func(*Run) (time.Duration, string) { return time.Second, "done" },
 	})
 	if !ok {
-		c.Exit(standin.CannotRun)
+		c.Exit(CannotRun)
 	}
 	tasks := calmTasks
 	if c.Trouble {
 		tasks = largeTasks
 	}
 	for n := range largeJobs {
-		if !c.Submit(large(n), standin.Job{
-			Spec: "season reconciliation", Steps: []standin.Step{{Count: tasks, CPU: 50, Memory: 32, Estimated: 1000}},
+		if !c.Submit(large(n), Job{
+			Spec: "season reconciliation", Steps: []Step{{Count: tasks, CPU: 50, Memory: 32, Estimated: 1000}},
 		}) {
 			c.Record("large job %d was not accepted", n)
-			c.Exit(standin.CannotRun)
+			c.Exit(CannotRun)
 		}
 		time.Sleep(largeGap)
 	}
 	time.Sleep(time.Second)
 	for n := range smallJobs {
-		if !c.Submit(small(n), standin.Job{
-			Spec: "chair count", Steps: []standin.Step{{Count: 1, CPU: 1000, Memory: 256, Estimated: 1000}},
+		if !c.Submit(small(n), Job{
+			Spec: "chair count", Steps: []Step{{Count: 1, CPU: 1000, Memory: 256, Estimated: 1000}},
 		}) {
 			c.Record("small job %d was not accepted", n)
-			c.Exit(standin.CannotRun)
+			c.Exit(CannotRun)
 		}
 	}
 	time.Sleep(finish + lapse)
@@ -63,15 +57,13 @@
 	}
 	c.Record("%d of %d accepted jobs have had no run; the store refused %v", lost, largeJobs+smallJobs, c.Store.Refused())
 	if lost > 0 {
-		c.Exit(standin.Broken)
+		c.Exit(Broken)
 	}
-	c.Exit(standin.Held)
+	c.Exit(Held)
 }
 
 func large(n int) string { return fmt.Sprintf("5c0e7a21d94b3%03x", n) }
 
-func small(n int) string { return fmt.Sprintf("6d1f8b32ea5c4%03x", n) }
-
 func allJobs() []string {
 	var ids []string
 	for n := range largeJobs {
--- a/review/standin/cell.go
+++ b/review/scripts/cell_test.go
@@ -1,8 +1,9 @@
 //go:build review
 
-// Package standin has the stand-ins of the review: the platform's store, workers and clients, and a cell of the project's own
-// processes, which are started with the command of deploy/system.toml and settings from its template.
-package standin
+// Package scripts plays the cases of the review that are scripts. It has stand-ins for the platform's store, workers and clients,
+// and starts the project's own processes with the command of deploy/system.toml and settings from its template. All of its files
+// are test files, so that they are no package of the module.
+package scripts
 
 import (
 	"bytes"
--- a/review/standin/store.go
+++ b/review/scripts/store_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package standin
+package scripts
 
 import (
 	"encoding/json"
