Start jobs whatever the clock of the instance that accepted them

Cause: a job without a schedule was due at AcceptedAt, a time on the clock of the accepting instance, which the owner compared with its own clock once, at the job's arrival. A lead of that clock over the owner's longer than the hand-over of the job was enough.

Evidence: the lines of the two jobs in the issue give the arrival of the request 6.3 ms after JobTaken; no StepWaits follows.

Change: such a job may begin immediately. The owner bounds the time of acceptance by its own clock: not after the arrival, not long before a read of the store that did not list the job. Restored jobs in a final state are retained from their restoration on.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -108,7 +108,7 @@
 func (c *Conductor) Handle(now time.Time, event Event) {
 	switch e := event.(type) {
 	case JobArrived:
-		c.jobArrived(now, e.Job)
+		c.jobArrived(now, e)
 	case JobCancelled:
 		c.cancel(now, e.Job)
 	case CommitEnded:
@@ -178,8 +178,10 @@
 
 // Restore adds a job whose progress was read from the store.
 func (c *Conductor) Restore(now time.Time, restored *lifecycler.Job) {
+	restored.Spec = restored.Spec.WithAcceptedAt(acceptedAt(now, JobArrived{Job: restored.Spec}))
 	j := c.addJob(restored)
 	if j.State().Final() {
+		j.retainedSince = now
 		return
 	}
 	c.restoreAllocations(j)
@@ -192,13 +194,14 @@
 	j := &job{Job: restored, queue: restored.Spec.Queue, advice: make(map[specifier.StepID]*advice)}
 	j.updateQueue(&c.configuration)
 	c.jobs[restored.Spec.ID] = j
-	if restored.Spec.Occurrences > 0 && !restored.State().Final() {
+	if restored.Spec.Scheduled() && !restored.State().Final() {
 		c.scheduled[restored.Spec.ID] = j
 	}
 	return j
 }
 
-func (c *Conductor) jobArrived(now time.Time, spec specifier.Job) {
+func (c *Conductor) jobArrived(now time.Time, e JobArrived) {
+	spec := e.Job.WithAcceptedAt(acceptedAt(now, e))
 	if c.jobs[spec.ID] != nil {
 		return
 	}
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -10,7 +10,11 @@
 type Event interface{ event() }
 
 // JobArrived reports an accepted job from the store.
-type JobArrived struct{ Job specifier.Job }
+type JobArrived struct {
+	Job specifier.Job
+	// StoredAfter is a time on the owner's clock at which the job was not in the store yet; zero if none is known.
+	StoredAfter time.Time
+}
 
 // JobCancelled reports a stored cancellation.
 type JobCancelled struct{ Job specifier.JobID }
--- a/conductor/expire.go
+++ b/conductor/expire.go
@@ -18,7 +18,7 @@
 			break
 		}
 		committed := !j.dirty && !j.inFlight && j.Committed() >= j.Version()
-		if j.State().Final() && committed && !j.deleting && now.Sub(j.FinalAt()) > c.settings.finalRetention {
+		if j.State().Final() && committed && !j.deleting && now.Sub(j.finalSince()) > c.settings.finalRetention {
 			j.deleting = true
 			old = append(old, id)
 		}
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"time"
+
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -21,6 +23,8 @@
 	avoid map[specifier.ServerID]bool
 	// trial is where the last suspect of the job was placed; nil if there was none.
 	trial *session
+	// retainedSince is when this owner restored a job in a final state; zero for other jobs.
+	retainedSince time.Time
 }
 
 type reservation struct {
@@ -35,6 +39,15 @@
 	}
 }
 
+// finalSince returns from when on the final state has to be retained. A restored job reached it on the clock of another
+// instance, with which this one's cannot be compared.
+func (j *job) finalSince() time.Time {
+	if !j.retainedSince.IsZero() {
+		return j.retainedSince
+	}
+	return j.FinalAt()
+}
+
 // inGang reports whether a task belongs to a gang.
 func (j *job) inGang(task specifier.TaskID) bool {
 	return task.Step < len(j.Spec.Steps) && j.Spec.Steps[task.Step].Gang
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -43,6 +43,7 @@
 	network   *tester.Network
 	instances []*coordinator.Coordinator
 	stores    []*faultyStore
+	clocks    []*shiftedClock
 	servers   *fakeServers
 	mu        sync.Mutex
 	current   specifier.Configuration
@@ -65,11 +66,13 @@
 		}
 		store := &faultyStore{TransactionalStore: c.store}
 		c.stores = append(c.stores, store)
+		clock := &shiftedClock{}
+		c.clocks = append(c.clocks, clock)
 		instance, err := coordinator.New(c.network.Listen(name),
 			coordinator.WithStore(store), coordinator.WithBackendServers(c.servers),
 			coordinator.WithDirectory(&directory{cell: c, store: store}),
 			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.Dial),
-			coordinator.WithProcessors(share), coordinator.WithConductor(conductor.WithFinalStateRetention(finalStateRetention)),
+			coordinator.WithProcessors(share), coordinator.WithClock(clock), coordinator.WithConductor(conductor.WithFinalStateRetention(finalStateRetention)),
 			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 		require.NoError(t, err)
 		instance.Start()
@@ -90,6 +93,14 @@
 	time.Sleep(time.Minute)
 }
 
+// shiftedClock is the clock of an instance; it is ahead of the true time by a number of nanoseconds.
+type shiftedClock struct{ ahead atomic.Int64 }
+
+// Now implements timekeeper.Clock.
+func (c *shiftedClock) Now() time.Time {
+	return time.Now().Add(time.Duration(c.ahead.Load()))
+}
+
 // faultyStore is the store as one instance reaches it. Its transactions and reads are refused while refusing is set,
 // and get no response while unresponsive is set.
 type faultyStore struct {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -44,6 +44,23 @@
 	})
 }
 
+// TestClocksOfInstancesDiffer guards against jobs that do not start in time because the clock of the instance that accepted them
+// is ahead of the owner's, or behind it.
+func TestClocksOfInstancesDiffer(t *testing.T) {
+	for _, ahead := range []time.Duration{20 * time.Millisecond, time.Hour, -time.Hour} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			runWithCell(t, 2, func(t *testing.T, c *cell) {
+				c.clocks[1].ahead.Store(int64(ahead))
+				require.NoError(t, c.submit(1, "a"))
+				require.NoError(t, c.submit(0, "b"))
+				time.Sleep(3 * runTime)
+				require.Equal(t, specifier.Completed, c.state(0, "a"))
+				require.Equal(t, specifier.Completed, c.state(0, "b"))
+			})
+		})
+	}
+}
+
 // TestJobsSurviveOwnerHandover guards against jobs that are lost, or start twice, when the owner hands over while they
 // run.
 func TestJobsSurviveOwnerHandover(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -25,7 +25,10 @@
 	memberAddresses map[string]string
 	done            <-chan struct{}
 	commitTimeout   keeper.AdaptiveTimeout
-	intakeRevision  int64
+	// intakeRevision is the store's revision of the last list of submissions. What is in the store since a read after
+	// intakeReadAt was not there before.
+	intakeRevision int64
+	intakeReadAt   time.Time
 	// recovered are the servers and transfers that were read after the election.
 	recovered conductor.ServersListed
 	delay     maxDelay
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -31,11 +31,12 @@
 	if err != nil {
 		return err
 	}
+	listedAt := o.settings.clock.Now()
 	intake, err := o.settings.store.List(ctx, intaker.Prefix)
 	if err != nil {
 		return errors.Wrap(err, "list submitted jobs")
 	}
-	o.intakeRevision = intake.Revision
+	o.intakeRevision, o.intakeReadAt = intake.Revision, listedAt
 	servers, err := o.settings.directory.Servers(ctx)
 	if err != nil {
 		return errors.Wrap(err, "list backend servers")
@@ -124,6 +125,7 @@
 func (o *owner) watchIntake(ctx context.Context) {
 	after := o.intakeRevision
 	for ctx.Err() == nil {
+		sentAt := o.settings.clock.Now()
 		changes, err := o.settings.store.Watch(ctx, keeper.WatchOptions{
 			Prefix: intaker.Prefix, AfterRevision: after, Wait: intakeWait,
 		})
@@ -145,13 +147,14 @@
 				o.take(change.Entry)
 			}
 		}
-		after = max(after, changes.Revision)
+		after, o.intakeReadAt = max(after, changes.Revision), sentAt
 		timekeeper.Sleep(ctx, intakePause)
 	}
 }
 
 // relist lists all submissions and cancellations, and returns the revision after which to continue watching.
 func (o *owner) relist(ctx context.Context, after int64) int64 {
+	listedAt := o.settings.clock.Now()
 	page, err := o.settings.store.List(ctx, intaker.Prefix)
 	if err != nil {
 		timekeeper.Sleep(ctx, retryInterval)
@@ -162,7 +165,7 @@
 			o.take(entry)
 		}
 	}
-	o.intakeRevision = page.Revision
+	o.intakeRevision, o.intakeReadAt = page.Revision, listedAt
 	return page.Revision
 }
 
@@ -176,7 +179,7 @@
 			o.settings.logger.Error("failed to decode submitted job", "Job", id, "Error", err.Error())
 			return
 		}
-		o.post(conductor.JobArrived{Job: spec})
+		o.post(conductor.JobArrived{Job: spec, StoredAfter: o.intakeReadAt})
 	case intaker.Cancellation:
 		o.post(conductor.JobCancelled{Job: id})
 	}
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -77,15 +77,20 @@
 	}
 }
 
-// NextDue returns when the next occurrence may begin.
+// NextDue returns when the next occurrence may begin; the zero time means immediately.
 func (j *Job) NextDue() (time.Time, bool) {
-	if j.state.Final() || j.nextOccurrence >= j.Spec.OccurrenceCount() {
+	switch {
+	case j.state.Final() || j.nextOccurrence >= j.Spec.OccurrenceCount():
 		return time.Time{}, false
+	case !j.Spec.Scheduled():
+		return time.Time{}, true
+	default:
+		return j.Spec.DueAt(j.nextOccurrence), true
 	}
-	return j.Spec.DueAt(j.nextOccurrence), true
 }
 
-// BeginDue begins all occurrences that are due.
+// BeginDue begins all occurrences that are due. That of a job without a schedule always is, whatever the clock of the instance
+// that accepted the job.
 func (j *Job) BeginDue(now time.Time) {
 	for {
 		due, ok := j.NextDue()
--- a/specifier/job.go
+++ b/specifier/job.go
@@ -47,8 +47,10 @@
 	// Queue is the queue at the time of submission.
 	Queue Queue
 	// Spec is passed on to the tasks unchanged.
-	Spec       string
-	Steps      []Step
+	Spec  string
+	Steps []Step
+	// AcceptedAt is a time on the clock of the instance that accepted the job. Other instances compare it with their own clocks
+	// only within the bounds that they know for it.
 	AcceptedAt time.Time
 	// Occurrences is the number of times that the steps run on a schedule; zero means once and immediately. The first
 	// occurrence is due at First, and each later one an Interval after the one before.
@@ -62,14 +64,25 @@
 	return max(j.Occurrences, 1)
 }
 
-// DueAt returns the earliest time at which an occurrence may start.
+// Scheduled reports whether the steps run on a schedule. Without one they may start immediately.
+func (j Job) Scheduled() bool {
+	return j.Occurrences > 0
+}
+
+// DueAt returns when an occurrence is due: on the schedule, or when the job was accepted.
 func (j Job) DueAt(occurrence int) time.Time {
-	if j.Occurrences == 0 {
+	if !j.Scheduled() {
 		return j.AcceptedAt
 	}
 	return j.First.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// WithAcceptedAt returns the job with another time of acceptance.
+func (j Job) WithAcceptedAt(at time.Time) Job {
+	j.AcceptedAt = at
+	return j
+}
+
 // JobState is the state of a job as callers see it.
 type JobState int
 
