Do not take unreachable servers for crashed ones

Cause: the end of the lease of a silent server counted as a crash under its runs. What became known later, the same incarnation responding, was not looked at.

Change: such a loss is doubtful. It makes the task a suspect and is settled by its address: a later incarnation there confirms the crash, a response of the same one withdraws it, also at a later owner. Only crashes that are certain count. Starts of a suspect with several doubtful losses are delayed. Servers that leave after draining have not crashed.

Tests: each case of TestUnreachableServersAreNoCrashes fails on: tasks that last, with an end, gangs, losses of any age, loss of the owner and an outage of the store meanwhile. TestCrashingTaskIsGivenUp has three cases with servers that come back under new IDs.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -39,6 +39,9 @@
 	dirty         []*job
 	advisors      adviser.Pool
 
+	// doubts are the doubtful crashes by the address of the server.
+	doubts map[string][]doubt
+
 	commands []Command
 	// cancelledEarly are the jobs whose cancellation was read before the job itself.
 	cancelledEarly map[specifier.JobID]bool
@@ -82,6 +85,7 @@
 		lastFences:   make(map[specifier.ServerID]int64),
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
+		doubts:       make(map[string][]doubt),
 
 		cancelledEarly: make(map[specifier.JobID]bool),
 		holds:          make(map[string]*hold),
@@ -120,6 +124,7 @@
 	case ServersListed:
 		c.applyTransfers(now, e.Transfers)
 		c.updateServers(now, c.heldServers(e.Servers))
+		c.noteIncarnations(now, e.Servers)
 	case Configured:
 		c.applyConfiguration(e.Configuration)
 	case AdvisorsChanged:
@@ -185,6 +190,7 @@
 		return
 	}
 	c.restoreAllocations(j)
+	c.restoreDoubts(now, j)
 	j.BeginDue(now)
 	c.refresh(j)
 	c.logDecision("JobRestored", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "")
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -20,6 +20,11 @@
 	survivalTime = 30 * time.Second
 	// claimTime is how long a server gets no new runs for a suspect that waits for it to be quiet, unless the claim is renewed.
 	claimTime = 200 * time.Millisecond
+	// freeDoubtfulCrashes is how many servers may be lost under a task before its next start is delayed, by suspectDelay at first
+	// and by at most maxSuspectDelay.
+	freeDoubtfulCrashes = 2
+	suspectDelay        = 5 * time.Second
+	maxSuspectDelay     = 5 * time.Minute
 	// gangTrialPatience is how long a gang with suspects waits for enough quiet servers.
 	gangTrialPatience = 1500 * time.Millisecond
 )
@@ -64,21 +69,56 @@
 	}
 }
 
-// recordCrash records a crash of the server under a run, and gives up the job of a task under which servers crash again and
-// again.
+// recordCrash records that the server has certainly crashed under a run.
 func (c *Conductor) recordCrash(now time.Time, s *session, a *allocation) {
+	c.record(now, s, a, lifecycler.Crash{Run: a.run, Caused: a.mayHaveCrashed, Alone: a.alone})
+}
+
+// recordLoss records that the server does not respond: it may have crashed under a run, or may be unreachable.
+func (c *Conductor) recordLoss(now time.Time, s *session, a *allocation) {
+	incarnation := cmp.Or(a.incarnation, s.server.Incarnation)
+	if s.server.Address == "" || incarnation == 0 {
+		return
+	}
+	c.addDoubt(s.server.Address, doubt{task: a.task, run: a.run, server: s.server.ID, incarnation: incarnation, since: now})
+	c.record(now, s, a, lifecycler.Crash{
+		Run: a.run, Address: s.server.Address, Incarnation: incarnation, Caused: a.mayHaveCrashed, Alone: a.alone,
+	})
+}
+
+// record records a crash, and gives up the job of a task under which servers crash again and again.
+func (c *Conductor) record(now time.Time, s *session, a *allocation, crash lifecycler.Crash) {
 	j := c.jobs[a.task.Job]
 	if j == nil {
 		return
 	}
-	givenUp := j.Crashed(now, a.task, lifecycler.Crash{Run: a.run, Caused: a.mayHaveCrashed, Alone: a.alone})
+	givenUp := j.Crashed(now, a.task, crash)
 	if a.mayHaveCrashed {
-		c.logDecision("TaskSuspected", a.task, a.run, s.server.ID, fmt.Sprintf("the server crashed soon after the start; alone: %t", a.alone))
+		c.logDecision("TaskSuspected", a.task, a.run, s.server.ID,
+			fmt.Sprintf("the server was lost soon after the start; alone: %t, doubtful: %t", a.alone, crash.Doubtful()))
 	}
+	j.postponeSuspects(now, a.task)
 	c.changed(j)
 	if givenUp {
-		c.logDecision("JobGivenUp", a.task, a.run, s.server.ID, fmt.Sprintf("servers crash under the task; run %d was the last", a.run))
-		c.stopAll(now, j)
+		c.giveUp(now, j, a.task, a.run, s.server.ID)
+	}
+}
+
+// giveUp stops the runs of a job that has failed because servers crash under one of its tasks.
+func (c *Conductor) giveUp(now time.Time, j *job, task specifier.TaskID, run int, server specifier.ServerID) {
+	c.logDecision("JobGivenUp", task, run, server, fmt.Sprintf("servers crash under the task; run %d was the last", run))
+	c.stopAll(now, j)
+}
+
+// postponeSuspects delays the next start of the job's suspects when it is not known of several servers whether they have
+// crashed under the task. The delay grows with their number; it ends when one of them responds.
+func (j *job) postponeSuspects(now time.Time, task specifier.TaskID) {
+	step, ok := j.Step(task.StepID)
+	if !ok {
+		return
+	}
+	if extra := step.Tasks[task.Index].DoubtfulCrashes() - freeDoubtfulCrashes; extra > 0 {
+		j.suspectsNotBefore = now.Add(min(suspectDelay<<min(extra-1, 16), maxSuspectDelay))
 	}
 }
 
@@ -86,7 +126,7 @@
 // far as they fit. It reports whether it placed any. A job has one trial at a time, because a crash settles it for all of its
 // suspects.
 func (c *Conductor) placeSuspects(p *pass, w *waitingStep, suspects []int, servers []*session) bool {
-	if len(suspects) == 0 || w.job.hasOpenTrial() {
+	if len(suspects) == 0 || w.job.hasOpenTrial() || p.now.Before(w.job.suspectsNotBefore) {
 		return false
 	}
 	s := w.serverForTrial(servers)
--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -34,6 +34,64 @@
 	})
 }
 
+// cutDelays are the specs of jobs whose first task has its server cut off, with the time after the start.
+var cutDelays = map[string]time.Duration{"cut off": 300 * time.Millisecond, "cut off late": 2 * time.Second}
+
+// cutTime is how long a server is cut off: its lease lapses and its entry in the list expires meanwhile.
+const cutTime = 5500 * time.Millisecond
+
+// scheduleCut cuts the server of a run off after a delay. The server works on.
+func (w *simulation) scheduleCut(r *fakeRun, delay time.Duration) {
+	w.after(delay, func() {
+		r.server.silentUntil = w.now.Add(cutTime)
+		w.after(cutTime-2400*time.Millisecond, func() { r.server.unlistedUntil = r.server.silentUntil })
+	})
+}
+
+// TestUnreachableServersAreNoCrashes guards against jobs that are given up, or tasks that wait, because their servers were cut
+// off several times soon after a start: nothing has crashed.
+func TestUnreachableServersAreNoCrashes(t *testing.T) {
+	for _, s := range tester.ReadCases[struct {
+		script
+		LongRunning bool
+		// CutFor is for how many seconds the servers are cut off.
+		CutFor float64
+		// MinCuts is the least number of runs that are lost by then.
+		MinCuts int
+	}](t, "cuts.hujson") {
+		t.Run(s.Name, func(t *testing.T) {
+			w := newSimulation(t, 1, s.Servers)
+			w.cutUntil = w.start.Add(seconds(s.CutFor))
+			for i, submission := range s.Jobs {
+				job := newJob(i, submission.Job)
+				job.Steps[0].LongRunning = s.LongRunning
+				w.at(w.start.Add(seconds(submission.At)), func() { w.submit(job) })
+			}
+			for _, event := range s.Events {
+				w.schedule(event)
+			}
+			w.runUntil(seconds(s.Until))
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Log(strings.Join(w.decisions, "\n"))
+				}
+			})
+			require.Empty(t, w.violations, s.Guards)
+			require.Greater(t, w.starts, s.MinCuts, "the case has to lose runs")
+			for i, want := range s.Want {
+				require.Equal(t, want, stateNames[w.state(w.submitted[i].ID)], "job %d: %s", i, s.Guards)
+			}
+			if s.LongRunning {
+				running := 0
+				for _, server := range w.servers {
+					running += len(server.runs)
+				}
+				require.Equal(t, s.Jobs[0].Job.Tasks, running, s.Guards)
+			}
+		})
+	}
+}
+
 // TestCrashingTaskIsGivenUp guards against the failure that the Guards field of each case names: a task that crashes server
 // after server, or jobs that are given up although they crash none.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
@@ -45,9 +103,12 @@
 		MinRunning int
 		// LongRunning makes the first job last until it is cancelled.
 		LongRunning bool
+		// Renames makes servers come back under a new ID after a crash.
+		Renames bool
 	}](t, "crashes.hujson") {
 		t.Run(s.Name, func(t *testing.T) {
 			w := newSimulation(t, 1, s.Servers)
+			w.renamesServers = s.Renames
 			for i, submission := range s.Jobs {
 				job := newJob(i, submission.Job)
 				job.Steps[0].LongRunning = i == 0 && s.LongRunning
--- a/conductor/expire.go
+++ b/conductor/expire.go
@@ -12,6 +12,7 @@
 	if !c.expirePass.begin(now) {
 		return
 	}
+	c.dropDoubts()
 	var old []specifier.JobID
 	for id, j := range c.jobs {
 		if len(old) == deleteBatch {
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -243,7 +243,15 @@
 	}
 }
 
-// crash loses all state of the server, which restarts after the given time as a new incarnation with the same ID.
+// replaceServer starts a server under a new ID at the address of one that is down for good.
+func (w *simulation) replaceServer(s *fakeServer) {
+	id := s.server.ID + "x"
+	w.addServer(id)
+	w.servers[id].server.Address = s.server.Address
+}
+
+// crash loses all state of the server, which restarts after the given time as a new incarnation: with the same ID, or with a new
+// one if renamesServers is set.
 func (s *fakeServer) crash(w *simulation, down time.Duration) {
 	for _, r := range s.all() {
 		r.ended = true
@@ -254,6 +262,10 @@
 	s.ended, s.lastEnd, s.fence, s.leaseEnd, s.waiting = nil, 0, 0, 0, nil
 	s.downUntil = w.now.Add(down)
 	w.after(down, func() {
+		if w.renamesServers {
+			w.replaceServer(s)
+			return
+		}
 		s.downUntil = time.Time{}
 		s.startedAt = w.now
 		s.server.Incarnation = w.now.UnixMilli()
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -28,6 +28,9 @@
 	if !slices.ContainsFunc(w.waiting, w.isSuspect) {
 		return w.chooseByRack(servers)
 	}
+	if p.now.Before(w.job.suspectsNotBefore) {
+		return nil
+	}
 	quiet := slices.DeleteFunc(slices.Clone(servers), func(s *session) bool { return !s.outlivedAll() })
 	if chosen := w.chooseByRack(quiet); chosen != nil || !w.hasWaitedFor(p.now, gangTrialPatience) {
 		return chosen
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -23,6 +23,8 @@
 	avoid map[specifier.ServerID]bool
 	// trial is where the last suspect of the job was placed; nil if there was none.
 	trial *session
+	// suspectsNotBefore is the earliest time of the next start of the job's suspects.
+	suspectsNotBefore time.Time
 	// retainedSince is when this owner restored a job in a final state; zero for other jobs.
 	retainedSince time.Time
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -87,6 +87,7 @@
 // that servers grant.
 func (c *Conductor) serverRestarted(now time.Time, s *session, incarnation int64) {
 	c.logDecision("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs in doubt", len(s.allocations)))
+	c.settleDoubts(now, s.server.Address, incarnation, time.Time{})
 	s.findCause()
 	earliest := time.UnixMilli(incarnation).Add(-wallClockSkew)
 	for _, a := range s.allocations {
@@ -94,6 +95,7 @@
 			continue
 		}
 		a.state = outcomeUnknown
+		a.shutdown = s.server.Draining
 		if a.startedAt.After(earliest) {
 			s.staleClockLease = true
 			s.extendLease(now.Add(leaseBound(c.settings.maxLease)))
@@ -107,8 +109,8 @@
 	c.forgetAdvice(s.server.ID)
 }
 
-// requeueAll requeues the runs of a server whose lease has ended. A server that is cut off cannot be told from one that has
-// crashed and does not return under its ID.
+// requeueAll requeues the runs of a server whose lease has ended. Whether the server has crashed or is unreachable is certain only
+// if its address has a later incarnation. Servers that were draining have left.
 func (c *Conductor) requeueAll(now time.Time, s *session) {
 	s.findCause()
 	lost := make([]*allocation, 0, len(s.allocations))
@@ -117,8 +119,12 @@
 	}
 	for _, a := range lost {
 		c.requeue(now, s, a)
-		if a.mayHaveCrashed || !s.listed && a.state != reserved {
+		switch {
+		case s.server.Draining || !a.mayHaveCrashed && (s.listed || a.state == reserved):
+		case s.replaced:
 			c.recordCrash(now, s, a)
+		default:
+			c.recordLoss(now, s, a)
 		}
 	}
 }
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -11,6 +11,7 @@
 	if s.renewalFailures > 0 {
 		c.logDecision("ServerAnswers", specifier.TaskID{}, 0, s.server.ID, "")
 	}
+	c.settleDoubts(now, s.server.Address, e.Report.Incarnation, e.SentAt)
 	s.renewalFailures, s.suspect = 0, false
 	s.clock, s.clockReadAt, s.clockKnown, s.aliveAt = e.Report.Clock, now, true, now
 	if s.predecessorLease {
@@ -106,7 +107,7 @@
 	for _, a := range lost {
 		c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
 		c.requeue(now, s, a)
-		if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
+		if a.incarnation != 0 && a.incarnation < s.server.Incarnation && !a.shutdown {
 			c.recordCrash(now, s, a)
 		}
 	}
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -68,6 +68,9 @@
 	if delay, crashes := crashDelays[job.Spec]; crashes && o.Task.Index == 0 {
 		w.scheduleCrash(r, delay)
 	}
+	if delay, isCut := cutDelays[job.Spec]; isCut && o.Task.Index == 0 && w.now.Before(w.cutUntil) {
+		w.scheduleCut(r, delay)
+	}
 	if !step.Gang {
 		w.scheduleEnd(r)
 		return
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -47,6 +47,10 @@
 	grantOneIn int
 	// refusedUntilRestart makes the advice service refuse the servers that have not restarted.
 	refusedUntilRestart bool
+	// renamesServers makes servers come back under a new ID after a crash.
+	renamesServers bool
+	// cutUntil is when tasks with one of the cutDelays stop being cut off.
+	cutUntil time.Time
 	// grantsDiffer makes the admitted servers of each step differ.
 	grantsDiffer bool
 	planned      bool
--- a/lifecycler/crash.go
+++ b/lifecycler/crash.go
@@ -18,9 +18,13 @@
 	oftenCrashes = 3
 )
 
-// Crash is the crash of a backend server under a run of a task.
+// Crash is the loss of a backend server under a run of a task.
 type Crash struct {
 	Run int
+	// Address and Incarnation are those of a server that does not respond and may only be unreachable. They are empty once the
+	// server has certainly crashed.
+	Address     string `json:",omitempty"`
+	Incarnation int64  `json:",omitempty"`
 	// Caused is set if the run is likely to have caused the crash: the server is not known to have worked for long after the
 	// run's start.
 	Caused bool `json:",omitempty"`
@@ -28,26 +32,84 @@
 	Alone bool `json:",omitempty"`
 }
 
+// Doubtful reports whether the server may only be unreachable. Such a loss makes the task a suspect, but does not count against
+// it.
+func (c Crash) Doubtful() bool {
+	return c.Address != ""
+}
+
 // Crashed records a crash under a run that has not ended otherwise. It reports whether the task, and with it the job, is given
 // up. A crash is recorded once, however many owners notice it.
 func (j *Job) Crashed(now time.Time, task specifier.TaskID, crash Crash) bool {
-	step, ok := j.Step(task.StepID)
-	if !ok || task.Index >= len(step.Tasks) || j.state.Final() {
+	known := j.unfinishedTask(task)
+	if known == nil {
 		return false
 	}
-	known := &step.Tasks[task.Index]
-	if known.State == Done || slices.ContainsFunc(known.Crashes, func(c Crash) bool { return c.Run == crash.Run }) {
+	if i := known.crashOf(crash.Run); i < 0 {
+		known.Crashes = append(known.Crashes, crash)
+	} else if known.Crashes[i].Doubtful() && !crash.Doubtful() {
+		known.Crashes[i] = crash
+	} else {
 		return false
 	}
-	known.Crashes = append(known.Crashes, crash)
 	j.version++
-	if !known.crashesServers() {
+	return j.giveUp(now, known)
+}
+
+// Confirm records that the server of a doubtful crash has certainly crashed. It reports whether that changed the job, and
+// whether the task, and with it the job, is given up.
+func (j *Job) Confirm(now time.Time, task specifier.TaskID, run int) (changed, givenUp bool) {
+	known := j.unfinishedTask(task)
+	if known == nil {
+		return false, false
+	}
+	i := known.crashOf(run)
+	if i < 0 || !known.Crashes[i].Doubtful() {
+		return false, false
+	}
+	known.Crashes[i].Address, known.Crashes[i].Incarnation = "", 0
+	j.version++
+	return true, j.giveUp(now, known)
+}
+
+// Withdraw forgets a doubtful crash whose server was only unreachable. It reports whether there was one.
+func (j *Job) Withdraw(task specifier.TaskID, run int) bool {
+	known := j.unfinishedTask(task)
+	if known == nil {
+		return false
+	}
+	i := known.crashOf(run)
+	if i < 0 || !known.Crashes[i].Doubtful() {
+		return false
+	}
+	known.Crashes = slices.Delete(known.Crashes, i, i+1)
+	j.version++
+	return true
+}
+
+// unfinishedTask returns a task that has begun and is not done, or nil.
+func (j *Job) unfinishedTask(task specifier.TaskID) *Task {
+	step, ok := j.Step(task.StepID)
+	if !ok || task.Index >= len(step.Tasks) || j.state.Final() || step.Tasks[task.Index].State == Done {
+		return nil
+	}
+	return &step.Tasks[task.Index]
+}
+
+// giveUp fails the job if servers crash under the task again and again, and reports whether it did.
+func (j *Job) giveUp(now time.Time, task *Task) bool {
+	if !task.crashesServers() {
 		return false
 	}
 	j.finalize(now, specifier.Failed)
 	return true
 }
 
+// crashOf returns the index of the crash under a run, or -1.
+func (t *Task) crashOf(run int) int {
+	return slices.IndexFunc(t.Crashes, func(c Crash) bool { return c.Run == run })
+}
+
 // Survived forgets the crashes under a task whose newest run has lasted for long. It reports whether there were any.
 func (j *Job) Survived(task specifier.TaskID, run int) bool {
 	step, ok := j.Step(task.StepID)
@@ -65,7 +127,7 @@
 
 // Suspect reports whether a run of the task is likely to have crashed a server, or servers have crashed under it often.
 func (t *Task) Suspect() bool {
-	return t.causedCrashes() > 0 || t.CrashesOften()
+	return t.CrashesOften() || slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Caused })
 }
 
 // CrashesOften reports whether servers have crashed under the task so often that further crashes need an explanation: whether
@@ -74,19 +136,29 @@
 	return len(t.Crashes) >= oftenCrashes
 }
 
-// crashesServers reports whether the task is given up.
+// crashesServers reports whether the task is given up. Only servers that have certainly crashed count.
 func (t *Task) crashesServers() bool {
-	caused := t.causedCrashes()
-	alone := slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Alone })
-	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes || len(t.Crashes) >= maxCrashes
-}
-
-func (t *Task) causedCrashes() int {
-	caused := 0
+	certain, caused, alone := 0, 0, false
 	for _, crash := range t.Crashes {
+		if crash.Doubtful() {
+			continue
+		}
+		certain++
+		alone = alone || crash.Alone
 		if crash.Caused {
 			caused++
 		}
 	}
-	return caused
+	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes || certain >= maxCrashes
+}
+
+// DoubtfulCrashes returns how many servers were lost under the task of which it is not known whether they have crashed.
+func (t *Task) DoubtfulCrashes() int {
+	doubtful := 0
+	for _, crash := range t.Crashes {
+		if crash.Doubtful() {
+			doubtful++
+		}
+	}
+	return doubtful
 }
