Wait for ends that a server's report leaves out

Cause: a server lists 500 ends at a time and the others once these are acknowledged. The owner took a run that was neither running nor among the listed ends for vanished, although the list went on.

Change: a report says whether ends may be missing. The owner requeues no run that such a report does not mention, and decides by a later one.

--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -163,7 +163,9 @@
 	for _, r := range s.runs {
 		report.Running = append(report.Running, specifier.RunningTask{Task: r.task, Run: r.run, Percent: 100, Measurement: 1000})
 	}
-	report.Ended = append(report.Ended, s.ended...)
+	listed := min(len(s.ended), w.endsPerReport)
+	report.Ended = append(report.Ended, s.ended[:listed]...)
+	report.EndsMissing = listed == w.endsPerReport
 	return report
 }
 
--- a/conductor/random_test.go
+++ b/conductor/random_test.go
@@ -21,6 +21,7 @@
 	for seed := range uint64(randomSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			w := newSimulation(t, seed, 4)
+			w.endsPerReport = 1 + int(seed%3)*8
 			w.addRandomJobs()
 			w.addRandomFaults()
 			w.runUntil(seconds(120))
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -89,7 +89,8 @@
 }
 
 // reconcile compares the allocations on a server with its report: it confirms the runs that the report lists, requeues
-// those that are certainly not running, and stops reported runs that no allocation covers.
+// those that are certainly not running, and stops reported runs that no allocation covers. A run that is neither running nor among
+// the listed ends is not requeued while ends are missing.
 func (c *Conductor) reconcile(
 	now time.Time, s *session, e RenewEnded, running map[specifier.TaskID]specifier.RunningTask, ended map[specifier.TaskID]int,
 ) {
@@ -99,7 +100,7 @@
 		switch {
 		case runs && r.Run == a.run:
 			c.confirmRun(now, a, r)
-		case a.state == reserved:
+		case a.state == reserved || e.Report.EndsMissing:
 		case e.Fence > a.fence, !a.resolvedAt.IsZero() && a.resolvedAt.Before(e.SentAt):
 			lost = append(lost, a)
 		}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -51,6 +51,8 @@
 	renamesServers bool
 	// cutUntil is when tasks with one of the cutDelays stop being cut off.
 	cutUntil time.Time
+	// endsPerReport is how many ends of runs a server lists in a report.
+	endsPerReport int
 	// grantsDiffer makes the admitted servers of each step differ.
 	grantsDiffer bool
 	planned      bool
@@ -104,7 +106,7 @@
 		finished: make(map[specifier.TaskID]bool),
 		failures: make(map[specifier.TaskID]int), crashes: make(map[specifier.TaskID]int),
 		startsAfterCrashes: make(map[specifier.TaskID]int), epoch: 9, muteAdvisors: make(map[string]time.Time),
-		advisors: []string{"a", "b", "c"},
+		advisors: []string{"a", "b", "c"}, endsPerReport: 500,
 	}
 	w.start = w.now
 	for i := range servers {
--- a/specifier/server.go
+++ b/specifier/server.go
@@ -73,6 +73,8 @@
 	Clock       time.Duration
 	Running     []RunningTask
 	Ended       []EndedTask
+	// EndsMissing is set when Ended may lack the ends after those listed. The server lists them once these are acknowledged.
+	EndsMissing bool
 }
 
 // StartOrder orders a backend server to start a run.
