Keep records of large jobs within a value of the store

Cause: the record of a job names each started task; the store refuses a value of more than 1 MiB with 400, which counted as a missing answer and was repeated for ever. Four such jobs occupy all commit lanes.

A refusal that repetition does not change ends the write; its jobs are written one by one, and a single one is set aside and logged. Submissions are treated alike.

--- a/conductor/command.go
+++ b/conductor/command.go
@@ -23,6 +23,15 @@
 	Changes []Change
 }
 
+// Size returns the number of bytes of the records.
+func (c Commit) Size() int {
+	size := 0
+	for _, change := range c.Changes {
+		size += len(change.Value)
+	}
+	return size
+}
+
 // Start orders a backend server to start a run.
 type Start struct {
 	Server specifier.Server
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -1,8 +1,10 @@
 package conductor
 
 import (
+	"fmt"
 	"time"
 
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
 )
 
@@ -42,15 +44,16 @@
 func (c *Conductor) fillLane(now time.Time, index int) {
 	l := &c.lanes[index]
 	write := Commit{Lane: index}
-	var later []*job
-	entries := 0
-	for _, j := range c.dirty {
+	var later, tooLarge []*job
+	entries, bytes := 0, 0
+	for i, j := range c.dirty {
 		final := j.State().Final()
 		needed := 1
 		if final {
 			needed = 2
 		}
-		if j.inFlight || entries+needed > commitBatch {
+		full := bytes >= commitBytes || len(l.jobs) > 0 && (l.jobs[0].job.writtenAlone || j.writtenAlone)
+		if j.inFlight || full || entries+needed > commitBatch {
 			later = append(later, j)
 			continue
 		}
@@ -61,12 +64,25 @@
 			c.logDecision("RecordInvalid", specifier.TaskID{StepID: specifier.StepID{Job: j.Spec.ID}}, 0, "", err.Error())
 			continue
 		}
+		if len(value) > keeper.MaxValueBytes {
+			j.dirty = false
+			tooLarge = append(tooLarge, j)
+			continue
+		}
+		if len(l.jobs) > 0 && bytes+len(value) > commitBytes {
+			later = append(later, c.dirty[i:]...)
+			break
+		}
 		j.dirty, j.inFlight = false, true
 		l.jobs = append(l.jobs, laneJob{job: j, version: j.Version(), state: j.State()})
 		write.Changes = append(write.Changes, Change{Job: j.Spec.ID, Value: value, Final: final})
 		entries += needed
+		bytes += len(value)
 	}
 	c.dirty = later
+	for _, j := range tooLarge {
+		c.block(now, j, "the record is larger than a value of the store")
+	}
 	if len(write.Changes) == 0 {
 		return
 	}
@@ -75,20 +91,59 @@
 	c.emit(write)
 }
 
-func (c *Conductor) commitEnded(now time.Time, index int) {
-	l := &c.lanes[index]
+func (c *Conductor) commitEnded(now time.Time, e CommitEnded) {
+	l := &c.lanes[e.Lane]
 	jobs := l.jobs
 	l.busy, l.jobs = false, nil
-	for _, done := range jobs {
-		done.job.inFlight = false
-		done.job.Commit(done.version, done.state)
-		c.sendReserved(now, done.job)
+	for _, written := range jobs {
+		j := written.job
+		j.inFlight = false
+		switch {
+		case !e.Invalid:
+			j.writtenAlone = false
+			j.Commit(written.version, written.state)
+			c.sendReserved(now, j)
+		case len(jobs) > 1:
+			j.writtenAlone = true
+			c.markDirty(j)
+		default:
+			c.block(now, j, "the store does not accept the record")
+		}
 	}
 	for _, s := range c.sessions {
 		c.acknowledge(now, s)
 	}
 }
 
+// block withdraws the placed runs of a job that cannot be recorded, so that they hold no capacity, and tries the job again later.
+// Other jobs go on.
+func (c *Conductor) block(now time.Time, j *job, reason string) {
+	c.logDecision("RecordRefused", specifier.TaskID{StepID: specifier.StepID{Job: j.Spec.ID}}, 0, "",
+		fmt.Sprintf("%s; %d starts are withdrawn", reason, len(j.reserved)))
+	j.blockedUntil = now.Add(unwritableRetry)
+	c.unwritable[j] = true
+	reserved := j.reserved
+	j.reserved = nil
+	for _, r := range reserved {
+		if r.session.allocations[r.task] == r.allocation {
+			c.requeue(now, r.session, r.allocation)
+		}
+	}
+}
+
+// retryUnwritable writes the records of jobs again whose time has come.
+func (c *Conductor) retryUnwritable(now time.Time) {
+	for j := range c.unwritable {
+		if now.Before(j.blockedUntil) {
+			continue
+		}
+		delete(c.unwritable, j)
+		if j.Committed() < j.Version() {
+			c.markDirty(j)
+		}
+	}
+}
+
 // sendReserved sends the start orders of the runs whose records are in the store.
 func (c *Conductor) sendReserved(now time.Time, j *job) {
 	kept := j.reserved[:0]
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -37,7 +37,9 @@
 	holdNotBefore map[string]time.Time
 	lanes         [CommitLanes]lane
 	dirty         []*job
-	advisors      adviser.Pool
+	// unwritable are the jobs whose record the store does not accept, until it is tried again.
+	unwritable map[*job]bool
+	advisors   adviser.Pool
 
 	// doubts are the doubtful crashes by the address of the server.
 	doubts map[string][]doubt
@@ -86,6 +88,7 @@
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
 		doubts:       make(map[string][]doubt),
+		unwritable:   make(map[*job]bool),
 
 		cancelledEarly: make(map[specifier.JobID]bool),
 		holds:          make(map[string]*hold),
@@ -116,7 +119,7 @@
 	case JobCancelled:
 		c.cancel(now, e.Job)
 	case CommitEnded:
-		c.commitEnded(now, e.Lane)
+		c.commitEnded(now, e)
 	case OrderEnded:
 		c.orderEnded(now, e)
 	case RenewEnded:
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -20,7 +20,11 @@
 type JobCancelled struct{ Job specifier.JobID }
 
 // CommitEnded reports that the records of the Commit command on a lane are in the store.
-type CommitEnded struct{ Lane int }
+type CommitEnded struct {
+	Lane int
+	// Invalid is set when the store does not accept the write, however often it is repeated.
+	Invalid bool
+}
 
 // OrderEnded reports the result of a Start or Stop command.
 type OrderEnded struct {
--- a/conductor/expire.go
+++ b/conductor/expire.go
@@ -13,6 +13,7 @@
 		return
 	}
 	c.dropDoubts()
+	c.retryUnwritable(now)
 	var old []specifier.JobID
 	for id, j := range c.jobs {
 		if len(old) == deleteBatch {
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -13,6 +13,10 @@
 	queue    specifier.Queue
 	dirty    bool
 	inFlight bool
+	// writtenAlone is set after the store did not accept a write with the records of several jobs, until it has this one.
+	writtenAlone bool
+	// blockedUntil is when the job is tried again after the store did not accept its record. It gets no new runs meanwhile.
+	blockedUntil time.Time
 	// deleting is set while the job's keys are being deleted from the store.
 	deleting bool
 	// reserved are the placed runs whose start waits for the commit of their record.
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -41,6 +41,10 @@
 	// commitBatch bounds the entries of one write; the store admits 32, of which the owner's key and the lane take
 	// three. A finished job takes two entries, because its submission is deleted too.
 	commitBatch = 28
+	// commitBytes bounds the records of several jobs in one write, so that small ones do not wait for the transfer of large ones.
+	commitBytes = 256 << 10
+	// unwritableRetry is the pause before a record that the store does not accept is tried again.
+	unwritableRetry = 30 * time.Second
 	// extraLaneAfter is how long a write may take before another one starts concurrently.
 	extraLaneAfter = 15 * time.Millisecond
 	// ticketMargin is how long a ticket must still be valid for a placement, so that it covers the commit and the
--- a/conductor/partial_report_test.go
+++ b/conductor/partial_report_test.go
@@ -20,12 +20,16 @@
 	}{
 		{"same owner", jobOptions{Tasks: 60, MilliCores: 1000, Seconds: 1}, []scriptEvent{{At: 1.5, Kind: "StoreDown", For: 4.5}}, 40},
 		{
-			"new owner", jobOptions{Tasks: 60, MilliCores: 1000, Seconds: 1},
-			[]scriptEvent{{At: 1.5, Kind: "StoreDown", For: 3}, {At: 2, Kind: "LoseOwner"}}, 40,
+			"new owner",
+			jobOptions{Tasks: 60, MilliCores: 1000, Seconds: 1},
+			[]scriptEvent{{At: 1.5, Kind: "StoreDown", For: 3}, {At: 2, Kind: "LoseOwner"}},
+			40,
 		},
 		{
-			"acknowledged one after the other", jobOptions{Tasks: 60, MilliCores: 1000, Seconds: 1},
-			[]scriptEvent{{At: 1.5, Kind: "StoreDown", For: 2}, {At: 1.6, Kind: "LoseAnswers", Server: "i-00", For: 1}}, 60,
+			"acknowledged one after the other",
+			jobOptions{Tasks: 60, MilliCores: 1000, Seconds: 1},
+			[]scriptEvent{{At: 1.5, Kind: "StoreDown", For: 2}, {At: 1.6, Kind: "LoseAnswers", Server: "i-00", For: 1}},
+			60,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -137,6 +137,9 @@
 }
 
 func (c *Conductor) placeStep(p *pass, w *waitingStep) {
+	if p.now.Before(w.job.blockedUntil) {
+		return
+	}
 	service := w.job.queue.Service
 	advised := w.job.queue.Advice.Needed
 	if advised && p.mayRequestAdvice(w) {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -301,6 +303,10 @@
 			w.at(w.storeDownUntil, func() { w.commit(epoch, c) })
 			return
 		}
+		if slices.ContainsFunc(c.Changes, func(change conductor.Change) bool { return len(change.Value) > keeper.MaxValueBytes }) {
+			w.violate("STORE: a record is larger than a value of the store, and the write is never confirmed")
+			return
+		}
 		for _, change := range c.Changes {
 			record, err := lifecycler.DecodeRecord(change.Value)
 			if err != nil {
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -199,6 +199,10 @@
 }
 
 func (c *cell) submit(instance int, id specifier.JobID) error {
+	return c.submitTasks(instance, id, 2)
+}
+
+func (c *cell) submitTasks(instance int, id specifier.JobID, tasks int) error {
 	queue, err := c.instances[instance].Queue("h", "/q/x")
 	if err != nil {
 		return err
@@ -206,7 +210,7 @@
 	ctx, cancel := context.WithTimeout(c.t.Context(), callerTimeout)
 	defer cancel()
 	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: []specifier.Step{{
-		Count: 2, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
+		Count: tasks, Need: specifier.Resources{MilliCores: 1000}, Estimate: runTime,
 	}}})
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/fakekeeper"
 	"egretring.example/egretring/messenger"
@@ -61,6 +62,32 @@
 	}
 }
 
+// TestRefusedRecordHoldsUpNoOtherJob guards against a write that the store never accepts and that is repeated for ever, so that
+// its lane, and with several of them the whole cell, stores nothing more. The job goes on once the store accepts its record.
+func TestRefusedRecordHoldsUpNoOtherJob(t *testing.T) {
+	runWithCell(t, 2, func(t *testing.T, c *cell) {
+		c.store.SetFaults(fakekeeper.Faults{Delay: 4 * time.Millisecond, MaxValueBytes: 1000})
+		for n := range conductor.CommitLanes + 1 {
+			require.NoError(t, c.submitTasks(n%2, specifier.JobID(fmt.Sprint("large", n)), 30))
+			require.NoError(t, c.submit(n%2, specifier.JobID(fmt.Sprint("small", n))))
+		}
+		time.Sleep(4 * runTime)
+		for n := range conductor.CommitLanes + 1 {
+			require.Equal(t, specifier.Completed, c.state(0, specifier.JobID(fmt.Sprint("small", n))))
+			require.Equal(t, specifier.Queued, c.state(0, specifier.JobID(fmt.Sprint("large", n))))
+		}
+		_, err := c.instances[0].Cancel(t.Context(), "large0")
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		require.Equal(t, specifier.Cancelled, c.state(0, "large0"))
+		c.store.SetFaults(fakekeeper.Faults{Delay: 4 * time.Millisecond})
+		time.Sleep(40 * time.Second)
+		for n := range conductor.CommitLanes {
+			require.Equal(t, specifier.Completed, c.state(0, specifier.JobID(fmt.Sprint("large", n+1))))
+		}
+	})
+}
+
 // TestJobsSurviveOwnerHandover guards against jobs that are lost, or start twice, when the owner hands over while they
 // run.
 func TestJobsSurviveOwnerHandover(t *testing.T) {
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -112,6 +112,12 @@
 				continue
 			}
 		}
+		if keeper.IsErrInvalid(err) {
+			o.settings.logger.Error("store does not accept the records of jobs", "Jobs", len(c.Changes), "Bytes", c.Size(),
+				"Error", err.Error())
+			o.post(conductor.CommitEnded{Lane: c.Lane, Invalid: true})
+			return
+		}
 		if err == nil {
 			o.laneRevisions[c.Lane] = revision
 			o.settings.meter.Observe("Store.CommitMicroseconds", time.Since(startedAt))
--- a/fakekeeper/faults.go
+++ b/fakekeeper/faults.go
@@ -24,6 +24,8 @@
 	Refuse bool
 	// Delay is the time that passes before each call takes effect.
 	Delay time.Duration
+	// MaxValueBytes is the largest value that a transaction may write; zero stands for keeper.MaxValueBytes.
+	MaxValueBytes int
 	// WritesPerSecond and ReadsPerSecond limit the rate of calls; zero means no limit.
 	WritesPerSecond int
 	ReadsPerSecond  int
--- a/fakekeeper/transactional.go
+++ b/fakekeeper/transactional.go
@@ -1,11 +1,14 @@
 package fakekeeper
 
 import (
+	"cmp"
 	"context"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"egretring.example/egretring/keeper"
 )
 
@@ -67,6 +70,11 @@
 	}
 	t.store.mu.Lock()
 	defer t.store.mu.Unlock()
+	for _, write := range transaction.Writes {
+		if len(write.Value) > cmp.Or(t.store.faults.MaxValueBytes, keeper.MaxValueBytes) {
+			return 0, errors.Wrapf(keeper.ErrInvalid, "value of %s has %d bytes", write.Key, len(write.Value))
+		}
+	}
 	if late := t.store.faults.LateBy; outcome.lost && late > 0 {
 		time.AfterFunc(late, func() {
 			t.store.mu.Lock()
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return classifier.Wrap(err, classifier.Internal, "encode job %s", job.ID)
 	}
+	if len(value) > keeper.MaxValueBytes {
+		return classifier.New(classifier.BadRequest, "job %s has %d bytes; at most %d can be stored", job.ID, len(value), keeper.MaxValueBytes)
+	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return classifier.New(classifier.BadDeadline, "submission of job %s has no deadline", job.ID)
@@ -280,7 +283,7 @@
 	unconfirmed := false
 	for attempt := 0; len(batch) > 0; attempt++ {
 		_, err := i.commitTimeout.Commit(ctx, i.store, transactionOf(batch), attempt)
-		i.RecordStoreCall(err == nil || errors.Is(err, keeper.ErrConflict))
+		i.RecordStoreCall(err == nil || errors.Is(err, keeper.ErrConflict) || keeper.IsErrInvalid(err))
 		var conflict *keeper.ConflictError
 		switch {
 		case err == nil:
@@ -289,6 +292,9 @@
 		case errors.As(err, &conflict):
 			batch = confirmStored(batch, conflict)
 			continue
+		case keeper.IsErrInvalid(err):
+			i.writeAlone(batch, err)
+			return
 		case keeper.IsErrNoEffect(err):
 			if !unconfirmed && time.Since(startedAt) > maxRefusalTime {
 				batch = i.refuse(batch)
@@ -305,6 +311,19 @@
 	}
 }
 
+// writeAlone stores the submissions of a batch that the store does not accept one by one, and refuses a single one.
+func (i *Intaker) writeAlone(batch []*submission, err error) {
+	if len(batch) > 1 {
+		for _, s := range batch {
+			i.write([]*submission{s})
+		}
+		return
+	}
+	for _, s := range batch {
+		s.done <- classifier.Wrap(err, classifier.BadRequest, "job %s of %d bytes cannot be stored", s.job.ID, len(s.value))
+	}
+}
+
 // refuse refuses the submissions of a batch without effect whose callers can come back, and returns the others.
 func (i *Intaker) refuse(batch []*submission) []*submission {
 	var remaining []*submission
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -1,11 +1,13 @@
 package intaker_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,6 +18,7 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/fakekeeper"
 	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
 )
 
@@ -74,6 +77,35 @@
 	}
 }
 
+// TestJobThatCannotBeStored guards against a job that the store never accepts and that is retried until its caller gives up,
+// together with the jobs that share its write. The caller is told at once, and that the job does not run.
+func TestJobThatCannotBeStored(t *testing.T) {
+	for _, limit := range []int{2000, 0} {
+		runWithIntaker(t, func(t *testing.T, store *fakekeeper.Transactional, subject *intaker.Intaker) {
+			store.SetFaults(fakekeeper.Faults{Delay: 4 * time.Millisecond, MaxValueBytes: limit})
+			var group sync.WaitGroup
+			startedAt := time.Now()
+			for n := range 8 {
+				group.Go(func() {
+					if n%4 != 0 {
+						require.NoError(t, accept(t, subject, specifier.JobID(fmt.Sprint("small", n))))
+						return
+					}
+					ctx, cancel := context.WithTimeout(t.Context(), callerTimeout)
+					defer cancel()
+					err := subject.Accept(ctx, specifier.Job{
+						ID: specifier.JobID(fmt.Sprint("large", n)), Spec: strings.Repeat("x", cmp.Or(limit, keeper.MaxValueBytes)),
+					})
+					require.Equal(t, classifier.BadRequest, classifier.KindOf(err))
+				})
+			}
+			group.Wait()
+			require.Less(t, time.Since(startedAt), time.Second)
+			require.Len(t, store.Keys(intaker.Prefix), 6)
+		})
+	}
+}
+
 // TestResubmittedJobIsAcceptedOnce guards against a resubmitted job that is stored as a second job, or refused.
 func TestResubmittedJobIsAcceptedOnce(t *testing.T) {
 	runWithIntaker(t, func(t *testing.T, store *fakekeeper.Transactional, subject *intaker.Intaker) {
--- a/keeper/transaction.go
+++ b/keeper/transaction.go
@@ -9,6 +9,14 @@
 // ErrRefused is returned when the store refused a call; the call had no effect.
 var ErrRefused = errors.New("store refused the call")
 
+// ErrInvalid is returned when the store does not accept a call, however often it is repeated; the call had no effect.
+var ErrInvalid = errors.New("store does not accept the call")
+
+// IsErrInvalid reports whether it is of no use to repeat a call.
+func IsErrInvalid(err error) bool {
+	return errors.Is(err, ErrInvalid) || errors.Is(err, ErrValueTooLarge)
+}
+
 // IsErrNoEffect reports whether a call certainly had no effect.
 func IsErrNoEffect(err error) bool {
 	return errors.Is(err, ErrRefused) || errors.Is(err, ErrRateLimited)
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -56,7 +56,9 @@
 	step.setCheckpoint(ended.Task.Index, ended.Checkpoint)
 	if ended.Reason == specifier.RunDone && !step.Spec.LongRunning {
 		step.finish(ended.Task.Index)
-		j.completeOccurrence(now, ended.Task.Occurrence)
+		if step.Finished() {
+			j.completeStep(now, ended.Task.Occurrence)
+		}
 		return true
 	}
 	if ended.Run == task.Run && task.State == Placed {
@@ -71,17 +73,28 @@
 	return true
 }
 
-func (j *Job) completeOccurrence(now time.Time, occurrence int) {
+// completeStep counts a step of an occurrence that has become finished, and completes the occurrence after its last one.
+func (j *Job) completeStep(now time.Time, occurrence int) {
 	known := j.occurrences[occurrence]
-	if known == nil || !known.finished() {
+	known.finishedSteps++
+	if !known.finished() {
 		return
 	}
 	j.finishedOccurrences++
+	j.dropFinished()
 	if j.finishedOccurrences >= j.Spec.OccurrenceCount() {
 		j.finalize(now, specifier.Completed)
 	}
 }
 
+// dropFinished forgets the steps of the first occurrences, as far as these are finished.
+func (j *Job) dropFinished() {
+	for known := j.occurrences[j.firstOpen]; known != nil && known.finished(); known = j.occurrences[j.firstOpen] {
+		delete(j.occurrences, j.firstOpen)
+		j.firstOpen++
+	}
+}
+
 // Cancel cancels a job that is not in a final state. It reports whether the job changed.
 func (j *Job) Cancel(now time.Time) bool {
 	if j.state.Final() {
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -12,10 +12,14 @@
 
 	state       specifier.JobState
 	occurrences map[int]*occurrenceSteps
+	// firstOpen is the first occurrence that is not finished; those before are not kept in occurrences.
+	firstOpen int
 	// nextOccurrence is the first occurrence that has not begun.
 	nextOccurrence      int
 	finishedOccurrences int
-	started             bool
+	// firstTasks has the number of the first task of each step; see CompactRecord.
+	firstTasks []int
+	started    bool
 	// version counts the changes; committed is the newest version that is in the store.
 	version   uint64
 	committed uint64
@@ -26,11 +30,19 @@
 
 type occurrenceSteps struct {
 	steps []*Step
+	// finishedSteps is how many of the steps are finished.
+	finishedSteps int
 }
 
 // New returns a job of which no occurrence has begun.
 func New(spec specifier.Job) *Job {
-	return &Job{Spec: spec, occurrences: make(map[int]*occurrenceSteps)}
+	j := &Job{Spec: spec, occurrences: make(map[int]*occurrenceSteps)}
+	tasks := 0
+	for _, step := range spec.Steps {
+		j.firstTasks = append(j.firstTasks, tasks)
+		tasks += step.Count
+	}
+	return j
 }
 
 // State returns the current state, which may not be in the store yet. It is Queued for all states that are not final.
@@ -130,7 +142,7 @@
 		return nil
 	}
 	var ready []*Step
-	for occurrence := range j.nextOccurrence {
+	for occurrence := j.firstOpen; occurrence < j.nextOccurrence; occurrence++ {
 		known := j.occurrences[occurrence]
 		if known == nil {
 			continue
@@ -154,12 +166,7 @@
 }
 
 func (o *occurrenceSteps) finished() bool {
-	for _, step := range o.steps {
-		if !step.Finished() {
-			return false
-		}
-	}
-	return true
+	return o.finishedSteps == len(o.steps)
 }
 
 // RemainingTime returns the sum of the estimated run times along the critical path from the start of a step.
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -15,6 +15,8 @@
 	// FinalAt is set with a final state.
 	FinalAt time.Time    `json:",omitzero"`
 	Steps   []StepRecord `json:",omitempty"`
+	// Compact takes the place of Steps for a job with many tasks.
+	Compact *CompactRecord `json:",omitempty"`
 }
 
 // StepRecord is the progress of a step.
@@ -41,7 +43,16 @@
 // Record returns the job's progress as a record.
 func (j *Job) Record() Record {
 	record := Record{State: j.state, FinalAt: j.finalAt}
-	for occurrence := range j.nextOccurrence {
+	if j.startedTasks() > maxListedTasks {
+		record.Compact = j.compactRecord()
+		return record
+	}
+	for occurrence := range j.firstOpen {
+		for i := range j.Spec.Steps {
+			record.Steps = append(record.Steps, StepRecord{Occurrence: occurrence, Step: i, Done: true})
+		}
+	}
+	for occurrence := j.firstOpen; occurrence < j.nextOccurrence; occurrence++ {
 		known := j.occurrences[occurrence]
 		if known == nil {
 			continue
@@ -93,6 +104,11 @@
 		j.started = true
 		return j, nil
 	}
+	if record.Compact != nil {
+		if err := j.restoreCompact(record.Compact); err != nil {
+			return nil, err
+		}
+	}
 	for _, kept := range record.Steps {
 		if kept.Step >= len(spec.Steps) || kept.Step < 0 || kept.Occurrence < 0 || kept.Occurrence >= spec.OccurrenceCount() {
 			return nil, errors.Errorf("record of job %s names step %d of occurrence %d", spec.ID, kept.Step, kept.Occurrence)
@@ -101,14 +117,21 @@
 		if err := step.restore(kept); err != nil {
 			return nil, err
 		}
-		j.started = j.started || step.hasRun()
 	}
 	// An occurrence without a record may precede one with a record; ensureOccurrence creates it.
-	for occurrence := range j.nextOccurrence {
-		if j.ensureOccurrence(occurrence).finished() {
+	for occurrence := j.firstOpen; occurrence < j.nextOccurrence; occurrence++ {
+		known := j.ensureOccurrence(occurrence)
+		for _, step := range known.steps {
+			j.started = j.started || step.hasRun()
+			if step.Finished() {
+				known.finishedSteps++
+			}
+		}
+		if known.finished() {
 			j.finishedOccurrences++
 		}
 	}
+	j.dropFinished()
 	return j, nil
 }
 
--- a/lifecycler/step.go
+++ b/lifecycler/step.go
@@ -54,18 +54,16 @@
 	return s.Tasks[0].Checkpoint
 }
 
-// setCheckpoint records the newest checkpoint; one from any member of a gang is valid for the whole gang.
+// setCheckpoint records the newest checkpoint; one from any member of a gang is valid for the whole gang, and kept in its first
+// task.
 func (s *Step) setCheckpoint(index int, checkpoint string) {
 	if checkpoint == "" || !s.Spec.Checkpointing {
 		return
 	}
-	if !s.Spec.Gang {
-		s.Tasks[index].Checkpoint = checkpoint
-		return
-	}
-	for i := range s.Tasks {
-		s.Tasks[i].Checkpoint = checkpoint
+	if s.Spec.Gang {
+		index = 0
 	}
+	s.Tasks[index].Checkpoint = checkpoint
 }
 
 // finish marks a task, or all tasks of a gang, as done.
