Bound the starts that are on their way

Cause: the owner ordered all starts of a large job at once. Orders ended without a response, which raises the fencing tokens of their servers and makes other starts vanish; events waited, and the owner handed over again and again.

Change: 512 starts are on their way at most, from the placement to the result of the order, and 512 urgent ones besides. The others are placed as results come in.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -55,6 +55,8 @@
 	placeAgainAt time.Time
 	// placeNotBefore is the earliest time of the next placement pass, and fullPassNotBefore that of the next one over all steps.
 	placeNotBefore, fullPassNotBefore time.Time
+	// startsLimited is set when a step was not placed because too many starts were in flight.
+	startsLimited bool
 	// hasFresh is set when an urgent step is new or has got tickets since the last pass.
 	hasFresh bool
 	// commitNotBefore is the earliest time of the next commit, unless a full batch waits.
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -141,7 +141,7 @@
 	placed := false
 	for _, index := range suspects[:min(len(suspects), w.fits(s))] {
 		if !placedOn(s, w.step, index) {
-			c.reserve(w, s, index, w.step.NextRun(index))
+			c.reserve(p, w, s, index, w.step.NextRun(index))
 			placed = true
 		}
 	}
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -13,7 +13,7 @@
 	}
 	run := w.step.NextRun(0)
 	for i, s := range chosen {
-		c.reserve(w, s, w.waiting[i], run)
+		c.reserve(p, w, s, w.waiting[i], run)
 	}
 	c.changed(w.job)
 	return true
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -94,7 +94,7 @@
 		if a.state == reserved {
 			continue
 		}
-		a.state = outcomeUnknown
+		s.setState(a, outcomeUnknown)
 		a.shutdown = s.server.Draining
 		if a.startedAt.After(earliest) {
 			s.staleClockLease = true
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -41,6 +41,9 @@
 	// commitBatch bounds the entries of one write; the store admits 32, of which the owner's key and the lane take
 	// three. A finished job takes two entries, because its submission is deleted too.
 	commitBatch = 28
+	// maxStartsInFlight bounds the starts that wait for their record to be stored or for the server's response. Urgent steps may
+	// have as many more.
+	maxStartsInFlight = 512
 	// commitBytes bounds the records of several jobs in one write, so that small ones do not wait for the transfer of large ones.
 	commitBytes = 256 << 10
 	// unwritableRetry is the pause before a record that the store does not accept is tried again.
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -9,7 +9,7 @@
 )
 
 func (c *Conductor) sendStart(now time.Time, s *session, a *allocation) {
-	a.state = sent
+	s.setState(a, sent)
 	a.startedAt = now
 	a.incarnation = s.server.Incarnation
 	a.order.Fence = s.fence
@@ -42,6 +42,7 @@
 		return
 	}
 	c.startEnded(now, s, a, e)
+	c.replan = c.replan || c.startsLimited
 }
 
 func (c *Conductor) startEnded(now time.Time, s *session, a *allocation, e OrderEnded) {
@@ -50,19 +51,19 @@
 	}
 	switch e.Result {
 	case specifier.OrderDone:
-		a.state = confirmed
+		s.setState(a, confirmed)
 		a.resolvedAt = now
 		c.markStarted(a.task.Job)
 		return
 	case specifier.OrderUnknown:
-		a.state = outcomeUnknown
+		s.setState(a, outcomeUnknown)
 		c.raiseFence(now, s, a.fence)
 		c.logDecision("StartDoubtful", a.task, a.run, s.server.ID, "")
 		return
 	case specifier.OrderFenced:
 		if e.Fence == s.fence {
 			c.resign(fmt.Sprintf("backend server %s has seen a higher fencing token", s.server.ID))
-			a.state = outcomeUnknown
+			s.setState(a, outcomeUnknown)
 			return
 		}
 	case specifier.OrderUnhealthy:
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -22,18 +22,27 @@
 	// call.
 	freeAdvisors int
 	freeForLong  int
+	// startsLeft is how many more starts may be in flight. Urgent steps may take it below zero.
+	startsLeft int
+}
+
+// mayStart reports whether another task of a step may be placed. More starts in flight than the instance can carry out in time
+// would end without a response.
+func (p *pass) mayStart(w *waitingStep) bool {
+	return p.startsLeft > 0 || w.urgent() && p.startsLeft > -maxStartsInFlight
 }
 
 func (c *Conductor) newPass(now time.Time) *pass {
 	p := &pass{
 		now: now, usable: make(map[string][]*session),
-		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources),
+		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources), startsLeft: maxStartsInFlight,
 	}
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
 	for _, s := range c.orderedSessions() {
 		if !now.Before(s.claimedUntil) {
 			s.claimedBy = nil
 		}
+		p.startsLeft -= s.starting
 		if s.usable(now) {
 			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
 		}
@@ -92,7 +101,7 @@
 
 // placeAll is a pass over all waiting steps.
 func (c *Conductor) placeAll(now time.Time) {
-	c.replan, c.placeAgainAt = false, now.Add(placeInterval)
+	c.replan, c.startsLimited, c.placeAgainAt = false, false, now.Add(placeInterval)
 	pairs := len(c.waitingSteps) * len(c.sessions)
 	c.fullPassNotBefore = now.Add(min(max(time.Duration(pairs)*passTimePerPair, minPassInterval), placeInterval))
 	p := c.newPass(now)
@@ -140,6 +149,10 @@
 	if p.now.Before(w.job.blockedUntil) {
 		return
 	}
+	if !p.mayStart(w) {
+		c.startsLimited = true
+		return
+	}
 	service := w.job.queue.Service
 	advised := w.job.queue.Advice.Needed
 	if advised && p.mayRequestAdvice(w) {
@@ -253,9 +266,13 @@
 			suspects = append(suspects, index)
 			continue
 		}
+		if !p.mayStart(w) {
+			c.startsLimited = true
+			break
+		}
 		for _, s := range servers {
 			if w.fits(s) > 0 && !placedOn(s, w.step, index) {
-				c.reserve(w, s, index, w.step.NextRun(index))
+				c.reserve(p, w, s, index, w.step.NextRun(index))
 				placed = true
 				break
 			}
@@ -269,7 +286,8 @@
 }
 
 // reserve places a run and allocates its capacity; its start order is sent once its record is in the store.
-func (c *Conductor) reserve(w *waitingStep, s *session, index, run int) {
+func (c *Conductor) reserve(p *pass, w *waitingStep, s *session, index, run int) {
+	p.startsLeft--
 	w.job.Place(w.step, index, run, s.server)
 	a := &allocation{
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -99,7 +99,7 @@
 		r, runs := running[a.task]
 		switch {
 		case runs && r.Run == a.run:
-			c.confirmRun(now, a, r)
+			c.confirmRun(now, s, a, r)
 		case a.state == reserved || e.Report.EndsMissing:
 		case e.Fence > a.fence, !a.resolvedAt.IsZero() && a.resolvedAt.Before(e.SentAt):
 			lost = append(lost, a)
@@ -120,10 +120,10 @@
 }
 
 // confirmRun records that the server reports a run as running.
-func (c *Conductor) confirmRun(now time.Time, a *allocation, r specifier.RunningTask) {
+func (c *Conductor) confirmRun(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
 	c.markStarted(a.task.Job)
 	if a.state == outcomeUnknown || a.state == sent {
-		a.state = confirmed
+		s.setState(a, confirmed)
 		a.resolvedAt = now
 	}
 	j := c.jobs[a.task.Job]
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -50,6 +50,11 @@
 	startedAt  time.Time
 }
 
+// starting reports whether the start of the run has no result yet.
+func (a *allocation) starting() bool {
+	return a.state == reserved || a.state == sent
+}
+
 // pendingEnd is the end of a run that the server reports until it is acknowledged.
 type pendingEnd struct {
 	number  int64
@@ -84,6 +89,8 @@
 
 	allocations map[specifier.TaskID]*allocation
 	used        specifier.Resources
+	// starting is the number of allocations whose start has no result yet.
+	starting int
 	// trial is the last suspect that was placed on the server; see onTrial.
 	trial *allocation
 	// claimedBy is the job for whose suspects the server gets no other runs until claimedUntil.
@@ -132,6 +139,20 @@
 func (s *session) add(a *allocation) {
 	s.allocations[a.task] = a
 	s.used = s.used.Plus(a.need)
+	if a.starting() {
+		s.starting++
+	}
+}
+
+// setState changes the state of an allocation of the session.
+func (s *session) setState(a *allocation, state allocationState) {
+	if a.starting() {
+		s.starting--
+	}
+	a.state = state
+	if a.starting() {
+		s.starting++
+	}
 }
 
 func (s *session) release(task specifier.TaskID) {
@@ -140,6 +161,9 @@
 		return
 	}
 	s.used = s.used.Minus(a.need)
+	if a.starting() {
+		s.starting--
+	}
 	delete(s.allocations, task)
 }
 
