Bound the work for a job with many steps

Cause: each change of a job computed the critical path of each waiting step anew, with the square of the steps, and a pass that places n steps changes the job n times.

Change: the paths are computed once, the waiting steps once for all changes between two passes. Occurrences that run at the same time have at most 100,000 tasks.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -31,6 +31,8 @@
 	// seen them.
 	lastFences   map[specifier.ServerID]int64
 	waitingSteps map[specifier.StepID]*waitingStep
+	// stale are the jobs whose waiting steps are out of date.
+	stale []*job
 	// holds is, for each service, the step that servers are held for, if any.
 	holds map[string]*hold
 	// holdNotBefore is, for each service, the earliest time of the next hold after one that expired.
@@ -150,6 +152,7 @@
 // Plan decides what to do next and returns all commands since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
 	c.beginDue(now)
+	c.refreshStale()
 	c.place(now)
 	c.commit(now)
 	if c.sharded() {
@@ -164,6 +167,7 @@
 		c.resendStops(now)
 		c.checkReachability(now)
 	}
+	c.refreshStale()
 	commands := c.commands
 	c.commands = nil
 	return commands
@@ -197,7 +201,7 @@
 	c.restoreAllocations(j)
 	c.restoreDoubts(now, j)
 	j.BeginDue(now)
-	c.refresh(j)
+	c.markStale(j)
 	c.logDecision("JobRestored", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "")
 }
 
@@ -218,7 +222,7 @@
 	}
 	j := c.addJob(lifecycler.New(spec))
 	j.BeginDue(now)
-	c.refresh(j)
+	c.markStale(j)
 	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
 	if c.cancelledEarly[spec.ID] {
 		delete(c.cancelledEarly, spec.ID)
@@ -258,17 +262,16 @@
 			delete(c.scheduled, id)
 			continue
 		}
-		if !due.After(now) {
-			j.BeginDue(now)
-			c.refresh(j)
+		if !due.After(now) && j.BeginDue(now) {
+			c.markStale(j)
 		}
 	}
 }
 
-// changed marks a job for the next commit and updates its waiting steps.
+// changed marks a job for the next commit and for an update of its waiting steps.
 func (c *Conductor) changed(j *job) {
 	c.markDirty(j)
-	c.refresh(j)
+	c.markStale(j)
 }
 
 func (c *Conductor) markDirty(j *job) {
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -10,8 +10,10 @@
 // job is a job with its state machine and what the conductor needs to place and commit it.
 type job struct {
 	*lifecycler.Job
-	queue    specifier.Queue
-	dirty    bool
+	queue specifier.Queue
+	dirty bool
+	// stale is set while the job's waiting steps are out of date.
+	stale    bool
 	inFlight bool
 	// writtenAlone is set after the store did not accept a write with the records of several jobs, until it has this one.
 	writtenAlone bool
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -111,6 +111,7 @@
 		w.fresh = false
 		c.placeStep(p, w)
 	}
+	c.refreshStale()
 	c.logWaits(p)
 }
 
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -49,6 +49,25 @@
 // objectiveAdviceServers is the number of servers in an advice call for which the objective of a job allows time.
 const objectiveAdviceServers = 30
 
+// markStale makes refreshStale recompute the waiting steps of a job.
+func (c *Conductor) markStale(j *job) {
+	c.replan = true
+	if !j.stale {
+		j.stale = true
+		c.stale = append(c.stale, j)
+	}
+}
+
+// refreshStale recomputes the waiting steps of the jobs that have changed. The work for a job with many steps or tasks is done once
+// for all of its changes since the last time.
+func (c *Conductor) refreshStale() {
+	for _, j := range c.stale {
+		j.stale = false
+		c.refresh(j)
+	}
+	c.stale = c.stale[:0]
+}
+
 // refresh recomputes the waiting steps of a job.
 func (c *Conductor) refresh(j *job) {
 	previous := make(map[specifier.StepID]*waitingStep, len(j.waitingSteps))
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -17,9 +17,12 @@
 	// nextOccurrence is the first occurrence that has not begun.
 	nextOccurrence      int
 	finishedOccurrences int
-	// firstTasks has the number of the first task of each step; see CompactRecord.
+	// firstTasks has the number of the first task of each step, see CompactRecord, and tasks is their number in an occurrence.
 	firstTasks []int
-	started    bool
+	tasks      int
+	// paths has the length of the critical path from the start of each step.
+	paths   []time.Duration
+	started bool
 	// version counts the changes; committed is the newest version that is in the store.
 	version   uint64
 	committed uint64
@@ -36,11 +39,10 @@
 
 // New returns a job of which no occurrence has begun.
 func New(spec specifier.Job) *Job {
-	j := &Job{Spec: spec, occurrences: make(map[int]*occurrenceSteps)}
-	tasks := 0
+	j := &Job{Spec: spec, occurrences: make(map[int]*occurrenceSteps), paths: criticalPaths(spec.Steps)}
 	for _, step := range spec.Steps {
-		j.firstTasks = append(j.firstTasks, tasks)
-		tasks += step.Count
+		j.firstTasks = append(j.firstTasks, j.tasks)
+		j.tasks += step.Count
 	}
 	return j
 }
@@ -101,18 +103,29 @@
 	}
 }
 
-// BeginDue begins all occurrences that are due. That of a job without a schedule always is, whatever the clock of the instance
-// that accepted the job.
-func (j *Job) BeginDue(now time.Time) {
+// maxOpenTasks bounds the tasks of the occurrences that have begun and are not finished, if there are several.
+const maxOpenTasks = 100_000
+
+// BeginDue begins the occurrences that are due, and reports whether there were any. That of a job without a schedule always is,
+// whatever the clock of the instance that accepted the job. Occurrences beyond maxOpenTasks wait for others to finish.
+func (j *Job) BeginDue(now time.Time) bool {
+	begun := false
 	for {
 		due, ok := j.NextDue()
-		if !ok || due.After(now) {
-			return
+		if !ok || due.After(now) || j.isFull() {
+			return begun
 		}
 		j.ensureOccurrence(j.nextOccurrence)
+		begun = true
 	}
 }
 
+// isFull reports whether another occurrence would exceed maxOpenTasks.
+func (j *Job) isFull() bool {
+	open := j.nextOccurrence - j.finishedOccurrences
+	return open > 0 && (open+1)*j.tasks > maxOpenTasks
+}
+
 func (j *Job) ensureOccurrence(occurrence int) *occurrenceSteps {
 	if known := j.occurrences[occurrence]; known != nil {
 		return known
@@ -168,29 +181,3 @@
 func (o *occurrenceSteps) finished() bool {
 	return o.finishedSteps == len(o.steps)
 }
-
-// RemainingTime returns the sum of the estimated run times along the critical path from the start of a step.
-func (j *Job) RemainingTime(step int) time.Duration {
-	chain := make([]time.Duration, len(j.Spec.Steps))
-	for i := len(j.Spec.Steps) - 1; i >= 0; i-- {
-		longest := time.Duration(0)
-		for later := i + 1; later < len(j.Spec.Steps); later++ {
-			for _, before := range j.Spec.Steps[later].After {
-				if before == i {
-					longest = max(longest, chain[later])
-				}
-			}
-		}
-		chain[i] = longest + j.Spec.Steps[i].Estimate
-	}
-	return chain[step]
-}
-
-// CriticalPath returns the sum of the estimated run times along the critical path of an occurrence.
-func (j *Job) CriticalPath() time.Duration {
-	longest := time.Duration(0)
-	for i := range j.Spec.Steps {
-		longest = max(longest, j.RemainingTime(i))
-	}
-	return longest
-}
