--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -173,38 +173,6 @@
 	return commands
 }
 
-// restoreAllocations allocates the capacity of a restored job's recorded runs.
-func (c *Conductor) restoreAllocations(j *job) {
-	for _, step := range j.ReadySteps() {
-		for i := range step.Tasks {
-			task := step.Tasks[i]
-			if task.State != lifecycler.Placed {
-				continue
-			}
-			s := c.session(task.Server)
-			s.add(&allocation{
-				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
-				incarnation: task.Incarnation,
-			})
-		}
-	}
-}
-
-// Restore adds a job whose progress was read from the store.
-func (c *Conductor) Restore(now time.Time, restored *lifecycler.Job) {
-	restored.Spec = restored.Spec.WithAcceptedAt(acceptedAt(now, JobArrived{Job: restored.Spec}))
-	j := c.addJob(restored)
-	if j.State().Final() {
-		j.retainedSince = now
-		return
-	}
-	c.restoreAllocations(j)
-	c.restoreDoubts(now, j)
-	j.BeginDue(now)
-	c.markStale(j)
-	c.logDecision("JobRestored", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "")
-}
-
 func (c *Conductor) addJob(restored *lifecycler.Job) *job {
 	j := &job{Job: restored, queue: restored.Spec.Queue, advice: make(map[specifier.StepID]*advice)}
 	j.updateQueue(&c.configuration)
--- /dev/null
+++ b/conductor/pass.go
@@ -0,0 +1,78 @@
+package conductor
+
+import (
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// pass is one attempt to place all waiting steps.
+type pass struct {
+	now time.Time
+	// usable are the servers that may get new runs, by service.
+	usable map[string][]*session
+	// contended are the services of which much capacity is in use while jobs wait that can still meet their objective.
+	contended map[string]bool
+	// maxFree is, for each service, the largest free amount of each resource on any usable server.
+	maxFree map[string]specifier.Resources
+	// freeAdvisors is the number of advisors that are still free, and freeForLong how many of them may make a long
+	// call.
+	freeAdvisors int
+	freeForLong  int
+	// startsLeft is how many more starts may be in flight. Urgent steps may take it below zero.
+	startsLeft int
+}
+
+// mayStart reports whether another task of a step may be placed. More starts in flight than the instance can carry out in time
+// would end without a response.
+func (p *pass) mayStart(w *waitingStep) bool {
+	return p.startsLeft > 0 || w.urgent() && p.startsLeft > -maxStartsInFlight
+}
+
+func (c *Conductor) newPass(now time.Time) *pass {
+	p := &pass{
+		now: now, usable: make(map[string][]*session),
+		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources), startsLeft: maxStartsInFlight,
+	}
+	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
+	for _, s := range c.orderedSessions() {
+		if !now.Before(s.claimedUntil) {
+			s.claimedBy = nil
+		}
+		p.startsLeft -= s.starting
+		if s.usable(now) {
+			p.usable[s.server.Service] = append(p.usable[s.server.Service], s)
+		}
+	}
+	for service := range p.usable {
+		p.updateMaxFree(service)
+	}
+	return p
+}
+
+// findContended finds the services that are contended.
+func (c *Conductor) findContended(p *pass) {
+	for service, servers := range p.usable {
+		p.contended[service] = isBusy(servers) && c.hasBacklog(p.now, service)
+	}
+}
+
+// candidates returns the usable servers that may run the step, without regard to advice.
+func (p *pass) candidates(w *waitingStep) []*session {
+	var found []*session
+	for _, s := range p.usable[w.job.queue.Service] {
+		if s.server.HasLabel(w.step.Spec.RequiredLabel) && s.mayRun(w) {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// updateMaxFree recomputes the largest free amounts on the usable servers of a service.
+func (p *pass) updateMaxFree(service string) {
+	var maxFree specifier.Resources
+	for _, s := range p.usable[service] {
+		maxFree = maxFree.Max(s.freeCapacity())
+	}
+	p.maxFree[service] = maxFree
+}
