Record the address of the server of a placed run

Cause: a loss is settled by the address of the server. A new owner that restored the run, and did not see the server in the list any more, knew no address and did not record the loss.

Change: the record of a placed run has the address. Whether the server has ended is looked up in the newest list when its lease ends.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -45,6 +45,8 @@
 
 	// doubts are the doubtful crashes by the address of the server.
 	doubts map[string][]doubt
+	// incarnations are the newest listed incarnations by address.
+	incarnations map[string]int64
 
 	commands []Command
 	// cancelledEarly are the jobs whose cancellation was read before the job itself.
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -76,13 +76,12 @@
 
 // recordLoss records that the server does not respond: it may have crashed under a run, or may be unreachable.
 func (c *Conductor) recordLoss(now time.Time, s *session, a *allocation) {
-	incarnation := cmp.Or(a.incarnation, s.server.Incarnation)
-	if s.server.Address == "" || incarnation == 0 {
+	if a.address == "" || a.incarnation == 0 {
 		return
 	}
-	c.addDoubt(s.server.Address, doubt{task: a.task, run: a.run, server: s.server.ID, incarnation: incarnation, since: now})
+	c.addDoubt(a.address, doubt{task: a.task, run: a.run, server: s.server.ID, incarnation: a.incarnation, since: now})
 	c.record(now, s, a, lifecycler.Crash{
-		Run: a.run, Address: s.server.Address, Incarnation: incarnation, Caused: a.mayHaveCrashed, Alone: a.alone,
+		Run: a.run, Address: a.address, Incarnation: a.incarnation, Caused: a.mayHaveCrashed, Alone: a.alone,
 	})
 }
 
--- a/conductor/doubt.go
+++ b/conductor/doubt.go
@@ -102,15 +102,16 @@
 	}
 }
 
-// noteIncarnations settles doubtful crashes by a list of all servers, and marks the sessions of the servers at whose address a
-// later incarnation is listed under another ID.
+// noteIncarnations settles doubtful crashes by a list of all servers.
 func (c *Conductor) noteIncarnations(now time.Time, servers []specifier.Server) {
-	newest := make(map[string]int64, len(servers))
+	c.incarnations = make(map[string]int64, len(servers))
 	for _, server := range servers {
-		newest[server.Address] = max(newest[server.Address], server.Incarnation)
+		c.incarnations[server.Address] = max(c.incarnations[server.Address], server.Incarnation)
 		c.settleDoubts(now, server.Address, server.Incarnation, time.Time{})
 	}
-	for _, s := range c.sessions {
-		s.replaced = s.server.Incarnation != 0 && newest[s.server.Address] > s.server.Incarnation
-	}
+}
+
+// hasEnded reports whether a later incarnation is listed at the address of the server of a run, under any ID.
+func (c *Conductor) hasEnded(a *allocation) bool {
+	return a.incarnation != 0 && c.incarnations[a.address] > a.incarnation
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -121,7 +121,7 @@
 		c.requeue(now, s, a)
 		switch {
 		case s.server.Draining || !a.mayHaveCrashed && (s.listed || a.state == reserved):
-		case s.replaced:
+		case c.hasEnded(a):
 			c.recordCrash(now, s, a)
 		default:
 			c.recordLoss(now, s, a)
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -11,7 +11,7 @@
 func (c *Conductor) sendStart(now time.Time, s *session, a *allocation) {
 	s.setState(a, sent)
 	a.startedAt = now
-	a.incarnation = s.server.Incarnation
+	a.incarnation, a.address = s.server.Incarnation, s.server.Address
 	a.order.Fence = s.fence
 	a.fence = s.fence
 	a.order.LeaseEnd = s.serverTime(now) + startLease
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -30,6 +30,8 @@
 	state allocationState
 	// incarnation is that of the server when the start was sent.
 	incarnation int64
+	// address is that of the server when the run was placed.
+	address string
 	// shutdown is set when the server has restarted after it was listed as draining.
 	shutdown bool
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
@@ -97,9 +99,6 @@
 	claimedBy    *job
 	claimedUntil time.Time
 
-	// replaced is set while a later incarnation is listed at the address of the server under another ID, so that this one has
-	// certainly ended.
-	replaced bool
 	// aliveAt is when the present incarnation of the server last responded.
 	aliveAt     time.Time
 	clock       time.Duration
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -11,7 +11,7 @@
 	task := &step.Tasks[index]
 	task.State = Placed
 	task.Run = run
-	task.Server, task.Incarnation = server.ID, server.Incarnation
+	task.Server, task.Incarnation, task.Address = server.ID, server.Incarnation, server.Address
 	j.version++
 }
 
--- a/lifecycler/compact.go
+++ b/lifecycler/compact.go
@@ -29,7 +29,8 @@
 // ServerRecord is an incarnation of a backend server.
 type ServerRecord struct {
 	ID          specifier.ServerID
-	Incarnation int64 `json:",omitempty"`
+	Incarnation int64  `json:",omitempty"`
+	Address     string `json:",omitempty"`
 }
 
 // TaskGroup is the progress that some tasks of an occurrence have in common.
@@ -120,7 +121,7 @@
 		b.addDetail(occurrence, number, step, index)
 	}
 	if task.State == Placed {
-		key.server = ServerRecord{ID: task.Server, Incarnation: task.Incarnation}
+		key.server = ServerRecord{ID: task.Server, Incarnation: task.Incarnation, Address: task.Address}
 	}
 	i, known := b.groups[key]
 	if !known {
@@ -213,7 +214,7 @@
 		}
 		*task = Task{
 			State: group.State, Run: group.Run, FailedRuns: slices.Clone(group.FailedRuns), Server: server.ID,
-			Incarnation: server.Incarnation,
+			Incarnation: server.Incarnation, Address: server.Address,
 		}
 		if group.State == Done {
 			step.done++
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -36,6 +36,7 @@
 	FailedRuns  []int              `json:",omitempty"`
 	Server      specifier.ServerID `json:",omitempty"`
 	Incarnation int64              `json:",omitempty"`
+	Address     string             `json:",omitempty"`
 	Checkpoint  string             `json:",omitempty"`
 	Crashes     []Crash            `json:",omitempty"`
 }
@@ -79,6 +80,10 @@
 			Index: i, State: task.State, Run: task.Run, FailedRuns: task.FailedRuns,
 			Server: task.Server, Incarnation: task.Incarnation, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
 		})
+		// Only an unknown end of the run makes the address matter.
+		if task.State == Placed {
+			kept.Tasks[len(kept.Tasks)-1].Address = task.Address
+		}
 	}
 	return kept, len(kept.Tasks) > 0
 }
@@ -149,7 +154,7 @@
 		}
 		s.Tasks[task.Index] = Task{
 			State: task.State, Run: task.Run, FailedRuns: task.FailedRuns, Server: task.Server,
-			Incarnation: task.Incarnation, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
+			Incarnation: task.Incarnation, Address: task.Address, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
 		}
 		if task.State == Done {
 			s.done++
--- a/lifecycler/record_test.go
+++ b/lifecycler/record_test.go
@@ -18,7 +18,10 @@
 const maxTasks = 100_000
 
 func serverNumbered(number int) specifier.Server {
-	return specifier.Server{ID: specifier.ServerID(fmt.Sprintf("i-%010x", 1<<36+number)), Incarnation: 1_792_520_014_193 + int64(number)}
+	return specifier.Server{
+		ID: specifier.ServerID(fmt.Sprintf("i-%010x", 1<<36+number)), Incarnation: 1_792_520_014_193 + int64(number),
+		Address: fmt.Sprintf("10.3.%d.%d:8262", 100+number/200, 100+number%100),
+	}
 }
 
 func encode(t *testing.T, job *lifecycler.Job) []byte {
@@ -206,6 +209,7 @@
 				if a.Tasks[index].State == lifecycler.Placed {
 					require.Equal(t, a.Tasks[index].Server, b.Tasks[index].Server)
 					require.Equal(t, a.Tasks[index].Incarnation, b.Tasks[index].Incarnation)
+					require.Equal(t, a.Tasks[index].Address, b.Tasks[index].Address)
 				}
 				if a.SharedCheckpoint(index) != "" {
 					listed++
--- a/lifecycler/task.go
+++ b/lifecycler/task.go
@@ -23,9 +23,11 @@
 	// FailedRuns are the numbers of the runs that failed. They are recorded instead of a count because a server may
 	// report the same end again to a later owner. The failed runs of a gang are recorded in its first task.
 	FailedRuns []int
-	// Server is the backend server that the newest run was assigned to, and Incarnation its incarnation at that time.
+	// Server is the backend server that the newest run was assigned to, and Incarnation and Address are its incarnation and address
+	// at that time.
 	Server      specifier.ServerID
 	Incarnation int64
+	Address     string
 	Checkpoint  string
 	// Crashes are the crashes of servers under runs of the task since one of them has lasted for long.
 	Crashes []Crash
