Index the simulation's runs by task

TestLargeJobCompletes took 105 s with the race detector beside load, because the simulation compared each start and each acknowledged end with all runs.

--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -35,8 +35,8 @@
 	if !used.Fits(s.server.Capacity) {
 		w.violate("LIMIT: %s on %s takes %v of %v", o.Task, s.server.ID, used, s.server.Capacity)
 	}
-	for _, other := range w.runs {
-		if other.task == o.Task && !other.ended {
+	for _, other := range w.runsOf[o.Task] {
+		if !other.ended {
 			w.violate("TWICE: %s runs on %s (run %d) and %s (run %d)", o.Task, other.server.server.ID, other.run,
 				s.server.ID, o.Run)
 		}
@@ -65,6 +65,7 @@
 	}
 	s.runs[o.Task] = r
 	w.runs = append(w.runs, r)
+	w.runsOf[r.task] = append(w.runsOf[r.task], r)
 	if delay, crashes := crashDelays[job.Spec]; crashes && o.Task.Index == 0 {
 		w.scheduleCrash(r, delay)
 	}
@@ -205,8 +206,8 @@
 		return
 	}
 	w.acknowledged[end.Task] = true
-	for _, r := range w.runs {
-		if r.task == end.Task && r.begunAt.After(endedAt) {
+	for _, r := range w.runsOf[end.Task] {
+		if r.begunAt.After(endedAt) {
 			w.violate("TWICE: %s started on %s after an end that was acknowledged", r.task, r.server.server.ID)
 		}
 	}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -61,7 +61,8 @@
 	decisions    []string
 
 	// runs are all runs that were started, to check that no task runs twice or after its end.
-	runs []*fakeRun
+	runs   []*fakeRun
+	runsOf map[specifier.TaskID][]*fakeRun
 	// finished has the tasks that have ended as done, and acknowledged those of which the owner has acknowledged that
 	// end.
 	finished     map[specifier.TaskID]bool
@@ -105,7 +106,7 @@
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)),
 		servers: make(map[specifier.ServerID]*fakeServer), cancelled: make(map[specifier.JobID]bool),
 		records: make(map[specifier.JobID]lifecycler.Record), acknowledged: make(map[specifier.TaskID]bool),
-		finished: make(map[specifier.TaskID]bool),
+		finished: make(map[specifier.TaskID]bool), runsOf: make(map[specifier.TaskID][]*fakeRun),
 		failures: make(map[specifier.TaskID]int), crashes: make(map[specifier.TaskID]int),
 		startsAfterCrashes: make(map[specifier.TaskID]int), epoch: 9, muteAdvisors: make(map[string]time.Time),
 		advisors: []string{"a", "b", "c"}, endsPerReport: 500,
