Visit only a job's own runs when it ends

Cause: the end or cancellation of a job compared its ID with all allocations of the shard (stopAll).

Change: the sessions with allocations are indexed by job.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -25,6 +25,8 @@
 
 	jobs     map[specifier.JobID]*job
 	sessions map[specifier.ServerID]*session
+	// runs has the sessions with allocations of each job.
+	runs runIndex
 	// ordered has the sessions in the order of their servers' IDs; nil when it has to be made anew.
 	ordered []*session
 	// lastFences are the fencing tokens of servers that were removed from the list. A server that is listed again has
@@ -90,6 +92,7 @@
 		startedAt:    now,
 		jobs:         make(map[specifier.JobID]*job),
 		sessions:     make(map[specifier.ServerID]*session),
+		runs:         make(runIndex),
 		lastFences:   make(map[specifier.ServerID]int64),
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -176,7 +176,7 @@
 }
 
 func (c *Conductor) stopAll(now time.Time, j *job) {
-	for _, s := range c.sessions {
+	for s := range c.runs[j.Spec.ID] {
 		for _, a := range s.allocations {
 			switch {
 			case a.task.Job != j.Spec.ID:
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -90,7 +90,9 @@
 	unrecorded []pendingEnd
 
 	allocations map[specifier.TaskID]*allocation
-	used        specifier.Resources
+	// runs is the owner's index of the allocations of all sessions.
+	runs runIndex
+	used specifier.Resources
 	// starting is the number of allocations whose start has no result yet.
 	starting int
 	// trial is the last suspect that was placed on the server; see onTrial.
@@ -131,11 +133,16 @@
 	holder *holder
 }
 
-func newSession(server specifier.Server, fence int64) *session {
-	return &session{id: server.ID, server: server, fence: fence, firstFence: fence, allocations: make(map[specifier.TaskID]*allocation)}
+func newSession(server specifier.Server, fence int64, runs runIndex) *session {
+	return &session{
+		id: server.ID, server: server, fence: fence, firstFence: fence, runs: runs, allocations: make(map[specifier.TaskID]*allocation),
+	}
 }
 
 func (s *session) add(a *allocation) {
+	if s.allocations[a.task] == nil {
+		s.runs.add(a.task.Job, s)
+	}
 	s.allocations[a.task] = a
 	s.used = s.used.Plus(a.need)
 	if a.starting() {
@@ -164,6 +171,7 @@
 		s.starting--
 	}
 	delete(s.allocations, task)
+	s.runs.remove(task.Job, s)
 }
 
 // freeCapacity returns the capacity that no allocation takes.
