Bound the rate at which a job's record is written

A record is encoded and sent whole with each write, so that a job with a thousand tasks that end one after the other takes more than a link of 20 Mbit/s and the processor of the owner.

Change: the next write of a record waits as long as 2 MiB/s would take for the last one. A final record does not wait. The owner is not woken for changes that wait for an earlier write of the same job.

Evidence: TestRecordsOfLargeJobAreWrittenAtBoundedRate. Small jobs beside it complete within a second.

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -53,7 +53,8 @@
 			needed = 2
 		}
 		full := bytes >= commitBytes || len(l.jobs) > 0 && (l.jobs[0].job.writtenAlone || j.writtenAlone)
-		if j.inFlight || full || entries+needed > commitBatch {
+		early := now.Before(j.writeNotBefore) && !final
+		if j.inFlight || early || full || entries+needed > commitBatch {
 			later = append(later, j)
 			continue
 		}
@@ -74,6 +75,7 @@
 			break
 		}
 		j.dirty, j.inFlight = false, true
+		j.writeNotBefore = now.Add(writeTime(len(value)))
 		l.jobs = append(l.jobs, laneJob{job: j, version: j.Version(), state: j.State()})
 		write.Changes = append(write.Changes, Change{Job: j.Spec.ID, Value: value, Final: final})
 		entries += needed
@@ -91,6 +93,30 @@
 	c.emit(write)
 }
 
+// writeTime returns the time from the write of a job's record to its next one.
+func writeTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / jobRecordRate
+}
+
+// nextCommit returns the earliest time at which a record can be written, unless all changed jobs wait for an earlier write.
+func (c *Conductor) nextCommit() (time.Time, bool) {
+	var next time.Time
+	found := false
+	for _, j := range c.dirty {
+		if j.inFlight {
+			continue
+		}
+		at := c.commitNotBefore
+		if j.writeNotBefore.After(at) && !j.State().Final() {
+			at = j.writeNotBefore
+		}
+		if !found || at.Before(next) {
+			next, found = at, true
+		}
+	}
+	return next, found
+}
+
 func (c *Conductor) commitEnded(now time.Time, e CommitEnded) {
 	l := &c.lanes[e.Lane]
 	jobs := l.jobs
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -15,6 +15,9 @@
 	// stale is set while the job's waiting steps are out of date.
 	stale    bool
 	inFlight bool
+	// writeNotBefore is the earliest time of the next write of the record. A record is encoded and sent whole, so that one of many
+	// tasks would otherwise take the owner's processor and link.
+	writeNotBefore time.Time
 	// writtenAlone is set after the store did not accept a write with the records of several jobs, until it has this one.
 	writtenAlone bool
 	// blockedUntil is when the job is tried again after the store did not accept its record. It gets no new runs meanwhile.
--- a/conductor/job_cost_test.go
+++ b/conductor/job_cost_test.go
@@ -37,3 +37,38 @@
 	}
 	require.Less(t, cost(otherRuns), tolerance*cost(1))
 }
+
+// TestRecordsOfLargeJobAreWrittenAtBoundedRate guards against an owner whose processor and link are taken by the record of one job
+// with many tasks, which is encoded and sent whole for each group of ends. The rate is four fifths of a link of 20 Mbit/s.
+func TestRecordsOfLargeJobAreWrittenAtBoundedRate(t *testing.T) {
+	const rate, steps, longest = 2 << 20, 330, time.Second
+	w := newSimulation(t, 1, 48)
+	written, largest := 0, 0
+	w.onCommit = func(c conductor.Commit) {
+		for _, change := range c.Changes {
+			written += len(change.Value)
+			largest = max(largest, len(change.Value))
+		}
+	}
+	large := newJob(0, jobOptions{Tasks: 3, MilliCores: 2000, MemoryMB: 1, Priority: 1})
+	for i := range steps {
+		step := large.Steps[0]
+		step.Estimate = 15 * time.Millisecond * time.Duration(1+i)
+		large.Steps = append(large.Steps, step)
+	}
+	w.submit(large)
+	const traffic = steps * 15 * time.Millisecond
+	for n := range 20 {
+		small := newJob(1+n, jobOptions{Tasks: 1, MilliCores: 2000, MemoryMB: 1, Seconds: 0.3})
+		at := time.Duration(n) * traffic / 20
+		w.at(w.start.Add(at), func() { w.submit(small) })
+		w.at(w.start.Add(at+longest), func() {
+			require.Equal(t, specifier.Completed, w.state(small.ID), "job %d", n)
+		})
+	}
+	w.runUntil(traffic + time.Second)
+	require.Equal(t, specifier.Completed, w.state(large.ID))
+	require.Greater(t, largest, 64_000)
+	require.LessOrEqual(t, written, int(rate*traffic.Seconds())+2*largest)
+	require.Empty(t, w.violations)
+}
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -46,6 +46,8 @@
 	maxStartsInFlight = 512
 	// commitBytes bounds the records of several jobs in one write, so that small ones do not wait for the transfer of large ones.
 	commitBytes = 256 << 10
+	// jobRecordRate bounds the records of one job that are written in a second, in bytes, to four fifths of a link of 20 Mbit/s.
+	jobRecordRate = 2 << 20
 	// unwritableRetry is the pause before a record that the store does not accept is tried again.
 	unwritableRetry = 30 * time.Second
 	// extraLaneAfter is how long a write may take before another one starts concurrently.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -66,8 +66,8 @@
 	if !c.hasFresh && c.fullPassNotBefore.After(next) {
 		next = c.fullPassNotBefore
 	}
-	if len(c.dirty) > 0 && (!due || c.commitNotBefore.Before(next)) {
-		next, due = c.commitNotBefore, true
+	if at, ok := c.nextCommit(); ok && (!due || at.Before(next)) {
+		next, due = at, true
 	}
 	if c.renewalPass.skipped && (!due || c.renewalPass.next.Before(next)) {
 		next, due = c.renewalPass.next, true
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -73,6 +73,8 @@
 	startsAfterCrashes map[specifier.TaskID]int
 	violations         []string
 	starts, stops      int
+	// onCommit is called with each commit, if it is set.
+	onCommit func(conductor.Commit)
 	// resignations counts the owners that resigned.
 	resignations int
 }
@@ -229,6 +231,9 @@
 func (w *simulation) execute(epoch int64, command conductor.Command) {
 	switch c := command.(type) {
 	case conductor.Commit:
+		if w.onCommit != nil {
+			w.onCommit(c)
+		}
 		w.commit(epoch, c)
 	case conductor.Start:
 		w.servers[c.Server.ID].sendOrder(w, epoch, func(s *fakeServer) specifier.OrderResult { return s.startRun(w, c) },
