Simulate a large cell with four owners in virtual time

The simulation of the conductor now runs the owners of several shards, with transfers of servers between them.

Each owner of the simulation has its own epoch and plans for itself; jobs and the members of gangs are found by index.

--- /dev/null
+++ b/conductor/cell_day_test.go
@@ -0,0 +1,304 @@
+package conductor_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// cellSeeds is the number of seeds of TestCellDay. Designs are compared over hundreds of them.
+var cellSeeds = flag.Int("cell.seeds", 1, "seeds of the simulated days of a large cell")
+
+// cellTrace makes TestCellDay log the state of the shards.
+var cellTrace = flag.Bool("cell.trace", false, "log the state of the shards in the simulated days of a large cell")
+
+const (
+	// cellTraffic is how long jobs arrive after the owners of all shards were lost, and cellLength the end of the day.
+	cellTraffic = 19 * time.Second
+	cellLength  = 36 * time.Second
+	// starvedAfter is how long a step may wait at the end of the day while less than half of the cell is in use.
+	starvedAfter = 3 * time.Second
+)
+
+// cellDay is the end of a day of a large cell: 1,100 servers in four shards, whose owners were all lost, with a backlog of wide gangs
+// that is larger in some shards than in others, beside urgent jobs that keep coming.
+type cellDay struct {
+	*simulation
+	shardOfJob map[specifier.JobID]int
+	weights    []float64
+	gangs      []specifier.Job
+	urgent     []specifier.Job
+	jobs       int
+}
+
+func newCellDay(t *testing.T, seed uint64) *cellDay {
+	const shards, servers, advisors, backlogGangs, backlogJobs = 4, 1100, 147, 140, 60
+	d := &cellDay{simulation: newSimulation(t, seed, servers), shardOfJob: make(map[specifier.JobID]int)}
+	d.quiet, d.grantOneIn, d.grantsDiffer = true, 3, true
+	d.shardOf = func(id specifier.JobID) int { return d.shardOfJob[id] }
+	d.owners, d.advisors = nil, nil
+	for i := range shards {
+		d.owners = append(d.owners, &simulatedOwner{shard: i})
+		d.weights = append(d.weights, 0.4+1.2*d.random.Float64())
+	}
+	for i := range advisors {
+		d.advisors = append(d.advisors, fmt.Sprintf("advisor-%d", i))
+	}
+	for range backlogGangs {
+		d.accepted(d.wideGang(), 20*time.Second)
+	}
+	for range backlogJobs {
+		d.accepted(d.mediumJob(), 5*time.Second)
+	}
+	for _, o := range d.owners {
+		d.electOwner(o)
+	}
+	d.arrive(6.7, d.wideGang)
+	d.arrive(8.9, d.mediumJob)
+	d.arrive(141, d.urgentJob)
+	return d
+}
+
+// accepted adds a job that was accepted up to a time before the owners were lost.
+func (d *cellDay) accepted(job specifier.Job, before time.Duration) {
+	job.AcceptedAt = d.now.Add(-time.Duration(d.random.Float64() * float64(before)))
+	d.submitted = append(d.submitted, job)
+	d.simulation.jobs[job.ID] = job
+}
+
+// arrive submits jobs at a rate per second while there is traffic.
+func (d *cellDay) arrive(rate float64, newJob func() specifier.Job) {
+	for at := d.random.ExpFloat64() / rate; at < cellTraffic.Seconds(); at += d.random.ExpFloat64() / rate {
+		job := newJob()
+		d.at(d.start.Add(seconds(at)), func() { d.submit(job) })
+	}
+}
+
+// around returns a random number with a mean, a relative spread and a maximum.
+func (d *cellDay) around(mean, spread, maximum float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + spread*spread))
+	return min(maximum, mean*math.Exp(sigma*d.random.NormFloat64()-sigma*sigma/2))
+}
+
+// add gives a job to a shard.
+func (d *cellDay) add(o jobOptions, uneven bool) specifier.Job {
+	d.jobs++
+	job := newJob(d.jobs, o)
+	d.shardOfJob[job.ID] = d.random.IntN(len(d.owners))
+	if uneven {
+		total := 0.0
+		for _, weight := range d.weights {
+			total += weight
+		}
+		point := d.random.Float64() * total
+		for i, weight := range d.weights {
+			if point -= weight; point < 0 {
+				d.shardOfJob[job.ID] = i
+				break
+			}
+		}
+	}
+	return job
+}
+
+func (d *cellDay) wideGang() specifier.Job {
+	job := d.add(jobOptions{
+		Tasks: 1 + int(d.around(32, 0.6, 160)), MilliCores: int64(d.around(18000, 0.4, 30000)), MemoryMB: int64(d.around(33000, 0.5, 66000)),
+		Seconds: d.around(5.5, 0.7, 30), Steps: 1 + d.random.IntN(5)/4, Gang: true, Advice: true, Priority: 1, Attempts: 2,
+		AdviceCost: specifier.AdviceCost{Fixed: 507 * time.Millisecond, PerServer: 7150 * time.Microsecond},
+	}, true)
+	d.gangs = append(d.gangs, job)
+	return job
+}
+
+func (d *cellDay) mediumJob() specifier.Job {
+	return d.add(jobOptions{
+		Tasks: 1 + int(d.around(32, 0.6, 160)), MilliCores: int64(d.around(11000, 0.45, 33000)), MemoryMB: int64(d.around(16000, 0.6, 47000)),
+		Seconds: d.around(3.5, 0.7, 20), Steps: 1 + d.random.IntN(2), Advice: true, Priority: 2, Attempts: 2,
+		AdviceCost: specifier.AdviceCost{Fixed: 182 * time.Millisecond, PerServer: 2600 * time.Microsecond},
+	}, true)
+}
+
+func (d *cellDay) urgentJob() specifier.Job {
+	job := d.add(jobOptions{
+		Tasks: 1 + int(d.around(4, 0.8, 27)), MilliCores: int64(d.around(16000, 0.45, 47000)), MemoryMB: int64(d.around(29000, 0.6, 86000)),
+		Seconds: d.around(0.54, 0.5, 3), Gang: d.random.IntN(3) == 0, Advice: true, Attempts: 4,
+		AdviceCost: specifier.AdviceCost{Fixed: 11 * time.Millisecond, PerServer: 170 * time.Microsecond},
+	}, false)
+	d.urgent = append(d.urgent, job)
+	return job
+}
+
+// waitingStep returns the step of a job that could run and does not, if there is one.
+func (d *cellDay) waitingStep(job specifier.Job) (specifier.StepID, bool) {
+	if d.state(job.ID).Final() {
+		return specifier.StepID{}, false
+	}
+	for i, step := range job.Steps {
+		id := specifier.StepID{Job: job.ID, Step: i}
+		finished := true
+		for index := range step.Count {
+			for _, r := range d.runsOf[id.Task(index)] {
+				if !r.ended {
+					return specifier.StepID{}, false
+				}
+			}
+			finished = finished && d.finished[id.Task(index)]
+		}
+		if !finished {
+			return id, true
+		}
+	}
+	return specifier.StepID{}, false
+}
+
+// coresInUse returns the share of each shard's cores that is in use, and that of the cell.
+func (d *cellDay) coresInUse() (shards []float64, cell float64) {
+	used, capacity := make([]float64, len(d.owners)), make([]float64, len(d.owners))
+	for _, s := range d.servers {
+		home := d.homeOf(s.server)
+		capacity[home] += float64(s.server.Capacity.MilliCores)
+		for _, r := range s.runs {
+			used[home] += float64(r.need.MilliCores)
+		}
+	}
+	totalUsed, total := 0.0, 0.0
+	for i := range used {
+		totalUsed, total = totalUsed+used[i], total+capacity[i]
+		shards = append(shards, used[i]/capacity[i])
+	}
+	return shards, totalUsed / total
+}
+
+// cellFigures are the results of a day.
+type cellFigures struct {
+	// Starved is the number of steps that break the users' rule at the end of the day.
+	Starved int
+	// Unfinished is the number of jobs that are not completed at the end.
+	Unfinished int
+	// GangWait is the mean time from the acceptance of a wide gang, or the start of the day, to its first start, and LongestWait
+	// the longest.
+	GangWait, LongestWait time.Duration
+	// UrgentLate is the share of urgent jobs that took longer than their run and half a second.
+	UrgentLate float64
+	// Use is the share of the cell's cores in use from the end of the traffic on.
+	Use        float64
+	Violations int
+}
+
+func (d *cellDay) play() cellFigures {
+	waitingSince := make(map[specifier.StepID]time.Time)
+	var figures cellFigures
+	starved := make(map[specifier.StepID]bool)
+	samples := 0
+	const sample = 500 * time.Millisecond
+	for at := cellTraffic; at <= cellLength; at += sample {
+		d.runUntil(at)
+		shards, use := d.coresInUse()
+		if *cellTrace && at%(2*time.Second) == 0 {
+			waiting := make([]int, len(d.owners))
+			for _, job := range d.submitted {
+				if _, ok := d.waitingStep(job); ok {
+					waiting[d.shardOf(job.ID)]++
+				}
+			}
+			lent := make([]int, len(d.owners))
+			for _, transfer := range d.transfers {
+				if transfer.Shard != transfer.Home {
+					lent[transfer.Shard]++
+				}
+			}
+			d.t.Logf("%s: use %.2f of the cell, %.2f of the shards; waiting jobs %v; borrowed servers %v", at, use, shards, waiting, lent)
+		}
+		figures.Use += use
+		samples++
+		waiting := make(map[specifier.StepID]time.Time)
+		starved = make(map[specifier.StepID]bool)
+		for _, job := range d.submitted {
+			id, ok := d.waitingStep(job)
+			if !ok || use >= 0.5 {
+				continue
+			}
+			waiting[id] = d.now
+			if since, known := waitingSince[id]; known {
+				waiting[id] = since
+			}
+			if d.now.Sub(waiting[id]) >= starvedAfter {
+				starved[id] = true
+			}
+		}
+		waitingSince = waiting
+	}
+	figures.Use /= float64(samples)
+	figures.Starved, figures.Violations = len(starved), len(d.violations)
+	for _, job := range d.submitted {
+		if d.state(job.ID) != specifier.Completed {
+			figures.Unfinished++
+		}
+	}
+	for _, job := range d.gangs {
+		wait := d.waitOf(job)
+		figures.GangWait += wait
+		figures.LongestWait = max(figures.LongestWait, wait)
+	}
+	figures.GangWait /= time.Duration(len(d.gangs))
+	for _, job := range d.urgent {
+		if d.waitOf(job) > 500*time.Millisecond {
+			figures.UrgentLate += 1 / float64(len(d.urgent))
+		}
+	}
+	return figures
+}
+
+// waitOf returns how long a job waited for its first start.
+func (d *cellDay) waitOf(job specifier.Job) time.Duration {
+	accepted := d.simulation.jobs[job.ID].AcceptedAt
+	if accepted.Before(d.start) {
+		accepted = d.start
+	}
+	runs := d.runsOf[specifier.StepID{Job: job.ID}.Task(0)]
+	if len(runs) == 0 {
+		return d.now.Sub(accepted)
+	}
+	return runs[0].begunAt.Sub(accepted)
+}
+
+func TestCellDay(t *testing.T) {
+	var mu sync.Mutex
+	var all []cellFigures
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(*cellSeeds) {
+			t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+				t.Parallel()
+				figures := newCellDay(t, seed).play()
+				t.Logf("%+v", figures)
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, figures)
+			})
+		}
+	})
+	var sum cellFigures
+	days := 0
+	for _, f := range all {
+		sum.Starved += f.Starved
+		sum.Unfinished += f.Unfinished
+		sum.GangWait += f.GangWait
+		sum.LongestWait += f.LongestWait
+		sum.UrgentLate += f.UrgentLate
+		sum.Use += f.Use
+		sum.Violations += f.Violations
+		if f.Starved > 0 {
+			days++
+		}
+	}
+	n := len(all)
+	t.Logf("%d seeds: %d with starved steps, %d starved, %d unfinished, gang wait %s, longest %s, urgent late %.4f, use %.3f, violations %d",
+		n, days, sum.Starved, sum.Unfinished, sum.GangWait/time.Duration(n), sum.LongestWait/time.Duration(n), sum.UrgentLate/float64(n), sum.Use/float64(n),
+		sum.Violations)
+}
--- a/conductor/gang_test.go
+++ b/conductor/gang_test.go
@@ -43,7 +43,7 @@
 func runLateJobBesideSmallerOnes(t *testing.T, perSecond int, options jobOptions) {
 	const servers, loadSeconds = 60, 45
 	w := newSimulation(t, 4, servers)
-	w.deliver(w.epoch, conductor.AdvisorsChanged{Advisors: []string{"a", "b", "c", "d", "e", "f", "g", "h"}})
+	w.deliver(w.owner().epoch, conductor.AdvisorsChanged{Advisors: []string{"a", "b", "c", "d", "e", "f", "g", "h"}})
 	w.grantOneIn, w.grantsDiffer = 3, true
 	filling := newJob(1, jobOptions{Tasks: servers, MilliCores: 40000, Seconds: 9})
 	w.at(w.start.Add(time.Second), func() { w.submit(filling) })
@@ -65,7 +65,7 @@
 func TestGangWiderThanAnAdviceCallRuns(t *testing.T) {
 	const servers, oneIn = 600, 3
 	w := newSimulation(t, 5, servers)
-	w.deliver(w.epoch, conductor.AdvisorsChanged{Advisors: []string{"a", "b", "c", "d", "e", "f", "g", "h"}})
+	w.deliver(w.owner().epoch, conductor.AdvisorsChanged{Advisors: []string{"a", "b", "c", "d", "e", "f", "g", "h"}})
 	w.grantOneIn = oneIn
 	gang := newJob(0, jobOptions{Tasks: 190, MilliCores: 40000, Seconds: 1, Gang: true, Advice: true})
 	gang.Queue.Advice = specifier.AdviceCost{Needed: true, Fixed: 559 * time.Millisecond, PerServer: 15 * time.Millisecond}
--- a/conductor/job_cost_test.go
+++ b/conductor/job_cost_test.go
@@ -24,12 +24,12 @@
 			var waiting []specifier.JobID
 			for n := range jobs {
 				job := newJob(1+round*jobs+n, jobOptions{Tasks: 1, MilliCores: 65000})
-				w.stateMachine.Handle(w.now, conductor.JobArrived{Job: job})
+				w.owner().stateMachine.Handle(w.now, conductor.JobArrived{Job: job})
 				waiting = append(waiting, job.ID)
 			}
 			began := time.Now()
 			for _, id := range waiting {
-				w.stateMachine.Handle(w.now, conductor.JobCancelled{Job: id})
+				w.owner().stateMachine.Handle(w.now, conductor.JobCancelled{Job: id})
 			}
 			least = min(least, time.Since(began))
 		}
@@ -82,9 +82,9 @@
 		for range 3 {
 			w := newSimulation(t, 1, servers)
 			w.runUntil(time.Second)
-			w.stateMachine.Handle(w.now, conductor.JobArrived{Job: newJob(0, jobOptions{Tasks: tasks, MilliCores: 64000})})
+			w.owner().stateMachine.Handle(w.now, conductor.JobArrived{Job: newJob(0, jobOptions{Tasks: tasks, MilliCores: 64000})})
 			began := time.Now()
-			commands := w.stateMachine.Plan(w.now)
+			commands := w.owner().stateMachine.Plan(w.now)
 			least = min(least, time.Since(began))
 			require.Len(t, commandsOf[conductor.Commit](commands), 1)
 		}
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -10,10 +10,8 @@
 )
 
 func (w *simulation) jobOf(id specifier.JobID) specifier.Job {
-	for _, job := range w.submitted {
-		if job.ID == id {
-			return job
-		}
+	if job, ok := w.jobs[id]; ok {
+		return job
 	}
 	w.violate("UNASKED: job %s was never submitted", id)
 	return specifier.Job{}
@@ -115,9 +113,11 @@
 // members returns the runs of a gang that have not ended.
 func (w *simulation) members(r *fakeRun) []*fakeRun {
 	var members []*fakeRun
-	for _, other := range w.runs {
-		if other.task.StepID == r.task.StepID && other.run == r.run && !other.ended {
-			members = append(members, other)
+	for i := range r.job.Steps[r.task.Step].Count {
+		for _, other := range w.runsOf[r.task.StepID.Task(i)] {
+			if other.run == r.run && !other.ended {
+				members = append(members, other)
+			}
 		}
 	}
 	return members
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -25,8 +25,8 @@
 	predecessorCheckTime = 50 * time.Millisecond
 )
 
-// simulation runs an owner, its store and backend servers in virtual time, and checks the rules that hold at every
-// moment.
+// simulation runs the owners of a cell's shards, their store and backend servers in virtual time, and checks the rules that hold at
+// every moment. There is one shard unless a test adds more.
 type simulation struct {
 	t        *testing.T
 	now      time.Time
@@ -36,11 +36,17 @@
 	random   *rand.Rand
 	servers  map[specifier.ServerID]*fakeServer
 
-	submitted      []specifier.Job
-	cancelled      map[specifier.JobID]bool
-	records        map[specifier.JobID]lifecycler.Record
-	epoch          int64
-	stateMachine   *conductor.Conductor
+	submitted []specifier.Job
+	// jobs has the submitted jobs by their IDs.
+	jobs      map[specifier.JobID]specifier.Job
+	cancelled map[specifier.JobID]bool
+	records   map[specifier.JobID]lifecycler.Record
+	// revision counts the changes of the store.
+	revision int64
+	owners   []*simulatedOwner
+	// shardOf returns the shard of a job, if there are several.
+	shardOf        func(specifier.JobID) int
+	transfers      map[specifier.ServerID]conductor.Transfer
 	storeDownUntil time.Time
 	// muteAdvisors are the advisors whose calls all fail before these times.
 	muteAdvisors map[string]time.Time
@@ -57,8 +63,9 @@
 	endsPerReport int
 	// grantsDiffer makes the admitted servers of each step differ.
 	grantsDiffer bool
-	planned      bool
 	decisions    []string
+	// quiet is set to record no decisions.
+	quiet bool
 
 	// runs are all runs that were started, to check that no task runs twice or after its end.
 	runs   []*fakeRun
@@ -110,16 +117,25 @@
 		records: make(map[specifier.JobID]lifecycler.Record), acknowledged: make(map[specifier.TaskID]bool),
 		finished: make(map[specifier.TaskID]bool), runsOf: make(map[specifier.TaskID][]*fakeRun),
 		failures: make(map[specifier.TaskID]int), crashes: make(map[specifier.TaskID]int),
-		startsAfterCrashes: make(map[specifier.TaskID]int), epoch: 9, muteAdvisors: make(map[string]time.Time),
-		advisors: []string{"a", "b", "c"}, endsPerReport: 500,
+		startsAfterCrashes: make(map[specifier.TaskID]int), revision: 9, muteAdvisors: make(map[string]time.Time),
+		advisors: []string{"a", "b", "c"}, endsPerReport: 500, owners: []*simulatedOwner{{}},
+		jobs: make(map[specifier.JobID]specifier.Job), transfers: make(map[specifier.ServerID]conductor.Transfer),
 	}
 	w.start = w.now
 	for i := range servers {
 		w.addServer(specifier.ServerID(fmt.Sprintf("i-%02d", i)))
 	}
 	w.elect()
-	w.every(tick, func() { w.plan() })
-	w.every(300*time.Millisecond, func() { w.list() })
+	w.every(tick, func() {
+		for _, o := range w.owners {
+			w.plan(o)
+		}
+	})
+	w.every(300*time.Millisecond, func() {
+		for _, o := range w.owners {
+			w.list(o)
+		}
+	})
 	return w
 }
 
@@ -153,81 +169,6 @@
 	w.violations = append(w.violations, fmt.Sprintf("%7.3f s: ", w.now.Sub(w.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// elect starts a new owner that recovers its state from the store.
-func (w *simulation) elect() {
-	w.epoch++
-	w.stateMachine = conductor.New(w.now, w.epoch, conductor.WithMaximumLease(10*time.Second))
-	w.stateMachine.Handle(w.now, conductor.AdvisorsChanged{Advisors: w.advisors})
-	w.list()
-	for _, job := range w.submitted {
-		restored, err := lifecycler.Restore(job, w.records[job.ID])
-		if err != nil {
-			w.t.Fatalf("restore job %s: %v", job.ID, err)
-		}
-		w.stateMachine.Restore(w.now, restored)
-	}
-	for id := range w.cancelled {
-		w.stateMachine.Handle(w.now, conductor.JobCancelled{Job: id})
-	}
-	w.plan()
-}
-
-// loseOwner ends the owner; a successor is elected after takeoverTime.
-func (w *simulation) loseOwner() {
-	w.stateMachine = nil
-	w.epoch++
-	w.after(takeoverTime, w.elect)
-}
-
-// crashOwner ends the owner; its successor is notified that it has stopped.
-func (w *simulation) crashOwner() {
-	w.loseOwner()
-	epoch := w.epoch + 1
-	w.after(takeoverTime+predecessorCheckTime, func() { w.deliver(epoch, conductor.PredecessorsStopped{}) })
-}
-
-func (w *simulation) list() {
-	var listed []specifier.Server
-	for _, s := range w.servers {
-		if s.listed(w) {
-			listed = append(listed, s.server)
-		}
-	}
-	w.deliver(w.epoch, conductor.ServersListed{Servers: listed})
-}
-
-// deliver passes an event to the owner of an epoch, if it is still the owner.
-func (w *simulation) deliver(epoch int64, event conductor.Event) {
-	if w.stateMachine == nil || epoch != w.epoch {
-		return
-	}
-	w.stateMachine.Handle(w.now, event)
-	w.plan()
-}
-
-func (w *simulation) plan() {
-	if w.stateMachine == nil {
-		return
-	}
-	epoch := w.epoch
-	for _, command := range w.stateMachine.Plan(w.now) {
-		w.execute(epoch, command)
-	}
-	if w.stateMachine == nil {
-		return
-	}
-	if next, due := w.stateMachine.NextPlan(); due && !w.planned {
-		w.planned = true
-		if earliest := w.now.Add(time.Millisecond); next.Before(earliest) {
-			next = earliest
-		}
-		w.at(next, func() {
-			w.planned = false
-			w.plan()
-		})
-	}
-}
-
 func (w *simulation) execute(epoch int64, command conductor.Command) {
 	switch c := command.(type) {
 	case conductor.Commit:
@@ -275,10 +216,14 @@
 			})
 		})
 	case conductor.Decision:
-		w.trace(c)
+		w.trace(epoch, c)
+	case conductor.Borrow:
+		w.borrow(c)
+	case conductor.Move:
+		w.move(epoch, c)
 	case conductor.Resign:
 		w.resignations++
-		w.loseOwner()
+		w.loseOwnerOf(w.ownerIn(epoch))
 	}
 }
 
@@ -302,7 +247,7 @@
 // commit applies records once the store is up, unless the ownership has changed by then.
 func (w *simulation) commit(epoch int64, c conductor.Commit) {
 	w.after(commitDelay, func() {
-		if epoch != w.epoch {
+		if w.ownerIn(epoch) == nil {
 			return
 		}
 		if w.now.Before(w.storeDownUntil) {
@@ -327,24 +272,29 @@
 func (w *simulation) submit(job specifier.Job) {
 	job.AcceptedAt = w.now
 	w.submitted = append(w.submitted, job)
-	w.deliver(w.epoch, conductor.JobArrived{Job: job})
+	w.jobs[job.ID] = job
+	w.deliver(w.ownerOf(job.ID).epoch, conductor.JobArrived{Job: job})
 }
 
 func (w *simulation) cancelJob(id specifier.JobID) {
 	w.cancelled[id] = true
-	w.deliver(w.epoch, conductor.JobCancelled{Job: id})
+	w.deliver(w.ownerOf(id).epoch, conductor.JobCancelled{Job: id})
 }
 
 func (w *simulation) state(id specifier.JobID) specifier.JobState {
-	if w.stateMachine == nil {
+	stateMachine := w.ownerOf(id).stateMachine
+	if stateMachine == nil {
 		return w.records[id].State
 	}
-	state, _ := w.stateMachine.State(id)
+	state, _ := stateMachine.State(id)
 	return state
 }
 
 // trace records a decision; TestRandomFaults logs the decisions when it fails.
-func (w *simulation) trace(c conductor.Decision) {
+func (w *simulation) trace(epoch int64, c conductor.Decision) {
+	if w.quiet {
+		return
+	}
 	w.decisions = append(w.decisions, fmt.Sprintf("%7.3f s: epoch %d %s %s run %d on %s %s", w.now.Sub(w.start).Seconds(),
-		w.epoch, c.Name, c.Task, c.Run, c.Server, c.Detail))
+		epoch, c.Name, c.Task, c.Run, c.Server, c.Detail))
 }
