Lend idle servers by the load of the shards

One shard of four works off a backlog at 65 to 80% of its cores, while others have none and use 20 to 35% of theirs.

Cause: idle servers were lent only by shards with less than 30% of their capacity in use, for at most four steps at a time. A shard at 30 to 50% without any waiting step lent nothing for many seconds.

Change: a wish for idle servers carries the load of the shard, the capacity that is in use and that its waiting steps need. A shard lends idle servers until its load would be that of the one that asks, at most 75%, and keeps a quarter of its servers as before. Up to 16 steps borrow at a time.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -32,7 +32,7 @@
 	// which a new owner finds the steps that need the servers of its predecessor.
 	returnAfter = 3 * time.Second
 	// maxBorrowingSteps bounds the steps for which servers are borrowed at a time.
-	maxBorrowingSteps = 4
+	maxBorrowingSteps = 16
 )
 
 // borrower decides which servers of other shards this one needs.
@@ -215,6 +215,7 @@
 	w.wait.nextAskAt = now.Add(askInterval)
 	c.borrower.askedAt = now
 	wanted.Shard, wanted.Epoch, wanted.ReadRevision = c.shard.index, c.epoch, c.shard.readRevision
+	wanted.Load = c.load(now, wanted.Service)
 	elsewhere := c.tasksElsewhere(w, wanted)
 	wanted.Whole = !wanted.IdleOnly && (elsewhere+foreign < lentShare*(missing+foreign) || now.Sub(w.wait.borrowsSince) > wholeAfter)
 	wanted.Tasks = missing
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -16,9 +16,13 @@
 	// lentShare is the divisor of the part of its servers that a shard lends at a time, so that it keeps some for its own
 	// jobs, unless the wish cannot be met otherwise.
 	lentShare = 2
-	// idlePercent is how much of a service's capacity is in use in a shard that lends idle servers to one with a backlog. A
-	// busier shard would soon need them itself.
-	idlePercent = 30
+	// levelMargin is by how much the load of a shard that lends idle servers is lower than that of the one that borrows, so that
+	// servers do not move back and forth.
+	levelMargin = 5
+	// maxLenderLoad is the load up to which a shard lends idle servers, so that its own jobs still start at once.
+	maxLenderLoad = 75
+	// fullLoad is the assumed load of a shard that does not send it.
+	fullLoad = 100
 	// keptIdleShare is the divisor of the part of its servers that a shard keeps when it lends only idle ones.
 	keptIdleShare = 4
 	// maxMoves bounds the servers in a transaction of the store, which admits 32 entries: two for each server and the keys
@@ -108,7 +112,7 @@
 	previous := c.clearLent()
 	wishes := make([]*wish, 0, len(c.lender.wishes))
 	for _, w := range c.lender.wishes {
-		if !c.hasOlderNeed(w) && (!w.IdleOnly || c.isIdle(now, w.Service)) {
+		if !c.hasOlderNeed(w) && (!w.IdleOnly || !c.hasBlockedStep(now, w.Service)) {
 			wishes = append(wishes, w)
 		}
 	}
@@ -140,25 +144,52 @@
 	})
 }
 
-// isIdle reports whether the shard needs few of the service's servers: less than idlePercent of their capacity is in use, and
-// no step waits for capacity for longer than advice takes. A step that would fit waits for tickets.
-func (c *Conductor) isIdle(now time.Time, service string) bool {
+// availableServers returns the servers of a service on which new runs could be placed if no other shard wanted them.
+func (c *Conductor) availableServers(now time.Time, service string) []*session {
 	var servers []*session
 	for _, s := range c.sessions {
 		if s.server.Service == service && s.available(now) {
 			servers = append(servers, s)
 		}
 	}
-	cores, memory := percentInUse(servers)
-	if max(cores, memory) >= idlePercent {
-		return false
-	}
+	return servers
+}
+
+// hasBlockedStep reports whether a step of this shard has waited for capacity for longer than advice takes. A step that would fit
+// waits for tickets.
+func (c *Conductor) hasBlockedStep(now time.Time, service string) bool {
+	servers := c.availableServers(now, service)
 	for _, w := range c.waitingSteps {
 		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), servers) {
-			return false
+			return true
+		}
+	}
+	return false
+}
+
+// load returns the capacity of a service that is in use, and that its waiting steps need, as a percentage of what the shard has.
+func (c *Conductor) load(now time.Time, service string) int {
+	var taken, capacity specifier.Resources
+	for _, s := range c.availableServers(now, service) {
+		taken, capacity = taken.Plus(s.used), capacity.Plus(s.server.Capacity)
+	}
+	for _, w := range c.waitingSteps {
+		if w.job.queue.Service == service {
+			taken = taken.Plus(w.need().Times(len(w.waiting)))
 		}
 	}
-	return true
+	return max(percent(taken.MilliCores, capacity.MilliCores), percent(taken.MemoryMB, capacity.MemoryMB))
+}
+
+// surplus returns how many servers this shard can lend until its load is that of the shard that borrows.
+func (c *Conductor) surplus(now time.Time, w *wish) int {
+	limit := min(cmp.Or(w.Load, fullLoad)-levelMargin, maxLenderLoad)
+	load := c.load(now, w.Service)
+	if load >= limit {
+		return 0
+	}
+	servers := len(c.availableServers(now, w.Service))
+	return min(servers-(servers*load+limit-1)/limit, servers-servers/keptIdleShare)
 }
 
 // isAdmitted reports whether advice has admitted a waiting step of this shard to the server.
@@ -194,7 +225,7 @@
 			cmp.Compare(a.used.MilliCores, b.used.MilliCores), cmp.Compare(a.server.ID, b.server.ID),
 		)
 	})
-	lendable := c.lendable(w)
+	lendable := c.lendable(now, w)
 	for _, s := range candidates {
 		if fitting >= w.Tasks {
 			return
@@ -228,16 +259,16 @@
 }
 
 // lendable returns how many more of the shard's own servers may be lent or kept free for lending.
-func (c *Conductor) lendable(w *wish) int {
+func (c *Conductor) lendable(now time.Time, w *wish) int {
 	limit := c.shard.listedHome
 	switch {
 	case w.IdleOnly:
-		limit -= limit / keptIdleShare
+		limit = c.surplus(now, w)
 	case !w.Whole:
 		limit /= lentShare
 	}
 	for _, t := range c.shard.transfers {
-		if t.Home == c.shard.index && !c.isOwn(t) {
+		if !w.IdleOnly && t.Home == c.shard.index && !c.isOwn(t) {
 			limit--
 		}
 	}
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -105,7 +105,11 @@
 	for _, s := range servers {
 		used, capacity = used.Plus(s.used), capacity.Plus(s.server.Capacity)
 	}
-	return int(100 * used.MilliCores / max(capacity.MilliCores, 1)), int(100 * used.MemoryMB / max(capacity.MemoryMB, 1))
+	return percent(used.MilliCores, capacity.MilliCores), percent(used.MemoryMB, capacity.MemoryMB)
+}
+
+func percent(part, whole int64) int {
+	return int(100 * part / max(whole, 1))
 }
 
 // fitsEmpty returns how many waiting tasks of the step the server could take without the runs of other steps.
--- a/conductor/wish.go
+++ b/conductor/wish.go
@@ -28,6 +28,9 @@
 	// IdleOnly is set when the step fits the servers of its shard but waits for other runs to end. Only servers that nothing
 	// waits for are lent then.
 	IdleOnly bool `json:",omitempty"`
+	// Load is that of the service in the shard that borrows. Idle servers are lent by shards with a lower load. Earlier versions do
+	// not send it.
+	Load int `json:",omitempty"`
 	// Whole is set when the step would not fit the cell if each shard lent only a part of its servers.
 	Whole bool `json:",omitempty"`
 }
--- a/specifier/resources.go
+++ b/specifier/resources.go
@@ -7,6 +7,11 @@
 	Accelerators int64 `json:",omitempty"`
 }
 
+// Times returns the amount for a number of tasks.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCores * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
+}
+
 // Plus returns the sum.
 func (r Resources) Plus(other Resources) Resources {
 	return Resources{r.MilliCores + other.MilliCores, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
