Let gangs on time hold servers one at a time, with backfill

Late gangs found no server that was not held for another one: 175 of a shard's 255 servers were held for 13 gangs that were still on time, with 63% of the cores in use.

Cause: each gang that is on time and does not fit held as many servers as would fit it when empty. Several of them held what the others needed, and nothing could start on free servers meanwhile, however short.

Change: servers are held for the first such gang of each priority only. A run that should end before the gang can start, by the estimates of the runs on the servers that are held, may use them. Late steps that have servers held leave them to such runs, too.

Evidence: TestGangsOnTimeLeaveServersToShorterRuns fails on the code before: a gang of one second waits for a run of ten on other servers. TestGangOnTimeStartsBeforeLongerRuns shows what the one hold is for.

--- a/conductor/cell_day_test.go
+++ b/conductor/cell_day_test.go
@@ -14,6 +14,8 @@
 	// cellTraffic is how long jobs arrive after the owners of all shards were lost, and cellLength the end of the day.
 	cellTraffic = 19 * time.Second
 	cellLength  = 36 * time.Second
+	// cellShards is the number of shards of the cell.
+	cellShards = 4
 	// starvedAfter is how long a step may wait at the end of the day while less than half of the cell is in use.
 	starvedAfter = 3 * time.Second
 )
@@ -29,9 +31,10 @@
 	jobs       int
 }
 
-func newCellDay(t *testing.T, seed uint64) *cellDay {
-	const shards, servers, advisors, backlogGangs, backlogJobs = 4, 1100, 147, 140, 60
-	d := &cellDay{simulation: newSimulation(t, seed, servers), shardOfJob: make(map[specifier.JobID]int)}
+// newCellDay returns a day of a number of shards of the cell.
+func newCellDay(t *testing.T, seed uint64, shards int) *cellDay {
+	const servers, advisors, backlogGangs, backlogJobs = 275, 37, 35, 15
+	d := &cellDay{simulation: newSimulation(t, seed, servers*shards), shardOfJob: make(map[specifier.JobID]int)}
 	d.quiet, d.grantOneIn, d.grantsDiffer = true, 3, true
 	d.shardOf = func(id specifier.JobID) int { return d.shardOfJob[id] }
 	d.owners, d.advisors = nil, nil
@@ -39,21 +42,21 @@
 		d.owners = append(d.owners, &simulatedOwner{shard: i})
 		d.weights = append(d.weights, 0.4+1.2*d.random.Float64())
 	}
-	for i := range advisors {
+	for i := range advisors * shards {
 		d.advisors = append(d.advisors, fmt.Sprintf("advisor-%d", i))
 	}
-	for range backlogGangs {
+	for range backlogGangs * shards {
 		d.accepted(d.wideGang(), 20*time.Second)
 	}
-	for range backlogJobs {
+	for range backlogJobs * shards {
 		d.accepted(d.mediumJob(), 5*time.Second)
 	}
 	for _, o := range d.owners {
 		d.electOwner(o)
 	}
-	d.arrive(6.7, d.wideGang)
-	d.arrive(8.9, d.mediumJob)
-	d.arrive(141, d.urgentJob)
+	d.arrive(1.7*float64(shards), d.wideGang)
+	d.arrive(2.2*float64(shards), d.mediumJob)
+	d.arrive(35*float64(shards), d.urgentJob)
 	return d
 }
 
@@ -253,7 +256,7 @@
 			own := seed
 			seed++
 			mu.Unlock()
-			figures := newCellDay(&testing.T{}, own).play()
+			figures := newCellDay(&testing.T{}, own, cellShards).play()
 			b.Logf("seed %d: %+v", own, figures)
 			mu.Lock()
 			sum = sum.plus(figures)
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -6,8 +6,8 @@
 func (c *Conductor) placeGang(p *pass, w *waitingStep, servers []*session) bool {
 	chosen := c.chooseForGang(p, w, servers)
 	if chosen == nil {
-		if w.tier == onTime {
-			w.holdCapacity(servers)
+		if w.tier == onTime && p.mayHold(w) {
+			c.holdCapacity(p, w, servers)
 		}
 		return false
 	}
@@ -83,9 +83,18 @@
 	return nil
 }
 
+// mayHold reports whether the step is the first of its priority for which servers are held in this pass. Several gangs would hold
+// what the others need.
+func (p *pass) mayHold(w *waitingStep) bool {
+	key := holdKey{w.job.queue.Service, w.job.queue.Priority}
+	first := !p.held[key]
+	p.held[key] = true
+	return first
+}
+
 // holdCapacity withholds the servers with the most free capacity from steps without a higher priority, for a gang that
 // does not fit yet. It takes as many servers as would fit the gang when empty.
-func (w *waitingStep) holdCapacity(servers []*session) {
+func (c *Conductor) holdCapacity(p *pass, w *waitingStep, servers []*session) {
 	slices.SortFunc(servers, compareFreeCapacity)
 	expected := 0
 	for i, s := range servers {
@@ -95,5 +104,5 @@
 		}
 		expected += w.fitsEmpty(s)
 	}
-	w.hold(servers)
+	c.hold(p, w, servers)
 }
--- a/conductor/gang_advice.go
+++ b/conductor/gang_advice.go
@@ -12,7 +12,7 @@
 // while advisors are idle.
 func (c *Conductor) gangTickets(p *pass, w *waitingStep, adv *advice, idle bool) []specifier.ServerID {
 	admitted, unknown := c.admittedServers(p, w)
-	admitted = w.withoutHeld(admitted)
+	admitted = w.withoutHeld(p.now, admitted)
 	if fitsOn(admitted, len(w.waiting), w.fits) {
 		return w.expiringTickets(p.now, adv, admitted)
 	}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -32,6 +32,8 @@
 	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
 	// straggler on one server does not delay the gang.
 	holdSpare = 4
+	// backfillMargin is how long before the expected start of a step the runs on the servers that are held for it should end.
+	backfillMargin = 200 * time.Millisecond
 )
 
 // hold withholds servers from other steps, except those of a higher priority, for a step that has waited for long. Without
@@ -50,6 +52,8 @@
 type holder struct {
 	step     specifier.StepID
 	priority int
+	// startAt is when the tasks of the step are expected to fit the servers that are held for it.
+	startAt time.Time
 }
 
 // required returns how many of the waiting tasks have to fit for the step to start: all tasks of a gang, or one.
@@ -91,7 +95,7 @@
 			delete(c.holds, service)
 			continue
 		}
-		w.hold(h.servers)
+		c.hold(p, w, h.servers)
 	}
 	if !c.holdPass.begin(p.now) {
 		return
@@ -112,14 +116,14 @@
 			continue
 		}
 		c.holds[service] = h
-		w.hold(h.servers)
+		c.hold(p, w, h.servers)
 		c.logDecision("HoldBegun", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("%d servers", len(h.servers)))
 	}
 }
 
 // hold withholds servers in this pass for the step, unless they are held for another one.
-func (w *waitingStep) hold(servers []*session) {
-	holder := &holder{step: w.step.ID, priority: w.job.queue.Priority}
+func (c *Conductor) hold(p *pass, w *waitingStep, servers []*session) {
+	holder := &holder{step: w.step.ID, priority: w.job.queue.Priority, startAt: c.expectedStart(p.now, w, servers)}
 	for _, s := range servers {
 		if s.holder == nil {
 			s.holder = holder
@@ -127,6 +131,36 @@
 	}
 }
 
+// expectedStart returns when the required tasks of a step will fit the servers, by the estimates of the runs on them.
+func (c *Conductor) expectedStart(now time.Time, w *waitingStep, servers []*session) time.Time {
+	var starts []time.Time
+	for _, s := range servers {
+		start := now
+		for _, a := range s.allocations {
+			if end := c.expectedEnd(a); end.After(start) {
+				start = end
+			}
+		}
+		for range w.fitsEmpty(s) {
+			starts = append(starts, start)
+		}
+	}
+	if len(starts) < w.required() {
+		return now
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	return starts[w.required()-1]
+}
+
+// expectedEnd returns when a run should end; the zero time means that it is not known.
+func (c *Conductor) expectedEnd(a *allocation) time.Time {
+	j := c.jobs[a.task.Job]
+	if j == nil || a.task.Step >= len(j.Spec.Steps) || c.lasts(a) || a.startedAt.IsZero() {
+		return time.Time{}
+	}
+	return a.startedAt.Add(j.Spec.Steps[a.task.Step].Estimate)
+}
+
 // stepsToHoldFor returns the steps without a hold that have waited for long, oldest first.
 func (c *Conductor) stepsToHoldFor(p *pass) []*waitingStep {
 	var steps []*waitingStep
--- /dev/null
+++ b/conductor/hold_test.go
@@ -0,0 +1,55 @@
+package conductor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretring.example/egretring/specifier"
+)
+
+// newHeldSimulation returns a simulation of 30 servers, half of which are in use until 11 s, and two gangs of 20 tasks that take a
+// server each and are on time, submitted at 2 s.
+func newHeldSimulation(t *testing.T) (w *simulation, wide []specifier.Job) {
+	const servers, tasks = 30, 20
+	w = newSimulation(t, 1, servers)
+	w.at(w.start.Add(time.Second), func() {
+		w.submit(newJob(0, jobOptions{Tasks: servers / 2, MilliCores: 60000, Seconds: 10}))
+	})
+	for n := range 2 {
+		gang := newJob(1+n, jobOptions{Tasks: tasks, MilliCores: 60000, Seconds: 2, Gang: true, Priority: 1})
+		gang.Queue.Stretch = 10
+		wide = append(wide, gang)
+		w.at(w.start.Add(2*time.Second), func() { w.submit(gang) })
+	}
+	return w, wide
+}
+
+// submitLater submits a gang of eight tasks at 3 s that comes after the two wide ones in the order of placement.
+func submitLater(w *simulation, length float64) specifier.Job {
+	gang := newJob(10, jobOptions{Tasks: 8, MilliCores: 60000, Seconds: length, Gang: true, Priority: 1})
+	gang.Queue.Stretch = 30
+	w.at(w.start.Add(3*time.Second), func() { w.submit(gang) })
+	return gang
+}
+
+// TestGangsOnTimeLeaveServersToShorterRuns guards against gangs that are on time and hold all servers, each of them those that others
+// need, so that nothing starts on free servers until a long run has ended.
+func TestGangsOnTimeLeaveServersToShorterRuns(t *testing.T) {
+	w, _ := newHeldSimulation(t)
+	short := submitLater(w, 1)
+	w.runUntil(5 * time.Second)
+	require.Equal(t, specifier.Completed, w.state(short.ID))
+	require.Empty(t, w.violations)
+}
+
+// TestGangOnTimeStartsBeforeLongerRuns guards against a gang that is on time and waits for runs that were started after it on the
+// servers that it needs. The bound is the end of the first runs, its own, and half a second.
+func TestGangOnTimeStartsBeforeLongerRuns(t *testing.T) {
+	w, wide := newHeldSimulation(t)
+	submitLater(w, 25)
+	w.runUntil(13*time.Second + 500*time.Millisecond)
+	require.Contains(t, []specifier.JobState{w.state(wide[0].ID), w.state(wide[1].ID)}, specifier.Completed)
+	require.Empty(t, w.violations)
+}
--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -21,6 +21,14 @@
 	freeForLong  int
 	// startsLeft is how many more starts may be in flight. Urgent steps may take it below zero.
 	startsLeft int
+	// held are the priorities of a service with a gang for which servers are held although it is not late.
+	held map[holdKey]bool
+}
+
+// holdKey identifies the steps of a priority that use a service.
+type holdKey struct {
+	service  string
+	priority int
 }
 
 // mayStart reports whether another task of a step may be placed. More starts in flight than the instance can carry out in time
@@ -33,6 +41,7 @@
 	p := &pass{
 		now: now, usable: make(map[string][]*session),
 		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources), startsLeft: maxStartsInFlight,
+		held: make(map[holdKey]bool),
 	}
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
 	for _, s := range c.orderedSessions() {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -97,7 +97,7 @@
 	} else {
 		candidates = p.candidates(w)
 	}
-	candidates = w.withoutHeld(candidates)
+	candidates = w.withoutHeld(p.now, candidates)
 	placed := false
 	if w.step.Spec.Gang {
 		placed = c.placeGang(p, w, candidates)
@@ -118,14 +118,19 @@
 	return !p.now.Before(adv.pendingUntil) && !p.now.Before(adv.retryAt)
 }
 
-// isHeldFrom reports whether the server is held for another step of the same or a higher priority.
-func (w *waitingStep) isHeldFrom(s *session) bool {
-	return s.holder != nil && s.holder.step != w.step.ID && w.job.queue.Priority >= s.holder.priority
+// isHeldFrom reports whether the server is held for another step of the same or a higher priority that could start before a run of
+// this step, started now, should end.
+func (w *waitingStep) isHeldFrom(now time.Time, s *session) bool {
+	h := s.holder
+	if h == nil || h.step == w.step.ID || w.job.queue.Priority < h.priority {
+		return false
+	}
+	return w.step.Spec.LongRunning || now.Add(w.step.Spec.Estimate+backfillMargin).After(h.startAt)
 }
 
 // withoutHeld removes the servers that are held for other steps.
-func (w *waitingStep) withoutHeld(servers []*session) []*session {
-	return slices.DeleteFunc(servers, w.isHeldFrom)
+func (w *waitingStep) withoutHeld(now time.Time, servers []*session) []*session {
+	return slices.DeleteFunc(servers, func(s *session) bool { return w.isHeldFrom(now, s) })
 }
 
 // fits returns how many waiting tasks of the step the server can take now.
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -77,7 +77,7 @@
 	adv := w.job.adviceFor(w.step.ID)
 	for _, s := range p.candidates(w) {
 		figures.Servers++
-		if w.isHeldFrom(s) {
+		if w.isHeldFrom(p.now, s) {
 			figures.Held++
 		}
 		t, granted := adv.granted[s.server.ID]
