Borrow servers for steps that only held servers would fit

Cause: a step borrows idle servers while it would not fit those of its shard. Servers that are held for other steps counted as fitting, so that the gang neither started nor borrowed nor had its tickets renewed.

Change: servers that are held for other steps do not count.

TestStepBorrowsWhenItsServersAreHeld fails on the code before.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -182,10 +182,13 @@
 	return true
 }
 
-// waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, and not on advice. A
-// long-running step would keep the servers for good.
+// waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, or on steps that servers are
+// held for, and not on advice. A long-running step would keep the servers for good.
 func (w *waitingStep) waitsForOthers(now time.Time, home []*session) bool {
-	return !w.step.Spec.LongRunning && w.hasWaitedFor(now, borrowIdleAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), home)
+	if w.step.Spec.LongRunning || !w.hasWaitedFor(now, borrowIdleAfter) {
+		return false
+	}
+	return !w.couldFit(w.job.adviceFor(w.step.ID), w.withoutHeld(now, slices.Clone(home)))
 }
 
 // hasWaitedFor reports whether none of the step's tasks has been placed for the given time.
--- a/conductor/shards_test.go
+++ b/conductor/shards_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// TestStepBorrowsWhenItsServersAreHeld guards against a gang that neither starts nor borrows, because it would fit its shard but for
+// the servers that are held for another step. The first shard has ten free servers, all held for a wide gang until 21 s, and the second
+// one is idle. The bound is three seconds until the gang borrows and three for the loan.
+func TestStepBorrowsWhenItsServersAreHeld(t *testing.T) {
+	const servers, inUse = 80, 30
+	w := newShardedSimulation(t, 1, 2, servers)
+	w.at(w.start.Add(time.Second), func() {
+		w.submit(newJob(0, jobOptions{Tasks: inUse, MilliCores: 60000, Seconds: 20}))
+	})
+	w.at(w.start.Add(2*time.Second), func() {
+		wide := newJob(2, jobOptions{Tasks: 20, MilliCores: 60000, Seconds: 20, Gang: true, Priority: 1})
+		wide.Queue.Stretch, wide.Steps[0].LongRunning = 10, true
+		w.submit(wide)
+	})
+	gang := newJob(4, jobOptions{Tasks: 8, MilliCores: 60000, Seconds: 25, Gang: true, Priority: 1})
+	gang.Queue.Stretch = 30
+	w.at(w.start.Add(3*time.Second), func() { w.submit(gang) })
+	w.runUntil(9 * time.Second)
+	require.Empty(t, w.violations)
+	require.NotEmpty(t, w.runsOf[specifier.StepID{Job: gang.ID}.Task(0)])
+}
+
 // TestShardKeepsServersForItsOwnJobs guards against a shard that lends so many idle servers that its own jobs wait. Half of its servers
 // are in use for good, and a job comes that needs an eighth of them.
 func TestShardKeepsServersForItsOwnJobs(t *testing.T) {
