--- a/review/standins/cases_test.go
+++ b/review/standins/cases_test.go
@@ -46,9 +46,11 @@
 	var jobs []*job
 	for n := range 6 {
 		j := &job{id: jobID(n), spec: taskSpec{Work: 6 * time.Second}, steps: []step{{Count: 4, CPU: 5000, Memory: 4000, Estimated: 6000}}}
-		c.submit(j)
 		jobs = append(jobs, j)
 	}
+	if err := c.mustSubmit(jobs...); err != nil {
+		return nil, err
+	}
 	time.Sleep(2 * time.Second)
 	if trouble {
 		body := `{"spec":"{}","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimated_ms":900},` +
@@ -84,12 +86,16 @@
 	var jobs []*job
 	for n := range 2 {
 		j := &job{id: jobID(n), spec: spec, steps: []step{{Count: 12, CPU: 5000, Memory: 4000, Estimated: 60000, LongRunning: true}}}
-		c.submit(j)
 		jobs = append(jobs, j)
 	}
+	if err := c.mustSubmit(jobs...); err != nil {
+		return nil, err
+	}
 	time.Sleep(40 * time.Second)
 	late := &job{id: jobID(9), spec: taskSpec{Work: 2 * time.Second}, steps: []step{{Count: 4, CPU: 5000, Memory: 4000, Estimated: 2000}}}
-	c.submit(late)
+	if err := c.mustSubmit(late); err != nil {
+		return nil, err
+	}
 	lasting := make(chan []string)
 	go func() { lasting <- c.watchLastingTasks(jobs, 20*time.Second) }()
 	broken := c.watchIdleJobs([]*job{late}, 20*time.Second)
@@ -104,8 +110,13 @@
 	j := &job{id: jobID(0), steps: []step{{
 		Count: 10, CPU: 5000, Memory: 4000, Estimated: 60000, AntiAffinity: 1, LongRunning: true,
 	}}}
-	c.submit(j)
-	time.Sleep(5 * time.Second)
+	if err := c.mustSubmit(j); err != nil {
+		return nil, err
+	}
+	if err := c.awaitRunning(j, 10); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
 	for range 6 {
 		if trouble {
 			if err := c.workers[4].crashFor(1400*time.Millisecond, usual); err != nil {
@@ -141,6 +152,9 @@
 		}
 	}()
 	time.Sleep(10 * time.Second)
+	if err := c.checkAnyRun(); err != nil {
+		return nil, err
+	}
 	for n := range 6 {
 		if trouble {
 			if err := c.workers[n].crashFor(time.Second, kind{labels: []string{"b", "r1-1"}, cpu: 32000, mem: 131072}); err != nil {
@@ -165,10 +179,26 @@
 	lasting := &job{id: jobID(0), spec: spec, steps: []step{{
 		Count: 4, CPU: 8000, Memory: 4000, Estimated: 60000, AntiAffinity: 1, LongRunning: true,
 	}}}
-	c.submit(lasting)
-	time.Sleep(time.Second)
-	c.submit(&job{id: jobID(1), spec: taskSpec{Work: 60 * time.Second}, steps: []step{{Count: 8, CPU: 20000, Memory: 4000, Estimated: 60000, AntiAffinity: 2}}})
-	time.Sleep(2 * time.Second)
-	c.submit(&job{id: jobID(2), spec: taskSpec{Work: 10 * time.Second}, steps: []step{{Count: 4, CPU: 50000, Memory: 4000, Estimated: 20000, Gang: true}}})
+	batch := &job{id: jobID(1), spec: taskSpec{Work: 60 * time.Second}, steps: []step{{
+		Count: 8, CPU: 20000, Memory: 4000, Estimated: 60000, AntiAffinity: 2,
+	}}}
+	gang := &job{id: jobID(2), spec: taskSpec{Work: 10 * time.Second}, steps: []step{{
+		Count: 4, CPU: 50000, Memory: 4000, Estimated: 20000, Gang: true,
+	}}}
+	if err := c.mustSubmit(lasting); err != nil {
+		return nil, err
+	}
+	if err := c.awaitRunning(lasting, 4); err != nil {
+		return nil, err
+	}
+	if err := c.mustSubmit(batch); err != nil {
+		return nil, err
+	}
+	if err := c.awaitRunning(batch, 8); err != nil {
+		return nil, err
+	}
+	if err := c.mustSubmit(gang); err != nil {
+		return nil, err
+	}
 	return c.watchLastingTasks([]*job{lasting}, 55*time.Second), nil
 }
--- a/review/standins/cell_test.go
+++ b/review/standins/cell_test.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -417,6 +418,42 @@
 	return false
 }
 
+// mustSubmit hands jobs in. A case in which one of them isn't accepted shows nothing.
+func (c *cell) mustSubmit(jobs ...*job) error {
+	for _, j := range jobs {
+		if !c.submit(j) {
+			return errCannotRun{fmt.Errorf("job %s was not accepted", j.id)}
+		}
+	}
+	return nil
+}
+
+// awaitRunning waits until a number of tasks of a job run.
+func (c *cell) awaitRunning(j *job, tasks int) error {
+	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(samplePause) {
+		running := 0
+		for _, state := range c.taskStates(j) {
+			if state.running {
+				running++
+			}
+		}
+		if running >= tasks {
+			return nil
+		}
+	}
+	return errCannotRun{fmt.Errorf("%d tasks of job %s don't run", tasks, j.id)}
+}
+
+// checkAnyRun returns an error if no worker has started anything.
+func (c *cell) checkAnyRun() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.runs) == 0 {
+		return errCannotRun{errors.New("no task has started")}
+	}
+	return nil
+}
+
 // state asks for the state of a job. It returns the status, or zero without an answer, and the state.
 func (c *cell) state(i *instance, id string) (int, string) {
 	status, text := c.call(i, http.MethodGet, prefix+id, nil)
