Review: free ports for the scripts, and a worker of case 9 keeps its room

Ports came from the range of outgoing connections, so that one of 10 concurrent scripts found a port taken and exited with 2. A worker that starts again as another kind keeps its capacity now, as "Rack and room stay with the machine" says; case 9 is about ROUTE alone.

--- a/review/standins/cases_test.go
+++ b/review/standins/cases_test.go
@@ -157,7 +157,7 @@
 	}
 	for n := range 6 {
 		if trouble {
-			if err := c.workers[n].crashFor(time.Second, kind{labels: []string{"b", "r1-1"}, cpu: 32000, mem: 131072}); err != nil {
+			if err := c.workers[n].crashFor(time.Second, kind{labels: []string{"b", "r1-1"}, cpu: usual.cpu, mem: usual.mem}); err != nil {
 				return nil, errCannotRun{err}
 			}
 		}
--- a/review/standins/cell_test.go
+++ b/review/standins/cell_test.go
@@ -12,12 +12,14 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -217,16 +219,28 @@
 	ends int
 }
 
-// freeAddresses returns loopback addresses with free ports.
+// freeAddress returns a loopback address with a free port below those that the system gives to outgoing connections.
+func freeAddress() (string, error) {
+	var err error
+	for range 100 {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))); err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
+	}
+	return "", err
+}
+
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		address, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses, nil
 }
--- a/review/standins/worker_test.go
+++ b/review/standins/worker_test.go
@@ -87,11 +87,13 @@
 
 // boot starts a life of the worker under an id and at an address; an empty address takes a free port.
 func (w *worker) boot(id, address string, k kind) error {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
 	var listener net.Listener
 	var err error
+	if address == "" {
+		if address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
 	for range 40 {
 		if listener, err = net.Listen("tcp", address); err == nil {
 			break
