--- a/review/standins/worker_test.go
+++ b/review/standins/worker_test.go
@@ -18,6 +18,7 @@
 	stopTime     = 150 * time.Millisecond
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds = 500
+	backAfter     = 3 * time.Second
 )
 
 // kind is what a worker says of itself: its labels and its capacity.
@@ -228,6 +229,8 @@
 	w.cell.runStarted(r)
 	life := w.bootedAt
 	switch {
+	case r.spec.CrashAfter > 0:
+		time.AfterFunc(r.spec.CrashAfter, func() { w.crashUnder(r, life) })
 	case r.spec.fails(r.task, r.number) > 0:
 		time.AfterFunc(r.spec.fails(r.task, r.number), func() { w.end(r, life, "failed") })
 	case r.spec.Work > 0:
@@ -236,6 +239,21 @@
 	return ""
 }
 
+// crashUnder crashes the worker under a run, and brings it back after some seconds as a new worker at its address.
+func (w *worker) crashUnder(r *run, life time.Time) {
+	w.mu.Lock()
+	over, address, k := r.over || !w.up || w.bootedAt != life, w.address, w.kind
+	w.mu.Unlock()
+	if over {
+		return
+	}
+	w.crash()
+	time.Sleep(backAfter)
+	if w.cell.ctx.Err() == nil {
+		_ = w.boot(w.cell.newWorkerID(), address, k)
+	}
+}
+
 func (w *worker) stop(o order) {
 	w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 	r := w.runs[o.Task]
