--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -10,6 +10,8 @@
 const (
 	gangWait = 3 * time.Second
 	stopTime = 150 * time.Millisecond
+	// carryOverDelay is the time from the restart of a server until it carries out calls that were sent before.
+	carryOverDelay = 10 * time.Millisecond
 )
 
 // fakeServer simulates a backend server with the behavior that the platform's documentation specifies.
@@ -81,6 +83,7 @@
 	w.after(linkDelay, func() {
 		switch {
 		case !s.reachable(w):
+			s.carryOver(w, func() { apply(s) })
 			lost()
 		case w.now.Before(s.delayStartsUntil):
 			// Only the incarnation that received the order carries it out; an order does not survive a crash.
@@ -113,16 +116,14 @@
 	}
 	w.after(linkDelay, func() {
 		if !s.reachable(w) {
+			s.carryOver(w, func() { s.hold(w, c) })
 			lost()
 			return
 		}
-		if c.Fence < s.fence {
+		if !s.hold(w, c) {
 			w.after(linkDelay, func() { deliverResult(specifier.OrderFenced, specifier.ServerReport{}) })
 			return
 		}
-		s.fence = c.Fence
-		s.renew(w, c.LeaseEnd)
-		s.discardEnds(w, c.Acknowledged)
 		incarnation := s.server.Incarnation
 		respond := func() {
 			if s.server.Incarnation != incarnation || !s.reachable(w) || w.now.Before(s.loseResponsesUntil) {
@@ -148,6 +149,29 @@
 	})
 }
 
+// hold carries out a renewal. It reports whether the fencing token is valid.
+func (s *fakeServer) hold(w *simulation, c conductor.Renew) bool {
+	if c.Fence < s.fence {
+		return false
+	}
+	s.fence = c.Fence
+	s.renew(w, c.LeaseEnd)
+	s.discardEnds(w, c.Acknowledged)
+	return true
+}
+
+// carryOver makes the next incarnation of a server that is down carry out a call, if the simulation delays calls over restarts.
+func (s *fakeServer) carryOver(w *simulation, call func()) {
+	if !w.delaysCallsOverRestarts || s.downUntil.IsZero() {
+		return
+	}
+	w.at(s.downUntil.Add(carryOverDelay), func() {
+		if s.reachable(w) {
+			call()
+		}
+	})
+}
+
 func (s *fakeServer) discardEnds(w *simulation, acknowledged int64) {
 	for len(s.ended) > 0 && s.ended[0].Number <= acknowledged {
 		end := s.ended[0]
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -64,6 +64,8 @@
 	refusedUntilRestart bool
 	// renamesServers makes servers come back under a new ID after a crash.
 	renamesServers bool
+	// delaysCallsOverRestarts makes servers that restart carry out the calls that were sent to them while they were down.
+	delaysCallsOverRestarts bool
 	// cutUntil is when tasks with one of the cutDelays stop being cut off.
 	cutUntil time.Time
 	// endsPerReport is how many ends of runs a server lists in a report.
