--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -86,7 +86,10 @@
 // such an order is on the clock of the earlier incarnation, so that the new one may keep the run for the longest lease
 // that servers grant.
 func (c *Conductor) serverRestarted(now time.Time, s *session, incarnation int64) {
-	c.logDecision("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs in doubt", len(s.allocations)))
+	c.logDecision("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf(
+		"incarnation %d after %d; %d runs in doubt; without a response: %d starts, lease renewal %t",
+		incarnation, s.server.Incarnation, len(s.allocations), s.unansweredStarts(), s.renewalInFlight,
+	))
 	c.settleDoubts(now, s.server.Address, incarnation, time.Time{})
 	s.findCause()
 	earliest := time.UnixMilli(incarnation).Add(-wallClockSkew)
@@ -133,7 +136,9 @@
 func (c *Conductor) renewLeases(now time.Time) {
 	for _, s := range c.orderedSessions() {
 		if len(s.allocations) > 0 && now.After(s.leaseEnd) {
-			c.logDecision("LeaseEnded", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d runs lost", len(s.allocations)))
+			c.logDecision("LeaseEnded", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf(
+				"%d runs lost; incarnation %d; %s since its last response", len(s.allocations), s.server.Incarnation, s.sinceResponse(now),
+			))
 			c.requeueAll(now, s)
 			s.reconciled = false
 			s.fence++
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"fmt"
 	"time"
 
 	"egretring.example/egretring/specifier"
@@ -122,6 +123,9 @@
 // confirmRun records that the server reports a run as running.
 func (c *Conductor) confirmRun(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
 	c.markStarted(a.task.Job)
+	if a.incarnation != 0 && a.incarnation < s.server.Incarnation && a.resolvedAt.IsZero() {
+		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
+	}
 	if a.state == outcomeUnknown || a.state == sent {
 		s.setState(a, confirmed)
 		a.resolvedAt = now
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -180,6 +180,25 @@
 	s.runs.remove(task.Job, s)
 }
 
+// unansweredStarts returns the number of allocations whose start was sent and has no response.
+func (s *session) unansweredStarts() int {
+	count := 0
+	for _, a := range s.allocations {
+		if a.state == sent || a.state == outcomeUnknown && a.resolvedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// sinceResponse returns the time since the server's last response as text.
+func (s *session) sinceResponse(now time.Time) string {
+	if s.aliveAt.IsZero() {
+		return "unknown time"
+	}
+	return now.Sub(s.aliveAt).Round(time.Millisecond).String()
+}
+
 // freeCapacity returns the capacity that no allocation takes.
 func (s *session) freeCapacity() specifier.Resources {
 	return s.server.Capacity.Minus(s.used)
