Count the longest lease on servers that restarted under their IDs

Cause: a lease end is a time on the clock of one incarnation. Renewals and starts that were meant for the former incarnation can be carried out by the new one, whose clock is near zero, so that it shortens them to the longest lease that it grants; a response does not show the lease. The owner allowed for this only while a start had been sent within two seconds before the restart by the wall clock, took a start that the new incarnation had answered for one of the former, and a successor did not know of the restart at all.

Change: the first response under a fencing token that is newer than the restart excludes all calls to the former incarnation. Until the longest lease has passed since that response, the lease may be that long. Runs that are placed meanwhile say so in their record, for a successor that cannot reach the server; one that reaches it goes by these records and, on a server without any, by the age of the incarnation. A start whose response has a clock behind the one known before was carried out by a later incarnation. Starts without a response keep their own bound, so that the other runs of the server are not delayed.

Cost: runs on a server that is cut off less than 5.7 s after it restarted, or after a new owner reached it when it was less than 25 s old and had no recorded runs, start elsewhere up to 10.6 s after that instead of 4.9 s after the cut. There is no cost without a cut, and none for servers that an owner has known without a restart.

--- a/conductor/event.go
+++ b/conductor/event.go
@@ -35,6 +35,9 @@
 	Fence       int64
 	Stop        bool
 	Result      specifier.OrderResult
+	// Clock is the server's clock in its response, if HasClock is set.
+	Clock    time.Duration
+	HasClock bool
 }
 
 // RenewEnded reports the result of a Renew command.
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -75,11 +75,13 @@
 	return !w.now.Before(s.silentUntil) && s.downUntil.IsZero()
 }
 
-// sendOrder delivers an order to the server, and passes its result to deliverResult.
+// sendOrder delivers an order to the server, and passes its response to deliverReply.
 func (s *fakeServer) sendOrder(
-	w *simulation, epoch int64, apply func(*fakeServer) specifier.OrderResult, deliverResult func(specifier.OrderResult),
+	w *simulation, epoch int64, apply func(*fakeServer) specifier.OrderResult, deliverReply func(specifier.OrderReply),
 ) {
-	lost := func() { w.after(orderTimeout, func() { deliverResult(specifier.OrderUnknown) }) }
+	lost := func() {
+		w.after(orderTimeout, func() { deliverReply(specifier.OrderReply{Result: specifier.OrderUnknown}) })
+	}
 	w.after(linkDelay, func() {
 		switch {
 		case !s.reachable(w):
@@ -98,8 +100,8 @@
 			apply(s)
 			lost()
 		default:
-			result := apply(s)
-			w.after(linkDelay, func() { deliverResult(result) })
+			reply := specifier.OrderReply{Result: apply(s), Clock: s.clock(w), HasClock: true}
+			w.after(linkDelay, func() { deliverReply(reply) })
 		}
 	})
 }
--- /dev/null
+++ b/conductor/former_lease.go
@@ -0,0 +1,75 @@
+package conductor
+
+import (
+	"fmt"
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+// A server that restarts under its ID cannot tell calls that were meant for an earlier incarnation from others. Their lease
+// ends are on a clock that was ahead of the new one, so that the server shortens them to the longest lease that it grants.
+// Its responses do not show the end of its lease.
+
+// formerCallTime is how long after the start of an incarnation calls that were meant for an earlier one may still be carried
+// out: a call without a response may be carried out seconds later.
+const formerCallTime = 15 * time.Second
+
+// endOf returns when a run has certainly ended unless the lease of its server is renewed.
+func (c *Conductor) endOf(s *session, a *allocation) time.Time {
+	end := s.leaseEnd
+	if (s.predecessorLease || s.formerCalls) && (a.longLease || a.incarnation < s.server.Incarnation) {
+		end = end.Add(leaseBound(c.settings.maxLease) - leaseBound(c.settings.lease))
+	}
+	if a.endsBy.After(end) {
+		return a.endsBy
+	}
+	return end
+}
+
+// settleFormerCalls handles the first response of a server under this owner's fencing token, or under a new one after a
+// restart. It excludes all earlier calls; those that were carried out before may have renewed the lease.
+func (c *Conductor) settleFormerCalls(now time.Time, s *session) {
+	s.formerCalls = false
+	s.longLeaseUntil = now.Add(leaseBound(c.settings.maxLease))
+	s.extendLease(s.longLeaseUntil)
+	for _, a := range s.allocations {
+		a.endsBy = time.Time{}
+	}
+	c.logDecision("LeaseExtended", specifier.TaskID{}, 0, s.server.ID, "calls that were meant for an earlier incarnation may have renewed the lease")
+}
+
+// startedByLaterIncarnation handles a start whose response has a clock that is behind the one known before. The clock of an
+// incarnation never goes back, so that a later one has started the run, whose lease end is on the clock of the earlier one.
+func (c *Conductor) startedByLaterIncarnation(now time.Time, s *session, a *allocation) {
+	c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
+	s.setState(a, outcomeUnknown)
+	a.endsBy = now.Add(leaseBound(c.settings.maxLease))
+	c.raiseFence(now, s, a.fence)
+}
+
+// mayHaveFormerLease reports whether calls of an earlier owner that were meant for an earlier incarnation of a server may have
+// renewed the lease of the one that sends its first response to this owner. The records of runs tell, if there are some.
+func (c *Conductor) mayHaveFormerLease(s *session, report specifier.ServerReport) bool {
+	if c.isFirstHolder(s.id) {
+		return false
+	}
+	young := report.Clock < formerCallTime+c.settings.maxLease
+	for _, a := range s.allocations {
+		if a.incarnation != report.Incarnation {
+			continue
+		}
+		if a.longLease {
+			return true
+		}
+		young = false
+	}
+	return young
+}
+
+// isFirstHolder reports whether no other owner, and no earlier session of this one, has made calls to a server.
+func (c *Conductor) isFirstHolder(id specifier.ServerID) bool {
+	_, transferred := c.shard.transfers[id]
+	_, hadSession := c.lastFences[id]
+	return c.settings.firstTerm && !transferred && !hadSession
+}
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -42,7 +42,7 @@
 	c.logDecision("PredecessorsStopped", specifier.TaskID{}, 0, "", "leases not confirmed end at "+end.Format(time.RFC3339Nano))
 	c.predecessorLeasesEnd = end
 	for _, s := range c.sessions {
-		if s.predecessorLease && !s.staleClockLease && s.leaseEnd.After(end) {
+		if s.predecessorLease && s.leaseEnd.After(end) {
 			s.leaseEnd = end
 		}
 	}
@@ -81,10 +81,10 @@
 	}
 }
 
-// serverRestarted handles a new incarnation of a server. A start order may have reached the new incarnation before the
-// restart was noticed, so the next response under a higher fencing token decides which runs are lost. The lease end of
-// such an order is on the clock of the earlier incarnation, so that the new one may keep the run for the longest lease
-// that servers grant.
+// serverRestarted handles a new incarnation of a server. A start order that got no response may be carried out by the new
+// incarnation, so the next response under a higher fencing token decides which runs are lost. The lease end of such an
+// order is on the clock of the earlier incarnation, so that the new one may keep the run for the longest lease that servers
+// grant.
 func (c *Conductor) serverRestarted(now time.Time, s *session, incarnation int64) {
 	c.logDecision("ServerRestarted", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf(
 		"incarnation %d after %d; %d runs in doubt; without a response: %d starts, lease renewal %t",
@@ -92,19 +92,17 @@
 	))
 	c.settleDoubts(now, s.server.Address, incarnation, time.Time{})
 	s.findCause()
-	earliest := time.UnixMilli(incarnation).Add(-wallClockSkew)
 	for _, a := range s.allocations {
 		if a.state == reserved {
 			continue
 		}
 		s.setState(a, outcomeUnknown)
 		a.shutdown = s.server.Draining
-		if a.startedAt.After(earliest) {
-			s.staleClockLease = true
-			s.extendLease(now.Add(leaseBound(c.settings.maxLease)))
+		if !a.answered {
+			a.endsBy = now.Add(leaseBound(c.settings.maxLease))
 		}
 	}
-	s.reconciled, s.clockKnown = false, false
+	s.reconciled, s.clockKnown, s.formerCalls = false, false, true
 	s.lastEndSeen, s.acknowledged, s.pending = 0, 0, nil
 	s.renewalInFlight, s.nextRenewalAt, s.renewalFailures = false, now, 0
 	s.fence++
@@ -112,14 +110,21 @@
 	c.forgetAdvice(s.server.ID)
 }
 
-// requeueAll requeues the runs of a server whose lease has ended. Whether the server has crashed or is unreachable is certain only
-// if its address has a later incarnation. Servers that were draining have left.
-func (c *Conductor) requeueAll(now time.Time, s *session) {
-	s.findCause()
+// requeueEnded requeues the runs of a server that have ended because their lease has. Whether the server has crashed or is
+// unreachable is certain only if its address has a later incarnation. Servers that were draining have left.
+func (c *Conductor) requeueEnded(now time.Time, s *session) {
 	lost := make([]*allocation, 0, len(s.allocations))
 	for _, a := range s.allocations {
-		lost = append(lost, a)
+		if now.After(c.endOf(s, a)) {
+			lost = append(lost, a)
+		}
+	}
+	if len(lost) == 0 {
+		return
 	}
+	c.logDecision("LeaseEnded", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d of %d runs lost; incarnation %d; %s since its last response",
+		len(lost), len(s.allocations), s.server.Incarnation, s.sinceResponse(now)))
+	s.findCause()
 	for _, a := range lost {
 		c.requeue(now, s, a)
 		switch {
@@ -130,18 +135,15 @@
 			c.recordLoss(now, s, a)
 		}
 	}
+	s.reconciled = false
+	s.fence++
 }
 
 // renewLeases sends the due lease renewals, and requeues the runs of servers whose lease has certainly ended.
 func (c *Conductor) renewLeases(now time.Time) {
 	for _, s := range c.orderedSessions() {
 		if len(s.allocations) > 0 && now.After(s.leaseEnd) {
-			c.logDecision("LeaseEnded", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf(
-				"%d runs lost; incarnation %d; %s since its last response", len(s.allocations), s.server.Incarnation, s.sinceResponse(now),
-			))
-			c.requeueAll(now, s)
-			s.reconciled = false
-			s.fence++
+			c.requeueEnded(now, s)
 		}
 		if s.moving || s.renewalInFlight || now.Before(s.nextRenewalAt) || s.server.Address == "" {
 			continue
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -15,8 +15,6 @@
 	// leaseDrift is the assumed bound on how much slower the clock of a backend server runs than that of the owner; the
 	// platform states 2%.
 	leaseDrift = 0.03
-	// wallClockSkew is by how much the wall clock of a backend server may differ from that of the owner.
-	wallClockSkew = 2 * time.Second
 	// leaseMargin covers the delay between the end of a lease and the end of its runs.
 	leaseMargin = 300 * time.Millisecond
 	// renewalWait is how long a server may wait for the end of a run before it responds to a lease renewal; the platform
@@ -100,7 +98,9 @@
 )
 
 type settings struct {
-	lease time.Duration
+	// firstTerm is set when there has been no earlier owner.
+	firstTerm bool
+	lease     time.Duration
 	// maxLease is the longest lease that backend servers grant.
 	maxLease       time.Duration
 	finalRetention time.Duration
@@ -122,6 +122,11 @@
 	}
 }
 
+// WithFirstTerm states that there has been no earlier owner, so that no calls of one can be under way.
+func WithFirstTerm() Option {
+	return func(s *settings) { s.firstTerm = true }
+}
+
 // WithFinalStateRetention sets the retention of the final state of a job.
 func WithFinalStateRetention(keep time.Duration) Option {
 	return func(s *settings) { s.finalRetention = keep }
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -10,7 +10,7 @@
 
 func (c *Conductor) sendStart(now time.Time, s *session, a *allocation) {
 	s.setState(a, sent)
-	a.startedAt = now
+	a.startedAt, a.clockBefore = now, s.clock
 	a.incarnation, a.address = s.server.Incarnation, s.server.Address
 	a.order.Fence = s.fence
 	a.fence = s.fence
@@ -51,8 +51,12 @@
 	}
 	switch e.Result {
 	case specifier.OrderDone:
+		if e.HasClock && e.Clock < a.clockBefore {
+			c.startedByLaterIncarnation(now, s, a)
+			return
+		}
 		s.setState(a, confirmed)
-		a.resolvedAt = now
+		a.resolvedAt, a.answered = now, true
 		c.markStarted(a.task.Job)
 		return
 	case specifier.OrderUnknown:
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -230,7 +230,7 @@
 // reserve places a run and allocates its capacity; its start order is sent once its record is in the store.
 func (c *Conductor) reserve(p *pass, w *waitingStep, s *session, index, run int) {
 	p.startsLeft--
-	w.job.Place(w.step, index, run, s.server)
+	w.job.Place(w.step, index, lifecycler.Placement{Run: run, Server: s.server, LongLease: p.now.Before(s.longLeaseUntil)})
 	a := &allocation{
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
 		order: specifier.StartOrder{
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -20,6 +20,10 @@
 		// it.
 		s.predecessorLease = false
 		s.leaseEnd = now.Add(leaseBound(c.settings.lease))
+		s.formerCalls = s.formerCalls || c.mayHaveFormerLease(s, e.Report)
+	}
+	if s.formerCalls && e.Fence >= s.fence {
+		c.settleFormerCalls(now, s)
 	}
 	running := make(map[specifier.TaskID]specifier.RunningTask, len(e.Report.Running))
 	for _, r := range e.Report.Running {
@@ -123,9 +127,11 @@
 // confirmRun records that the server reports a run as running.
 func (c *Conductor) confirmRun(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
 	c.markStarted(a.task.Job)
-	if a.incarnation != 0 && a.incarnation < s.server.Incarnation && a.resolvedAt.IsZero() {
+	if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
+		a.incarnation = s.server.Incarnation
 	}
+	a.answered = true
 	if a.state == outcomeUnknown || a.state == sent {
 		s.setState(a, confirmed)
 		a.resolvedAt = now
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -18,7 +18,7 @@
 			s := c.session(task.Server)
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
-				incarnation: task.Incarnation, address: task.Address,
+				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
 			})
 		}
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -34,6 +34,14 @@
 	address string
 	// shutdown is set when the server has restarted after it was listed as draining.
 	shutdown bool
+	// answered is set once the server has responded to the start, or has reported the run.
+	answered bool
+	// clockBefore is the newest clock of the server that was known when the start was sent.
+	clockBefore time.Duration
+	// endsBy is when the run has certainly ended, if that is after the end of the server's lease; zero otherwise.
+	endsBy time.Time
+	// longLease is set when the record of an earlier owner says that the lease of the server might be longer than its renewals.
+	longLease bool
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
 	// no run of another job.
 	mayHaveCrashed, alone bool
@@ -117,9 +125,11 @@
 	// predecessorLease is set until the server's first response to this owner; until then an earlier owner may have
 	// renewed the lease.
 	predecessorLease bool
-	// staleClockLease is set when the lease end of a start order was given on the clock of an earlier incarnation, so
-	// that the server may keep the run for the longest lease that servers grant.
-	staleClockLease bool
+	// formerCalls is set after a restart until the server's next response under the present fencing token: until then, calls
+	// that were meant for the earlier incarnation may renew the lease. Their lease ends are on the clock of that incarnation.
+	formerCalls bool
+	// longLeaseUntil is until when the lease may be longer than this owner's renewals, because of such calls.
+	longLeaseUntil time.Time
 
 	renewalSequence  int
 	respondedRenewal int
@@ -184,7 +194,7 @@
 func (s *session) unansweredStarts() int {
 	count := 0
 	for _, a := range s.allocations {
-		if a.state == sent || a.state == outcomeUnknown && a.resolvedAt.IsZero() {
+		if a.state != reserved && !a.answered {
 			count++
 		}
 	}
--- a/conductor/simulated_owner_test.go
+++ b/conductor/simulated_owner_test.go
@@ -13,7 +13,9 @@
 type simulatedOwner struct {
 	shard int
 	// epoch is zero and stateMachine nil while the shard has no owner.
-	epoch        int64
+	epoch int64
+	// terms is the number of owners that the shard has had.
+	terms        int
 	stateMachine *conductor.Conductor
 	// planned is set while a call of plan is scheduled.
 	planned bool
@@ -56,6 +58,10 @@
 func (w *simulation) electOwner(o *simulatedOwner) {
 	o.epoch = w.nextRevision()
 	options := []conductor.Option{conductor.WithMaximumLease(10 * time.Second)}
+	if o.terms == 0 {
+		options = append(options, conductor.WithFirstTerm())
+	}
+	o.terms++
 	if len(w.owners) > 1 {
 		options = append(options, conductor.WithShard(o.shard, w.homeOf))
 	}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -191,20 +191,19 @@
 		w.commit(epoch, c)
 	case conductor.Start:
 		w.servers[c.Server.ID].sendOrder(w, epoch, func(s *fakeServer) specifier.OrderResult { return s.startRun(w, c) },
-			func(result specifier.OrderResult) {
+			func(reply specifier.OrderReply) {
 				w.deliver(epoch, conductor.OrderEnded{
 					Server: c.Server.ID, Incarnation: c.Server.Incarnation, Task: c.Order.Task, Run: c.Order.Run,
-					Fence:  c.Order.Fence,
-					Result: result,
+					Fence: c.Order.Fence, Result: reply.Result, Clock: reply.Clock, HasClock: reply.HasClock,
 				})
 			})
 	case conductor.Stop:
 		w.stops++
 		w.servers[c.Server.ID].sendOrder(w, epoch, func(s *fakeServer) specifier.OrderResult { return s.stopRun(w, c) },
-			func(result specifier.OrderResult) {
+			func(reply specifier.OrderReply) {
 				w.deliver(epoch, conductor.OrderEnded{
 					Server: c.Server.ID, Incarnation: c.Server.Incarnation, Task: c.Task, Run: c.Run,
-					Fence: c.Fence, Stop: true, Result: result,
+					Fence: c.Fence, Stop: true, Result: reply.Result,
 				})
 			})
 	case conductor.Renew:
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -252,11 +252,11 @@
 }
 
 // Start implements coordinator.BackendServers.
-func (f *fakeServers) Start(_ context.Context, c conductor.Start) specifier.OrderResult {
+func (f *fakeServers) Start(_ context.Context, c conductor.Start) specifier.OrderReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.Order.Fence < f.fence {
-		return specifier.OrderFenced
+		return specifier.OrderReply{Result: specifier.OrderFenced}
 	}
 	f.fence = c.Order.Fence
 	f.runs[c.Order.Task] = c.Order.Run
@@ -266,7 +266,7 @@
 		duration = longRunTime
 	}
 	time.AfterFunc(duration, func() { f.end(c.Order.Task, c.Order.Run) })
-	return specifier.OrderDone
+	return specifier.OrderReply{}
 }
 
 func (f *fakeServers) end(task specifier.TaskID, run int) {
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -50,11 +50,11 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	startedAt := time.Now()
-	result := o.settings.servers.Start(ctx, c)
+	reply := o.settings.servers.Start(ctx, c)
 	o.settings.meter.Observe("Orders.StartMicroseconds", time.Since(startedAt))
 	o.post(conductor.OrderEnded{
 		Server: c.Server.ID, Incarnation: c.Server.Incarnation, Task: c.Order.Task, Run: c.Order.Run,
-		Fence: c.Order.Fence, Result: result,
+		Fence: c.Order.Fence, Result: reply.Result, Clock: reply.Clock, HasClock: reply.HasClock,
 	})
 }
 
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -17,6 +17,8 @@
 	ownership elector.Ownership
 	// predecessors are earlier owners that may still renew leases of runs.
 	predecessors []elector.Owner
+	// first is set when there has been no owner before.
+	first        bool
 	stateMachine *conductor.Conductor
 	events       chan queuedEvent
 	queries      chan func(*conductor.Conductor)
@@ -45,7 +47,7 @@
 func (c *Coordinator) runOwner(ctx context.Context, term elector.Term) {
 	ownership := term.Ownership
 	o := &owner{
-		Coordinator: c, ownership: ownership, predecessors: term.Predecessors,
+		Coordinator: c, ownership: ownership, predecessors: term.Predecessors, first: term.First,
 		events: make(chan queuedEvent, eventQueueSize), queries: make(chan func(*conductor.Conductor)),
 		memberAddresses: make(map[string]string), done: ctx.Done(),
 	}
--- a/coordinator/port.go
+++ b/coordinator/port.go
@@ -11,7 +11,7 @@
 
 // BackendServers sends orders to backend servers.
 type BackendServers interface {
-	Start(ctx context.Context, order conductor.Start) specifier.OrderResult
+	Start(ctx context.Context, order conductor.Start) specifier.OrderReply
 	Stop(ctx context.Context, order conductor.Stop) specifier.OrderResult
 	Renew(ctx context.Context, order conductor.Renew) (specifier.ServerReport, specifier.OrderResult)
 }
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -20,7 +21,11 @@
 // entries that are read now are complete.
 func (o *owner) recover(ctx context.Context) error {
 	now := o.settings.clock.Now()
-	o.stateMachine = conductor.New(now, o.ownership.Epoch, o.settings.conductor...)
+	options := o.settings.conductor
+	if o.first {
+		options = append(slices.Clone(options), conductor.WithFirstTerm())
+	}
+	o.stateMachine = conductor.New(now, o.ownership.Epoch, options...)
 	if configuration := o.configuration.Load(); configuration != nil {
 		o.stateMachine.Handle(now, conductor.Configured{Configuration: *configuration})
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -295,7 +295,7 @@
 		}
 		return
 	}
-	term := Term{Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors}
+	term := Term{Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors, First: entry.Revision == 0}
 	e.runTerm(ctx, term, lease, requestedAt)
 }
 
--- a/elector/term.go
+++ b/elector/term.go
@@ -16,6 +16,8 @@
 	Ownership
 	// Predecessors are earlier owners that may still act as the owner. The zero Owner stands for an unknown one.
 	Predecessors []Owner
+	// First is set when there has been no owner before.
+	First bool
 }
 
 // termRecord is the value of the term's key.
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -7,11 +7,12 @@
 )
 
 // Place records that a run of a task was assigned to a server.
-func (j *Job) Place(step *Step, index, run int, server specifier.Server) {
+func (j *Job) Place(step *Step, index int, p Placement) {
 	task := &step.Tasks[index]
 	task.State = Placed
-	task.Run = run
-	task.Server, task.Incarnation, task.Address = server.ID, server.Incarnation, server.Address
+	task.Run = p.Run
+	task.Server, task.Incarnation, task.Address = p.Server.ID, p.Server.Incarnation, p.Server.Address
+	task.LongLease = p.LongLease
 	j.version++
 }
 
--- a/lifecycler/compact.go
+++ b/lifecycler/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,7 +21,10 @@
 	// FirstOccurrence is the first occurrence that is not finished.
 	FirstOccurrence int            `json:",omitempty"`
 	Servers         []ServerRecord `json:",omitempty"`
-	Groups          []TaskGroup    `json:",omitempty"`
+	// LongLeases are the positions in Servers, as ranges, of those with a run whose Placement has LongLease set. It then holds for
+	// all runs of the job there.
+	LongLeases string      `json:",omitempty"`
+	Groups     []TaskGroup `json:",omitempty"`
 	// Details has at most maxListedTasks entries. Without its entry a task starts from the beginning instead of its checkpoint,
 	// and the crashes under it are forgotten.
 	Details []TaskDetail `json:",omitempty"`
@@ -68,7 +72,9 @@
 	groups  map[groupKey]int
 	ranges  []*rangeList
 	servers map[ServerRecord]int
-	crashes []TaskDetail
+	// longLeases are the positions of the servers with long leases.
+	longLeases map[int]bool
+	crashes    []TaskDetail
 	// checkpoints are the details of tasks under which no server has crashed.
 	checkpoints []TaskDetail
 }
@@ -94,7 +100,7 @@
 
 // compactRecord returns the job's progress as a compact record.
 func (j *Job) compactRecord() *CompactRecord {
-	b := &compact{groups: make(map[groupKey]int), servers: make(map[ServerRecord]int)}
+	b := &compact{groups: make(map[groupKey]int), servers: make(map[ServerRecord]int), longLeases: make(map[int]bool)}
 	b.record.FirstOccurrence = j.firstOpen
 	for occurrence := j.firstOpen; occurrence < j.nextOccurrence; occurrence++ {
 		known := j.occurrences[occurrence]
@@ -122,6 +128,9 @@
 	}
 	if task.State == Placed {
 		key.server = ServerRecord{ID: task.Server, Incarnation: task.Incarnation, Address: task.Address}
+		if task.LongLease {
+			b.longLeases[b.server(key.server)] = true
+		}
 	}
 	i, known := b.groups[key]
 	if !known {
@@ -167,6 +176,11 @@
 	for i := range b.record.Groups {
 		b.record.Groups[i].Tasks = b.ranges[i].String()
 	}
+	var longLeases rangeList
+	for _, position := range slices.Sorted(maps.Keys(b.longLeases)) {
+		longLeases.add(position)
+	}
+	b.record.LongLeases = longLeases.String()
 	details := slices.Concat(b.crashes, b.checkpoints)
 	b.record.Details = details[:min(len(details), maxListedTasks)]
 	return &b.record
@@ -179,8 +193,12 @@
 	}
 	j.firstOpen, j.nextOccurrence, j.finishedOccurrences = record.FirstOccurrence, record.FirstOccurrence, record.FirstOccurrence
 	j.started = j.started || record.FirstOccurrence > 0
+	longLeases, err := setOfRanges(record.LongLeases)
+	if err != nil {
+		return errors.Wrapf(err, "long leases of job %s", j.Spec.ID)
+	}
 	for _, group := range record.Groups {
-		if err := j.restoreGroup(record, group); err != nil {
+		if err := j.restoreGroup(record, group, longLeases[group.Server]); err != nil {
 			return err
 		}
 	}
@@ -195,7 +213,7 @@
 	return nil
 }
 
-func (j *Job) restoreGroup(record *CompactRecord, group TaskGroup) error {
+func (j *Job) restoreGroup(record *CompactRecord, group TaskGroup, longLease bool) error {
 	var server ServerRecord
 	if group.State == Placed {
 		if group.Server < 0 || group.Server >= len(record.Servers) {
@@ -214,7 +232,7 @@
 		}
 		*task = Task{
 			State: group.State, Run: group.Run, FailedRuns: slices.Clone(group.FailedRuns), Server: server.ID,
-			Incarnation: server.Incarnation, Address: server.Address,
+			Incarnation: server.Incarnation, Address: server.Address, LongLease: longLease && group.State == Placed,
 		}
 		if group.State == Done {
 			step.done++
@@ -296,3 +314,16 @@
 	}
 	return nil
 }
+
+// setOfRanges returns the numbers of a list of ranges.
+func setOfRanges(list string) (map[int]bool, error) {
+	set := make(map[int]bool)
+	if list == "" {
+		return set, nil
+	}
+	err := eachInRanges(list, func(number int) error {
+		set[number] = true
+		return nil
+	})
+	return set, err
+}
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -37,6 +37,7 @@
 	Server      specifier.ServerID `json:",omitempty"`
 	Incarnation int64              `json:",omitempty"`
 	Address     string             `json:",omitempty"`
+	LongLease   bool               `json:",omitempty"`
 	Checkpoint  string             `json:",omitempty"`
 	Crashes     []Crash            `json:",omitempty"`
 }
@@ -80,9 +81,10 @@
 			Index: i, State: task.State, Run: task.Run, FailedRuns: task.FailedRuns,
 			Server: task.Server, Incarnation: task.Incarnation, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
 		})
-		// Only an unknown end of the run makes the address matter.
+		// Only an unknown end of the run makes the address and the lease matter.
 		if task.State == Placed {
-			kept.Tasks[len(kept.Tasks)-1].Address = task.Address
+			last := &kept.Tasks[len(kept.Tasks)-1]
+			last.Address, last.LongLease = task.Address, task.LongLease
 		}
 	}
 	return kept, len(kept.Tasks) > 0
@@ -154,7 +156,8 @@
 		}
 		s.Tasks[task.Index] = Task{
 			State: task.State, Run: task.Run, FailedRuns: task.FailedRuns, Server: task.Server,
-			Incarnation: task.Incarnation, Address: task.Address, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
+			Incarnation: task.Incarnation, Address: task.Address, LongLease: task.LongLease, Checkpoint: task.Checkpoint,
+			Crashes: task.Crashes,
 		}
 		if task.State == Done {
 			s.done++
--- a/lifecycler/record_test.go
+++ b/lifecycler/record_test.go
@@ -72,7 +72,7 @@
 					if !c.step.Gang {
 						run += random.IntN(3)
 					}
-					job.Place(step, index, run, server)
+					job.Place(step, index, lifecycler.Placement{Run: run, Server: server, LongLease: index%3 == 0})
 					id := step.ID.Task(index)
 					if c.step.Checkpointing {
 						job.SetCheckpoint(id, fmt.Sprintf("%016x", random.Uint64()))
@@ -112,7 +112,7 @@
 			id := specifier.StepID{Job: "job", Occurrence: occurrence, Step: step}
 			begun, ok := job.Step(id)
 			require.True(t, ok)
-			job.Place(begun, 0, 1, serverNumbered(1))
+			job.Place(begun, 0, lifecycler.Placement{Run: 1, Server: serverNumbered(1)})
 			job.End(acceptedAt, specifier.EndedTask{Task: id.Task(0), Run: 1, Reason: specifier.RunDone})
 		}
 	}
@@ -148,9 +148,9 @@
 				continue
 			}
 			run := step.NextRun(index)
-			job.Place(step, index, run, serverNumbered(random.IntN(5)))
+			job.Place(step, index, lifecycler.Placement{Run: run, Server: serverNumbered(random.IntN(5)), LongLease: random.IntN(3) == 0})
 			if step.Spec.Gang {
-				job.Place(step, 1-index, run, serverNumbered(random.IntN(5)))
+				job.Place(step, 1-index, lifecycler.Placement{Run: run, Server: serverNumbered(random.IntN(5)), LongLease: random.IntN(3) == 0})
 			}
 			job.SetCheckpoint(id.Task(index), fmt.Sprint(random.IntN(3)))
 			switch random.IntN(5) {
--- a/lifecycler/script_test.go
+++ b/lifecycler/script_test.go
@@ -66,7 +66,7 @@
 	case "Place":
 		step, ok := job.Step(id)
 		require.True(t, ok)
-		job.Place(step, a.Index, a.Run, specifier.Server{ID: "i-1", Incarnation: 1})
+		job.Place(step, a.Index, lifecycler.Placement{Run: a.Run, Server: specifier.Server{ID: "i-1", Incarnation: 1}})
 	case "End":
 		job.End(now, specifier.EndedTask{Number: 1, Task: id.Task(a.Index), Run: a.Run, Reason: a.Reason})
 	case "Unplace":
--- a/lifecycler/task.go
+++ b/lifecycler/task.go
@@ -28,7 +28,9 @@
 	Server      specifier.ServerID
 	Incarnation int64
 	Address     string
-	Checkpoint  string
+	// LongLease is that of the newest run's Placement.
+	LongLease  bool
+	Checkpoint string
 	// Crashes are the crashes of servers under runs of the task since one of them has lasted for long.
 	Crashes []Crash
 }
--- a/sharder/fake_server_test.go
+++ b/sharder/fake_server_test.go
@@ -82,7 +82,11 @@
 }
 
 // Start implements coordinator.BackendServers.
-func (s sender) Start(_ context.Context, c conductor.Start) specifier.OrderResult {
+func (s sender) Start(_ context.Context, c conductor.Start) specifier.OrderReply {
+	return specifier.OrderReply{Result: s.start(c)}
+}
+
+func (s sender) start(c conductor.Start) specifier.OrderResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server, result := s.admit(c.Server.ID, c.Order.Fence)
--- a/specifier/server.go
+++ b/specifier/server.go
@@ -118,6 +118,14 @@
 	OrderInvalid
 )
 
+// OrderReply is the response of a backend server to an order.
+type OrderReply struct {
+	Result OrderResult
+	// Clock is the server's clock when it responded, if HasClock is set.
+	Clock    time.Duration
+	HasClock bool
+}
+
 var orderResultNames = [...]string{
 	"Done", "Unknown", "Fenced", "Obsolete", "Late", "NoRoom", "NoTicket", "OtherLife", "Unhealthy", "Invalid",
 }
