Place runs only on servers whose present entry was read

The same gap let runs exceed the capacity of the new incarnation (LIMIT).

Cause: the owner learns of a restart from a response before it reads the new entry, and kept placing runs by the labels and the capacity of the former one. Runs that were placed before the restart, and whose records were being stored, were started after it. Now a server gets new runs once an entry of its present incarnation was read, and a restart returns the runs whose starts were not sent to the waiting tasks.

A start that is on its way when the server restarts may still be carried out by the new incarnation: nothing in the call names an incarnation.

--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -36,7 +36,15 @@
 	loseResponsesUntil time.Time
 	delayStartsUntil   time.Time
 	failsUntil         time.Time
-	waiting            func()
+	// restartsAs is what the server is after its next restart, if it is of another kind then.
+	restartsAs *fakeKind
+	waiting    func()
+}
+
+// fakeKind is the kind of a server.
+type fakeKind struct {
+	Labels   []string
+	Capacity specifier.Resources
 }
 
 type fakeRun struct {
@@ -75,6 +83,14 @@
 	return !w.now.Before(s.silentUntil) && s.downUntil.IsZero()
 }
 
+// silence returns how long a caller waits for a response that it does not receive, given the timeout of the call.
+func (s *fakeServer) silence(w *simulation, timeout time.Duration) time.Duration {
+	if w.breaksConnections && !s.downUntil.IsZero() {
+		return linkDelay
+	}
+	return timeout
+}
+
 // sendOrder delivers an order to the server, and passes its response to deliverReply.
 func (s *fakeServer) sendOrder(
 	w *simulation, epoch int64, apply func(*fakeServer) specifier.OrderResult, deliverReply func(specifier.OrderReply),
@@ -114,7 +130,7 @@
 		})
 	}
 	lost := func() {
-		w.after(c.Wait+orderTimeout, func() { deliverResult(specifier.OrderUnknown, specifier.ServerReport{}) })
+		w.after(s.silence(w, c.Wait+orderTimeout), func() { deliverResult(specifier.OrderUnknown, specifier.ServerReport{}) })
 	}
 	w.after(linkDelay, func() {
 		if !s.reachable(w) {
@@ -285,10 +301,14 @@
 		r.ended = true
 		w.recordEnd(r, specifier.RunGangBroken)
 	}
+	waiting := s.waiting
 	s.runs, s.stopped = make(map[specifier.TaskID]*fakeRun), make(map[specifier.TaskID]int)
 	s.endedAt = make(map[int64]time.Time)
 	s.ended, s.lastEnd, s.fence, s.leaseEnd, s.waiting = nil, 0, 0, 0, nil
 	s.downUntil = w.now.Add(down)
+	if w.breaksConnections && waiting != nil {
+		waiting()
+	}
 	w.after(down, func() {
 		if w.renamesServers {
 			w.replaceServer(s)
@@ -297,5 +317,8 @@
 		s.downUntil = time.Time{}
 		s.startedAt = w.now
 		s.server.Incarnation = w.now.UnixMilli()
+		if kind := s.restartsAs; kind != nil {
+			s.server.Labels, s.server.Capacity, s.restartsAs = kind.Labels, kind.Capacity, nil
+		}
 	})
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -77,7 +77,7 @@
 		if server.Draining && !s.server.Draining {
 			c.logDecision("ServerDraining", specifier.TaskID{}, 0, server.ID, "")
 		}
-		s.server = server
+		s.server, s.describedIncarnation = server, server.Incarnation
 	}
 }
 
@@ -108,6 +108,7 @@
 	s.fence++
 	s.health = assessor.Health{}
 	c.forgetAdvice(s.server.ID)
+	c.withdrawReserved(now, s)
 }
 
 // requeueEnded requeues the runs of a server that have ended because their lease has. Whether the server has crashed or is
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -75,9 +75,11 @@
 // session is the owner's view of a backend server. Most of it is reset when the server restarts.
 type session struct {
 	// id is that of the server. It never changes.
-	id     specifier.ServerID
-	server specifier.Server
-	listed bool
+	id specifier.ServerID
+	// server is the newest entry of the server, with the newest known incarnation, and describedIncarnation is that of the entry.
+	server               specifier.Server
+	describedIncarnation int64
+	listed               bool
 	// reconciled is set once the server has responded under this owner's fencing token and its report was compared with
 	// the allocations. It is cleared when the server restarts or the lease of its runs ends.
 	reconciled bool
@@ -151,7 +153,7 @@
 
 func newSession(server specifier.Server, fence int64, runs runIndex) *session {
 	return &session{
-		id: server.ID, server: server, fence: fence, firstFence: fence, runs: runs, allocations: make(map[specifier.TaskID]*allocation),
+		id: server.ID, server: server, describedIncarnation: server.Incarnation, fence: fence, firstFence: fence, runs: runs, allocations: make(map[specifier.TaskID]*allocation),
 	}
 }
 
@@ -226,7 +228,7 @@
 
 // available reports whether new runs could be placed on the server if no other shard wanted it.
 func (s *session) available(now time.Time) bool {
-	return s.reconciled && s.listed && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
+	return s.reconciled && s.listed && s.isDescribed() && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
 		s.health.AllowsRun(now, len(s.allocations))
 }
 
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -33,6 +33,9 @@
 	if !used.Fits(s.server.Capacity) {
 		w.violate("LIMIT: %s on %s takes %v of %v", o.Task, s.server.ID, used, s.server.Capacity)
 	}
+	if !s.server.HasLabel(step.RequiredLabel) {
+		w.violate("ROUTE: %s requires the label %s, which %s does not have", o.Task, step.RequiredLabel, s.server.ID)
+	}
 	for _, other := range w.runsOf[o.Task] {
 		if !other.ended {
 			w.violate("TWICE: %s runs on %s (run %d) and %s (run %d)", o.Task, other.server.server.ID, other.run,
@@ -175,6 +178,8 @@
 	Priority   int
 	Attempts   int
 	Spec       string
+	// Label is the label that the servers must have.
+	Label string
 }
 
 func newJob(number int, o jobOptions) specifier.Job {
@@ -192,7 +197,7 @@
 	for i := range max(o.Steps, 1) {
 		step := specifier.Step{
 			Count: max(o.Tasks, 1), Need: specifier.Resources{MilliCores: o.MilliCores, MemoryMB: cmp.Or(o.MemoryMB, 100)}, Gang: o.Gang,
-			Estimate: time.Duration(o.Seconds * float64(time.Second)),
+			RequiredLabel: o.Label, Estimate: time.Duration(o.Seconds * float64(time.Second)),
 		}
 		if i > 0 {
 			step.After = []int{i - 1}
