Keep acknowledgements from a server's next incarnation

Ends are numbered from 1 again, so that it discards ends that no owner has received.

Cause: each renewal carried the acknowledgement, also after the server had confirmed it and beside starts without a result. The fencing token does not help, because starts and renewals between two doubts carry the same one.

Now a renewal acknowledges only what the present incarnation has not confirmed, and only while no start or other call lacks its response. Starts that are sent after it carry a higher token: an incarnation that has carried out one of them refuses the acknowledgement, and one that has not has nothing to discard. Results of renewals name the incarnation that they were sent to.

Not covered: a start of an earlier owner without a response, which the next incarnation carries out before an acknowledgement of this owner.

--- a/conductor/command.go
+++ b/conductor/command.go
@@ -52,7 +52,7 @@
 	Server   specifier.Server
 	Sequence int
 	Fence    int64
-	// Acknowledged is the number of the newest end of a run that is in the store.
+	// Acknowledged is the number of the newest end of a run that is in the store, or zero if there is nothing to acknowledge now.
 	Acknowledged int64
 	// LeaseEnd is on the clock of the backend server. It is zero when the lease is not to be renewed: while that clock
 	// is not known yet or the server does not respond.
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -197,18 +197,3 @@
 	}
 	j.reserved = kept
 }
-
-// acknowledge advances the number of the newest end of a run that is in the store.
-func (c *Conductor) acknowledge(now time.Time, s *session) {
-	for len(s.pending) > 0 {
-		first := s.pending[0]
-		if j := c.jobs[first.job]; j != nil && j.Committed() < first.version {
-			return
-		}
-		s.acknowledged = first.number
-		s.pending = s.pending[1:]
-		if len(s.pending) == 0 {
-			s.nextRenewalAt = now
-		}
-	}
-}
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -43,12 +43,16 @@
 // RenewEnded reports the result of a Renew command.
 type RenewEnded struct {
 	Server specifier.ServerID
+	// Incarnation is that of the server when the command was sent.
+	Incarnation int64
 	// Sequence is the sequence number of the command.
 	Sequence int
 	Fence    int64
-	SentAt   time.Time
-	Result   specifier.OrderResult
-	Report   specifier.ServerReport
+	// Acknowledged is that of the command.
+	Acknowledged int64
+	SentAt       time.Time
+	Result       specifier.OrderResult
+	Report       specifier.ServerReport
 }
 
 // ServersListed reports all registered backend servers of the cell. Transfers are those that were read since the last
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -126,7 +126,8 @@
 	sentAt := w.now
 	deliverResult := func(result specifier.OrderResult, report specifier.ServerReport) {
 		w.deliver(epoch, conductor.RenewEnded{
-			Server: c.Server.ID, Sequence: c.Sequence, Fence: c.Fence, SentAt: sentAt, Result: result, Report: report,
+			Server: c.Server.ID, Incarnation: c.Server.Incarnation, Sequence: c.Sequence, Fence: c.Fence,
+			Acknowledged: c.Acknowledged, SentAt: sentAt, Result: result, Report: report,
 		})
 	}
 	lost := func() {
@@ -183,7 +184,11 @@
 	if !w.delaysCallsOverRestarts || s.downUntil.IsZero() {
 		return
 	}
-	w.at(s.downUntil.Add(carryOverDelay), func() {
+	delay := carryOverDelay
+	if w.carryOverSpread > 0 {
+		delay += time.Duration(w.random.Int64N(int64(w.carryOverSpread)))
+	}
+	w.at(s.downUntil.Add(delay), func() {
 		if s.reachable(w) {
 			call()
 		}
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -103,7 +103,7 @@
 		}
 	}
 	s.reconciled, s.clockKnown, s.formerCalls = false, false, true
-	s.lastEndSeen, s.acknowledged, s.pending = 0, 0, nil
+	s.lastEndSeen, s.acknowledged, s.confirmed, s.pending = 0, 0, 0, nil
 	s.renewalInFlight, s.nextRenewalAt, s.renewalFailures = false, now, 0
 	s.fence++
 	s.health = assessor.Health{}
@@ -164,18 +164,14 @@
 	s.renewalSequence++
 	s.renewalInFlight = true
 	command := Renew{Server: s.server, Sequence: s.renewalSequence, Fence: s.fence}
-	// A server that gave no response may have restarted. It then numbers the ends of runs from the beginning again, and
-	// would discard ends that this owner has not received.
-	if s.responsive() {
-		command.Acknowledged = s.acknowledged
-	}
+	command.Acknowledged = s.takeAcknowledgement()
 	if s.clockKnown && s.renewalFailures == 0 {
 		command.LeaseEnd = s.serverTime(now) + c.settings.lease
 		// The server may renew the lease even if its response is lost. A server that does not respond is polled without a
 		// renewal, so that its lease ends and its tasks can start elsewhere.
 		s.extendLease(now.Add(leaseBound(c.settings.lease)))
 	}
-	if s.reconciled && s.responsive() && len(s.pending) == 0 && s.respondedFence == s.fence {
+	if s.isSettled() && len(s.pending) == 0 && (command.Acknowledged > 0 || !s.owesAcknowledgement()) {
 		command.Wait = renewalWait
 	}
 	c.emit(command)
@@ -228,6 +224,9 @@
 		return
 	}
 	s.respondedRenewal = e.Sequence
+	if e.Incarnation == e.Report.Incarnation {
+		s.confirmed = max(s.confirmed, e.Acknowledged)
+	}
 	c.applyReport(now, s, e)
 	if newest {
 		c.scheduleRenewal(now, s)
@@ -236,7 +235,7 @@
 
 func (c *Conductor) scheduleRenewal(now time.Time, s *session) {
 	s.nextRenewalAt = now
-	if len(s.pending) > 0 {
+	if len(s.pending) > 0 || s.owesAcknowledgement() && s.awaitsStart() {
 		s.nextRenewalAt = now.Add(uncommittedRenewal)
 	}
 }
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -42,6 +42,7 @@
 		return
 	}
 	c.startEnded(now, s, a, e)
+	s.startAnswered(now)
 	c.replan = c.replan || c.startsLimited
 }
 
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -84,7 +84,8 @@
 	// the allocations. It is cleared when the server restarts or the lease of its runs ends.
 	reconciled bool
 	fence      int64
-	// respondedFence is the highest fencing token under which the server has responded.
+	// respondedFence is the highest fencing token under which the server has responded, or that was raised for an acknowledgement
+	// after such a response.
 	respondedFence int64
 	// firstFence is the first fencing token of the session.
 	firstFence int64
@@ -144,7 +145,9 @@
 
 	lastEndSeen  int64
 	acknowledged int64
-	pending      []pendingEnd
+	// confirmed is the newest acknowledgement to which the present incarnation has responded.
+	confirmed int64
+	pending   []pendingEnd
 
 	health assessor.Health
 	// holder is the step that the server is held for in the present placement pass, if any.
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -66,6 +66,8 @@
 	renamesServers bool
 	// delaysCallsOverRestarts makes servers that restart carry out the calls that were sent to them while they were down.
 	delaysCallsOverRestarts bool
+	// carryOverSpread is by how much the times differ at which these calls are carried out.
+	carryOverSpread time.Duration
 	// breaksConnections makes callers notice at once that a server is down, instead of waiting for a response.
 	breaksConnections bool
 	// cutUntil is when tasks with one of the cutDelays stop being cut off.
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -74,7 +74,8 @@
 	sentAt := o.settings.clock.Now()
 	report, result := o.settings.servers.Renew(ctx, c)
 	o.post(conductor.RenewEnded{
-		Server: c.Server.ID, Sequence: c.Sequence, Fence: c.Fence, SentAt: sentAt, Result: result, Report: report,
+		Server: c.Server.ID, Incarnation: c.Server.Incarnation, Sequence: c.Sequence, Fence: c.Fence,
+		Acknowledged: c.Acknowledged, SentAt: sentAt, Result: result, Report: report,
 	})
 }
 
