Keep advice about a server for one incarnation

A job that needs advice never ran (LOST) when the only server that may run it had been refused before it restarted under its ID as another kind. It happened when the server restarted while the advice call was under way, and when the owner had forgotten the server before it came back.

Cause: tickets and refusals were kept by the server's ID and removed when a restart was noticed. A result that arrived later put them back, and a server that comes back after its session was removed is not seen as restarted.

Now a call carries the incarnations of the servers that it names, and its tickets and refusals hold for these only. A search through the advice of all jobs at each restart is gone. The simulated servers refuse tickets for other incarnations.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -9,9 +9,10 @@
 
 // advice holds the responses of the advice service about the servers for a step.
 type advice struct {
-	// granted has the ticket of each server that may run the step; refused are the servers that may not.
+	// granted has the ticket of each server that may run the step, and refused the incarnation of each that may not. What was
+	// said about an incarnation is void for the next one, which may be of another kind.
 	granted map[specifier.ServerID]ticket
-	refused map[specifier.ServerID]bool
+	refused map[specifier.ServerID]int64
 	// calls is the number of calls in flight, and pendingUntil when they are given up.
 	calls        int
 	pendingUntil time.Time
@@ -29,8 +30,27 @@
 }
 
 type ticket struct {
-	text       string
-	validUntil time.Time
+	text        string
+	validUntil  time.Time
+	incarnation int64
+}
+
+// ticketFor returns the ticket for the present incarnation of a server, which may have expired, and reports whether there is one.
+func (a *advice) ticketFor(server specifier.Server) (ticket, bool) {
+	if a == nil {
+		return ticket{}, false
+	}
+	t, granted := a.granted[server.ID]
+	return t, granted && t.incarnation == server.Incarnation
+}
+
+// refuses reports whether the present incarnation of a server may not run the step.
+func (a *advice) refuses(server specifier.Server) bool {
+	if a == nil {
+		return false
+	}
+	incarnation, refused := a.refused[server.ID]
+	return refused && incarnation == server.Incarnation
 }
 
 // usable reports whether the ticket is still valid for long enough to start a run with it.
@@ -41,17 +61,18 @@
 func (j *job) adviceFor(id specifier.StepID) *advice {
 	adv := j.advice[id]
 	if adv == nil {
-		adv = &advice{granted: make(map[specifier.ServerID]ticket), refused: make(map[specifier.ServerID]bool)}
+		adv = &advice{granted: make(map[specifier.ServerID]ticket), refused: make(map[specifier.ServerID]int64)}
 		j.advice[id] = adv
 	}
 	return adv
 }
 
-func (j *job) ticket(step specifier.StepID, server specifier.ServerID) string {
-	if adv := j.advice[step]; adv != nil {
-		return adv.granted[server].text
+func (j *job) ticket(step specifier.StepID, server specifier.Server) string {
+	t, granted := j.advice[step].ticketFor(server)
+	if !granted {
+		return ""
 	}
-	return ""
+	return t.text
 }
 
 func (c *Conductor) dropTicket(step specifier.StepID, server specifier.ServerID) {
@@ -65,17 +86,6 @@
 	}
 }
 
-// forgetAdvice discards what advice said about a server that has restarted: its tickets are void, and it may be of another
-// kind.
-func (c *Conductor) forgetAdvice(server specifier.ServerID) {
-	for _, j := range c.jobs {
-		for _, adv := range j.advice {
-			delete(adv.granted, server)
-			delete(adv.refused, server)
-		}
-	}
-}
-
 // serversWithTicket returns the usable servers that have a ticket for the step which is still valid for long enough.
 func (c *Conductor) serversWithTicket(now time.Time, w *waitingStep) []*session {
 	adv := w.job.adviceFor(w.step.ID)
@@ -85,7 +95,7 @@
 	}
 	for id, t := range adv.granted {
 		s := c.sessions[id]
-		if s != nil && t.usable(now) && s.usable(now) &&
+		if s != nil && t.incarnation == s.server.Incarnation && t.usable(now) && s.usable(now) &&
 			s.server.HasLabel(w.step.Spec.RequiredLabel) && s.server.Service == w.job.queue.Service && s.mayRun(w) {
 			servers = append(servers, s)
 		}
@@ -137,12 +147,16 @@
 	}
 	adv.calls++
 	adv.pendingUntil = busyUntil
+	incarnations := make(map[specifier.ServerID]int64, len(names))
 	for _, id := range names {
 		if s := c.sessions[id]; s != nil {
 			s.named(p.now.Add(expected + ticketMargin))
+			incarnations[id] = s.server.Incarnation
 		}
 	}
-	c.emit(Advise{Advisor: advisor, Step: w.step.ID, Servers: names, ExpectedTime: expected, Timeout: timeout})
+	c.emit(Advise{
+		Advisor: advisor, Step: w.step.ID, Servers: names, Incarnations: incarnations, ExpectedTime: expected, Timeout: timeout,
+	})
 	return true
 }
 
@@ -182,7 +196,7 @@
 // has not refused.
 func (w *waitingStep) couldFit(adv *advice, servers []*session) bool {
 	return fitsOn(servers, w.required(), func(s *session) int {
-		if adv.refused[s.server.ID] {
+		if adv.refuses(s.server) {
 			return 0
 		}
 		return w.fits(s)
@@ -201,9 +215,9 @@
 	var expired, unknown []*session
 	fitting := 0
 	for _, s := range servers {
-		t, granted := adv.granted[s.server.ID]
+		t, granted := adv.ticketFor(s.server)
 		switch {
-		case adv.refused[s.server.ID]:
+		case adv.refuses(s.server):
 		case !granted:
 			unknown = append(unknown, s)
 		case t.validUntil.After(now.Add(2 * ticketMargin)):
@@ -265,11 +279,26 @@
 		adv.validUntil = e.ValidUntil
 	}
 	for _, grant := range e.Grants {
-		adv.granted[grant.Server] = ticket{text: grant.Ticket, validUntil: e.ValidUntil}
+		adv.grant(grant.Server, ticket{text: grant.Ticket, validUntil: e.ValidUntil, incarnation: e.Incarnations[grant.Server]})
 	}
 	for _, server := range e.Servers {
-		if _, granted := adv.granted[server]; !granted {
-			adv.refused[server] = true
-		}
+		adv.refuse(server, e.Incarnations[server])
+	}
+}
+
+// grant records a ticket, unless there is one for a later incarnation.
+func (a *advice) grant(server specifier.ServerID, t ticket) {
+	if known, granted := a.granted[server]; !granted || known.incarnation <= t.incarnation {
+		a.granted[server] = t
+	}
+}
+
+// refuse records that an incarnation may not run the step, unless it has a ticket or a later one is known.
+func (a *advice) refuse(server specifier.ServerID, incarnation int64) {
+	if known, granted := a.granted[server]; granted && known.incarnation >= incarnation {
+		return
+	}
+	if known, refused := a.refused[server]; !refused || known < incarnation {
+		a.refused[server] = incarnation
 	}
 }
--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -127,7 +127,7 @@
 	adv := w.job.advice[w.step.ID]
 	fitting := 0
 	for _, s := range servers {
-		if adv == nil || !adv.refused[s.server.ID] {
+		if !adv.refuses(s.server) {
 			fitting += wanted.fitsEmpty(s.server)
 		}
 		if fitting >= wanted.Tasks {
@@ -141,8 +141,8 @@
 func (c *Conductor) tasksElsewhere(w *waitingStep, wanted ServersWanted) int {
 	adv := w.job.advice[w.step.ID]
 	fitting := 0
-	for id, server := range c.shard.others {
-		if adv == nil || !adv.refused[id] {
+	for _, server := range c.shard.others {
+		if !adv.refuses(server) {
 			fitting += wanted.fitsEmpty(server)
 		}
 	}
@@ -206,7 +206,11 @@
 	}
 	if adv != nil {
 		for id := range adv.refused {
-			if _, held := c.shard.others[id]; held || c.isForeign(id) {
+			server, elsewhere := c.shard.others[id]
+			if s := c.sessions[id]; !elsewhere && s != nil && c.isForeign(id) {
+				server = s.server
+			}
+			if adv.refuses(server) {
 				wanted.Refused = append(wanted.Refused, id)
 			}
 		}
--- a/conductor/command.go
+++ b/conductor/command.go
@@ -66,6 +66,8 @@
 	Advisor string
 	Step    specifier.StepID
 	Servers []specifier.ServerID
+	// Incarnations are those of the servers that the call is about.
+	Incarnations map[specifier.ServerID]int64
 	// ExpectedTime is how long the service should take, and Timeout is how long until the call counts as failed.
 	ExpectedTime time.Duration
 	Timeout      time.Duration
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -75,7 +75,9 @@
 	// SentAt is when the call began.
 	SentAt  time.Time
 	Servers []specifier.ServerID
-	Grants  []specifier.Grant
+	// Incarnations are those of the command. A result says nothing about later ones.
+	Incarnations map[specifier.ServerID]int64
+	Grants       []specifier.Grant
 	// ValidUntil is when the tickets expire.
 	ValidUntil time.Time
 	Failed     bool
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"fmt"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -258,10 +259,19 @@
 	if s.stopped[o.Task] >= o.Run {
 		return specifier.OrderObsolete
 	}
+	if o.Ticket != "" && o.Ticket != s.ticket() {
+		w.voidTickets++
+		return specifier.OrderNoTicket
+	}
 	w.begin(s, o)
 	return specifier.OrderDone
 }
 
+// ticket returns a ticket for the present incarnation of the server.
+func (s *fakeServer) ticket() string {
+	return fmt.Sprintf("ticket for incarnation %d", s.server.Incarnation)
+}
+
 func (s *fakeServer) stopRun(w *simulation, c conductor.Stop) specifier.OrderResult {
 	if c.Fence < s.fence {
 		return specifier.OrderFenced
--- a/conductor/gang_advice.go
+++ b/conductor/gang_advice.go
@@ -31,7 +31,7 @@
 	neededUntil := now.Add(w.adviceTime(min(named, maxAdviceServers)) + 2*ticketMargin)
 	var names []specifier.ServerID
 	for _, s := range admitted[:named] {
-		if adv.granted[s.server.ID].validUntil.Before(neededUntil) {
+		if t, _ := adv.ticketFor(s.server); t.validUntil.Before(neededUntil) {
 			names = append(names, s.server.ID)
 		}
 	}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -268,9 +268,9 @@
 	}
 	adv := w.job.adviceFor(w.step.ID)
 	for _, s := range candidates {
-		if _, granted := adv.granted[s.server.ID]; granted {
+		if _, granted := adv.ticketFor(s.server); granted {
 			admitted = append(admitted, s)
-		} else if !adv.refused[s.server.ID] {
+		} else if !adv.refuses(s.server) {
 			unknown = append(unknown, s)
 		}
 	}
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -107,7 +107,6 @@
 	s.renewalInFlight, s.nextRenewalAt, s.renewalFailures = false, now, 0
 	s.fence++
 	s.health = assessor.Health{}
-	c.forgetAdvice(s.server.ID)
 	c.withdrawReserved(now, s)
 }
 
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -147,10 +147,8 @@
 // isAdmitted reports whether advice has admitted a waiting step of this shard to the server.
 func (c *Conductor) isAdmitted(s *session) bool {
 	for _, w := range c.waitingSteps {
-		if adv := w.job.advice[w.step.ID]; adv != nil {
-			if _, granted := adv.granted[s.id]; granted {
-				return true
-			}
+		if _, granted := w.job.advice[w.step.ID].ticketFor(s.server); granted {
+			return true
 		}
 	}
 	return false
--- a/conductor/lend_test.go
+++ b/conductor/lend_test.go
@@ -196,7 +196,7 @@
 	advise := commandsOf[conductor.Advise](o.planFor(time.Second))
 	require.NotEmpty(t, advise)
 	o.Handle(o.now, conductor.Advised{
-		Step: advise[0].Step, Advisor: "a", Servers: advise[0].Servers[:2], ValidUntil: o.now.Add(time.Minute),
+		Step: advise[0].Step, Advisor: "a", Servers: advise[0].Servers[:2], Incarnations: advise[0].Incarnations, ValidUntil: o.now.Add(time.Minute),
 		Grants: []specifier.Grant{{Server: "h-1", Ticket: "t"}},
 	})
 	o.planFor(time.Second)
--- a/conductor/owner_load_test.go
+++ b/conductor/owner_load_test.go
@@ -45,7 +45,7 @@
 			require.NotEmpty(t, advise)
 			o.TakeLoad(o.now)
 			e := conductor.Advised{
-				Step: advise[0].Step, Advisor: "a", Servers: advise[0].Servers, SentAt: o.now.Add(-callTime),
+				Step: advise[0].Step, Advisor: "a", Servers: advise[0].Servers, Incarnations: advise[0].Incarnations, SentAt: o.now.Add(-callTime),
 				ValidUntil: o.now.Add(ticketLife), Failed: c.failed,
 			}
 			if c.granted > 0 {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -235,7 +235,7 @@
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
 		order: specifier.StartOrder{
 			Task: w.step.ID.Task(index), Run: run, Spec: w.job.Spec.Spec, Checkpoint: w.step.SharedCheckpoint(index),
-			Ticket: w.job.ticket(w.step.ID, s.server.ID),
+			Ticket: w.job.ticket(w.step.ID, s.server),
 		},
 	}
 	s.add(a)
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -93,6 +93,8 @@
 	startsAfterCrashes map[specifier.TaskID]int
 	violations         []string
 	starts, stops      int
+	// voidTickets counts the starts that were refused because of a ticket for another incarnation.
+	voidTickets int
 	// lengthOf returns how long a run takes whose step has an estimate, if it is set.
 	lengthOf func(specifier.TaskID, time.Duration) time.Duration
 	// onAdvise is called with each advice call, if it is set.
@@ -223,16 +225,15 @@
 			})
 			return
 		}
-		w.after(c.ExpectedTime, func() {
-			var grants []specifier.Grant
-			for _, id := range c.Servers {
-				if w.refuses(c.Step, id) {
-					continue
-				}
-				grants = append(grants, specifier.Grant{Server: id, Ticket: "t"})
+		var grants []specifier.Grant
+		for _, id := range c.Servers {
+			if !w.refuses(c.Step, id) {
+				grants = append(grants, specifier.Grant{Server: id, Ticket: w.servers[id].ticket()})
 			}
+		}
+		w.after(c.ExpectedTime, func() {
 			w.deliver(epoch, conductor.Advised{
-				Step: c.Step, Advisor: c.Advisor, Servers: c.Servers, SentAt: sentAt, Grants: grants,
+				Step: c.Step, Advisor: c.Advisor, Servers: c.Servers, Incarnations: c.Incarnations, SentAt: sentAt, Grants: grants,
 				ValidUntil: w.now.Add(ticketLife),
 			})
 		})
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -89,7 +89,7 @@
 		if w.isHeldFrom(p.now, s) {
 			figures.Held++
 		}
-		t, granted := adv.granted[s.server.ID]
+		t, granted := adv.ticketFor(s.server)
 		switch {
 		case !advised || granted:
 			figures.Admitted++
@@ -99,7 +99,7 @@
 				figures.Tickets++
 				figures.FitTickets += w.fits(s)
 			}
-		case adv.refused[s.server.ID]:
+		case adv.refuses(s.server):
 			figures.Refused++
 		default:
 			figures.FitUnknownEmpty += w.fitsEmpty(s)
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -223,7 +223,7 @@
 
 // advise makes an advice call, through another instance if the command names one, and posts the result.
 func (o *owner) advise(ctx context.Context, c conductor.Advise, address string) {
-	event := conductor.Advised{Step: c.Step, Advisor: c.Advisor, Servers: c.Servers, SentAt: o.settings.clock.Now()}
+	event := conductor.Advised{Step: c.Step, Advisor: c.Advisor, Servers: c.Servers, Incarnations: c.Incarnations, SentAt: o.settings.clock.Now()}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	request := adviseRequest{Step: c.Step, Servers: c.Servers}
