Settle a start by a stop only in one incarnation

A task could get a second run while its first one started late (TWICE): its start had no response, the server had carried out the stop, and then restarted under its ID.

Cause: the response to the stop settles the start, because a server rejects a run that was stopped there. The next incarnation does not know of the stop, and carries out the start as long as it has seen no higher fencing token. The first report of the new incarnation, to a renewal with the token of the start, still returned the task to the waiting ones.

Now a restart reopens starts without a response, whatever the former incarnation said about their stops; the first response under the raised token settles them.

Evidence: TestStopOfFormerIncarnationDoesNotSettleStart fails without the change and passes with it.

--- a/conductor/advice_restart_test.go
+++ b/conductor/advice_restart_test.go
@@ -31,6 +31,7 @@
 			w.runUntil(seconds(c.crashAt + c.downIn + 7))
 			require.Empty(t, w.violations)
 			require.Equal(t, specifier.Completed, w.state(job.ID))
+			require.Zero(t, w.voidTickets, "a ticket is used for another incarnation")
 		})
 	}
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -100,6 +100,8 @@
 		a.shutdown = s.server.Draining
 		if !a.answered {
 			a.endsBy = now.Add(leaseBound(c.settings.maxLease))
+			// Only the former incarnation knows a stop that it has carried out.
+			a.resolvedAt = time.Time{}
 		}
 	}
 	s.reconciled, s.clockKnown, s.formerCalls = false, false, true
--- a/conductor/stale_report_test.go
+++ b/conductor/stale_report_test.go
@@ -30,6 +30,34 @@
 	require.True(t, s.reconciled)
 }
 
+// TestStopOfFormerIncarnationDoesNotSettleStart guards against a second run of a task whose start got no response and whose stop
+// only the former incarnation of its server has carried out: the next one may still carry out the start.
+func TestStopOfFormerIncarnationDoesNotSettleStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(now, 1)
+	c.Handle(now, ServersListed{Servers: []specifier.Server{{ID: "s1", Address: "10.0.0.1:1", Incarnation: 1}}})
+	s := c.sessions["s1"]
+	a := &allocation{task: specifier.TaskID{}, run: 1, state: sent, fence: s.fence, incarnation: 1}
+	s.add(a)
+	c.stop(now, s, a)
+	c.Handle(now, OrderEnded{Server: "s1", Incarnation: 1, Run: 1, Fence: s.fence, Stop: true, Result: specifier.OrderDone})
+	now = now.Add(time.Millisecond)
+	first := renewal(t, c.Plan(now))
+	c.Handle(now, RenewEnded{
+		Server: "s1", Incarnation: 1, Sequence: first.Sequence, Fence: first.Fence, SentAt: now, Result: specifier.OrderDone,
+		Report: specifier.ServerReport{Incarnation: 2},
+	})
+	require.Contains(t, s.allocations, a.task, "the token of the start is still valid")
+	now = now.Add(time.Second)
+	second := renewal(t, c.Plan(now))
+	require.Greater(t, second.Fence, a.fence)
+	c.Handle(now, RenewEnded{
+		Server: "s1", Incarnation: 2, Sequence: second.Sequence, Fence: second.Fence, SentAt: now, Result: specifier.OrderDone,
+		Report: specifier.ServerReport{Incarnation: 2},
+	})
+	require.NotContains(t, s.allocations, a.task)
+}
+
 func renewal(t *testing.T, commands []Command) Renew {
 	t.Helper()
 	for _, command := range commands {
