--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -202,6 +202,11 @@
 		return
 	}
 	j := c.addJob(lifecycler.New(spec))
+	if j.State().Final() {
+		c.markDirty(j)
+		c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "the job cannot run")
+		return
+	}
 	j.BeginDue(now)
 	c.markStale(j)
 	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
--- a/conductor/load.go
+++ b/conductor/load.go
@@ -30,6 +30,9 @@
 	return false
 }
 
+// maxWanted bounds the sum of the needs of waiting steps, so that it does not overflow.
+var maxWanted = specifier.Resources{MilliCores: 1 << 50, MemoryMB: 1 << 50, Accelerators: 1 << 50}
+
 // load returns the capacity of a service that is in use, and that its waiting steps need, as a percentage of what the shard has.
 func (c *Conductor) load(now time.Time, service string) int {
 	var taken, capacity specifier.Resources
@@ -38,7 +41,7 @@
 	}
 	for _, w := range c.waitingSteps {
 		if w.job.queue.Service == service {
-			taken = taken.Plus(w.need().Times(len(w.waiting)))
+			taken = taken.Plus(w.need().Times(len(w.waiting))).Min(maxWanted)
 		}
 	}
 	return max(percent(taken.MilliCores, capacity.MilliCores), percent(taken.MemoryMB, capacity.MemoryMB))
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -30,6 +30,10 @@
 	j := c.addJob(restored)
 	if j.State().Final() {
 		j.retainedSince = now
+		if j.Committed() < j.Version() {
+			c.markDirty(j)
+			c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "the stored job cannot run")
+		}
 		return
 	}
 	c.restoreAllocations(j)
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -105,13 +105,17 @@
 	}
 }
 
+// maxObjective bounds the time in which a job should complete, so that worthlessAfter times as much does not overflow.
+const maxObjective = 80 * 365 * 24 * time.Hour
+
 // objectiveOf returns the time in which an occurrence of a job should complete.
 func objectiveOf(j *job) time.Duration {
 	chain := j.CriticalPath()
 	if j.queue.Advice.Needed {
 		chain += (j.queue.Advice.Fixed + objectiveAdviceServers*j.queue.Advice.PerServer) * time.Duration(len(j.Spec.Steps))
 	}
-	return time.Duration(float64(chain)*max(j.queue.Stretch, 1)) + j.queue.TargetLatency
+	stretched := min(float64(chain)*max(j.queue.Stretch, 1), float64(maxObjective))
+	return min(time.Duration(stretched)+j.queue.TargetLatency, maxObjective)
 }
 
 // tierAt returns the tier of a waiting step at the given time.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -300,6 +301,26 @@
 	})
 }
 
+// TestStoredJobThatCannotRunEndsNoOwner guards against owners whose processes end one after the other because of a job in the
+// store, and against other jobs that do not run meanwhile.
+func TestStoredJobThatCannotRunEndsNoOwner(t *testing.T) {
+	runWithCell(t, 2, func(t *testing.T, c *cell) {
+		require.NoError(t, c.submitTasks(1, "invalid", math.MaxInt), "only decoding checks the numbers")
+		require.NoError(t, c.submit(1, "a"))
+		time.Sleep(3 * runTime)
+		require.Equal(t, specifier.Completed, c.state(1, "a"))
+		require.Equal(t, specifier.Failed, c.state(1, "invalid"))
+		require.Empty(t, c.store.Keys("egretring/intake/"))
+		c.store.DeleteKey(elector.OwnerKey)
+		require.NoError(t, c.submitTasks(0, "late", math.MaxInt))
+		require.NoError(t, c.submit(0, "b"))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, specifier.Completed, c.state(0, "b"))
+		require.Equal(t, specifier.Failed, c.state(0, "invalid"))
+		require.Equal(t, specifier.Failed, c.state(0, "late"))
+	})
+}
+
 // TestKeysOfOldJobsAreDeleted guards against keys of finished jobs that stay in the store forever, and against a
 // finished job that starts again after its state has been deleted.
 func TestKeysOfOldJobsAreDeleted(t *testing.T) {
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -37,8 +37,12 @@
 	finishedSteps int
 }
 
-// New returns a job of which no occurrence has begun.
+// New returns a job of which no occurrence has begun. A job that cannot run, see specifier.Job.Check, has failed and has no steps.
 func New(spec specifier.Job) *Job {
+	if spec.Check() != nil {
+		spec.Steps = nil
+		return &Job{Spec: spec, state: specifier.Failed, finalAt: spec.AcceptedAt, version: 1}
+	}
 	j := &Job{Spec: spec, occurrences: make(map[int]*occurrenceSteps), paths: criticalPaths(spec.Steps)}
 	for _, step := range spec.Steps {
 		j.firstTasks = append(j.firstTasks, j.tasks)
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -111,6 +111,9 @@
 		j.started = true
 		return j, nil
 	}
+	if j.state.Final() {
+		return j, nil
+	}
 	if record.Compact != nil {
 		if err := j.restoreCompact(record.Compact); err != nil {
 			return nil, err
--- a/specifier/job.go
+++ b/specifier/job.go
@@ -59,6 +59,9 @@
 	Interval    time.Duration `json:",omitempty"`
 }
 
+// latestDue bounds the time from the first occurrence to a later one, so that it does not overflow.
+const latestDue = 250 * 365 * 24 * time.Hour
+
 // OccurrenceCount returns how many times the steps run.
 func (j Job) OccurrenceCount() int {
 	return max(j.Occurrences, 1)
@@ -74,6 +77,9 @@
 	if !j.Scheduled() {
 		return j.AcceptedAt
 	}
+	if j.Interval > 0 && occurrence > int(latestDue/j.Interval) {
+		return j.First.Add(latestDue)
+	}
 	return j.First.Add(time.Duration(occurrence) * j.Interval)
 }
 
--- a/specifier/resources.go
+++ b/specifier/resources.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// Min returns the smaller amount of each kind of resource.
+func (r Resources) Min(other Resources) Resources {
+	return Resources{
+		min(r.MilliCores, other.MilliCores), min(r.MemoryMB, other.MemoryMB), min(r.Accelerators, other.Accelerators),
+	}
+}
+
 // Count returns how many times the amount is available in the given free capacity, at most limit.
 func (r Resources) Count(free Resources, limit int) int {
 	count := limit
