Keep a server in use after a connection to it could not be opened

An ejected server gets a trial only once it has no run at all, and one run at a time until a run ends as done. While tasks take 10 to 50 s, each server that was cut off, or to which a stalled owner could open no connection for a moment, was lost to all other work for up to two such runs.

Cause: the failure of a connection was reported as OrderUnhealthy. It says nothing about the runs on the server, and the end of a run is no evidence that connections can be opened again. Class: evidence of one kind of fault handled as that of another.

Orders without a connection now have the result NotSent. The server is probed as before, and gets no starts for 2 s, up to 8 s while connections fail again and again. It then gets runs without a trial.

Test: case "no connections for a moment while servers have long runs" of TestScripts. With the earlier handling the second job is Queued, not Running, 7 s after its submission.

--- a/assessor/health.go
+++ b/assessor/health.go
@@ -10,7 +10,8 @@
 	// jobFailuresToEject is the number of different jobs whose runs must fail, with no success in between, before a
 	// server is ejected.
 	jobFailuresToEject = 2
-	// minEjectionTime and maxEjectionTime are the shortest and longest time before an ejected server gets a trial run.
+	// minEjectionTime and maxEjectionTime are the shortest and longest time before an ejected server gets a trial run, or
+	// one to which no connection could be opened gets runs again.
 	minEjectionTime = 2 * time.Second
 	maxEjectionTime = 8 * time.Second
 )
@@ -21,13 +22,16 @@
 	ejectionTime time.Duration
 	trialAt      time.Time
 	ejected      bool
+	// pauseTime is the length of the last pause, which ended, or will end, at pausedUntil.
+	pauseTime   time.Duration
+	pausedUntil time.Time
 }
 
 // AllowsRun reports whether the server may get another run while it has the given number of runs. An ejected server
 // gets one run at a time as a trial, once its ejection time has passed.
 func (h *Health) AllowsRun(now time.Time, runs int) bool {
 	if !h.ejected {
-		return true
+		return !now.Before(h.pausedUntil)
 	}
 	return !now.Before(h.trialAt) && runs == 0
 }
@@ -49,6 +53,21 @@
 	return h.Eject(now)
 }
 
+// Pause keeps new runs from the server for a time, because no connection to it could be opened. That says nothing about the runs that
+// it has, so that it gets runs again without a trial. The time doubles with each pause until a connection is opened.
+func (h *Health) Pause(now time.Time) {
+	if now.Before(h.pausedUntil) {
+		return
+	}
+	h.pauseTime = max(minEjectionTime, min(2*h.pauseTime, maxEjectionTime))
+	h.pausedUntil = now.Add(h.pauseTime)
+}
+
+// RecordConnection records that a connection to the server could be opened.
+func (h *Health) RecordConnection() {
+	h.pauseTime = 0
+}
+
 // Eject ejects the server immediately and reports whether it was not ejected before. The ejection time doubles with
 // each failed trial up to its maximum.
 func (h *Health) Eject(now time.Time) bool {
--- a/assessor/health_test.go
+++ b/assessor/health_test.go
@@ -29,3 +29,20 @@
 	h.RecordSuccess()
 	require.True(t, h.AllowsRun(trial, 5))
 }
+
+// TestPausedServerGetsRunsAgain guards against a server that gets no runs beside those that it has, because no connection to it
+// could be opened once, and against one that gets a run in each moment in which none can.
+func TestPausedServerGetsRunsAgain(t *testing.T) {
+	var h assessor.Health
+	h.Pause(start)
+	h.Pause(start.Add(time.Second))
+	require.False(t, h.AllowsRun(start.Add(time.Second), 0))
+	again := start.Add(2 * time.Second)
+	require.True(t, h.AllowsRun(again, 5))
+	h.Pause(again)
+	require.False(t, h.AllowsRun(again.Add(3*time.Second), 0), "the pause grows while no connection can be opened")
+	require.True(t, h.AllowsRun(again.Add(4*time.Second), 5))
+	h.RecordConnection()
+	h.Pause(again.Add(4 * time.Second))
+	require.True(t, h.AllowsRun(again.Add(6*time.Second), 5))
+}
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -12,6 +12,8 @@
 	stopTime = 150 * time.Millisecond
 	// carryOverDelay is the time from the restart of a server until it carries out calls that were sent before.
 	carryOverDelay = 10 * time.Millisecond
+	// dialTimeout is how long the opening of a connection takes to fail.
+	dialTimeout = 400 * time.Millisecond
 )
 
 // fakeServer simulates a backend server with the behavior that the platform's documentation specifies.
@@ -36,6 +38,8 @@
 	loseResponsesUntil time.Time
 	delayStartsUntil   time.Time
 	failsUntil         time.Time
+	// noConnectionsUntil is when connections to the server can be opened again. Renewals use open ones.
+	noConnectionsUntil time.Time
 	waiting            func()
 }
 
@@ -82,6 +86,8 @@
 	lost := func() { w.after(orderTimeout, func() { deliverResult(specifier.OrderUnknown) }) }
 	w.after(linkDelay, func() {
 		switch {
+		case w.now.Before(s.noConnectionsUntil):
+			w.after(dialTimeout, func() { deliverResult(specifier.OrderNotSent) })
 		case !s.reachable(w):
 			s.carryOver(w, func() { apply(s) })
 			lost()
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -27,7 +27,7 @@
 		return
 	}
 	switch e.Result {
-	case specifier.OrderUnknown, specifier.OrderUnhealthy, specifier.OrderOtherIncarnation:
+	case specifier.OrderUnknown, specifier.OrderUnhealthy, specifier.OrderOtherIncarnation, specifier.OrderNotSent:
 	default:
 		s.aliveAt = now
 	}
@@ -53,6 +53,7 @@
 	case specifier.OrderDone:
 		s.setState(a, confirmed)
 		a.resolvedAt = now
+		s.health.RecordConnection()
 		c.markStarted(a.task.Job)
 		return
 	case specifier.OrderUnknown:
@@ -70,6 +71,10 @@
 		c.probe(now, s)
 		c.probeZone(now, s.server.Zone)
 		s.health.Eject(now)
+	case specifier.OrderNotSent:
+		c.probe(now, s)
+		c.probeZone(now, s.server.Zone)
+		s.health.Pause(now)
 	case specifier.OrderInvalid:
 		s.health.Eject(now)
 	case specifier.OrderNoTicket:
--- a/conductor/script_test.go
+++ b/conductor/script_test.go
@@ -65,6 +65,8 @@
 			s.delayStartsUntil = until
 		case "Fails":
 			s.failsUntil = until
+		case "NoConnections":
+			s.noConnectionsUntil = until
 		case "Drain":
 			s.server.Draining = true
 		case "StoreDown":
--- a/specifier/server.go
+++ b/specifier/server.go
@@ -112,14 +112,16 @@
 	OrderNoTicket
 	// OrderOtherIncarnation means that another incarnation of the server received the order.
 	OrderOtherIncarnation
-	// OrderUnhealthy means that the server refused because it is unhealthy, or that no connection to it could be opened.
+	// OrderUnhealthy means that the server refused because it is unhealthy.
 	OrderUnhealthy
 	// OrderInvalid means that the server rejected the order as malformed, or that its report was malformed.
 	OrderInvalid
+	// OrderNotSent means that no connection to the server could be opened, so that the order had no effect.
+	OrderNotSent
 )
 
 var orderResultNames = [...]string{
-	"Done", "Unknown", "Fenced", "Obsolete", "Late", "NoRoom", "NoTicket", "OtherLife", "Unhealthy", "Invalid",
+	"Done", "Unknown", "Fenced", "Obsolete", "Late", "NoRoom", "NoTicket", "OtherLife", "Unhealthy", "Invalid", "NotSent",
 }
 
 // String returns the name of the result.
