Give ejected servers trials beside runs that take long

Failures of tasks that last ejected sound servers besides.

Cause: the number of runs on a server stood for the number of trials, and the end of a trial was the only evidence that it works. Class: state that only an event which may never come can end.

Only runs since the ejection now count as trials. One is allowed at first, and as many more as have lasted for the ejection time, so that a failing server still loses few runs. A failed task that lasts is held against its server only in the first second, because such tasks may fail at any time.

--- a/assessor/health.go
+++ b/assessor/health.go
@@ -27,13 +27,34 @@
 	pausedUntil time.Time
 }
 
-// AllowsRun reports whether the server may get another run while it has the given number of runs. An ejected server
-// gets one run at a time as a trial, once its ejection time has passed.
-func (h *Health) AllowsRun(now time.Time, runs int) bool {
+// Trials are the runs that an ejected server got since TrialsBegin.
+type Trials struct {
+	// Lasted is the number of trials that have lasted for TrialTime, and Open that of the others.
+	Lasted, Open int
+}
+
+// AllowsRun reports whether the server may get another run. An ejected server gets trials once its ejection time has passed: one at
+// first, and as many more as have lasted. Trials may take long, and tasks that last end no trial.
+func (h *Health) AllowsRun(now time.Time, trials Trials) bool {
 	if !h.ejected {
 		return !now.Before(h.pausedUntil)
 	}
-	return !now.Before(h.trialAt) && runs == 0
+	return !now.Before(h.trialAt) && trials.Open <= trials.Lasted
+}
+
+// Ejected reports whether the server gets no runs but trials.
+func (h *Health) Ejected() bool {
+	return h.ejected
+}
+
+// TrialsBegin returns the time from which on runs are trials. Earlier runs show nothing about the server.
+func (h *Health) TrialsBegin() time.Time {
+	return h.trialAt
+}
+
+// TrialTime returns how long a trial has to last so that there may be more of them.
+func (h *Health) TrialTime() time.Duration {
+	return h.ejectionTime
 }
 
 // RecordSuccess records a successful run, which makes the server healthy again.
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -256,7 +256,7 @@
 // lasts reports whether a run lasts until its job is cancelled.
 func (c *Conductor) lasts(a *allocation) bool {
 	j := c.jobs[a.task.Job]
-	return j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning
+	return j != nil && j.lasts(a.task)
 }
 
 // admittedServers returns the usable servers that may run the step, whether or not a ticket is valid now, and those about
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -59,6 +59,11 @@
 	return j.FinalAt()
 }
 
+// lasts reports whether a task lasts until the job is cancelled.
+func (j *job) lasts(task specifier.TaskID) bool {
+	return task.Step < len(j.Spec.Steps) && j.Spec.Steps[task.Step].LongRunning
+}
+
 // inGang reports whether a task belongs to a gang.
 func (j *job) inGang(task specifier.TaskID) bool {
 	return task.Step < len(j.Spec.Steps) && j.Spec.Steps[task.Step].Gang
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -46,13 +46,14 @@
 // acknowledgement.
 func (c *Conductor) runEnded(now time.Time, s *session, end specifier.EndedTask) {
 	s.lastEndSeen = end.Number
-	if a := s.allocations[end.Task]; a != nil && a.run <= end.Run {
+	a := s.allocations[end.Task]
+	if a != nil && a.run <= end.Run {
 		s.release(end.Task)
 	}
 	j := c.jobs[end.Task.Job]
 	pending := pendingEnd{number: end.Number, job: end.Task.Job}
 	if j != nil {
-		c.updateHealth(now, s, j, end)
+		c.updateHealth(now, s, j, a, end)
 		if j.End(now, end) {
 			c.changed(j)
 			if end.Reason != specifier.RunDone {
@@ -73,8 +74,8 @@
 }
 
 // updateHealth counts the end of a run as a success or failure of its server, if it is one. After a failure the job
-// avoids the server.
-func (c *Conductor) updateHealth(now time.Time, s *session, j *job, end specifier.EndedTask) {
+// avoids the server. The allocation is nil if this owner knows of none.
+func (c *Conductor) updateHealth(now time.Time, s *session, j *job, a *allocation, end specifier.EndedTask) {
 	switch end.Reason {
 	case specifier.RunDone:
 		s.health.RecordSuccess()
@@ -83,6 +84,9 @@
 			j.avoid = make(map[specifier.ServerID]bool)
 		}
 		j.avoid[s.server.ID] = true
+		if j.lasts(end.Task) && (a == nil || now.Sub(a.startedAt) > startupTime) {
+			return
+		}
 		if s.health.RecordFailure(now, end.Task.Job) {
 			c.logDecision("ServerSetAside", end.Task, end.Run, s.server.ID, "runs fail")
 		}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -217,7 +217,7 @@
 // available reports whether new runs could be placed on the server if no other shard wanted it.
 func (s *session) available(now time.Time) bool {
 	return s.reconciled && s.listed && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
-		s.health.AllowsRun(now, len(s.allocations))
+		s.health.AllowsRun(now, s.trials(now))
 }
 
 // responsive reports whether the server is not suspect and the last completed lease renewal got a response.
