Let tasks that last restart on held servers

The platform wants such a task to run again within six seconds, at any time.

Cause: a step that lasts got no held server at all, because its runs do not end before the gang can start. Class: one kind of work waits without a bound for another.

After 2 s without a placement, tasks that last use held servers.

TestLastingTaskRestartsOnHeldServer fails on the code before: the task has one run instead of two 9 s after its failure. It passes now, and the gang still completes.

--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -34,6 +34,9 @@
 	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
 	// straggler on one server does not delay the gang.
 	holdSpare = 4
+	// lastingPatience is how long tasks that last leave held servers to the steps for which they are held. The platform wants such
+	// tasks to run again within six seconds.
+	lastingPatience = 2 * time.Second
 	// backfillMargin is how long before the expected start of a step the runs on the servers that are held for it should end.
 	backfillMargin = 200 * time.Millisecond
 )
--- a/conductor/lasting_failure_test.go
+++ b/conductor/lasting_failure_test.go
@@ -77,3 +77,27 @@
 		})
 	}
 }
+
+// TestLastingTaskRestartsOnHeldServer guards against a task that lasts and has failed, and has no run while all servers are held for a
+// gang that waits for others to end.
+func TestLastingTaskRestartsOnHeldServer(t *testing.T) {
+	const servers, failsAt = 4, 28 * time.Second
+	w := newSimulation(t, 1, servers)
+	lasting := newJob(0, jobOptions{Tasks: servers, MilliCores: 8000, Seconds: 60})
+	lasting.Steps[0].LongRunning, lasting.Steps[0].MaxPerServer = true, 1
+	batch := newJob(1, jobOptions{Tasks: 2 * servers, MilliCores: 20000, Seconds: 60})
+	batch.Steps[0].MaxPerServer = 2
+	gang := newJob(2, jobOptions{Tasks: servers, MilliCores: 50000, Seconds: 20, Gang: true})
+	for i, job := range []specifier.Job{lasting, batch, gang} {
+		w.at(w.start.Add(time.Duration(1+i)*time.Second), func() { w.submit(job) })
+	}
+	task := specifier.StepID{Job: lasting.ID}.Task(0)
+	w.at(w.start.Add(failsAt), func() { w.runsOf[task][0].server.end(w, w.runsOf[task][0], specifier.RunFailed) })
+	w.runUntil(failsAt + restartBound)
+	require.Empty(t, w.violations)
+	require.LessOrEqual(t, w.longestGap(task), restartBound)
+	require.Len(t, w.runsOf[task], 2)
+	w.runUntil(110 * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, specifier.Completed, w.state(gang.ID), "the gang still gets its servers")
+}
