--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -13,6 +13,8 @@
 	stopTime = 150 * time.Millisecond
 	// carryOverDelay is the time from the restart of a server until it carries out calls that were sent before.
 	carryOverDelay = 10 * time.Millisecond
+	// dialTimeout is how long the opening of a connection takes to fail.
+	dialTimeout = 400 * time.Millisecond
 )
 
 // fakeServer simulates a backend server with the behavior that the platform's documentation specifies.
@@ -37,6 +39,8 @@
 	loseResponsesUntil time.Time
 	delayStartsUntil   time.Time
 	failsUntil         time.Time
+	// noConnectionsUntil is when connections to the server can be opened again. Renewals use open ones.
+	noConnectionsUntil time.Time
 	// restartsAs is what the server is after its next restart, if it is of another kind then.
 	restartsAs *fakeKind
 	waiting    func()
@@ -56,6 +60,7 @@
 	begunAt      time.Time
 	need         specifier.Resources
 	ended        bool
+	endedAt      time.Time
 	gangComplete bool
 }
 
@@ -101,6 +106,8 @@
 	}
 	w.after(linkDelay, func() {
 		switch {
+		case w.now.Before(s.noConnectionsUntil):
+			w.after(dialTimeout, func() { deliverReply(specifier.OrderReply{Result: specifier.OrderNotSent}) })
 		case !s.reachable(w):
 			s.carryOver(w, func() { apply(s) })
 			lost()
@@ -288,7 +295,7 @@
 	if r.ended {
 		return
 	}
-	r.ended = true
+	r.ended, r.endedAt = true, w.now
 	delete(s.runs, r.task)
 	s.stopped[r.task] = max(s.stopped[r.task], r.run)
 	s.lastEnd++
@@ -313,7 +320,7 @@
 // one if renamesServers is set.
 func (s *fakeServer) crash(w *simulation, down time.Duration) {
 	for _, r := range s.all() {
-		r.ended = true
+		r.ended, r.endedAt = true, w.now
 		w.recordEnd(r, specifier.RunGangBroken)
 	}
 	waiting := s.waiting
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -34,6 +34,9 @@
 	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
 	// straggler on one server does not delay the gang.
 	holdSpare = 4
+	// lastingPatience is how long tasks that last leave held servers to the steps for which they are held. The platform wants such
+	// tasks to run again within six seconds.
+	lastingPatience = 2 * time.Second
 	// backfillMargin is how long before the expected start of a step the runs on the servers that are held for it should end.
 	backfillMargin = 200 * time.Millisecond
 )
@@ -256,7 +259,7 @@
 // lasts reports whether a run lasts until its job is cancelled.
 func (c *Conductor) lasts(a *allocation) bool {
 	j := c.jobs[a.task.Job]
-	return j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning
+	return j != nil && j.lasts(a.task)
 }
 
 // admittedServers returns the usable servers that may run the step, whether or not a ticket is valid now, and those about
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -27,7 +27,7 @@
 		return
 	}
 	switch e.Result {
-	case specifier.OrderUnknown, specifier.OrderUnhealthy, specifier.OrderOtherIncarnation:
+	case specifier.OrderUnknown, specifier.OrderUnhealthy, specifier.OrderOtherIncarnation, specifier.OrderNotSent:
 	default:
 		s.aliveAt = now
 	}
@@ -58,6 +58,7 @@
 		}
 		s.setState(a, confirmed)
 		a.resolvedAt, a.answered = now, true
+		s.health.RecordConnection()
 		c.markStarted(a.task.Job)
 		return
 	case specifier.OrderUnknown:
@@ -75,6 +76,10 @@
 		c.probe(now, s)
 		c.probeZone(now, s.server.Zone)
 		s.health.Eject(now)
+	case specifier.OrderNotSent:
+		c.probe(now, s)
+		c.probeZone(now, s.server.Zone)
+		s.health.Pause(now)
 	case specifier.OrderInvalid:
 		s.health.Eject(now)
 	case specifier.OrderNoTicket:
