Read the state of a shard concurrently after a takeover

Cause: a new owner reads lanes, records, submissions, servers and transfers one after the other, so that the time of a takeover is the sum of all reads. They do not depend on each other: since the election, only submissions and cancellations can be added. They are concurrent now.

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -107,6 +107,8 @@
 	keeper.TransactionalStore
 	refusing     atomic.Bool
 	unresponsive atomic.Bool
+	// listDelay is how many nanoseconds longer each List takes.
+	listDelay atomic.Int64
 }
 
 func (s *faultyStore) fault(ctx context.Context) error {
@@ -135,6 +137,7 @@
 	if err := s.fault(ctx); err != nil {
 		return keeper.Page{}, err
 	}
+	time.Sleep(time.Duration(s.listDelay.Load()))
 	return s.TransactionalStore.List(ctx, prefix)
 }
 
@@ -154,6 +157,7 @@
 
 // Servers implements coordinator.Directory.
 func (d *directory) Servers(context.Context) ([]specifier.Server, error) {
+	time.Sleep(time.Duration(d.store.listDelay.Load()))
 	return []specifier.Server{d.cell.servers.server}, nil
 }
 
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -29,41 +29,22 @@
 	if configuration := o.configuration.Load(); configuration != nil {
 		o.stateMachine.Handle(now, conductor.Configured{Configuration: *configuration})
 	}
-	if err := o.readLanes(ctx); err != nil {
-		return err
-	}
-	records, err := o.readRecords(ctx)
+	stored, err := o.readStored(ctx)
 	if err != nil {
 		return err
 	}
-	listedAt := o.settings.clock.Now()
-	intake, err := o.settings.store.List(ctx, intaker.Prefix)
-	if err != nil {
-		return errors.Wrap(err, "list submitted jobs")
-	}
-	o.intakeRevision, o.intakeReadAt = intake.Revision, listedAt
-	servers, err := o.settings.directory.Servers(ctx)
-	if err != nil {
-		return errors.Wrap(err, "list backend servers")
-	}
-	listed := conductor.ServersListed{Servers: servers}
-	if o.settings.shards != nil {
-		// Since the election, only this owner can take servers away from the shard.
-		if listed.Transfers, err = o.readTransfers(ctx); err != nil {
-			return err
-		}
-	}
-	o.recovered = listed
-	o.stateMachine.Handle(now, listed)
-	for id, record := range records {
+	o.intakeRevision, o.intakeReadAt = stored.intake.Revision, stored.intakeReadAt
+	o.recovered = stored.listed
+	o.stateMachine.Handle(now, stored.listed)
+	for id, record := range stored.records {
 		if record.State.Final() {
 			o.restore(specifier.Job{ID: id}, record)
 		}
 	}
-	for _, entry := range intake.Entries {
-		o.restoreSubmitted(entry, records)
+	for _, entry := range stored.intake.Entries {
+		o.restoreSubmitted(entry, stored.records)
 	}
-	for _, entry := range intake.Entries {
+	for _, entry := range stored.intake.Entries {
 		if kind, id := intaker.ParseKey(entry.Key); kind == intaker.Cancellation {
 			o.stateMachine.Handle(now, conductor.JobCancelled{Job: id})
 		}
