Ignore responses to a forgotten session of a server

A server that was forgotten and listed again counted as reachable by a late response to its earlier session, with the clock of that response. Its next responses then counted as older than the late one until their sequence numbers had caught up.

Cause: the new session began with the fencing token of the earlier one, by which responses are told apart. It now begins with the next one.

Evidence: TestResponseToForgottenSessionIsIgnored fails without the change and passes with it.

--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -201,9 +201,10 @@
 	})
 }
 
-// removeSession forgets a server without runs. A server that is listed again has seen the session's fencing token.
+// removeSession forgets a server without runs. A server that is listed again has seen the fencing token of the session, and late
+// responses to that token say nothing about the next session.
 func (c *Conductor) removeSession(s *session) {
-	c.lastFences[s.server.ID] = s.fence
+	c.lastFences[s.id] = s.fence + 1
 	delete(c.sessions, s.server.ID)
 	c.ordered = nil
 }
--- a/conductor/stale_report_test.go
+++ b/conductor/stale_report_test.go
@@ -58,6 +58,37 @@
 	require.NotContains(t, s.allocations, a.task)
 }
 
+// TestResponseToForgottenSessionIsIgnored guards against a server that counts as reachable by a response to a renewal that was sent
+// before it was forgotten, and whose next responses count as older than that one.
+func TestResponseToForgottenSessionIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(now, 1)
+	listed := ServersListed{Servers: []specifier.Server{{ID: "s1", Address: "10.0.0.1:1", Incarnation: 1}}}
+	c.Handle(now, listed)
+	var stale Renew
+	for range 3 {
+		now = now.Add(time.Second)
+		stale = renewal(t, c.Plan(now))
+		c.sessions["s1"].renewalInFlight = false
+	}
+	now = c.sessions["s1"].leaseEnd.Add(time.Second)
+	c.Handle(now, ServersListed{})
+	require.Empty(t, c.sessions)
+	c.Handle(now, listed)
+	first := renewal(t, c.Plan(now))
+	answer := func(r Renew, clock time.Duration) {
+		c.Handle(now, RenewEnded{
+			Server: "s1", Incarnation: 1, Sequence: r.Sequence, Fence: r.Fence, SentAt: now, Result: specifier.OrderDone,
+			Report: specifier.ServerReport{Incarnation: 1, Clock: clock},
+		})
+	}
+	answer(stale, time.Second)
+	require.False(t, c.sessions["s1"].reconciled)
+	answer(first, time.Minute)
+	require.True(t, c.sessions["s1"].reconciled)
+	require.Equal(t, time.Minute, c.sessions["s1"].clock)
+}
+
 func renewal(t *testing.T, commands []Command) Renew {
 	t.Helper()
 	for _, command := range commands {
