Count no crash for a run that a restarted server has started

Cause: the incarnation to which a start was sent stood for the one that has the run. Class: a value that belongs to one incarnation is used for another, because the ID names both.

A report that lists the run now settles which incarnation has it, in the owner's memory and in the job's record for its successors, and the run counts as not having crashed the former one.

TestRunOfRestartedServerCrashedNothing fails on the code before: the job is Failed with one crash under it, and the record names the former incarnation.

--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// noteStartedBy records that the present incarnation of the server has carried out a start that was sent to an earlier one. So the run
+// has crashed no server yet, and a later loss of it is one of the present incarnation.
+func (c *Conductor) noteStartedBy(s *session, j *job, a *allocation) {
+	a.incarnation, a.mayHaveCrashed, a.alone = s.server.Incarnation, false, false
+	if j != nil && j.StartedBy(a.task, a.run, a.incarnation) {
+		c.markDirty(j)
+	}
+}
+
 // recordCrash records that the server has certainly crashed under a run.
 func (c *Conductor) recordCrash(now time.Time, s *session, a *allocation) {
 	c.record(now, s, a, lifecycler.Crash{Run: a.run, Caused: a.mayHaveCrashed, Alone: a.alone})
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -135,6 +135,9 @@
 		a.resolvedAt = now
 	}
 	j := c.jobs[a.task.Job]
+	if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
+		c.noteStartedBy(s, j, a)
+	}
 	if j != nil && r.Checkpoint != "" {
 		j.SetCheckpoint(a.task, r.Checkpoint)
 	}
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -41,6 +41,18 @@
 	}
 }
 
+// StartedBy records that a run was started by a later incarnation of its server than it was placed on. It reports whether that changed
+// the job.
+func (j *Job) StartedBy(task specifier.TaskID, run int, incarnation int64) bool {
+	known := j.unfinishedTask(task)
+	if known == nil || known.State != Placed || known.Run != run || known.Incarnation == incarnation {
+		return false
+	}
+	known.Incarnation = incarnation
+	j.version++
+	return true
+}
+
 // End records the end of a run. It reports whether the end changed the job.
 func (j *Job) End(now time.Time, ended specifier.EndedTask) bool {
 	step, ok := j.Step(ended.Task.StepID)
