Record losses of servers that are still listed

The loss of a run that had lasted for over 0.5 s was not recorded then, even if a later incarnation was listed at the address under another ID.

Cause: an entry in the list stood for a server that is up. Class: absence of evidence taken as evidence.

Such a loss is recorded like that of a server that is not listed: as a crash if its address has a later incarnation, and as doubtful otherwise, until its address is heard of again.

Case "crash some time after the start, entries expire after the lease" of TestCrashingTaskIsGivenUp fails on the code before (BUDGET, third start after three crashes). In the simulation a crash no longer has to remove the entry at once. A new case of TestUnreachableServersAreNoCrashes has the servers listed while they are cut off; its job completes, as before.

--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -44,7 +44,9 @@
 func (w *simulation) scheduleCut(r *fakeRun, delay time.Duration) {
 	w.after(delay, func() {
 		r.server.silentUntil = w.now.Add(cutTime)
-		w.after(cutTime-2400*time.Millisecond, func() { r.server.unlistedUntil = r.server.silentUntil })
+		if !w.listsCutServers {
+			w.after(cutTime-2400*time.Millisecond, func() { r.server.unlistedUntil = r.server.silentUntil })
+		}
 	})
 }
 
@@ -58,10 +60,12 @@
 		CutFor float64
 		// MinCuts is the least number of runs that are lost by then.
 		MinCuts int
+		// Listed keeps the servers in the list while they are cut off.
+		Listed bool
 	}](t, "cuts.hujson") {
 		t.Run(s.Name, func(t *testing.T) {
 			w := newSimulation(t, 1, s.Servers)
-			w.cutUntil = w.start.Add(seconds(s.CutFor))
+			w.cutUntil, w.listsCutServers = w.start.Add(seconds(s.CutFor)), s.Listed
 			for i, submission := range s.Jobs {
 				job := newJob(i, submission.Job)
 				job.Steps[0].LongRunning = s.LongRunning
@@ -105,10 +109,12 @@
 		LongRunning bool
 		// Renames makes servers come back under a new ID after a crash.
 		Renames bool
+		// EntryLife is for how many seconds a server stays listed after a crash.
+		EntryLife float64
 	}](t, "crashes.hujson") {
 		t.Run(s.Name, func(t *testing.T) {
 			w := newSimulation(t, 1, s.Servers)
-			w.renamesServers = s.Renames
+			w.renamesServers, w.entryLife = s.Renames, seconds(s.EntryLife)
 			for i, submission := range s.Jobs {
 				job := newJob(i, submission.Job)
 				job.Steps[0].LongRunning = i == 0 && s.LongRunning
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -33,7 +33,9 @@
 	silentUntil time.Time
 	// unlistedUntil is when the server is listed again.
 	unlistedUntil time.Time
-	downUntil     time.Time
+	// expiresAt is when the entry of a crashed server expires.
+	expiresAt time.Time
+	downUntil time.Time
 	// loseResponsesUntil and delayStartsUntil are the ends of these faults.
 	loseResponsesUntil time.Time
 	delayStartsUntil   time.Time
@@ -70,10 +72,12 @@
 	return w.now.Sub(s.startedAt) * 98 / 100
 }
 
-// listed reports whether the server's registration is in the store. Here a crash removes it immediately; on the platform
-// it expires three heartbeats after the crash.
+// listed reports whether the server's registration is in the store. It expires some time after a crash; see entryLife.
 func (s *fakeServer) listed(w *simulation) bool {
-	return s.downUntil.IsZero() && !w.now.Before(s.unlistedUntil)
+	if !s.downUntil.IsZero() {
+		return w.now.Before(s.expiresAt)
+	}
+	return !w.now.Before(s.unlistedUntil)
 }
 
 func (s *fakeServer) reachable(w *simulation) bool {
@@ -293,7 +297,7 @@
 	s.runs, s.stopped = make(map[specifier.TaskID]*fakeRun), make(map[specifier.TaskID]int)
 	s.endedAt = make(map[int64]time.Time)
 	s.ended, s.lastEnd, s.fence, s.leaseEnd, s.waiting = nil, 0, 0, 0, nil
-	s.downUntil = w.now.Add(down)
+	s.downUntil, s.expiresAt = w.now.Add(down), w.now.Add(w.entryLife)
 	w.after(down, func() {
 		if w.renamesServers {
 			w.replaceServer(s)
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -123,7 +123,7 @@
 	for _, a := range lost {
 		c.requeue(now, s, a)
 		switch {
-		case s.server.Draining || !a.mayHaveCrashed && (s.listed || a.state == reserved):
+		case s.server.Draining || !a.mayHaveCrashed && a.state == reserved:
 		case c.hasEnded(a):
 			c.recordCrash(now, s, a)
 		default:
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -64,8 +64,12 @@
 	refusedUntilRestart bool
 	// renamesServers makes servers come back under a new ID after a crash.
 	renamesServers bool
+	// entryLife is how long the entry of a server that has crashed stays in the list; on the platform it is three heartbeats.
+	entryLife time.Duration
 	// delaysCallsOverRestarts makes servers that restart carry out the calls that were sent to them while they were down.
 	delaysCallsOverRestarts bool
+	// listsCutServers keeps servers that are cut off in the list.
+	listsCutServers bool
 	// cutUntil is when tasks with one of the cutDelays stop being cut off.
 	cutUntil time.Time
 	// endsPerReport is how many ends of runs a server lists in a report.
