--- a/conductor/report.go
+++ b/conductor/report.go
@@ -133,7 +133,7 @@
 	c.markStarted(a.task.Job)
 	if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
-		a.incarnation = s.server.Incarnation
+		c.noteStartedBy(s, a)
 	}
 	a.answered = true
 	if a.state == outcomeUnknown || a.state == sent {
