Take the age of an incarnation from its start time, not from its clock

The age is now that of the entry's start time, with a margin for wall clocks that differ or jump.

The clocks of the simulation's servers begin at an hour, and later incarnations' a minute earlier. With them three cases of TestRunOnRestartedServerHasOneRun and two of TestRandomRestarts fail before and pass now.

--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -21,13 +21,15 @@
 type fakeServer struct {
 	server    specifier.Server
 	startedAt time.Time
-	fence     int64
-	leaseEnd  time.Duration
-	runs      map[specifier.TaskID]*fakeRun
-	stopped   map[specifier.TaskID]int
-	ended     []specifier.EndedTask
-	endedAt   map[int64]time.Time
-	lastEnd   int64
+	// clockStart is the time on the clock at startedAt.
+	clockStart time.Duration
+	fence      int64
+	leaseEnd   time.Duration
+	runs       map[specifier.TaskID]*fakeRun
+	stopped    map[specifier.TaskID]int
+	ended      []specifier.EndedTask
+	endedAt    map[int64]time.Time
+	lastEnd    int64
 	// leaseExpiredAt is when the lease last expired.
 	leaseExpiredAt time.Time
 	// silentUntil is when the server becomes reachable again; downUntil is when it restarts after a crash.
@@ -72,13 +74,14 @@
 			ID: id, Service: "s", Address: string(id), Incarnation: w.now.UnixMilli(), Labels: []string{"r1"},
 			Capacity: specifier.Resources{MilliCores: 64000, MemoryMB: 131072},
 		},
-		startedAt: w.now, runs: make(map[specifier.TaskID]*fakeRun), stopped: make(map[specifier.TaskID]int),
+		startedAt: w.now, clockStart: time.Hour, runs: make(map[specifier.TaskID]*fakeRun), stopped: make(map[specifier.TaskID]int),
 		endedAt: make(map[int64]time.Time),
 	}
 }
 
+// clock returns the time on the server's clock, which does not begin at zero.
 func (s *fakeServer) clock(w *simulation) time.Duration {
-	return w.now.Sub(s.startedAt) * 98 / 100
+	return s.clockStart + w.now.Sub(s.startedAt)*98/100
 }
 
 // listed reports whether the server's registration is in the store. It expires some time after a crash; see entryLife.
@@ -341,7 +344,7 @@
 			return
 		}
 		s.downUntil = time.Time{}
-		s.startedAt = w.now
+		s.startedAt, s.clockStart = w.now, s.clockStart-time.Minute
 		s.server.Incarnation = w.now.UnixMilli()
 		if kind := s.restartsAs; kind != nil {
 			s.server.Labels, s.server.Capacity, s.restartsAs = kind.Labels, kind.Capacity, nil
--- a/conductor/former_lease.go
+++ b/conductor/former_lease.go
@@ -8,12 +8,16 @@
 )
 
 // A server that restarts under its ID cannot tell calls that were meant for an earlier incarnation from others. Their lease
-// ends are on a clock that was ahead of the new one, so that the server shortens them to the longest lease that it grants.
-// Its responses do not show the end of its lease.
+// ends are on the clock of that incarnation. Clocks begin anywhere, so that the lease may last for the longest time that the
+// server grants. Its responses do not show the end of its lease.
 
-// formerCallTime is how long after the start of an incarnation calls that were meant for an earlier one may still be carried
-// out: a call without a response may be carried out seconds later.
-const formerCallTime = 15 * time.Second
+const (
+	// formerCallTime is how long after the start of an incarnation calls that were meant for an earlier one may still be
+	// carried out: a call without a response may be carried out seconds later.
+	formerCallTime = 15 * time.Second
+	// wallClockSkew is by how much the wall clocks of a backend server and of the owner may differ. They may jump by seconds.
+	wallClockSkew = 10 * time.Second
+)
 
 // endOf returns when a run has certainly ended unless the lease of its server is renewed.
 func (c *Conductor) endOf(s *session, a *allocation) time.Time {
@@ -41,6 +45,7 @@
 
 // startedByLaterIncarnation handles a start whose response has a clock that is behind the one known before. The clock of an
 // incarnation never goes back, so that a later one has started the run, whose lease end is on the clock of the earlier one.
+// On a clock that is ahead, the lease end has passed, or lies no further ahead than in other starts.
 func (c *Conductor) startedByLaterIncarnation(now time.Time, s *session, a *allocation) {
 	c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 	s.setState(a, outcomeUnknown)
@@ -50,11 +55,11 @@
 
 // mayHaveFormerLease reports whether calls of an earlier owner that were meant for an earlier incarnation of a server may have
 // renewed the lease of the one that sends its first response to this owner. The records of runs tell, if there are some.
-func (c *Conductor) mayHaveFormerLease(s *session, report specifier.ServerReport) bool {
+func (c *Conductor) mayHaveFormerLease(now time.Time, s *session, report specifier.ServerReport) bool {
 	if c.isFirstHolder(s.id) {
 		return false
 	}
-	young := report.Clock < formerCallTime+c.settings.maxLease
+	young := now.Sub(time.UnixMilli(report.Incarnation)) < formerCallTime+c.settings.maxLease+wallClockSkew
 	for _, a := range s.allocations {
 		if a.incarnation != report.Incarnation {
 			continue
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -20,7 +20,7 @@
 		// it.
 		s.predecessorLease = false
 		s.leaseEnd = now.Add(leaseBound(c.settings.lease))
-		s.formerCalls = s.formerCalls || c.mayHaveFormerLease(s, e.Report)
+		s.formerCalls = s.formerCalls || c.mayHaveFormerLease(now, s, e.Report)
 	}
 	if s.formerCalls && e.Fence >= s.fence {
 		c.settleFormerCalls(now, s)
