Send no start to a server that has stopped responding

Cause: placements skip a server that does not respond, but runs that were placed before, whose records were being stored, were started whatever had happened to the server since. Now such runs return to the waiting tasks, as they do when the server is known to have restarted.

Evidence: TestStartIsNotSentToSilentServer fails without the change and passes with it.

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -183,6 +183,10 @@
 			kept = append(kept, r)
 		case j.State().Final():
 			r.session.release(r.task)
+		case r.session.isSilent():
+			// The server may be down, and carry out the order once it has restarted as another kind.
+			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "the server does not respond")
+			c.requeue(now, r.session, r.allocation)
 		case !r.session.clockKnown:
 			// The server has restarted since the placement, and the lease end of the order would have to be on the clock
 			// of the new incarnation, which is not known yet.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -240,6 +240,19 @@
 	return !s.suspect && s.renewalFailures == 0
 }
 
+// isSilent reports whether a call to the server had no response and none has come since.
+func (s *session) isSilent() bool {
+	if s.renewalFailures > 0 {
+		return true
+	}
+	for _, a := range s.allocations {
+		if a.state == outcomeUnknown {
+			return true
+		}
+	}
+	return false
+}
+
 // extendLease records that the lease may last until the given time.
 func (s *session) extendLease(end time.Time) {
 	if end.After(s.leaseEnd) {
