Blame the loss of most of a zone on no task

Members of a gang whose servers were lost together counted so even if the gang had ended before. Other tasks became suspects, which start alone on quiet servers.

Cause: each server's loss was judged by itself. Class: one event that many see is counted as many.

If three quarters of a zone's servers, three at least, have restarted in the last two seconds or do not respond, the loss of one of them is caused by no task. It still counts as one of the five crashes of any cause, so that a task that crashes most of a zone is given up, too.

All four cases of TestOutageIsBlamedOnNoTask fail on the code before: the job is given up at the second outage.

--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -94,14 +94,18 @@
 	})
 }
 
-// record records a crash, and gives up the job of a task under which servers crash again and again.
+// record records a crash, and gives up the job of a task under which servers crash again and again. An outage of many servers is
+// blamed on no task.
 func (c *Conductor) record(now time.Time, s *session, a *allocation, crash lifecycler.Crash) {
 	j := c.jobs[a.task.Job]
 	if j == nil {
 		return
 	}
+	if crash.Caused && c.isOutage(now, s.server.Zone) {
+		crash.Caused, crash.Alone = false, false
+	}
 	givenUp := j.Crashed(now, a.task, crash)
-	if a.mayHaveCrashed {
+	if crash.Caused {
 		c.logDecision("TaskSuspected", a.task, a.run, s.server.ID,
 			fmt.Sprintf("the server was lost soon after the start; alone: %t, doubtful: %t", a.alone, crash.Doubtful()))
 	}
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -108,7 +108,7 @@
 	s.lastEndSeen, s.acknowledged, s.pending = 0, 0, nil
 	s.renewalInFlight, s.nextRenewalAt, s.renewalFailures = false, now, 0
 	s.fence++
-	s.health = assessor.Health{}
+	s.health, s.restartedAt = assessor.Health{}, now
 	c.forgetAdvice(s.server.ID)
 }
 
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -107,6 +107,8 @@
 	claimedBy    *job
 	claimedUntil time.Time
 
+	// restartedAt is when a restart of the server was last noticed.
+	restartedAt time.Time
 	// aliveAt is when the present incarnation of the server last responded.
 	aliveAt     time.Time
 	clock       time.Duration
