End the longest lease with the incarnation and with time

Cause: the mark of a long lease was taken to hold for other incarnations and for ever. A run that an earlier incarnation has reported has now ended with it, a later run without the mark shows that the lease is certain again, and no call to a former incarnation counts 35 s after the start of the next one.

TestRandomRestarts also plays lists that show the last entry of servers that are cut off.

--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -13,6 +13,8 @@
 	stopTime = 150 * time.Millisecond
 	// carryOverDelay is the time from the restart of a server until it carries out calls that were sent before.
 	carryOverDelay = 10 * time.Millisecond
+	// staleEntryTime is how long the entry of a server that does not reach the store stays listed.
+	staleEntryTime = 1500 * time.Millisecond
 	// dialTimeout is how long the opening of a connection takes to fail.
 	dialTimeout = 400 * time.Millisecond
 )
@@ -45,6 +47,9 @@
 	failsUntil         time.Time
 	// noConnectionsUntil is when connections to the server can be opened again. Renewals use open ones.
 	noConnectionsUntil time.Time
+	// lastEntry is the newest entry in the store, and lastEntryAt its time; see simulation.staleList.
+	lastEntry   specifier.Server
+	lastEntryAt time.Time
 	// restartsAs is what the server is after its next restart, if it is of another kind then.
 	restartsAs *fakeKind
 	waiting    func()
@@ -92,6 +97,17 @@
 	return !w.now.Before(s.unlistedUntil)
 }
 
+// entry returns what the list shows of the server.
+func (s *fakeServer) entry(w *simulation) (specifier.Server, bool) {
+	if !w.staleList {
+		return s.server, s.listed(w)
+	}
+	if s.reachable(w) {
+		s.lastEntry, s.lastEntryAt = s.server, w.now
+	}
+	return s.lastEntry, !s.lastEntryAt.IsZero() && w.now.Sub(s.lastEntryAt) < staleEntryTime && !w.now.Before(s.unlistedUntil)
+}
+
 func (s *fakeServer) reachable(w *simulation) bool {
 	return !w.now.Before(s.silentUntil) && s.downUntil.IsZero()
 }
--- a/conductor/former_lease.go
+++ b/conductor/former_lease.go
@@ -22,7 +22,7 @@
 // endOf returns when a run has certainly ended unless the lease of its server is renewed.
 func (c *Conductor) endOf(s *session, a *allocation) time.Time {
 	end := s.leaseEnd
-	if (s.predecessorLease || s.formerCalls) && (a.longLease || a.incarnation < s.server.Incarnation) {
+	if (s.predecessorLease || s.formerCalls) && c.mayOutlastRenewals(s, a) {
 		end = end.Add(leaseBound(c.settings.maxLease) - leaseBound(c.settings.lease))
 	}
 	if a.endsBy.After(end) {
@@ -31,15 +31,32 @@
 	return end
 }
 
+// mayOutlastRenewals reports whether a run that was recorded by an earlier owner, or precedes a restart, may last longer than the
+// renewals of that owner say. A run that an earlier incarnation has reported has ended with it.
+func (c *Conductor) mayOutlastRenewals(s *session, a *allocation) bool {
+	if a.incarnation < s.server.Incarnation {
+		return !a.answered
+	}
+	return a.longLease && c.mayHoldFormerLease(s.leaseEnd, a.incarnation)
+}
+
+// mayHoldFormerLease reports whether at a time the lease of an incarnation may still be one that calls to an earlier one have renewed.
+func (c *Conductor) mayHoldFormerLease(at time.Time, incarnation int64) bool {
+	return at.Sub(time.UnixMilli(incarnation)) < formerCallTime+c.settings.maxLease+wallClockSkew
+}
+
 // settleFormerCalls handles the first response of a server under this owner's fencing token, or under a new one after a
 // restart. It excludes all earlier calls; those that were carried out before may have renewed the lease.
 func (c *Conductor) settleFormerCalls(now time.Time, s *session) {
 	s.formerCalls = false
-	s.longLeaseUntil = now.Add(leaseBound(c.settings.maxLease))
-	s.extendLease(s.longLeaseUntil)
 	for _, a := range s.allocations {
 		a.endsBy = time.Time{}
 	}
+	if !c.mayHoldFormerLease(now, s.server.Incarnation) {
+		return
+	}
+	s.longLeaseUntil = now.Add(leaseBound(c.settings.maxLease))
+	s.extendLease(s.longLeaseUntil)
 	c.logDecision("LeaseExtended", specifier.TaskID{}, 0, s.server.ID, "calls that were meant for an earlier incarnation may have renewed the lease")
 }
 
@@ -55,21 +72,16 @@
 
 // mayHaveFormerLease reports whether calls of an earlier owner that were meant for an earlier incarnation of a server may have
 // renewed the lease of the one that sends its first response to this owner. The records of runs tell, if there are some.
-func (c *Conductor) mayHaveFormerLease(now time.Time, s *session, report specifier.ServerReport) bool {
+func (c *Conductor) mayHaveFormerLease(s *session, report specifier.ServerReport) bool {
 	if c.isFirstHolder(s.id) {
 		return false
 	}
-	young := now.Sub(time.UnixMilli(report.Incarnation)) < formerCallTime+c.settings.maxLease+wallClockSkew
 	for _, a := range s.allocations {
-		if a.incarnation != report.Incarnation {
-			continue
-		}
-		if a.longLease {
-			return true
+		if a.incarnation == report.Incarnation && !a.longLease {
+			return false
 		}
-		young = false
 	}
-	return young
+	return true
 }
 
 // isFirstHolder reports whether no other owner, and no earlier session of this one, has made calls to a server.
--- a/conductor/random_restart_test.go
+++ b/conductor/random_restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -21,33 +22,38 @@
 // TestRandomRestarts guards against violated rules and unfinished jobs when servers restart under their IDs, carry out calls that
 // were meant for their former incarnation, and are cut off soon after, while long tasks run and owners change.
 func TestRandomRestarts(t *testing.T) {
-	seeds := knownRestartSeeds
+	seeds := slices.Clone(knownRestartSeeds)
 	for seed := range uint64(randomRestartSeeds) {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			w := newSimulation(t, seed, 6)
-			w.delaysCallsOverRestarts = true
-			for i := range randomJobs {
-				job := newJob(i, jobOptions{
-					Tasks: 1 + w.random.IntN(3), MilliCores: int64(1000 + w.random.IntN(8000)), Seconds: []float64{0.2, 1, 12}[w.random.IntN(3)],
-					Gang: w.random.IntN(5) == 0, Advice: w.random.IntN(3) == 0, Priority: w.random.IntN(3), Attempts: 2,
-				})
-				w.at(w.start.Add(seconds(1+40*w.random.Float64())), func() { w.submit(job) })
-			}
-			for at := 4 + 10*w.random.Float64(); at < 50; at += 4 + 6*w.random.Float64() {
-				w.restartAndCut(at)
-			}
-			w.runUntil(seconds(200))
-			if len(w.violations) > 0 {
-				t.Log(strings.Join(w.decisions, "\n"))
-			}
-			require.Empty(t, w.violations)
-			for _, job := range w.submitted {
-				require.True(t, w.state(job.ID).Final(), "job %s is %s", job.ID, stateNames[w.state(job.ID)])
-			}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runRandomRestarts(t, seed, false) })
+	}
+	for seed := range uint64(randomRestartSeeds) {
+		t.Run(fmt.Sprintf("seed %d, stale list", seed), func(t *testing.T) { runRandomRestarts(t, seed, true) })
+	}
+}
+
+func runRandomRestarts(t *testing.T, seed uint64, staleList bool) {
+	w := newSimulation(t, seed, 6)
+	w.delaysCallsOverRestarts, w.staleList = true, staleList
+	for i := range randomJobs {
+		job := newJob(i, jobOptions{
+			Tasks: 1 + w.random.IntN(3), MilliCores: int64(1000 + w.random.IntN(8000)), Seconds: []float64{0.2, 1, 12}[w.random.IntN(3)],
+			Gang: w.random.IntN(5) == 0, Advice: w.random.IntN(3) == 0, Priority: w.random.IntN(3), Attempts: 2,
 		})
+		w.at(w.start.Add(seconds(1+40*w.random.Float64())), func() { w.submit(job) })
+	}
+	for at := 4 + 10*w.random.Float64(); at < 50; at += 4 + 6*w.random.Float64() {
+		w.restartAndCut(at)
+	}
+	w.runUntil(seconds(200))
+	if len(w.violations) > 0 {
+		t.Log(strings.Join(w.decisions, "\n"))
+	}
+	require.Empty(t, w.violations)
+	for _, job := range w.submitted {
+		require.True(t, w.state(job.ID).Final(), "job %s is %s", job.ID, stateNames[w.state(job.ID)])
 	}
 }
 
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -20,7 +20,7 @@
 		// it.
 		s.predecessorLease = false
 		s.leaseEnd = now.Add(leaseBound(c.settings.lease))
-		s.formerCalls = s.formerCalls || c.mayHaveFormerLease(now, s, e.Report)
+		s.formerCalls = s.formerCalls || c.mayHaveFormerLease(s, e.Report)
 	}
 	if s.formerCalls && e.Fence >= s.fence {
 		c.settleFormerCalls(now, s)
@@ -136,6 +136,9 @@
 		c.noteStartedBy(s, a)
 	}
 	a.answered = true
+	if !s.formerCalls {
+		a.endsBy = time.Time{}
+	}
 	if a.state == outcomeUnknown || a.state == sent {
 		s.setState(a, confirmed)
 		a.resolvedAt = now
--- a/conductor/simulated_owner_test.go
+++ b/conductor/simulated_owner_test.go
@@ -121,8 +121,8 @@
 func (w *simulation) list(o *simulatedOwner) {
 	var listed conductor.ServersListed
 	for _, s := range w.servers {
-		if s.listed(w) {
-			listed.Servers = append(listed.Servers, s.server)
+		if entry, ok := s.entry(w); ok {
+			listed.Servers = append(listed.Servers, entry)
 		}
 	}
 	if len(w.owners) > 1 {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -72,6 +72,13 @@
 	carryOverSpread time.Duration
 	// breaksConnections makes callers notice at once that a server is down, instead of waiting for a response.
 	breaksConnections bool
+	// staleList makes the list show the last entry that a server wrote before it was cut off, for staleEntryTime.
+	staleList bool
+	// interceptStart takes a start order whose response is lost, if it is set and reports true, and interceptRenewal a renewal.
+	// intercepted is for their use.
+	interceptStart   func(s *fakeServer, o specifier.StartOrder, apply func()) bool
+	interceptRenewal func(s *fakeServer, c conductor.Renew) bool
+	intercepted      bool
 	// listsCutServers keeps servers that are cut off in the list.
 	listsCutServers bool
 	// cutUntil is when tasks with one of the cutDelays stop being cut off.
@@ -200,6 +207,15 @@
 		}
 		w.commit(epoch, c)
 	case conductor.Start:
+		if s := w.servers[c.Server.ID]; w.interceptStart != nil && w.interceptStart(s, c.Order, func() { s.startRun(w, c) }) {
+			w.after(orderTimeout, func() {
+				w.deliver(epoch, conductor.OrderEnded{
+					Server: c.Server.ID, Incarnation: c.Server.Incarnation, Task: c.Order.Task, Run: c.Order.Run,
+					Fence: c.Order.Fence, Result: specifier.OrderUnknown,
+				})
+			})
+			return
+		}
 		w.servers[c.Server.ID].sendOrder(w, epoch, func(s *fakeServer) specifier.OrderResult { return s.startRun(w, c) },
 			func(reply specifier.OrderReply) {
 				w.deliver(epoch, conductor.OrderEnded{
@@ -217,6 +233,16 @@
 				})
 			})
 	case conductor.Renew:
+		if s := w.servers[c.Server.ID]; w.interceptRenewal != nil && w.interceptRenewal(s, c) {
+			sentAt := w.now
+			w.after(c.Wait+orderTimeout, func() {
+				w.deliver(epoch, conductor.RenewEnded{
+					Server: c.Server.ID, Incarnation: c.Server.Incarnation, Sequence: c.Sequence, Fence: c.Fence,
+					Acknowledged: c.Acknowledged, SentAt: sentAt, Result: specifier.OrderUnknown,
+				})
+			})
+			return
+		}
 		w.servers[c.Server.ID].respondToRenewal(w, epoch, c)
 	case conductor.Advise:
 		sentAt := w.now
