Wait for starts without a response that a later incarnation may carry out

Cause: the owner counted such a start with the lease of the incarnation that it was sent to. Its task now waits for 3 s and the longest lease after the lack of a response, unless a report under a later fencing token settles it before. Other runs of the server are not held up. A task that lasts does not wait: its absence is worse than a second run.

--- a/conductor/former_lease.go
+++ b/conductor/former_lease.go
@@ -15,6 +15,9 @@
 	// formerCallTime is how long after the start of an incarnation calls that were meant for an earlier one may still be
 	// carried out: a call without a response may be carried out seconds later.
 	formerCallTime = 15 * time.Second
+	// lateStartTime is how long after the lack of a response to a start the server, or its next incarnation, may still carry it
+	// out. Longer delays are not covered: the task would wait for as much longer.
+	lateStartTime = 3 * time.Second
 	// wallClockSkew is by how much the wall clocks of a backend server and of the owner may differ. They may jump by seconds.
 	wallClockSkew = 10 * time.Second
 )
@@ -66,10 +69,20 @@
 func (c *Conductor) startedByLaterIncarnation(now time.Time, s *session, a *allocation) {
 	c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 	s.setState(a, outcomeUnknown)
-	a.endsBy = now.Add(leaseBound(c.settings.maxLease))
+	c.awaitLateStart(now, a)
 	c.raiseFence(now, s, a.fence)
 }
 
+// awaitLateStart records that a start without a response may be carried out by the next incarnation of its server, whether its
+// restart is seen or not, and last for the longest lease then. A task that lasts is not held up by that: its absence is worse
+// than a second run.
+func (c *Conductor) awaitLateStart(now time.Time, a *allocation) {
+	if j := c.jobs[a.task.Job]; j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning {
+		return
+	}
+	a.endsBy = now.Add(lateStartTime + leaseBound(c.settings.maxLease))
+}
+
 // mayHaveFormerLease reports whether calls of an earlier owner that were meant for an earlier incarnation of a server may have
 // renewed the lease of the one that sends its first response to this owner. The records of runs tell, if there are some.
 func (c *Conductor) mayHaveFormerLease(s *session, report specifier.ServerReport) bool {
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -63,6 +63,7 @@
 		return
 	case specifier.OrderUnknown:
 		s.setState(a, outcomeUnknown)
+		c.awaitLateStart(now, a)
 		c.raiseFence(now, s, a.fence)
 		c.logDecision("StartDoubtful", a.task, a.run, s.server.ID, "")
 		return
