Let waiting steps use held servers while half of the cell is free

Cause: a hold counts on the ends of other runs at their estimated times, and kept the servers from all other steps of its priority, however much was free. Class: capacity reserved for one waits for an event that has no bound.

While less than half of the capacity of a service is in use, steps that have waited for 2 s use held servers, as tasks that last do at any time. A busy service holds servers as before.

TestHeldServersRunOthersWhileMuchIsFree fails on the code before: the later gang has no run 3 s after its submission with 30% in use.

--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -34,9 +34,9 @@
 	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
 	// straggler on one server does not delay the gang.
 	holdSpare = 4
-	// lastingPatience is how long tasks that last leave held servers to the steps for which they are held. The platform wants such
-	// tasks to run again within six seconds.
-	lastingPatience = 2 * time.Second
+	// heldPatience is how long tasks that last, and all steps while a service is not busy, leave held servers to the steps for which
+	// they are held. The platform wants such tasks to run again within six seconds.
+	heldPatience = 2 * time.Second
 	// backfillMargin is how long before the expected start of a step the runs on the servers that are held for it should end.
 	backfillMargin = 200 * time.Millisecond
 )
@@ -58,6 +58,8 @@
 	priority int
 	// startAt is when the tasks of the step are expected to fit the servers that are held for it.
 	startAt time.Time
+	// yields is set while the service is not busy.
+	yields bool
 }
 
 // required returns how many of the waiting tasks have to fit for the step to start: all tasks of a gang, or one.
@@ -133,7 +135,10 @@
 
 // hold withholds servers in this pass for the step, unless they are held for another one.
 func (c *Conductor) hold(p *pass, w *waitingStep, servers []*session) {
-	holder := &holder{step: w.step.ID, priority: w.job.queue.Priority, startAt: c.expectedStart(p.now, w, servers)}
+	holder := &holder{
+		step: w.step.ID, priority: w.job.queue.Priority, startAt: c.expectedStart(p.now, w, servers),
+		yields: !isBusy(p.usable[w.job.queue.Service]),
+	}
 	for _, s := range servers {
 		if s.holder == nil {
 			s.holder = holder
--- a/conductor/hold_test.go
+++ b/conductor/hold_test.go
@@ -98,3 +98,29 @@
 	require.Empty(t, w.violations)
 	require.Equal(t, specifier.Completed, w.state(late.ID))
 }
+
+// TestHeldServersRunOthersWhileMuchIsFree guards against a step that waits although it fits twice and most of the cell is free, because
+// servers are held for a gang that waits for runs that take longer than estimated.
+func TestHeldServersRunOthersWhileMuchIsFree(t *testing.T) {
+	const servers, estimate = 10, time.Second
+	w := newSimulation(t, 1, servers)
+	w.lengthOf = func(task specifier.TaskID, length time.Duration) time.Duration {
+		if task.Job == "job0" {
+			return time.Minute
+		}
+		return length
+	}
+	jobs := []specifier.Job{
+		newJob(0, jobOptions{Tasks: 3, MilliCores: 60000, Seconds: estimate.Seconds()}),
+		newJob(1, jobOptions{Tasks: 9, MilliCores: 60000, Seconds: 2, Gang: true}),
+		newJob(2, jobOptions{Tasks: 3, MilliCores: 60000, Seconds: 2, Gang: true}),
+	}
+	for i, at := range []float64{1, 2, 8} {
+		w.at(w.start.Add(seconds(at)), func() { w.submit(jobs[i]) })
+	}
+	w.runUntil(8*time.Second + starvedAfter)
+	require.Len(t, w.runsOf[specifier.StepID{Job: jobs[2].ID}.Task(0)], 1, "the later gang waits for longer than the users' pages allow")
+	w.runUntil(70 * time.Second)
+	require.Empty(t, w.violations)
+	require.Equal(t, specifier.Completed, w.state(jobs[1].ID))
+}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -123,16 +123,16 @@
 }
 
 // isHeldFrom reports whether the server is held for another step of the same or a higher priority that could start before a run of
-// this step, started now, should end. Tasks that last have to run again within seconds, and use held servers after a short wait.
+// this step, started now, should end. Tasks that last, and all steps while much capacity is free, use held servers after a short wait.
 func (w *waitingStep) isHeldFrom(now time.Time, s *session) bool {
 	h := s.holder
 	if h == nil || h.step == w.step.ID || w.job.queue.Priority < h.priority {
 		return false
 	}
-	if w.step.Spec.LongRunning {
-		return !w.hasWaitedFor(now, lastingPatience)
+	if (w.step.Spec.LongRunning || h.yields) && w.hasWaitedFor(now, heldPatience) {
+		return false
 	}
-	return now.Add(w.step.Spec.Estimate + backfillMargin).After(h.startAt)
+	return w.step.Spec.LongRunning || now.Add(w.step.Spec.Estimate+backfillMargin).After(h.startAt)
 }
 
 // withoutHeld removes the servers that are held for other steps.
