Keep no server for tasks that outages have hit

Cause: a task under which three servers were lost starts on a server that gets no other runs for 5 s. After three outages of a zone that holds for all tasks that were there, one server each. An outage that hits most servers of a zone at once is no sign that a task crashes servers late. Its losses no longer count for that; they still count among the five of any cause.

A trial that limits the share of such servers instead made TestCrashingTasksSpareTheirNeighbours fail, and was not kept.

--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -102,8 +102,8 @@
 	if j == nil {
 		return
 	}
-	if crash.Caused && c.isOutage(now, s.server.Zone) {
-		crash.Caused, crash.Alone = false, false
+	if c.isOutage(now, s.server.Zone) {
+		crash.Caused, crash.Alone, crash.Outage = false, false, true
 	}
 	givenUp := j.Crashed(now, a.task, crash)
 	if crash.Caused {
--- a/conductor/outage.go
+++ b/conductor/outage.go
@@ -14,7 +14,7 @@
 // them.
 func (c *Conductor) isOutage(now time.Time, zone string) bool {
 	lost, servers := 0, 0
-	for _, s := range c.sessions {
+	for _, s := range c.orderedSessions() {
 		if s.server.Zone != zone {
 			continue
 		}
--- a/lifecycler/crash.go
+++ b/lifecycler/crash.go
@@ -28,6 +28,8 @@
 	// Caused is set if the run is likely to have caused the crash: the server is not known to have worked for long after the
 	// run's start.
 	Caused bool `json:",omitempty"`
+	// Outage is set if most servers of a zone were lost at that time.
+	Outage bool `json:",omitempty"`
 	// Alone is set if no other job is as likely to have caused the crash.
 	Alone bool `json:",omitempty"`
 }
@@ -131,9 +133,15 @@
 }
 
 // CrashesOften reports whether servers have crashed under the task so often that further crashes need an explanation: whether
-// the task crashes its servers only some time after its start shows when it runs without new runs beside it.
+// the task crashes its servers only some time after its start shows when it runs without new runs beside it. Outages need none.
 func (t *Task) CrashesOften() bool {
-	return len(t.Crashes) >= oftenCrashes
+	often := 0
+	for _, crash := range t.Crashes {
+		if !crash.Outage {
+			often++
+		}
+	}
+	return often >= oftenCrashes
 }
 
 // crashesServers reports whether the task is given up. Only servers that have certainly crashed count.
