--- a/conductor/restart_test.go
+++ b/conductor/restart_test.go
@@ -52,3 +52,15 @@
 	require.False(t, resigns(recoveredAt.Add(time.Second)))
 	require.True(t, resigns(recoveredAt.Add(2*time.Second)))
 }
+
+// TestRestartWithEarlierBirthIsSeen guards against a server that is never used again, and runs that never count as ended, after it
+// has restarted with a wall clock that was set back.
+func TestRestartWithEarlierBirthIsSeen(t *testing.T) {
+	w := newSimulation(t, 1, 1)
+	job := newJob(0, jobOptions{Tasks: 4, MilliCores: 8000, Seconds: 5})
+	w.at(w.start.Add(seconds(5)), func() { w.submit(job) })
+	w.at(w.start.Add(seconds(6)), func() { w.servers["i-00"].crash(w, seconds(0.3)) })
+	w.at(w.start.Add(seconds(6.301)), func() { w.servers["i-00"].server.Incarnation = w.start.UnixMilli() - 1000 })
+	w.runUntil(seconds(60))
+	w.requireOneRun(job)
+}
