--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -102,7 +103,7 @@
 	switch {
 	case err != nil:
 		p.logger.Error("settings cannot be read again; the earlier ones stay in use", "Error", err.Error())
-	case changed != p.settings:
+	case !reflect.DeepEqual(changed, p.settings):
 		p.logger.Warn("settings changed; they take effect at the next start")
 	default:
 		p.logger.Info("settings have not changed")
--- a/follower/encoding.go
+++ b/follower/encoding.go
@@ -21,6 +21,8 @@
 	Queues                    []specifier.Queue
 	CapacityEnforcingServices map[string]bool
 	MaxBodyBytes              int64
+	MaxHeaderBytes            int64
+	Teams                     []specifier.Team
 }
 
 // Encode returns a configuration in the form in which instances send it to each other. It is compressed: the queues of a large
@@ -34,6 +36,7 @@
 	sent := content{
 		Version: configuration.Version, Revision: configuration.Revision, Queues: configuration.Queues.All(),
 		CapacityEnforcingServices: configuration.CapacityEnforcingServices, MaxBodyBytes: configuration.MaxBodyBytes,
+		MaxHeaderBytes: configuration.MaxHeaderBytes, Teams: configuration.Teams.All(),
 	}
 	if err := gob.NewEncoder(compressor).Encode(sent); err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
@@ -57,5 +60,6 @@
 	return &specifier.Configuration{
 		Version: received.Version, Revision: received.Revision, Queues: specifier.NewQueues(received.Queues...),
 		CapacityEnforcingServices: received.CapacityEnforcingServices, MaxBodyBytes: received.MaxBodyBytes,
+		MaxHeaderBytes: received.MaxHeaderBytes, Teams: specifier.NewTeams(received.Teams...),
 	}, nil
 }
--- a/specifier/job.go
+++ b/specifier/job.go
@@ -44,6 +44,8 @@
 // Job is a job that a caller submitted.
 type Job struct {
 	ID JobID
+	// Team is the name of the team that submitted the job; empty in a deployment without teams.
+	Team string `json:",omitempty"`
 	// Queue is the queue at the time of submission.
 	Queue Queue
 	// Spec is passed on to the tasks unchanged.
--- a/specifier/queue.go
+++ b/specifier/queue.go
@@ -25,6 +25,8 @@
 	Stretch       float64
 	TargetLatency time.Duration
 	Advice        AdviceCost `json:",omitzero"`
+	// Public queues need no key.
+	Public bool `json:",omitempty"`
 }
 
 // Configuration is the configuration that operators set.
@@ -33,7 +35,11 @@
 	// Revision is the store's revision of the configuration; a higher one is newer.
 	Revision int64
 	Queues   Queues
+	// Teams is empty in a deployment without teams.
+	Teams Teams
 	// CapacityEnforcingServices are the services whose backend servers refuse tasks that exceed their capacity.
 	CapacityEnforcingServices map[string]bool
-	MaxBodyBytes              int64
+	// MaxBodyBytes and MaxHeaderBytes bound the parts of a request; zero sets no bound.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int64
 }
