Bound what callers can take from an instance

Headers of up to 1 MiB on each connection, bodies of legal size and the jobs decoded from them had a limit each, but none together, and the connections of callers could use up the descriptors.

The listeners for readiness and metrics have gates of their own.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -19,6 +19,7 @@
 
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/coordinator"
+	"egretring.example/egretring/gatekeeper"
 	"egretring.example/egretring/logger"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/platform"
@@ -32,10 +33,8 @@
 	drainTime = 2500 * time.Millisecond
 	// shutdownTime bounds the wait for requests in flight during the shutdown of the HTTP servers.
 	shutdownTime = 2 * time.Second
-	// headerTimeout bounds the time to read the header of a request, and idleTimeout that of a connection between
-	// requests.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	// idleTimeout bounds the time of a connection between requests.
+	idleTimeout = 2 * time.Minute
 	// stateMargin is added to the time for which the platform requires the final states of jobs to be known.
 	stateMargin = 30 * time.Second
 	// memoryShare is the share of the instance's memory that is the memory limit of the Go runtime; near it the garbage
@@ -126,12 +125,25 @@
 		Meter: p.meter,
 	})
 	p.sharder.Start()
-	for address, handler := range p.handlers() {
-		if err := p.listen(address, handler); err != nil {
-			return err
-		}
+	limits := p.settings.CallerLimits(p.sharder.MaxHeaderBytes)
+	p.logger.Info("limits for callers", "MemoryBytes", limits.MemoryBytes, "Connections", limits.Connections, "ReceiveBuffer",
+		limits.ReceiveBuffer)
+	callers := gatekeeper.New("Callers", limits, p.logger, p.meter)
+	if err := p.listen(p.settings.CallerAddress, platform.NewIngress(p.sharder, p.logger), callers); err != nil {
+		return err
 	}
-	return nil
+	if err := p.listen(p.settings.ReadinessAddress, p.readinessHandler(), p.administrativeGate("Readiness")); err != nil {
+		return err
+	}
+	if p.settings.MetricsAddress == "" {
+		return nil
+	}
+	return p.listen(p.settings.MetricsAddress, p.metricsHandler(), p.administrativeGate("Metrics"))
+}
+
+// administrativeGate returns the gate of a listener that only the platform and operators use.
+func (p *process) administrativeGate(name string) *gatekeeper.Gate {
+	return gatekeeper.New(name, gatekeeper.AdministrativeLimits(), p.logger, p.meter)
 }
 
 // coordinator builds the coordinator of a shard, with a separate listener for calls of other instances.
@@ -163,19 +175,16 @@
 	return coordinator.New(peers, options...)
 }
 
-func (p *process) handlers() map[string]http.Handler {
-	readiness := goji.NewMux()
-	readiness.HandleFunc(pat.Get("/readiness"), p.readiness)
-	handlers := map[string]http.Handler{
-		p.settings.CallerAddress:    platform.NewIngress(p.sharder, p.logger),
-		p.settings.ReadinessAddress: readiness,
-	}
-	if p.settings.MetricsAddress != "" {
-		metrics := goji.NewMux()
-		metrics.Handle(pat.Get("/metrics"), p.meter.Handler())
-		handlers[p.settings.MetricsAddress] = metrics
-	}
-	return handlers
+func (p *process) readinessHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get("/readiness"), p.readiness)
+	return mux
+}
+
+func (p *process) metricsHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.Handle(pat.Get("/metrics"), p.meter.Handler())
+	return mux
 }
 
 func (p *process) readiness(w http.ResponseWriter, _ *http.Request) {
@@ -184,15 +193,17 @@
 	}
 }
 
-func (p *process) listen(address string, handler http.Handler) error {
-	accept, err := net.Listen("tcp", address)
+// listen serves a handler at an address, with the limits of a gate.
+func (p *process) listen(address string, handler http.Handler, gate *gatekeeper.Gate) error {
+	accept, err := gate.Listen(address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: p.settings.HeaderTime(), IdleTimeout: idleTimeout}
+	guarded := gate.Guard(server, accept)
 	p.servers = append(p.servers, server)
 	go func() {
-		if err := server.Serve(accept); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 			p.failed <- errors.Wrapf(err, "serve %s", address)
 		}
 	}()
--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -33,6 +33,14 @@
 	return 0
 }
 
+// MaxHeaderBytes returns the configured limit of a request's header; zero means no limit.
+func (c *Coordinator) MaxHeaderBytes() int64 {
+	if configuration := c.configuration.Load(); configuration != nil {
+		return configuration.MaxHeaderBytes
+	}
+	return 0
+}
+
 func (c *Coordinator) accept(ctx context.Context, job specifier.Job) error {
 	if err := c.intaker.Accept(ctx, job); err != nil {
 		return err
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -220,6 +220,14 @@
 	return 0
 }
 
+// MaxHeaderBytes returns the configured limit of a request's header; zero means no limit.
+func (s *Sharder) MaxHeaderBytes() int64 {
+	if shards := s.coordinators(); len(shards) > 0 {
+		return shards[0].MaxHeaderBytes()
+	}
+	return 0
+}
+
 // Submit accepts a job; see coordinator.Coordinator.Submit.
 func (s *Sharder) Submit(ctx context.Context, job specifier.Job) error {
 	shard, err := s.coordinatorOf(job.ID)
