Count what each team runs and keep it within its limit

Cause: nothing counted what a team has running, so that a team could take the whole cell. Change: the package accountant counts the full need of every allocation by team, in all states, from the restored records on. The limit is checked when a run is reserved (single tasks, all members of a gang, suspects), and again when its start is sent, because a newer configuration may have lowered it. The record of a failed or cancelled job names the runs that are still being stopped, and is written again when the last of them has ended; without that, a new owner would not count them.

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -58,7 +58,9 @@
 			later = append(later, j)
 			continue
 		}
-		value, err := j.Record().Encode()
+		record := j.Record()
+		record.Remaining = c.remainingOf(j)
+		value, err := record.Encode()
 		if err != nil {
 			// The next change of the job tries again.
 			j.dirty = false
@@ -183,6 +185,9 @@
 			kept = append(kept, r)
 		case j.State().Final():
 			r.session.release(r.task)
+		case c.accounts.Exceeded(r.team):
+			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "the limit of the team was lowered: "+c.accounts.Usage(r.team).String())
+			c.requeue(now, r.session, r.allocation)
 		case r.session.isSilent():
 			// The server may be down, and carry out the order once it has restarted as another kind.
 			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "the server does not respond")
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/adviser"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
@@ -27,6 +28,8 @@
 	sessions map[specifier.ServerID]*session
 	// runs has the sessions with allocations of each job.
 	runs runIndex
+	// accounts counts what the allocations of all sessions take of the limits of teams.
+	accounts *accountant.Accountant
 	// ordered has the sessions in the order of their servers' IDs; nil when it has to be made anew.
 	ordered []*session
 	// lastFences are the fencing tokens of servers that were removed from the list. A server that is listed again has
@@ -100,6 +103,7 @@
 		jobs:         make(map[specifier.JobID]*job),
 		sessions:     make(map[specifier.ServerID]*session),
 		runs:         make(runIndex),
+		accounts:     accountant.New(),
 		lastFences:   make(map[specifier.ServerID]int64),
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
@@ -164,6 +168,7 @@
 
 // Plan decides what to do next and returns all commands since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
+	c.replan = c.accounts.Advance(now) || c.replan
 	c.beginDue(now)
 	c.refreshStale()
 	c.place(now)
@@ -235,6 +240,8 @@
 		return
 	}
 	c.configuration = configuration
+	c.accounts.Configure(configuration.Teams)
+	c.replan = true
 	for _, j := range c.jobs {
 		j.updateQueue(&configuration)
 	}
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -139,7 +139,7 @@
 // far as they fit. It reports whether it placed any. A job has one trial at a time, because a crash settles it for all of its
 // suspects.
 func (c *Conductor) placeSuspects(p *pass, w *waitingStep, suspects []int, servers []*session) bool {
-	if len(suspects) == 0 || w.job.hasOpenTrial() || p.now.Before(w.job.suspectsNotBefore) {
+	if len(suspects) == 0 || w.startable <= 0 || w.job.hasOpenTrial() || p.now.Before(w.job.suspectsNotBefore) {
 		return false
 	}
 	s := w.serverForTrial(servers)
@@ -152,7 +152,7 @@
 	}
 	s.claimedBy, w.job.trial = nil, s
 	placed := false
-	for _, index := range suspects[:min(len(suspects), w.fits(s))] {
+	for _, index := range suspects[:min(len(suspects), w.startable, w.fits(s))] {
 		if !placedOn(s, w.step, index) {
 			c.reserve(p, w, s, index, w.step.NextRun(index))
 			placed = true
--- a/conductor/former_lease.go
+++ b/conductor/former_lease.go
@@ -75,9 +75,11 @@
 
 // awaitLateStart records that a start without a response may be carried out by the next incarnation of its server, whether its
 // restart is seen or not, and last for the longest lease then. A task that lasts is not held up by that: its absence is worse
-// than a second run.
+// than a second run. It counts for its team meanwhile.
 func (c *Conductor) awaitLateStart(now time.Time, a *allocation) {
+	a.mayStartUntil = now.Add(lateStartTime)
 	if j := c.jobs[a.task.Job]; j != nil && a.task.Step < len(j.Spec.Steps) && j.Spec.Steps[a.task.Step].LongRunning {
+		a.mayStartUntil = a.mayStartUntil.Add(leaseBound(c.settings.maxLease))
 		return
 	}
 	a.endsBy = now.Add(lateStartTime + leaseBound(c.settings.maxLease))
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -34,6 +34,8 @@
 	trial *session
 	// suspectsNotBefore is the earliest time of the next start of the job's suspects.
 	suspectsNotBefore time.Time
+	// remains is set while the record of the finished job names runs that may still exist.
+	remains bool
 	// retainedSince is when this owner restored a job in a final state; zero for other jobs.
 	retainedSince time.Time
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -17,7 +17,7 @@
 	if known := c.sessions[id]; known != nil {
 		return known
 	}
-	created := newSession(specifier.Server{ID: id}, c.firstFenceOf(id), c.runs)
+	created := newSession(specifier.Server{ID: id}, c.firstFenceOf(id), c.runs, c.accounts)
 	created.predecessorLease = true
 	created.leaseEnd = c.predecessorLeasesEnd
 	c.sessions[id], c.ordered = created, nil
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -132,6 +132,7 @@
 // requeue releases the capacity of a run that is known not to run, and returns its task to the waiting tasks.
 func (c *Conductor) requeue(now time.Time, s *session, a *allocation) {
 	s.release(a.task)
+	c.rewriteSettled(a.task.Job)
 	j := c.jobs[a.task.Job]
 	if j == nil || j.State().Final() {
 		return
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -83,6 +83,9 @@
 	if p.now.Before(w.job.blockedUntil) {
 		return
 	}
+	if w.startable = c.startableTasks(w); w.startable < w.required() {
+		return
+	}
 	if !p.mayStart(w) {
 		c.startsLimited = true
 		return
@@ -212,6 +215,9 @@
 			c.startsLimited = true
 			break
 		}
+		if w.startable <= 0 {
+			break
+		}
 		i := slices.IndexFunc(servers, func(s *session) bool { return !placedOn(s, w.step, index) })
 		if i < 0 {
 			continue
@@ -233,9 +239,11 @@
 // reserve places a run and allocates its capacity; its start order is sent once its record is in the store.
 func (c *Conductor) reserve(p *pass, w *waitingStep, s *session, index, run int) {
 	p.startsLeft--
+	w.startable--
 	w.job.Place(w.step, index, lifecycler.Placement{Run: run, Server: s.server, LongLease: p.now.Before(s.longLeaseUntil)})
 	a := &allocation{
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
+		team: w.job.Spec.Team, charge: w.step.Spec.Need,
 		order: specifier.StartOrder{
 			Task: w.step.ID.Task(index), Run: run, Spec: w.job.Spec.Spec, Checkpoint: w.step.SharedCheckpoint(index),
 			Ticket: w.job.ticket(w.step.ID, s.server),
--- /dev/null
+++ b/conductor/remaining.go
@@ -0,0 +1,99 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+
+	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/specifier"
+)
+
+// A job that fails or is cancelled is in the store as finished while its runs are still being stopped. Its record names these runs, so
+// that the next owner counts them for their team although it no longer knows the steps of the job. The record is written again
+// when the last of them has ended.
+
+// chargeOf returns the team of a task and what a run of it takes of the team's limit. Without the job neither is known.
+func (c *Conductor) chargeOf(task specifier.TaskID) (string, specifier.Resources) {
+	j := c.jobs[task.Job]
+	if j == nil || task.Step >= len(j.Spec.Steps) {
+		return "", specifier.Resources{}
+	}
+	return j.Spec.Team, j.Spec.Steps[task.Step].Need
+}
+
+// remainingOf returns the runs of a finished job of a team that may still exist, or nil. Those of a completed job have ended.
+func (c *Conductor) remainingOf(j *job) *lifecycler.Remaining {
+	if state := j.State(); state != specifier.Failed && state != specifier.Cancelled {
+		return nil
+	}
+	type key struct {
+		server specifier.ServerID
+		step   specifier.StepID
+		run    int
+	}
+	groups := make(map[key]int)
+	var remaining lifecycler.Remaining
+	for s := range c.runs[j.Spec.ID] {
+		for _, a := range s.allocations {
+			if a.task.Job != j.Spec.ID || a.team == "" || a.state == reserved {
+				continue
+			}
+			k := key{s.id, a.task.StepID, a.run}
+			i, known := groups[k]
+			if !known {
+				i = len(remaining.Runs)
+				groups[k] = i
+				remaining.Runs = append(remaining.Runs, lifecycler.RemainingRuns{
+					Server: s.id, Occurrence: a.task.Occurrence, Step: a.task.Step, Run: a.run, Need: a.charge,
+				})
+			}
+			remaining.Team = a.team
+			remaining.Runs[i].Tasks = append(remaining.Runs[i].Tasks, a.task.Index)
+		}
+	}
+	if len(remaining.Runs) == 0 {
+		return nil
+	}
+	for _, runs := range remaining.Runs {
+		slices.Sort(runs.Tasks)
+	}
+	slices.SortFunc(remaining.Runs, func(a, b lifecycler.RemainingRuns) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Run, b.Run))
+	})
+	j.remains = true
+	return &remaining
+}
+
+// restoreRemaining counts the runs that the record of a finished job names, and stops them. The first report of each server shows which
+// of them exist.
+func (c *Conductor) restoreRemaining(j *job) {
+	remaining := j.Remaining()
+	if remaining == nil {
+		return
+	}
+	j.remains = true
+	for _, runs := range remaining.Runs {
+		s := c.session(runs.Server)
+		id := specifier.StepID{Job: j.Spec.ID, Occurrence: runs.Occurrence, Step: runs.Step}
+		for _, index := range runs.Tasks {
+			if s.allocations[id.Task(index)] != nil {
+				continue
+			}
+			a := &allocation{
+				task: id.Task(index), run: runs.Run, need: runs.Need, state: confirmed, startedAt: c.startedAt,
+				team: remaining.Team, charge: runs.Need, remaining: true,
+			}
+			s.add(a)
+			a.stopping, s.stops = true, true
+		}
+	}
+}
+
+// rewriteSettled makes the record of a finished job due again that names runs which no longer exist, once none is left.
+func (c *Conductor) rewriteSettled(id specifier.JobID) {
+	j := c.jobs[id]
+	if j != nil && j.remains && !j.deleting && len(c.runs[id]) == 0 {
+		j.remains = false
+		c.markDirty(j)
+	}
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -52,7 +52,9 @@
 	s.lastEndSeen = end.Number
 	a := s.allocations[end.Task]
 	if a != nil && a.run <= end.Run {
+		a.mayStartUntil = time.Time{}
 		s.release(end.Task)
+		c.rewriteSettled(end.Task.Job)
 	}
 	j := c.jobs[end.Task.Job]
 	pending := pendingEnd{number: end.Number, job: end.Task.Job}
@@ -115,7 +117,9 @@
 		}
 	}
 	for _, a := range lost {
-		c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
+		if !a.remaining {
+			c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
+		}
 		c.requeue(now, s, a)
 		if a.incarnation != 0 && a.incarnation < s.server.Incarnation && !a.shutdown {
 			c.recordCrash(now, s, a)
@@ -135,7 +139,7 @@
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 		c.noteStartedBy(s, a)
 	}
-	a.answered = true
+	a.answered, a.mayStartUntil = true, time.Time{}
 	if !s.formerCalls {
 		a.endsBy = time.Time{}
 	}
@@ -162,6 +166,7 @@
 		need = j.Spec.Steps[r.Task.Step].Occupies()
 	}
 	a := &allocation{task: r.Task, run: r.Run, need: need, state: confirmed, resolvedAt: now, fence: s.fence}
+	a.team, a.charge = c.chargeOf(r.Task)
 	s.add(a)
 	c.logDecision("OrphanStopped", r.Task, r.Run, s.server.ID, "")
 	c.stop(now, s, a)
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -19,6 +19,7 @@
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
+				team: j.Spec.Team, charge: step.Spec.Need,
 			})
 		}
 	}
@@ -30,6 +31,7 @@
 	j := c.addJob(restored)
 	if j.State().Final() {
 		j.retainedSince = now
+		c.restoreRemaining(j)
 		if j.Committed() < j.Version() {
 			c.markDirty(j)
 			c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "the stored job cannot run")
--- a/conductor/script_test.go
+++ b/conductor/script_test.go
@@ -29,6 +29,10 @@
 	MaxStarts int
 	// MaxResignations bounds the number of owners that resigned.
 	MaxResignations *int
+	// Limits are those of teams, in cores.
+	Limits map[string]int64
+	// MinUsed is the least number of cores that a team has to have running at once at some time.
+	MinUsed map[string]int64
 }
 
 type scriptEvent struct {
@@ -37,6 +41,7 @@
 	Server string
 	For    float64
 	Job    int
+	Limits map[string]int64
 }
 
 var stateNames = map[specifier.JobState]string{
@@ -77,6 +82,8 @@
 			w.muteAdvisors[e.Server] = until
 		case "CrashOwner":
 			w.crashOwner()
+		case "Limit":
+			w.configure(e.Limits)
 		case "Cancel":
 			w.cancelJob(w.submitted[e.Job].ID)
 		default:
@@ -88,9 +95,22 @@
 // TestScripts guards against the failure that the Guards field of each case names: violated rules or unfinished jobs
 // under faults.
 func TestScripts(t *testing.T) {
-	for _, s := range tester.ReadCases[script](t, "scripts.hujson") {
+	runScripts(t, "scripts.hujson")
+}
+
+// TestQuotaScripts guards against the failure that the Guards field of each case names: teams above their limits, or work that waits
+// although limits permit it.
+func TestQuotaScripts(t *testing.T) {
+	runScripts(t, "quotas.hujson")
+}
+
+func runScripts(t *testing.T, file string) {
+	for _, s := range tester.ReadCases[script](t, file) {
 		t.Run(s.Name, func(t *testing.T) {
 			w := newSimulation(t, 1, s.Servers)
+			if s.Limits != nil {
+				w.configure(s.Limits)
+			}
 			for i, submission := range s.Jobs {
 				job := newJob(i, submission.Job)
 				w.at(w.start.Add(seconds(submission.At)), func() { w.submit(job) })
@@ -107,6 +127,9 @@
 			if s.MaxResignations != nil {
 				require.LessOrEqual(t, w.resignations, *s.MaxResignations, s.Guards)
 			}
+			for team, cores := range s.MinUsed {
+				require.GreaterOrEqual(t, w.quota.most[team], 1000*cores, s.Guards)
+			}
 			if s.MaxStarts > 0 {
 				require.LessOrEqual(t, w.starts, s.MaxStarts, s.Guards)
 			}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/assessor"
 	"egretring.example/egretring/specifier"
 )
@@ -28,6 +29,13 @@
 	run   int
 	need  specifier.Resources
 	state allocationState
+	// team is that of the job, and charge what the run takes of the team's limit: the whole need of the task.
+	team   string
+	charge specifier.Resources
+	// mayStartUntil is until when a start without a response may still be carried out; zero if there is none.
+	mayStartUntil time.Time
+	// remaining is set for a run of a job that had finished before this owner began.
+	remaining bool
 	// incarnation is that of the server when the start was sent.
 	incarnation int64
 	// address is that of the server when the run was placed.
@@ -105,7 +113,9 @@
 	stops bool
 	// runs is the owner's index of the allocations of all sessions.
 	runs runIndex
-	used specifier.Resources
+	// accounts counts the allocations of all sessions by teams.
+	accounts *accountant.Accountant
+	used     specifier.Resources
 	// starting is the number of allocations whose start has no result yet.
 	starting int
 	// namedUntil are the times at which the results of the advice calls in flight that name the server are expected.
@@ -156,16 +166,20 @@
 	holder *holder
 }
 
-func newSession(server specifier.Server, fence int64, runs runIndex) *session {
+func newSession(server specifier.Server, fence int64, runs runIndex, accounts *accountant.Accountant) *session {
 	return &session{
-		id: server.ID, server: server, describedIncarnation: server.Incarnation, fence: fence, firstFence: fence, runs: runs, allocations: make(map[specifier.TaskID]*allocation),
+		id: server.ID, server: server, describedIncarnation: server.Incarnation, fence: fence, firstFence: fence, runs: runs,
+		accounts: accounts, allocations: make(map[specifier.TaskID]*allocation),
 	}
 }
 
 func (s *session) add(a *allocation) {
-	if s.allocations[a.task] == nil {
+	if replaced := s.allocations[a.task]; replaced == nil {
 		s.runs.add(a.task.Job, s)
+	} else {
+		s.accounts.Release(replaced.team, replaced.charge)
 	}
+	s.accounts.Take(a.team, a.charge)
 	s.allocations[a.task] = a
 	s.used = s.used.Plus(a.need)
 	if a.starting() {
@@ -190,6 +204,11 @@
 		return
 	}
 	s.used = s.used.Minus(a.need)
+	if a.mayStartUntil.IsZero() {
+		s.accounts.Release(a.team, a.charge)
+	} else {
+		s.accounts.ReleaseAt(a.team, a.charge, a.mayStartUntil)
+	}
 	if a.starting() {
 		s.starting--
 	}
--- a/conductor/simulated_owner_test.go
+++ b/conductor/simulated_owner_test.go
@@ -67,12 +67,20 @@
 	}
 	o.stateMachine = conductor.New(w.now, o.epoch, options...)
 	o.stateMachine.Handle(w.now, conductor.AdvisorsChanged{Advisors: w.advisorsOf(o)})
+	if w.quota != nil {
+		o.stateMachine.Handle(w.now, conductor.Configured{Configuration: w.quota.configuration})
+	}
 	w.list(o)
 	for _, job := range w.submitted {
 		if w.ownerOf(job.ID) != o {
 			continue
 		}
-		restored, err := lifecycler.Restore(job, w.record(job.ID))
+		record := w.record(job.ID)
+		if record.State.Final() {
+			// The submission is deleted with the write of the final state.
+			job = specifier.Job{ID: job.ID}
+		}
+		restored, err := lifecycler.Restore(job, record)
 		if err != nil {
 			w.t.Fatalf("restore job %s: %v", job.ID, err)
 		}
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -64,6 +64,7 @@
 			}
 		}
 	}
+	w.quota.begun(w, r)
 	s.runs[o.Task] = r
 	w.runs = append(w.runs, r)
 	w.runsOf[r.task] = append(w.runsOf[r.task], r)
@@ -149,6 +150,7 @@
 // recordEnd records the end of a run for the rules. All members of a gang end when one ends other than as done.
 func (w *simulation) recordEnd(r *fakeRun, reason specifier.EndReason) {
 	step := r.job.Steps[r.task.Step]
+	w.quota.ended(r)
 	switch reason {
 	case specifier.RunDone:
 		w.finished[r.task] = true
@@ -181,6 +183,8 @@
 	Spec       string
 	// Label is the label that the servers must have.
 	Label string
+	// Team is the name of the team.
+	Team string
 }
 
 func newJob(number int, o jobOptions) specifier.Job {
@@ -194,7 +198,7 @@
 			queue.Advice.Fixed, queue.Advice.PerServer = o.AdviceCost.Fixed, o.AdviceCost.PerServer
 		}
 	}
-	job := specifier.Job{ID: specifier.JobID("job" + strconv.Itoa(number)), Queue: queue, Spec: o.Spec}
+	job := specifier.Job{ID: specifier.JobID("job" + strconv.Itoa(number)), Team: o.Team, Queue: queue, Spec: o.Spec}
 	for i := range max(o.Steps, 1) {
 		step := specifier.Step{
 			Count: max(o.Tasks, 1), Need: specifier.Resources{MilliCores: o.MilliCores, MemoryMB: cmp.Or(o.MemoryMB, 100)}, Gang: o.Gang,
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -114,6 +114,8 @@
 	onCommit func(conductor.Commit)
 	// resignations counts the owners that resigned.
 	resignations int
+	// quota checks the limits of teams, if it is set.
+	quota *quotaRule
 }
 
 type scheduledEvent struct {
@@ -207,6 +209,7 @@
 		}
 		w.commit(epoch, c)
 	case conductor.Start:
+		w.quota.sent(w, c.Order)
 		if s := w.servers[c.Server.ID]; w.interceptStart != nil && w.interceptStart(s, c.Order, func() { s.startRun(w, c) }) {
 			w.after(orderTimeout, func() {
 				w.deliver(epoch, conductor.OrderEnded{
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -29,6 +29,8 @@
 	// committedFinal is the final state once the store has it.
 	committedFinal specifier.JobState
 	finalAt        time.Time
+	// remaining is that of the record that the job was restored from.
+	remaining *Remaining
 }
 
 type occurrenceSteps struct {
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -17,6 +17,8 @@
 	Steps   []StepRecord `json:",omitempty"`
 	// Compact takes the place of Steps for a job with many tasks.
 	Compact *CompactRecord `json:",omitempty"`
+	// Remaining is set for a finished job of a team with runs that still exist.
+	Remaining *Remaining `json:",omitempty"`
 }
 
 // StepRecord is the progress of a step.
@@ -108,7 +110,7 @@
 	j := New(spec)
 	if record.State.Final() {
 		j.state, j.committedFinal, j.finalAt = record.State, record.State, record.FinalAt
-		j.started = true
+		j.started, j.remaining = true, record.Remaining
 		return j, nil
 	}
 	if j.state.Final() {
--- a/lifecycler/record_test.go
+++ b/lifecycler/record_test.go
@@ -245,3 +245,13 @@
 		job.Record()
 	})
 }
+
+// TestRecordNamesRemainingRuns guards against a finished job whose runs that still exist are lost between owners.
+func TestRecordNamesRemainingRuns(t *testing.T) {
+	remaining := lifecycler.Remaining{Team: "a", Runs: []lifecycler.RemainingRuns{
+		{Server: "i-1", Occurrence: 2, Step: 1, Run: 3, Need: specifier.Resources{MilliCores: 5}, Tasks: []int{0, 4}},
+	}}
+	value, err := lifecycler.Record{State: specifier.Cancelled, Remaining: &remaining}.Encode()
+	require.NoError(t, err)
+	require.Equal(t, &remaining, restore(t, specifier.Job{ID: "job"}, value).Remaining())
+}
