Let teams at their limits wait without delaying others

Cause: a step that its team's limit keeps from starting still asked for advice, had servers held, borrowed servers, counted as backlog, and a gang waited for ever while small tasks of its team took each part of the limit that became free. Change: steps at the limit of their team are left out of all of these. Quota accumulates for one gang of each team that has waited for a second; tasks that should end before the gang fits may still start, and urgent tasks are held back only once the gang is late. Only such a late gang asks for advice before its quota is free. A step that is wider than the limit counts with its waves in the objective.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -175,12 +175,6 @@
 	return false
 }
 
-// Allows reports whether a team could run a number of tasks at once if it had nothing else.
-func (a *Accountant) Allows(team string, need specifier.Resources, tasks int) bool {
-	known := a.accounts[team]
-	return team == "" || known == nil || count(need, specifier.Resources{}, known.limit, tasks) >= tasks
-}
-
 // Waves returns how many times the tasks of a step have to run one after the other because of the team's limit. A gang runs at once or
 // never.
 func (a *Accountant) Waves(team string, step specifier.Step) int {
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -121,6 +121,25 @@
 	}
 }
 
+// TestOutlookTellsWhenTasksFit guards against a wrong time until a gang fits, and against waiting for one that never does.
+func TestOutlookTellsWhenTasksFit(t *testing.T) {
+	subject, need := accountant.New(), specifier.Resources{MilliCores: 10}
+	subject.Configure(teamWith(specifier.Resources{MilliCores: 100}))
+	subject.Take("a", need.Times(10))
+	var outlook accountant.Outlook
+	outlook.AddLasting(need.Times(3))
+	for i := range 7 {
+		outlook.Add(time.Duration(i)*time.Second, need)
+	}
+	require.Equal(t, need.Times(3), outlook.Within(2100*time.Millisecond))
+	require.Equal(t, 2100*time.Millisecond, subject.TimeUntil("a", need, 3, &outlook))
+	require.Equal(t, time.Duration(0), subject.TimeUntil("a", need, 0, &outlook))
+	require.Equal(t, accountant.Horizon, subject.TimeUntil("a", need, 8, &outlook))
+	require.True(t, subject.Allows("a", need, 7, &outlook))
+	require.False(t, subject.Allows("a", need, 8, &outlook))
+	require.True(t, subject.Allows("a", need, 10, nil))
+}
+
 // BenchmarkFits measures the question that each waiting step asks in each placement pass.
 func BenchmarkFits(b *testing.B) {
 	subject := accountant.New()
--- /dev/null
+++ b/accountant/outlook.go
@@ -0,0 +1,73 @@
+package accountant
+
+import (
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
+
+const (
+	// outlookStep is the resolution of an Outlook, and Horizon its length. A step asks for advice for a second at most before its
+	// start, and the longest usual tasks take some six seconds.
+	outlookStep  = 100 * time.Millisecond
+	outlookSteps = 64
+	// Horizon is how far an Outlook reaches.
+	Horizon = outlookSteps * outlookStep
+)
+
+// Outlook is what the runs of a team are expected to release, and when.
+type Outlook struct {
+	released [outlookSteps]specifier.Resources
+	lasting  specifier.Resources
+}
+
+// Add adds a run that is expected to end after some time.
+func (o *Outlook) Add(after time.Duration, need specifier.Resources) {
+	if i := max(after, 0) / outlookStep; i < outlookSteps {
+		o.released[i] = o.released[i].Plus(need)
+	}
+}
+
+// AddLasting adds a run that lasts until its job is cancelled.
+func (o *Outlook) AddLasting(need specifier.Resources) {
+	o.lasting = o.lasting.Plus(need)
+}
+
+// Within returns what is expected to be released within some time.
+func (o *Outlook) Within(time time.Duration) specifier.Resources {
+	var sum specifier.Resources
+	if o == nil {
+		return sum
+	}
+	for i := range min(outlookSteps, int(time/outlookStep)) {
+		sum = sum.Plus(o.released[i])
+	}
+	return sum
+}
+
+// TimeUntil returns the time after which a number of tasks is expected to fit, at most Horizon.
+func (a *Accountant) TimeUntil(team string, need specifier.Resources, tasks int, o *Outlook) time.Duration {
+	var sum specifier.Resources
+	for i := range outlookSteps {
+		if a.FitsBeside(team, need, specifier.Resources{}.Minus(sum), tasks) >= tasks {
+			return time.Duration(i) * outlookStep
+		}
+		if o != nil {
+			sum = sum.Plus(o.released[i])
+		}
+	}
+	return Horizon
+}
+
+// Allows reports whether a team could run a number of tasks at once if it had nothing else but its lasting runs.
+func (a *Accountant) Allows(team string, need specifier.Resources, tasks int, o *Outlook) bool {
+	known := a.accounts[team]
+	if team == "" || known == nil {
+		return true
+	}
+	var lasting specifier.Resources
+	if o != nil {
+		lasting = o.lasting
+	}
+	return count(need, lasting, known.limit, tasks) >= tasks
+}
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -226,7 +226,7 @@
 			expired = append(expired, s)
 		}
 	}
-	wanted := len(w.waiting)
+	wanted := min(len(w.waiting), w.expected)
 	if fitting >= wanted {
 		return nil
 	}
--- a/conductor/advisor_reservation.go
+++ b/conductor/advisor_reservation.go
@@ -17,7 +17,7 @@
 
 // reserveAdvisors keeps advisors for the step, unless a reservation is in force or has just ended.
 func (c *Conductor) reserveAdvisors(p *pass, w *waitingStep) {
-	if p.now.Before(c.reservation.notBefore) {
+	if p.now.Before(c.reservation.notBefore) || c.isAtLimit(w) {
 		return
 	}
 	longest := w.adviceTime(maxAdviceServers)
@@ -37,7 +37,10 @@
 	if !now.Before(c.reservation.until) {
 		return nil
 	}
-	return c.waitingSteps[c.reservation.step]
+	if w := c.waitingSteps[c.reservation.step]; w != nil && !c.isAtLimit(w) {
+		return w
+	}
+	return nil
 }
 
 // mayTakeAdvisor reports whether no advisors are reserved for a step before this one in the order of placement.
--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -156,6 +156,10 @@
 	if now.Before(w.wait.unfitSince) {
 		return false
 	}
+	if c.isAtLimit(w) {
+		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
+		return false
+	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
 	if home >= wanted.Tasks && !w.waitsForOthers(now, usable.home) {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,6 +30,7 @@
 	runs runIndex
 	// accounts counts what the allocations of all sessions take of the limits of teams.
 	accounts *accountant.Accountant
+	quota    quota
 	// ordered has the sessions in the order of their servers' IDs; nil when it has to be made anew.
 	ordered []*session
 	// lastFences are the fencing tokens of servers that were removed from the list. A server that is listed again has
@@ -104,6 +105,7 @@
 		sessions:     make(map[specifier.ServerID]*session),
 		runs:         make(runIndex),
 		accounts:     accountant.New(),
+		quota:        newQuota(),
 		lastFences:   make(map[specifier.ServerID]int64),
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
@@ -194,6 +196,7 @@
 func (c *Conductor) addJob(restored *lifecycler.Job) *job {
 	j := &job{Job: restored, queue: restored.Spec.Queue, advice: make(map[specifier.StepID]*advice)}
 	j.updateQueue(&c.configuration)
+	c.updateWaves(j)
 	c.jobs[restored.Spec.ID] = j
 	if restored.Spec.Scheduled() && !restored.State().Final() {
 		c.scheduled[restored.Spec.ID] = j
@@ -244,6 +247,9 @@
 	c.replan = true
 	for _, j := range c.jobs {
 		j.updateQueue(&configuration)
+		if c.updateWaves(j) {
+			c.markStale(j)
+		}
 	}
 }
 
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -89,7 +89,7 @@
 	}
 	for service, h := range c.holds {
 		w := c.waitingSteps[h.step]
-		if w == nil || w.wait.since.IsZero() || w.wait.since.After(h.begunAt) {
+		if w == nil || w.wait.since.IsZero() || w.wait.since.After(h.begunAt) || c.isAtLimit(w) {
 			delete(c.holds, service)
 			continue
 		}
@@ -180,7 +180,8 @@
 func (c *Conductor) stepsToHoldFor(p *pass) []*waitingStep {
 	var steps []*waitingStep
 	for _, w := range c.waitingSteps {
-		if w.isOverdueFor(p.now, p.holdAfter(w.job.queue.Service), c.startedAt) && !p.now.Before(w.wait.holdNotBefore) && !c.hasHold(w) {
+		if w.isOverdueFor(p.now, p.holdAfter(w.job.queue.Service), c.startedAt) && !p.now.Before(w.wait.holdNotBefore) &&
+			!c.hasHold(w) && !c.isAtLimit(w) {
 			steps = append(steps, w)
 		}
 	}
@@ -220,7 +221,7 @@
 // hasBacklog reports whether steps of the service wait whose jobs can still meet their objective.
 func (c *Conductor) hasBacklog(now time.Time, service string) bool {
 	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) {
+		if w.job.queue.Service == service && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) && !c.isAtLimit(w) {
 			return true
 		}
 	}
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -34,6 +34,9 @@
 	trial *session
 	// suspectsNotBefore is the earliest time of the next start of the job's suspects.
 	suspectsNotBefore time.Time
+	// wavedPaths has the length of the critical path from the start of each step with the waves that the limit of the team makes; nil if
+	// there are none.
+	wavedPaths []time.Duration
 	// remains is set while the record of the finished job names runs that may still exist.
 	remains bool
 	// retainedSince is when this owner restored a job in a final state; zero for other jobs.
--- a/conductor/load.go
+++ b/conductor/load.go
@@ -23,7 +23,7 @@
 func (c *Conductor) hasBlockedStep(now time.Time, service string) bool {
 	servers := c.availableServers(now, service)
 	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), servers) {
+		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) && !c.isAtLimit(w) && !w.couldFit(w.job.adviceFor(w.step.ID), servers) {
 			return true
 		}
 	}
@@ -41,7 +41,7 @@
 	}
 	for _, w := range c.waitingSteps {
 		if w.job.queue.Service == service {
-			taken = taken.Plus(w.need().Times(len(w.waiting))).Min(maxWanted)
+			taken = taken.Plus(w.need().Times(c.startableTasks(w))).Min(maxWanted)
 		}
 	}
 	return max(percent(taken.MilliCores, capacity.MilliCores), percent(taken.MemoryMB, capacity.MemoryMB))
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -34,6 +34,7 @@
 	c.fullPassNotBefore = c.passRate.begin(now, len(c.waitingSteps)*len(c.sessions))
 	c.counted.Passes++
 	p := c.newPass(now)
+	c.chooseClaims(now)
 	c.findContended(p)
 	c.updateHolds(p)
 	for _, w := range c.inPlacementOrder(now) {
@@ -83,7 +84,7 @@
 	if p.now.Before(w.job.blockedUntil) {
 		return
 	}
-	if w.startable = c.startableTasks(w); w.startable < w.required() {
+	if !c.expectsQuota(p, w) {
 		return
 	}
 	if !p.mayStart(w) {
@@ -95,7 +96,7 @@
 	if advised && p.mayRequestAdvice(w) {
 		c.requestAdvice(p, w)
 	}
-	if !w.need().Fits(p.maxFree[service]) {
+	if w.startable < w.required() || !w.need().Fits(p.maxFree[service]) {
 		return
 	}
 	var candidates []*session
--- a/conductor/quota.go
+++ b/conductor/quota.go
@@ -1,16 +1,145 @@
 package conductor
 
+import (
+	"fmt"
+	"time"
+
+	"egretring.example/egretring/accountant"
+	"egretring.example/egretring/specifier"
+)
+
 // The limit of a team is checked where runs are reserved, and again when their starts are sent, because a newer configuration may
 // have lowered it. See docs/design/quota.md.
 
+const (
+	// outlookInterval is how often the expected ends of the runs of teams are collected from all sessions.
+	outlookInterval = 50 * time.Millisecond
+	// overrunShare divides the estimate of a run that has taken longer to get the time that it is expected to take still. Estimates are
+	// off by half and more.
+	overrunShare = 4
+	// stoppingTime is how long a run that is being stopped should last; the platform states 900 ms.
+	stoppingTime = time.Second
+	// atLimitInterval is the minimum time between two lines about the same team at its limit.
+	atLimitInterval = 10 * time.Second
+)
+
+// quota is what the owner knows beyond the counts of the accountant.
+type quota struct {
+	// claims are the gangs for which quota accumulates, by team.
+	claims map[string]*quotaClaim
+	// outlooks are the expected releases of each team since outlookPass last began.
+	outlooks    map[string]*accountant.Outlook
+	outlookPass throttle
+	// lineNotBefore is the earliest time of the next line about each team at its limit.
+	lineNotBefore map[string]time.Time
+}
+
+func newQuota() quota {
+	return quota{
+		claims: make(map[string]*quotaClaim), lineNotBefore: make(map[string]time.Time),
+		outlookPass: throttle{interval: outlookInterval},
+	}
+}
+
+// stepQuota is what the limit of its team permits a waiting step.
+type stepQuota struct {
+	// startable is how many of the waiting tasks may start, less those placed since, and expected how many should be allowed to start
+	// by the time at which advice could admit them.
+	startable, expected int
+}
+
 // isCounted reports whether the job of the step belongs to a team.
 func (w *waitingStep) isCounted() bool {
 	return w.job.Spec.Team != ""
 }
 
+// kept returns what is kept from the step for a gang of its team.
+func (c *Conductor) kept(w *waitingStep) specifier.Resources {
+	if claim := c.quota.claims[w.job.Spec.Team]; claim != nil && claim.holdsBack(w) {
+		return claim.need
+	}
+	return specifier.Resources{}
+}
+
 // startableTasks returns how many waiting tasks of the step the limit of its team permits.
 func (c *Conductor) startableTasks(w *waitingStep) int {
-	return c.accounts.Fits(w.job.Spec.Team, w.step.Spec.Need, len(w.waiting))
+	if !w.isCounted() {
+		return len(w.waiting)
+	}
+	return c.accounts.FitsBeside(w.job.Spec.Team, w.step.Spec.Need, c.kept(w), len(w.waiting))
+}
+
+// isAtLimit reports whether the step cannot start because of the limit of its team.
+func (c *Conductor) isAtLimit(w *waitingStep) bool {
+	return w.isCounted() && c.startableTasks(w) < w.required()
+}
+
+// expectsQuota updates what the limit of its team permits a step. It reports false when the step can neither start now nor by the time at
+// which advice that is requested now could admit it: advice calls for all steps of a team at its limit would occupy the advisors
+// and lead to no starts.
+func (c *Conductor) expectsQuota(p *pass, w *waitingStep) bool {
+	w.startable = c.startableTasks(w)
+	w.expected = w.startable
+	if w.startable >= w.required() {
+		return true
+	}
+	c.logAtLimit(p.now, w)
+	w.expected = c.expectedTasks(p.now, w)
+	return w.expected >= w.required()
+}
+
+// expectedTasks returns how many waiting tasks of the step should be permitted when an advice call ends that begins now. What runs of the
+// team release until then counts only for a gang from which no other step takes it.
+func (c *Conductor) expectedTasks(now time.Time, w *waitingStep) int {
+	team := w.job.Spec.Team
+	claim := c.quota.claims[team]
+	if claim == nil || claim.step != w.step.ID || !claim.late || !w.job.queue.Advice.Needed {
+		return w.startable
+	}
+	released := c.outlook(now, team).Within(w.adviceTime(adviceServers))
+	return c.accounts.FitsBeside(team, w.step.Spec.Need, specifier.Resources{}.Minus(released), len(w.waiting))
+}
+
+// outlook returns what the runs of a team are expected to release; nil if it has none.
+func (c *Conductor) outlook(now time.Time, team string) *accountant.Outlook {
+	if !c.quota.outlookPass.begin(now) {
+		return c.quota.outlooks[team]
+	}
+	c.quota.outlooks = make(map[string]*accountant.Outlook)
+	for _, s := range c.sessions {
+		for _, a := range s.allocations {
+			if a.team == "" {
+				continue
+			}
+			known := c.quota.outlooks[a.team]
+			if known == nil {
+				known = &accountant.Outlook{}
+				c.quota.outlooks[a.team] = known
+			}
+			if c.lasts(a) && !a.stopping {
+				known.AddLasting(a.charge)
+			} else {
+				known.Add(c.expectedRest(now, a), a.charge)
+			}
+		}
+	}
+	return c.quota.outlooks[team]
+}
+
+// expectedRest returns how long a run should still last.
+func (c *Conductor) expectedRest(now time.Time, a *allocation) time.Duration {
+	j := c.jobs[a.task.Job]
+	if a.stopping || j == nil || a.task.Step >= len(j.Spec.Steps) {
+		return stoppingTime
+	}
+	estimate := j.Spec.Steps[a.task.Step].Estimate
+	if a.startedAt.IsZero() {
+		return estimate
+	}
+	if rest := a.startedAt.Add(estimate).Sub(now); rest > 0 {
+		return rest
+	}
+	return estimate / overrunShare
 }
 
 // hasRuns reports whether a run of the waiting step exists, as one that was lost and has been found again. A gang that starts on its
@@ -23,3 +152,33 @@
 	}
 	return false
 }
+
+// logAtLimit logs that a team has reached its limit.
+func (c *Conductor) logAtLimit(now time.Time, w *waitingStep) {
+	if team := w.job.Spec.Team; !now.Before(c.quota.lineNotBefore[team]) {
+		c.quota.lineNotBefore[team] = now.Add(atLimitInterval)
+		c.logDecision("TeamAtLimit", w.step.ID.Task(w.waiting[0]), 0, "", c.quotaText(w))
+	}
+}
+
+// logQuotaWait logs that a step waits because of the limit of its team.
+func (c *Conductor) logQuotaWait(p *pass, w *waitingStep, waited time.Duration) {
+	c.logDecision("StepWaitsForQuota", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("after %s, due for %s: %s",
+		waited.Round(time.Millisecond), p.now.Sub(w.due).Round(time.Millisecond), c.quotaText(w)))
+}
+
+// quotaText describes why the step cannot start.
+func (c *Conductor) quotaText(w *waitingStep) string {
+	limit := c.accounts.Usage(w.job.Spec.Team).Limit
+	text := fmt.Sprintf("%s; %d tasks wait that need %s each, %d of them at once; configuration %d",
+		c.accounts.Usage(w.job.Spec.Team), len(w.waiting), accountant.Text(w.step.Spec.Need, limit), w.required(), c.configuration.Version)
+	if claim := c.quota.claims[w.job.Spec.Team]; claim != nil && claim.holdsBack(w) {
+		text += fmt.Sprintf("; %s is kept for the gang %s", accountant.Text(claim.need, limit), claim.step)
+	}
+	return text
+}
+
+// Quotas returns what the teams have running.
+func (c *Conductor) Quotas() []accountant.Usage {
+	return c.accounts.Usages()
+}
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -26,6 +26,10 @@
 	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
 	borrowsSince time.Time
 	nextAskAt    time.Time
+	// claims is set while quota of the team accumulates for the gang, enoughSince is since when it suffices, and claimNotBefore the
+	// earliest time of the next claim after one in which the gang did not start.
+	claims                      bool
+	enoughSince, claimNotBefore time.Time
 	// asked describes the last wish in the log.
 	asked string
 }
@@ -71,6 +75,10 @@
 		}
 		waited := p.now.Sub(w.wait.since)
 		w.wait.nextLineAt = p.now.Add(waited)
+		if c.isAtLimit(w) {
+			c.logQuotaWait(p, w, waited)
+			continue
+		}
 		c.logDecision("StepWaits", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("after %s, due for %s: %+v",
 			waited.Round(time.Millisecond), p.now.Sub(w.due).Round(time.Millisecond), c.waitFigures(p, w)))
 	}
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -26,9 +26,7 @@
 	// fresh is set until the first pass after the step began to wait, or got tickets.
 	fresh bool
 	wait  wait
-	// startable is how many of the waiting tasks the limit of the team permitted in the last pass over the step, less those placed
-	// since.
-	startable int
+	stepQuota
 }
 
 // urgent reports whether the step may be placed before a pass over all steps.
--- a/lifecycler/critical_path.go
+++ b/lifecycler/critical_path.go
@@ -7,12 +7,17 @@
 	"egretring.example/egretring/specifier"
 )
 
-// criticalPaths returns, for each step, the sum of the estimated run times along the critical path from its start. A step follows
-// earlier ones only.
+// criticalPaths returns, for each step, the sum of the estimated run times along the critical path from its start.
 func criticalPaths(steps []specifier.Step) []time.Duration {
+	return CriticalPaths(steps, func(step specifier.Step) time.Duration { return step.Estimate })
+}
+
+// CriticalPaths returns, for each step, the sum of the times of the steps along the critical path from its start. A step follows earlier
+// ones only.
+func CriticalPaths(steps []specifier.Step, timeOf func(specifier.Step) time.Duration) []time.Duration {
 	paths := make([]time.Duration, len(steps))
 	for i, step := range slices.Backward(steps) {
-		paths[i] += step.Estimate
+		paths[i] += timeOf(step)
 		for _, before := range step.After {
 			paths[before] = max(paths[before], paths[i])
 		}
