Refuse jobs that their team may never run, and show what teams run

Cause: a gang whose members together need more than the limit of its team, or a single such task, would wait for ever. Change: accountant.Check states need and limit; Coordinator.Submit refuses such a job as BadRequest on every instance. The owner sets gauges of what each team has running and of its limit once a second, and clears them at the end of its term.

--- a/accountant/check.go
+++ b/accountant/check.go
@@ -21,7 +21,7 @@
 		}
 		if need := step.Need.Times(tasks); isBeyond(need, team.MaxRunning) {
 			return classifier.New(classifier.BadRequest, "step %d: a %s needs %s; team %s may run %s at a time",
-				i, subject, Text(need, specifier.Resources{}), team.Name, Text(team.MaxRunning, team.MaxRunning))
+				i, subject, Text(need, team.MaxRunning), team.Name, Text(team.MaxRunning, team.MaxRunning))
 		}
 	}
 	return nil
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -18,6 +18,7 @@
 	"egretring.example/egretring/fakekeeper"
 	"egretring.example/egretring/follower"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/meter"
 	"egretring.example/egretring/specifier"
 	"egretring.example/egretring/tester"
 	"egretring.example/egretring/timekeeper"
@@ -47,11 +48,13 @@
 	servers   *fakeServers
 	mu        sync.Mutex
 	current   specifier.Configuration
+	// meter is that of all instances.
+	meter *meter.Meter
 }
 
 func newCell(t *testing.T, instances int, processors ...float64) *cell {
 	c := &cell{
-		t: t, store: fakekeeper.NewTransactional(), network: tester.NewNetwork(), servers: newFakeServers(),
+		t: t, store: fakekeeper.NewTransactional(), network: tester.NewNetwork(), servers: newFakeServers(), meter: meter.New(),
 		current: specifier.Configuration{Version: 1, Revision: 1, Queues: specifier.NewQueues(specifier.Queue{
 			Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second,
 			Advice: specifier.AdviceCost{Needed: true, Fixed: 20 * time.Millisecond},
@@ -72,7 +75,7 @@
 			coordinator.WithStore(store), coordinator.WithBackendServers(c.servers),
 			coordinator.WithDirectory(&directory{cell: c, store: store}),
 			coordinator.WithAdvice(c), coordinator.WithInstance(name, name), coordinator.WithDial(c.network.Dial),
-			coordinator.WithProcessors(share), coordinator.WithClock(clock), coordinator.WithConductor(conductor.WithFinalStateRetention(finalStateRetention)),
+			coordinator.WithProcessors(share), coordinator.WithMeter(c.meter), coordinator.WithClock(clock), coordinator.WithConductor(conductor.WithFinalStateRetention(finalStateRetention)),
 			coordinator.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 		require.NoError(t, err)
 		instance.Start()
--- a/coordinator/load_line.go
+++ b/coordinator/load_line.go
@@ -46,6 +46,7 @@
 	if line.beganAt.IsZero() {
 		return
 	}
+	o.recordQuotas()
 	load := o.stateMachine.TakeLoad(now)
 	if !load.Worked() {
 		return
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -35,6 +35,8 @@
 	recovered conductor.ServersListed
 	delay     maxDelay
 	load      loadLine
+	// counted are the teams that have had runs in this term.
+	counted map[string]bool
 }
 
 // queuedEvent is an event and the time at which it was posted.
@@ -49,7 +51,7 @@
 	o := &owner{
 		Coordinator: c, ownership: ownership, predecessors: term.Predecessors, first: term.First,
 		events: make(chan queuedEvent, eventQueueSize), queries: make(chan func(*conductor.Conductor)),
-		memberAddresses: make(map[string]string), done: ctx.Done(),
+		memberAddresses: make(map[string]string), done: ctx.Done(), counted: make(map[string]bool),
 	}
 	startedAt := c.settings.clock.Now()
 	for {
@@ -67,6 +69,7 @@
 		"RecoveryTime", c.settings.clock.Now().Sub(startedAt).String())
 	c.owner.Store(o)
 	defer c.owner.Store(nil)
+	defer o.clearQuotas()
 	go o.watchIntake(ctx)
 	go o.followServers(ctx)
 	go o.followMembers(ctx)
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/specifier"
 )
@@ -18,8 +19,11 @@
 
 // Submit accepts a job. The context's deadline is the time until which the caller waits. If the store does not serve this
 // instance, or takes long, the owner is requested to store the job, too. The store has one job for an ID, so that both may
-// succeed.
+// succeed. A job that its team may never run is refused.
 func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
+	if err := c.checkQuota(job); err != nil {
+		return err
+	}
 	job.AcceptedAt = c.settings.clock.Now()
 	own := c.storeJob(ctx, job)
 	defer own.cancel()
@@ -40,6 +44,16 @@
 	return own.combine(relayed)
 }
 
+// checkQuota checks a job by the newest configuration that this instance knows. Without one, the owner keeps a job that can never run
+// waiting.
+func (c *Coordinator) checkQuota(job specifier.Job) error {
+	configuration := c.configuration.Load()
+	if configuration == nil {
+		return nil
+	}
+	return accountant.Check(configuration.Teams, job)
+}
+
 // attempt is an attempt of this instance to store a job.
 type attempt struct {
 	result  chan error
