--- a/conductor/quota.go
+++ b/conductor/quota.go
@@ -155,7 +155,8 @@
 
 // logAtLimit logs that a team has reached its limit.
 func (c *Conductor) logAtLimit(now time.Time, w *waitingStep) {
-	if team := w.job.Spec.Team; !now.Before(c.quota.lineNotBefore[team]) {
+	team := w.job.Spec.Team
+	if !now.Before(c.quota.lineNotBefore[team]) && c.accounts.Fits(team, w.step.Spec.Need, len(w.waiting)) < w.required() {
 		c.quota.lineNotBefore[team] = now.Add(atLimitInterval)
 		c.logDecision("TeamAtLimit", w.step.ID.Task(w.waiting[0]), 0, "", c.quotaText(w))
 	}
