Check the keys of calls to queues that are not public

Cause: every call was served whatever its key, and jobs had no team. Unknown and missing keys are answered with 401 (kind Unauthorized, outcome NotRun). Without teams and without the contract no key is checked.

--- a/classifier/error_response.go
+++ b/classifier/error_response.go
@@ -50,6 +50,7 @@
 	NotFound:         {"NotFound", http.StatusNotFound, NotRun, false, 3},
 	StoreUnavailable: {"StoreUnavailable", http.StatusServiceUnavailable, Unknown, true, 4},
 	Forbidden:        {"Forbidden", http.StatusForbidden, NotRun, false, 7},
+	Unauthorized:     {"Unauthorized", http.StatusUnauthorized, NotRun, false, 7},
 }
 
 // ErrorResponseOf returns the response for an error kind.
--- a/classifier/kind.go
+++ b/classifier/kind.go
@@ -28,6 +28,7 @@
 	NotFound
 	StoreUnavailable
 	Forbidden
+	Unauthorized
 	kindCount
 )
 
--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -17,6 +17,7 @@
 	goji "goji.io"
 	"goji.io/pat"
 
+	"egretring.example/egretring/authorizer"
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/logger"
@@ -123,7 +124,9 @@
 	p.sharder = sharder.New(sharder.Options{
 		Store: userPlatform.Store, Directory: userPlatform.Directory, Instance: p.settings.Instance, Address: address,
 		Processors: p.settings.ProcessorsOfProcess(), Build: build, Logger: p.logger,
-		Meter: p.meter,
+		Meter: p.meter, Keys: sharder.Keys{Required: p.settings.RequiresKeys(), Bounds: authorizer.Bounds{
+			Revocation: p.settings.Revocation(), Configuration: p.settings.ConfigurationBound(),
+		}},
 	})
 	p.sharder.Start()
 	for address, handler := range p.handlers() {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -64,6 +64,11 @@
 	return f.latest.Await(ctx, seen)
 }
 
+// Latest returns the newest update with its sequence number, which is zero before the first one.
+func (f *Follower) Latest() (Update, uint64) {
+	return f.latest.Get()
+}
+
 // Run follows the configuration until the context ends. An older configuration never replaces a newer one.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/sharder/explain_test.go
+++ b/sharder/explain_test.go
@@ -174,7 +174,7 @@
 		c.mu.Unlock()
 		require.Equal(t, http.StatusOK, c.post(0, failedID))
 		time.Sleep(15 * time.Second)
-		state, known, err := c.instances[0].State(t.Context(), failedID)
+		state, known, err := c.instances[0].State(t.Context(), specifier.Caller{}, failedID)
 		require.NoError(t, err)
 		require.True(t, known)
 		require.Equal(t, specifier.Failed, state)
--- a/sharder/lending_test.go
+++ b/sharder/lending_test.go
@@ -39,7 +39,7 @@
 }
 
 func (c *cell) requireCompleted(id specifier.JobID) {
-	state, known, err := c.instances[len(c.instances)-1].State(c.t.Context(), id)
+	state, known, err := c.instances[len(c.instances)-1].State(c.t.Context(), specifier.Caller{}, id)
 	require.NoError(c.t, err)
 	require.True(c.t, known)
 	require.Equal(c.t, specifier.Completed, state, "job %s", id)
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -44,6 +44,8 @@
 	processors float64
 	build      Build
 	logger     *slog.Logger
+	meter      *meter.Meter
+	keys       Keys
 	tomb       tomb.Tomb
 	shards     atomic.Pointer[[]*coordinator.Coordinator]
 	draining   atomic.Bool
@@ -59,6 +61,7 @@
 	Address    string
 	Processors float64
 	Build      Build
+	Keys       Keys
 	Logger     *slog.Logger
 	Meter      *meter.Meter
 }
@@ -68,7 +71,7 @@
 	health := keeper.NewHealth(o.Logger)
 	s := &Sharder{
 		store: keeper.Monitor(o.Store, health), health: health, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
-		logger: o.Logger,
+		logger: o.Logger, meter: o.Meter, keys: o.Keys,
 	}
 	s.membership = coordinator.NewMembership(s.store, o.Instance, o.Address, o.Processors)
 	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter),
@@ -230,7 +233,7 @@
 }
 
 // Cancel cancels a job. It reports whether there is such a job.
-func (s *Sharder) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
+func (s *Sharder) Cancel(ctx context.Context, _ specifier.Caller, id specifier.JobID) (bool, error) {
 	shard, err := s.coordinatorOf(id)
 	if err != nil {
 		return false, err
@@ -239,7 +242,7 @@
 }
 
 // State returns the state of a job and reports whether there is such a job.
-func (s *Sharder) State(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
+func (s *Sharder) State(ctx context.Context, _ specifier.Caller, id specifier.JobID) (specifier.JobState, bool, error) {
 	shard, err := s.coordinatorOf(id)
 	if err != nil {
 		return specifier.Queued, false, err
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -196,12 +196,12 @@
 				require.NoError(t, c.submit(1, "late"))
 				time.Sleep(5 * time.Second)
 				for i := range jobs {
-					state, known, err := c.instances[1].State(t.Context(), specifier.JobID(fmt.Sprintf("%016x", i)))
+					state, known, err := c.instances[1].State(t.Context(), specifier.Caller{}, specifier.JobID(fmt.Sprintf("%016x", i)))
 					require.NoError(t, err)
 					require.True(t, known)
 					require.Equal(t, specifier.Completed, state, "job %d", i)
 				}
-				state, _, err := c.instances[1].State(t.Context(), "late")
+				state, _, err := c.instances[1].State(t.Context(), specifier.Caller{}, "late")
 				require.NoError(t, err)
 				require.Equal(t, specifier.Completed, state)
 				for task, starts := range c.starts {
@@ -247,7 +247,7 @@
 		time.Sleep(2 * time.Second)
 		require.NoError(t, c.submit(2, "a"))
 		time.Sleep(5 * time.Second)
-		state, known, err := c.instances[0].State(t.Context(), "a")
+		state, known, err := c.instances[0].State(t.Context(), specifier.Caller{}, "a")
 		require.NoError(t, err)
 		require.True(t, known)
 		require.Equal(t, specifier.Completed, state)
@@ -276,7 +276,7 @@
 		c.store.SetFaults(fakekeeper.Faults{Down: true})
 		time.Sleep(10 * time.Second)
 		require.Equal(t, classifier.NotReady, classifier.KindOf(c.submit(0, "a")))
-		_, _, err := c.instances[0].State(t.Context(), "a")
+		_, _, err := c.instances[0].State(t.Context(), specifier.Caller{}, "a")
 		require.Equal(t, classifier.NotReady, classifier.KindOf(err))
 		require.False(t, c.instances[0].Ready())
 		c.store.SetFaults(fakekeeper.Faults{})
