Prove how fresh the configuration is, and refuse keys without a proof

Cause: with strict revocation a revoked key must not work longer than a bound on any instance, also one that is cut off or that the store refuses; watches omit changes and are no proof. Change: with strict keys the follower keeps the start of the last read of the store that showed its configuration to be the newest. An owner reads the store once a second and passes its proof on with its age; other instances ask an owner once a second, the next owner when one fails or is silent for 0.3 s, and the store when no owner gives a proof that is fresh enough. Watches, reads and questions are independent of each other. Without strict keys the schedule is unchanged. The steady clock dates proofs. Keys are answered with 503 while the proof is too old.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -44,11 +44,12 @@
 type Freshness struct {
 	// Proven is false if that was never shown.
 	Proven bool
-	Age    time.Duration
+	// Age is negative only if the clock has stepped back, which makes the proof worthless.
+	Age time.Duration
 }
 
 func (f Freshness) within(age time.Duration) bool {
-	return f.Proven && f.Age <= age
+	return f.Proven && f.Age >= 0 && f.Age <= age
 }
 
 // Call is what of a call matters for the decision.
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -32,6 +32,7 @@
 		"unknown, at the bound":          {authorizer.Call{Key: "x"}, aged(2700 * time.Millisecond), strict, authorizer.UnknownKey, "", false},
 		"unknown, may be added":          {authorizer.Call{Key: "x"}, aged(2701 * time.Millisecond), strict, authorizer.NotFresh, "", false},
 		"unknown, after both bounds":     {authorizer.Call{Key: "x"}, aged(time.Minute), strict, authorizer.NotFresh, "", false},
+		"known, clock has stepped back":  {authorizer.Call{Key: "k"}, aged(-1), strict, authorizer.NotFresh, "", false},
 		"missing":                        {authorizer.Call{}, aged(0), strict, authorizer.UnknownKey, "", false},
 		"missing, after the bound":       {authorizer.Call{}, never, strict, authorizer.NotFresh, "", false},
 		"not strict, known":              {authorizer.Call{Key: "k"}, never, authorizer.Bounds{}, authorizer.Accepted, "a", false},
--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -124,7 +124,7 @@
 	p.sharder = sharder.New(sharder.Options{
 		Store: userPlatform.Store, Directory: userPlatform.Directory, Instance: p.settings.Instance, Address: address,
 		Processors: p.settings.ProcessorsOfProcess(), Build: build, Logger: p.logger,
-		Meter: p.meter, Keys: sharder.Keys{Required: p.settings.RequiresKeys(), Bounds: authorizer.Bounds{
+		Meter: p.meter, Clock: clock, Keys: sharder.Keys{Required: p.settings.RequiresKeys(), Bounds: authorizer.Bounds{
 			Revocation: p.settings.Revocation(), Configuration: p.settings.ConfigurationBound(),
 		}},
 	})
--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -42,25 +42,34 @@
 	Knows bool
 	// Data is encoded with follower.Encode; it is empty if there is no newer configuration.
 	Data []byte `json:",omitempty"`
+	// Revision, Proven and Age are those of the follower's answer where keys are strict.
+	Revision int64         `json:",omitempty"`
+	Proven   bool          `json:",omitempty"`
+	Age      time.Duration `json:",omitempty"`
 }
 
-// handleNewer responds only as the owner, so that instances do not wait for each other in a circle.
+// handleNewer responds only as the owner, so that instances do not wait for each other in a circle. A former owner with a proof
+// responds with it at once: instances that the store refuses do not learn of its successor, and the age shows what the proof is
+// worth.
 func (c *Coordinator) handleNewer(ctx context.Context, request newerRequest) (newerReply, error) {
 	if !c.IsOwner() {
-		return newerReply{}, nil
+		if !c.settings.configurations.IsStrict() {
+			return newerReply{}, nil
+		}
+		request.Wait = 0
 	}
-	data, err := c.settings.configurations.Newer(ctx, request.Known, request.Wait)
+	answer, err := c.settings.configurations.Answer(ctx, request.Known, request.Wait)
 	if errors.Is(err, follower.ErrNoPeer) {
 		return newerReply{}, nil
 	}
-	return newerReply{Knows: true, Data: data}, err
+	return newerReply{Knows: true, Data: answer.Data, Revision: answer.Revision, Proven: answer.Proven, Age: answer.Age}, err
 }
 
 // NewerConfiguration is a follower.Peer that asks the owner.
-func (c *Coordinator) NewerConfiguration(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+func (c *Coordinator) NewerConfiguration(ctx context.Context, known int64, wait time.Duration) (follower.Answer, error) {
 	current := c.elector.Current()
 	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance {
-		return nil, follower.ErrNoPeer
+		return follower.Answer{}, follower.ErrNoPeer
 	}
 	response, err := messenger.Call[newerRequest, newerReply](
 		ctx, c.configurationCalls, current.Owner.Address, methodNewer, newerRequest{Known: known, Wait: wait},
@@ -68,7 +77,7 @@
 	if err == nil && !response.Knows {
 		err = follower.ErrNoPeer
 	}
-	return response.Data, err
+	return follower.Answer{Data: response.Data, Revision: response.Revision, Proven: response.Proven, Age: response.Age}, err
 }
 
 func (c *Coordinator) configure(update follower.Update) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -32,7 +32,10 @@
 	meter  *meter.Meter
 	latest *buffer.Latest[Update]
 
-	// newest is the newest update. It and the fields below belong to the goroutine of Run.
+	// freshness is nil if no proof is kept. The fields below belong to the goroutine of Run without it, and are guarded by mu with it.
+	freshness *Freshness
+	mu        sync.Mutex
+	// newest is the newest update.
 	newest        Update
 	storeRevision int64
 	// readAt is when the configuration is read next, unless a change is noticed earlier.
@@ -45,6 +48,13 @@
 	peer          Peer
 	peerNotBefore time.Time
 
+	// provenAt is when newest was last shown to be the newest configuration; zero if never.
+	provenAt time.Time
+	// readFailing and watchFailing report whether the last read and the last watch failed.
+	readFailing, watchFailing bool
+	// reading holds an element while a read of the store is in flight.
+	reading chan struct{}
+
 	encodedMu       sync.Mutex
 	encodedRevision int64
 	encodedData     []byte
@@ -52,7 +62,9 @@
 
 // New returns a follower that does nothing until Run.
 func New(source Source, options ...Option) *Follower {
-	f := &Follower{source: source, logger: slog.Default(), meter: meter.New(), latest: buffer.NewLatest[Update]()}
+	f := &Follower{
+		source: source, logger: slog.Default(), meter: meter.New(), latest: buffer.NewLatest[Update](), reading: make(chan struct{}, 1),
+	}
 	for _, option := range options {
 		option(f)
 	}
@@ -64,13 +76,12 @@
 	return f.latest.Await(ctx, seen)
 }
 
-// Latest returns the newest update with its sequence number, which is zero before the first one.
-func (f *Follower) Latest() (Update, uint64) {
-	return f.latest.Get()
-}
-
 // Run follows the configuration until the context ends. An older configuration never replaces a newer one.
 func (f *Follower) Run(ctx context.Context) {
+	if f.freshness != nil {
+		f.runStrict(ctx)
+		return
+	}
 	for ctx.Err() == nil {
 		if time.Now().Before(f.readAt) {
 			f.await(ctx)
--- a/follower/peer.go
+++ b/follower/peer.go
@@ -28,12 +28,50 @@
 var ErrNoPeer = errors.New("no peer knows the newest configuration")
 
 // Peer asks another instance, which reads the store itself, for its configuration if that has a higher revision than the known
-// one. It returns the configuration encoded with Encode, or no data if there is none newer after the given time.
-type Peer func(ctx context.Context, known int64, wait time.Duration) ([]byte, error)
+// one. The answer has no data if there is none newer after the given time.
+type Peer func(ctx context.Context, known int64, wait time.Duration) (Answer, error)
 
-// Newer answers a peer: it waits for a configuration with a higher revision than the known one. Its error is ErrNoPeer if the
-// store did not serve this instance, or if the configuration is too large to send.
-func (f *Follower) Newer(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+// Answer answers a peer: it waits for a configuration with a higher revision than the known one. Without proofs, its error is
+// ErrNoPeer if the store did not serve this instance, or if the configuration is too large to send. With proofs, the age in the
+// answer shows what it is worth.
+func (f *Follower) Answer(ctx context.Context, known int64, wait time.Duration) (Answer, error) {
+	if f.freshness == nil {
+		data, err := f.newer(ctx, known, wait)
+		return Answer{Data: data}, err
+	}
+	f.awaitNewer(ctx, known, min(wait, peerWait))
+	proof := f.Proof()
+	if proof.Configuration == nil {
+		return Answer{}, ErrNoPeer
+	}
+	answer := Answer{Revision: proof.Configuration.Revision, Proven: !proof.At.IsZero()}
+	if proof.Configuration.Revision > known {
+		data, err := f.encoded(proof.Configuration)
+		if err != nil && !errors.Is(err, ErrNoPeer) {
+			return Answer{}, err
+		}
+		// A configuration that is too large to send has no data; its revision shows that it exists.
+		answer.Data = data
+	}
+	answer.Age = f.freshness.Clock.Now().Sub(proof.At)
+	return answer, nil
+}
+
+func (f *Follower) awaitNewer(ctx context.Context, known int64, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for wait > 0 {
+		update, sequence := f.latest.Get()
+		if update.Configuration != nil && update.Configuration.Revision > known {
+			return
+		}
+		if _, _, err := f.latest.Await(ctx, sequence); err != nil {
+			return
+		}
+	}
+}
+
+func (f *Follower) newer(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(wait, peerWait))
 	defer cancel()
 	var seen uint64
@@ -82,7 +120,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	data, err := f.peer(ctx, f.revision(), wait)
+	answer, err := f.peer(ctx, f.revision(), wait)
+	data := answer.Data
 	if errors.Is(err, ErrNoPeer) {
 		return Reading{}, false
 	}
--- a/follower/peer_test.go
+++ b/follower/peer_test.go
@@ -51,13 +51,13 @@
 	p := &pair{leaderSource: newSource(), source: newSource()}
 	logger := follower.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	leader := follower.New(p.leaderSource, logger)
-	p.follower = follower.New(p.source, logger, follower.WithPeer(func(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+	p.follower = follower.New(p.source, logger, follower.WithPeer(func(ctx context.Context, known int64, wait time.Duration) (follower.Answer, error) {
 		p.asked.Add(1)
 		if p.peerDown.Load() {
 			<-ctx.Done()
-			return nil, ctx.Err()
+			return follower.Answer{}, ctx.Err()
 		}
-		return leader.Newer(ctx, known, wait)
+		return leader.Answer(ctx, known, wait)
 	}))
 	go leader.Run(t.Context())
 	go p.follower.Run(t.Context())
--- a/follower/source.go
+++ b/follower/source.go
@@ -23,6 +23,8 @@
 	StoreRevision int64
 	// Bytes is the size of the configuration in the store.
 	Bytes int
+	// Outdated is set if the store has only a configuration with a lower revision than the known one.
+	Outdated bool
 	// DecodeTime is the part of the read that decoding took.
 	DecodeTime time.Duration
 }
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -15,6 +15,7 @@
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -46,9 +47,12 @@
 	logger     *slog.Logger
 	meter      *meter.Meter
 	keys       Keys
-	tomb       tomb.Tomb
-	shards     atomic.Pointer[[]*coordinator.Coordinator]
-	draining   atomic.Bool
+	// clock dates proofs of the configuration.
+	clock        timekeeper.Clock
+	freshnessLog freshnessLog
+	tomb         tomb.Tomb
+	shards       atomic.Pointer[[]*coordinator.Coordinator]
+	draining     atomic.Bool
 }
 
 // Options holds the dependencies and settings of a Sharder.
@@ -62,8 +66,10 @@
 	Processors float64
 	Build      Build
 	Keys       Keys
-	Logger     *slog.Logger
-	Meter      *meter.Meter
+	// Clock neither steps nor stops; nil is the wall clock.
+	Clock  timekeeper.Clock
+	Logger *slog.Logger
+	Meter  *meter.Meter
 }
 
 // New returns a Sharder that is not started.
@@ -71,20 +77,22 @@
 	health := keeper.NewHealth(o.Logger)
 	s := &Sharder{
 		store: keeper.Monitor(o.Store, health), health: health, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
-		logger: o.Logger, meter: o.Meter, keys: o.Keys,
+		logger: o.Logger, meter: o.Meter, keys: o.Keys, clock: o.Clock,
+	}
+	if s.clock == nil {
+		s.clock = timekeeper.WallClock{}
 	}
 	s.membership = coordinator.NewMembership(s.store, o.Instance, o.Address, o.Processors)
-	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter),
-		follower.WithPeer(s.newerConfiguration))
+	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter), s.followerOption())
 	return s
 }
 
 // newerConfiguration is a follower.Peer that asks the owner of a shard; the instances are spread over the shards. Owners read
 // the store themselves.
-func (s *Sharder) newerConfiguration(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+func (s *Sharder) newerConfiguration(ctx context.Context, known int64, wait time.Duration) (follower.Answer, error) {
 	shards := s.coordinators()
 	if len(shards) == 0 || s.IsOwner() {
-		return nil, follower.ErrNoPeer
+		return follower.Answer{}, follower.ErrNoPeer
 	}
 	return shards[hashOf(s.instance)%len(shards)].NewerConfiguration(ctx, known, wait)
 }
