Assign teams to shards, and answer calls about other teams' jobs as for unknown ones

Cause: the jobs of a team were spread over all shards by the hash of their IDs, so that no owner could count the team, and every caller could see, cancel and resubmit every job. Change: the stored layout assigns the teams of the configuration to shards, the largest weight first, each to the shard with the least weight; other teams go by the hash of the name, jobs without a team by that of the ID. Where keys are required, the layout waits for the first configuration within the time in which servers are counted. State and Cancel ask the team's shard first, then the others. Records have the team, as a final job has nothing else. A submission is stored only if the ID is free in all shards, and refused with kind Conflict if another team has it. Cells without teams keep their layout, transactions and calls.

--- a/coordinator/caller.go
+++ b/coordinator/caller.go
@@ -41,39 +41,46 @@
 	return nil
 }
 
-// Cancel cancels a job. It reports whether there is such a job.
-func (c *Coordinator) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
+// Cancel cancels a job. It reports whether the caller has such a job.
+func (c *Coordinator) Cancel(ctx context.Context, caller specifier.Caller, id specifier.JobID) (bool, error) {
 	if !c.intaker.Reachable() {
-		if response, tried, err := c.acceptThroughOwner(ctx, acceptRequest{Cancelled: id}); tried {
+		if response, tried, err := c.acceptThroughOwner(ctx, acceptRequest{Cancelled: id, Caller: caller}); tried {
 			return response.Known, err
 		}
 	}
-	return c.cancel(ctx, id)
+	return c.cancel(ctx, caller, id)
 }
 
-func (c *Coordinator) cancel(ctx context.Context, id specifier.JobID) (bool, error) {
-	known, err := c.intaker.Cancel(ctx, id)
+func (c *Coordinator) cancel(ctx context.Context, caller specifier.Caller, id specifier.JobID) (bool, error) {
+	known, err := c.intaker.Cancel(ctx, caller, id)
 	if err == nil && known {
 		go c.notifyOwner(takeRequest{Cancelled: id})
 	}
 	return known, err
 }
 
-// State returns the state of a job and reports whether there is such a job.
-func (c *Coordinator) State(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
-	if state, known := c.stateFromOwner(ctx, id); known {
-		return state, true, nil
+// State returns the state of a job and reports whether the caller has such a job.
+func (c *Coordinator) State(ctx context.Context, caller specifier.Caller, id specifier.JobID) (specifier.JobState, bool, error) {
+	found := c.stateFromOwner(ctx, id)
+	if !found.Known {
+		var err error
+		if found, err = c.storedState(ctx, id); err != nil {
+			return specifier.Queued, false, err
+		}
+	}
+	if !found.Known || !caller.Owns(found.Team) {
+		return specifier.Queued, false, nil
 	}
-	return c.storedState(ctx, id)
+	return found.State, true, nil
 }
 
-func (c *Coordinator) stateFromOwner(ctx context.Context, id specifier.JobID) (specifier.JobState, bool) {
+func (c *Coordinator) stateFromOwner(ctx context.Context, id specifier.JobID) jobStateReply {
 	if o := c.owner.Load(); o != nil {
 		return o.state(ctx, id)
 	}
 	current := c.elector.Current()
 	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance {
-		return specifier.Queued, false
+		return jobStateReply{}
 	}
 	response, err := messenger.Call[jobStateRequest, jobStateReply](
 		ctx, c.shortCalls, current.Owner.Address, methodJobState, jobStateRequest{Job: id},
@@ -81,46 +88,48 @@
 	if err != nil {
 		c.settings.logger.Warn("owner does not answer; the store is read", "Job", string(id),
 			"Owner", current.Owner.Instance, "Error", err.Error())
-		return specifier.Queued, false
+		return jobStateReply{}
 	}
-	return response.State, response.Known
+	return response
 }
 
 // storedState reads the state of a job from its record or its submission, for a job that the owner does not know or while
 // the owner cannot be queried.
-func (c *Coordinator) storedState(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
-	state, known, err := c.recordedState(ctx, id)
-	if err != nil || known {
-		return state, known, err
+func (c *Coordinator) storedState(ctx context.Context, id specifier.JobID) (jobStateReply, error) {
+	found, err := c.recordedState(ctx, id)
+	if err != nil || found.Known {
+		return found, err
 	}
 	submitted, err := c.settings.store.Get(ctx, intaker.JobKey(id))
 	if err != nil {
-		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
+		return jobStateReply{}, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
 	}
 	if submitted.Revision != 0 {
-		return specifier.Queued, true, nil
+		team, err := intaker.TeamOf(submitted.Value)
+		return jobStateReply{Known: err == nil, State: specifier.Queued, Team: team}, err
 	}
 	// The job may have finished between the two reads; its record has then replaced its submission.
 	return c.recordedState(ctx, id)
 }
 
 // recordedState reads the state of a job from its record, and reports whether the record exists.
-func (c *Coordinator) recordedState(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
+func (c *Coordinator) recordedState(ctx context.Context, id specifier.JobID) (jobStateReply, error) {
 	entry, err := c.settings.store.Get(ctx, intaker.StateKey(id))
 	if err != nil {
-		return specifier.Queued, false, classifier.Wrap(err, classifier.StoreUnavailable, "read state of job %s", id)
+		return jobStateReply{}, classifier.Wrap(err, classifier.StoreUnavailable, "read state of job %s", id)
 	}
 	if entry.Revision == 0 {
-		return specifier.Queued, false, nil
+		return jobStateReply{}, nil
 	}
 	record, err := lifecycler.DecodeRecord(entry.Value)
 	if err != nil {
-		return specifier.Queued, false, err
+		return jobStateReply{}, err
 	}
+	found := jobStateReply{Known: true, State: record.State, Team: record.Team}
 	if !record.State.Final() {
-		return specifier.Running, true, nil
+		found.State = specifier.Running
 	}
-	return record.State, true, nil
+	return found, nil
 }
 
 // Waiting returns the number of accepted jobs of a queue of which no task has started.
--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -226,7 +226,7 @@
 }
 
 func (c *cell) state(instance int, id specifier.JobID) specifier.JobState {
-	state, known, err := c.instances[instance].State(c.t.Context(), id)
+	state, known, err := c.instances[instance].State(c.t.Context(), specifier.Caller{Unchecked: true}, id)
 	require.NoError(c.t, err)
 	require.True(c.t, known, "job %s is not known", id)
 	return state
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -63,7 +63,7 @@
 	}
 	c := &Coordinator{
 		settings: s, ownMembership: ownMembership,
-		intaker:    intaker.New(s.store, s.logger, intaker.WithHealth(s.health)),
+		intaker:    intaker.New(s.store, s.logger, append(s.intake, intaker.WithHealth(s.health))...),
 		shortCalls: s.client(shortCallTimeout),
 		longCalls:  s.client(maxAdviceTime),
 
--- a/coordinator/option.go
+++ b/coordinator/option.go
@@ -6,6 +6,7 @@
 
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/follower"
+	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/messenger"
 	"egretring.example/egretring/meter"
@@ -77,6 +78,7 @@
 	logger         *slog.Logger
 	meter          *meter.Meter
 	conductor      []conductor.Option
+	intake         []intaker.Option
 	instance       string
 	// address is where other instances call this one.
 	address string
@@ -148,6 +150,11 @@
 	return func(s *settings) { s.conductor = append(s.conductor, options...) }
 }
 
+// WithIntake sets options of the intake of submissions.
+func WithIntake(options ...intaker.Option) Option {
+	return func(s *settings) { s.intake = append(s.intake, options...) }
+}
+
 // WithInstance sets the name of the instance and the address on which other instances call it.
 func WithInstance(name, address string) Option {
 	return func(s *settings) { s.instance, s.address = name, address }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -219,12 +219,15 @@
 	}
 }
 
-// state returns the state of a job that the state machine knows, and reports whether it knows the job.
-func (o *owner) state(ctx context.Context, id specifier.JobID) (specifier.JobState, bool) {
-	var state specifier.JobState
-	var known bool
-	if !o.query(ctx, func(stateMachine *conductor.Conductor) { state, known = stateMachine.State(id) }) {
-		return state, false
+// state returns the state of a job that the state machine knows.
+func (o *owner) state(ctx context.Context, id specifier.JobID) jobStateReply {
+	var found jobStateReply
+	answered := o.query(ctx, func(stateMachine *conductor.Conductor) {
+		found.State, found.Known = stateMachine.State(id)
+		found.Team = stateMachine.TeamOf(id)
+	})
+	if !answered {
+		return jobStateReply{}
 	}
-	return state, known
+	return found
 }
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -35,6 +35,8 @@
 type jobStateReply struct {
 	Known bool
 	State specifier.JobState
+	// Team is the team of the job; the instance that asks compares it with the caller's.
+	Team string `json:",omitempty"`
 }
 
 // waitingRequest queries the owner for the number of accepted jobs of a queue of which no task has started.
@@ -82,6 +84,8 @@
 type acceptRequest struct {
 	Job       *specifier.Job  `json:",omitempty"`
 	Cancelled specifier.JobID `json:",omitempty"`
+	// Caller is the caller of a cancellation.
+	Caller specifier.Caller `json:",omitzero"`
 	// Patience is the maximum remaining wait of the caller; clocks of instances may differ, so that no deadline can be
 	// sent.
 	Patience time.Duration
@@ -115,8 +119,7 @@
 	if o == nil {
 		return jobStateReply{}, nil
 	}
-	state, known := o.state(ctx, request.Job)
-	return jobStateReply{Known: known, State: state}, nil
+	return o.state(ctx, request.Job), nil
 }
 
 func (c *Coordinator) handleAccept(ctx context.Context, request acceptRequest) (acceptReply, error) {
@@ -130,7 +133,7 @@
 	case request.Job != nil:
 		err = c.accept(ctx, *request.Job)
 	default:
-		response.Known, err = c.cancel(ctx, request.Cancelled)
+		response.Known, err = c.cancel(ctx, request.Caller, request.Cancelled)
 	}
 	if err != nil {
 		response.Kind, response.Message = classifier.ErrorResponseOf(classifier.KindOf(err)).Name, err.Error()
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -38,7 +38,7 @@
 	o.stateMachine.Handle(now, stored.listed)
 	for id, record := range stored.records {
 		if record.State.Final() {
-			o.restore(specifier.Job{ID: id}, record)
+			o.restore(specifier.Job{ID: id, Team: record.Team}, record)
 		}
 	}
 	for _, entry := range stored.intake.Entries {
--- a/follower/strict_test.go
+++ b/follower/strict_test.go
@@ -275,6 +275,17 @@
 				}
 			},
 		},
+		"store answers after 3 s with what it had at the beginning, and no owner answers": {
+			fault: func(c *strictCell, on bool) {
+				c.owners[0].frozen.Store(on)
+				c.owners[1].frozen.Store(on)
+				c.entry.storeTime.Store(int64(4 * time.Millisecond))
+				if on {
+					c.entry.storeTime.Store(int64(3 * time.Second))
+				}
+			},
+			refusedAtMost: 7 * time.Second, refusedAtLeast: time.Second, uncertainAtMost: 9 * time.Second,
+		},
 		"clock of the instance steps forward": {
 			fault:         func(c *strictCell, _ bool) { c.entry.clock.shift.Add(int64(time.Minute)) },
 			refusedAtMost: 2100 * time.Millisecond, refusedAtLeast: 100 * time.Millisecond, uncertainAtMost: 2100 * time.Millisecond,
--- /dev/null
+++ b/intaker/batch.go
@@ -0,0 +1,78 @@
+package intaker
+
+import (
+	"time"
+
+	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/specifier"
+)
+
+// noteEntries records how many entries of a transaction a submission takes.
+func (i *Intaker) noteEntries(entries int) {
+	for {
+		known := i.largest.Load()
+		if int64(entries) <= known || i.largest.CompareAndSwap(known, int64(entries)) {
+			return
+		}
+	}
+}
+
+func transactionOf(batch []*submission) keeper.Transaction {
+	var transaction keeper.Transaction
+	seen := make(map[string]bool, len(batch))
+	for _, s := range batch {
+		key := JobKey(s.job.ID)
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		for _, absent := range s.keys {
+			transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: absent})
+		}
+		transaction.Writes = append(transaction.Writes, keeper.Write{Key: key, Value: s.value})
+	}
+	return transaction
+}
+
+// complete confirms a stored batch. Of several submissions with the same ID, the first one is stored.
+func (i *Intaker) complete(batch []*submission) {
+	teams := make(map[specifier.JobID]string, len(batch))
+	for _, s := range batch {
+		if _, known := teams[s.job.ID]; !known {
+			teams[s.job.ID] = s.job.Team
+		}
+		s.done <- i.resultOf(s.job, teams[s.job.ID])
+	}
+}
+
+// confirmStored confirms the submissions whose jobs are in the store, refuses those whose ID another team has, and returns the others.
+func (i *Intaker) confirmStored(batch []*submission, conflict *keeper.ConflictError) []*submission {
+	var remaining []*submission
+	for _, s := range batch {
+		entry, stored := s.storedAs(conflict)
+		switch {
+		case !stored:
+			remaining = append(remaining, s)
+		case !i.checksTeam(s.job):
+			s.done <- nil
+		default:
+			team, err := TeamOf(entry.Value)
+			if err == nil {
+				err = i.resultOf(s.job, team)
+			}
+			s.done <- err
+		}
+	}
+	return remaining
+}
+
+// withoutExpired drops the submissions whose callers no longer wait.
+func withoutExpired(batch []*submission) []*submission {
+	var remaining []*submission
+	for _, s := range batch {
+		if time.Now().Before(s.deadline) {
+			remaining = append(remaining, s)
+		}
+	}
+	return remaining
+}
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,8 +20,6 @@
 const (
 	// writers is the maximum number of concurrent transactions.
 	writers = 4
-	// batchSize bounds the jobs of a transaction; each takes two conditions and a write.
-	batchSize = keeper.MaxTransactionEntries / 3
 	// extraWriterAfter is how long a write may take before another one starts concurrently. Submissions that arrive
 	// until then share the next write, because each call to the store has a cost; a healthy store responds within ten
 	// milliseconds.
@@ -62,6 +61,11 @@
 	commitTimeout keeper.AdaptiveTimeout
 	// health may be shared with other users of the store.
 	health *keeper.Health
+	// others is nil unless jobs of teams may be in other shards.
+	others *OtherShards
+	// largest is the most entries of a transaction that a submission has taken. A larger one may follow unnoticed; the store then
+	// refuses the batch, and its submissions are written alone.
+	largest atomic.Int64
 }
 
 // Option configures an Intaker.
@@ -112,7 +116,8 @@
 	if !i.Reachable() && time.Until(deadline) > lastAttemptTime {
 		return i.refusal(job.ID, deadline)
 	}
-	s := &submission{job: job, value: value, deadline: deadline, done: make(chan error, 1)}
+	s := &submission{job: job, value: value, keys: i.keysOf(job), deadline: deadline, done: make(chan error, 1)}
+	i.noteEntries(s.entries())
 	if i.queue.Offer(s) != nil {
 		return classifier.New(classifier.QueueFull, "%d submissions wait for the store", submissionQueueSize)
 	}
@@ -155,14 +160,17 @@
 	return classifier.New(classifier.Overloaded, "store does not answer; job %s was not accepted", id).WithRetryAt(i.retryAt(deadline))
 }
 
-// Cancel stores the cancellation of a job. It reports whether there is such a job.
-func (i *Intaker) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
+// Cancel stores the cancellation of a job. It reports whether the caller has such a job.
+func (i *Intaker) Cancel(ctx context.Context, caller specifier.Caller, id specifier.JobID) (bool, error) {
 	entry, err := i.store.Get(ctx, JobKey(id))
 	if err != nil {
 		return false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", id)
 	}
 	if entry.Revision == 0 {
-		return i.hasRecord(ctx, id)
+		return i.hasRecord(ctx, caller, id)
+	}
+	if owned, err := owns(caller, entry.Value); !owned {
+		return false, err
 	}
 	for {
 		_, err = i.store.Commit(ctx, keeper.Transaction{Writes: []keeper.Write{{Key: CancelKey(id), Value: []byte("{}")}}})
@@ -177,13 +185,16 @@
 	}
 }
 
-// hasRecord reports whether there is a record of a job. A finished job has one although its submission is deleted.
-func (i *Intaker) hasRecord(ctx context.Context, id specifier.JobID) (bool, error) {
+// hasRecord reports whether there is a record of a caller's job. A finished job has one although its submission is deleted.
+func (i *Intaker) hasRecord(ctx context.Context, caller specifier.Caller, id specifier.JobID) (bool, error) {
 	entry, err := i.store.Get(ctx, StateKey(id))
 	if err != nil {
 		return false, classifier.Wrap(err, classifier.StoreUnavailable, "read state of job %s", id)
 	}
-	return entry.Revision != 0, nil
+	if entry.Revision == 0 {
+		return false, nil
+	}
+	return owns(caller, entry.Value)
 }
 
 // Reachable reports whether the store serves this instance: it is false once calls have been refused, or have got no
@@ -259,14 +270,16 @@
 // were not withdrawn.
 func (i *Intaker) gather(first *submission) []*submission {
 	var batch []*submission
+	entries := 0
 	if first.claim() {
-		batch = append(batch, first)
+		batch, entries = append(batch, first), first.entries()
 	}
-	for len(batch) < batchSize {
+	// There is room for the next submission whatever its size.
+	for entries+int(i.largest.Load()) <= keeper.MaxTransactionEntries {
 		select {
 		case next := <-i.queue.Items():
 			if next.claim() {
-				batch = append(batch, next)
+				batch, entries = append(batch, next), entries+next.entries()
 			}
 		default:
 			return batch
@@ -287,10 +300,10 @@
 		var conflict *keeper.ConflictError
 		switch {
 		case err == nil:
-			complete(batch, nil)
+			i.complete(batch)
 			return
 		case errors.As(err, &conflict):
-			batch = confirmStored(batch, conflict)
+			batch = i.confirmStored(batch, conflict)
 			continue
 		case keeper.IsErrInvalid(err):
 			i.writeAlone(batch, err)
@@ -336,49 +349,3 @@
 	}
 	return remaining
 }
-
-func transactionOf(batch []*submission) keeper.Transaction {
-	var transaction keeper.Transaction
-	seen := make(map[string]bool, len(batch))
-	for _, s := range batch {
-		key := JobKey(s.job.ID)
-		if seen[key] {
-			continue
-		}
-		seen[key] = true
-		transaction.Conditions = append(transaction.Conditions,
-			keeper.Condition{Key: key}, keeper.Condition{Key: StateKey(s.job.ID)})
-		transaction.Writes = append(transaction.Writes, keeper.Write{Key: key, Value: s.value})
-	}
-	return transaction
-}
-
-func complete(batch []*submission, err error) {
-	for _, s := range batch {
-		s.done <- err
-	}
-}
-
-// confirmStored confirms the submissions whose jobs are in the store, and returns the others.
-func confirmStored(batch []*submission, conflict *keeper.ConflictError) []*submission {
-	var remaining []*submission
-	for _, s := range batch {
-		if conflict.EntryOf(JobKey(s.job.ID)).Revision != 0 || conflict.EntryOf(StateKey(s.job.ID)).Revision != 0 {
-			s.done <- nil
-			continue
-		}
-		remaining = append(remaining, s)
-	}
-	return remaining
-}
-
-// withoutExpired drops the submissions whose callers no longer wait.
-func withoutExpired(batch []*submission) []*submission {
-	var remaining []*submission
-	for _, s := range batch {
-		if time.Now().Before(s.deadline) {
-			remaining = append(remaining, s)
-		}
-	}
-	return remaining
-}
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"egretring.example/egretring/classifier"
@@ -158,12 +159,12 @@
 // TestCancel guards against confirming the cancellation of an unknown job, and against losing a cancellation.
 func TestCancel(t *testing.T) {
 	runWithIntaker(t, func(t *testing.T, store *fakekeeper.Transactional, subject *intaker.Intaker) {
-		known, err := subject.Cancel(t.Context(), "a")
+		known, err := subject.Cancel(t.Context(), specifier.Caller{Unchecked: true}, "a")
 		require.NoError(t, err)
 		require.False(t, known)
 		require.NoError(t, accept(t, subject, "a"))
 		store.SetFaults(fakekeeper.Faults{LoseWriteResponses: 1})
-		known, err = subject.Cancel(t.Context(), "a")
+		known, err = subject.Cancel(t.Context(), specifier.Caller{Unchecked: true}, "a")
 		require.NoError(t, err)
 		require.True(t, known)
 		require.Contains(t, store.Keys(intaker.Prefix), intaker.CancelKey("a"))
@@ -251,3 +252,119 @@
 	}
 	return err
 }
+
+// teamIntakers returns the intakers of two shards in one store, in which the keys of the second one have a prefix.
+func teamIntakers(store *fakekeeper.Transactional) [2]*intaker.Intaker {
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	return [2]*intaker.Intaker{
+		intaker.New(store, logger, intaker.WithOtherShards(intaker.OtherShards{
+			KeysOf: func(key string) []string { return []string{"other/" + key} }, Always: true,
+		})),
+		intaker.New(prefixed{store}, logger, intaker.WithOtherShards(intaker.OtherShards{
+			KeysOf: func(key string) []string { return []string{"!" + key} }, Always: true,
+		})),
+	}
+}
+
+// prefixed adds a prefix to the keys of transactions, except to those that begin with an exclamation mark.
+type prefixed struct{ *fakekeeper.Transactional }
+
+// Commit implements keeper.TransactionalStore.
+func (p prefixed) Commit(ctx context.Context, transaction keeper.Transaction) (int64, error) {
+	name := func(key string) string {
+		if own, marked := strings.CutPrefix(key, "!"); marked {
+			return own
+		}
+		return "other/" + key
+	}
+	for i := range transaction.Conditions {
+		transaction.Conditions[i].Key = name(transaction.Conditions[i].Key)
+	}
+	for i := range transaction.Writes {
+		transaction.Writes[i].Key = name(transaction.Writes[i].Key)
+	}
+	revision, err := p.Transactional.Commit(ctx, transaction)
+	var conflict *keeper.ConflictError
+	if errors.As(err, &conflict) {
+		for i, entry := range conflict.Current {
+			if own, found := strings.CutPrefix(entry.Key, "other/"); found {
+				conflict.Current[i].Key = own
+			} else {
+				conflict.Current[i].Key = "!" + entry.Key
+			}
+		}
+	}
+	return revision, err
+}
+
+// TestIDOfAnotherTeam guards against a submission with the ID of another team's job that is confirmed, that changes the job, or that
+// runs as a second job under the ID in the same or in another shard, also when both arrive together.
+func TestIDOfAnotherTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fakekeeper.NewTransactional()
+		shards := teamIntakers(store)
+		submit := func(shard int, id specifier.JobID, team string) error {
+			ctx, cancel := context.WithTimeout(t.Context(), callerTimeout)
+			defer cancel()
+			return shards[shard].Accept(ctx, specifier.Job{ID: id, Team: team})
+		}
+		require.NoError(t, submit(0, "a", "red"))
+		require.NoError(t, submit(0, "a", "red"))
+		for shard := range 2 {
+			for _, team := range []string{"blue", ""} {
+				err := submit(shard, "a", team)
+				require.Equal(t, classifier.Conflict, classifier.KindOf(err))
+				require.True(t, classifier.IsErrNotRun(err))
+			}
+		}
+		entry, err := store.Get(t.Context(), intaker.JobKey("a"))
+		require.NoError(t, err)
+		team, err := intaker.TeamOf(entry.Value)
+		require.NoError(t, err)
+		require.Equal(t, "red", team)
+		store.SetFaults(fakekeeper.Faults{Delay: 5 * time.Millisecond})
+		var group sync.WaitGroup
+		var refused [40]bool
+		for n := range refused {
+			group.Go(func() {
+				err := submit(n%2, specifier.JobID(fmt.Sprint("b", n/4)), []string{"red", "red", "blue", "blue"}[n%4])
+				require.True(t, err == nil || classifier.IsErrKind(err, classifier.Conflict), "%v", err)
+				refused[n] = err != nil
+			})
+		}
+		group.Wait()
+		require.Len(t, store.Keys("other/"+intaker.Prefix), 10-len(store.Keys(intaker.Prefix))+1)
+		for job := range len(refused) / 4 {
+			of := refused[4*job : 4*job+4]
+			require.Equal(t, of[0], of[1])
+			require.Equal(t, of[2], of[3])
+			require.NotEqual(t, of[0], of[2])
+		}
+		for _, shard := range shards {
+			require.NoError(t, shard.Close())
+		}
+	})
+}
+
+// TestCancelOfAnotherTeam guards against a team that cancels, or learns of, a job of another one, also after it is final.
+func TestCancelOfAnotherTeam(t *testing.T) {
+	runWithIntaker(t, func(t *testing.T, store *fakekeeper.Transactional, subject *intaker.Intaker) {
+		for _, key := range []string{intaker.JobKey("a"), intaker.StateKey("b")} {
+			_, err := store.Commit(t.Context(), keeper.Transaction{Writes: []keeper.Write{{Key: key, Value: []byte(`{"Team":"red"}`)}}})
+			require.NoError(t, err)
+		}
+		for _, id := range []specifier.JobID{"a", "b"} {
+			for _, caller := range []specifier.Caller{{Team: "blue"}, {}} {
+				known, err := subject.Cancel(t.Context(), caller, id)
+				require.NoError(t, err)
+				require.False(t, known)
+			}
+		}
+		require.Empty(t, store.Keys(intaker.CancelKey("")))
+		for _, caller := range []specifier.Caller{{Team: "red"}, {Unchecked: true}} {
+			known, err := subject.Cancel(t.Context(), caller, "a")
+			require.NoError(t, err)
+			require.True(t, known)
+		}
+	})
+}
--- a/intaker/submission.go
+++ b/intaker/submission.go
@@ -11,6 +11,8 @@
 type submission struct {
 	job   specifier.Job
 	value []byte
+	// keys must not exist: those of the job and of its record, in all shards in which the ID may be in use.
+	keys []string
 	// deadline is when the caller stops waiting.
 	deadline time.Time
 	done     chan error
@@ -18,6 +20,11 @@
 	taken atomic.Bool
 }
 
+// entries returns how many entries of a transaction the submission takes.
+func (s *submission) entries() int {
+	return len(s.keys) + 1
+}
+
 // claim reports whether a writer may send the job to the store: the submission was not withdrawn.
 func (s *submission) claim() bool {
 	return s.taken.CompareAndSwap(false, true)
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -12,6 +12,8 @@
 // Record is the progress of a job as kept in the store.
 type Record struct {
 	State specifier.JobState
+	// Team is the team of the job. A final job has nothing but its record in the store.
+	Team string `json:",omitempty"`
 	// FinalAt is set with a final state.
 	FinalAt time.Time    `json:",omitzero"`
 	Steps   []StepRecord `json:",omitempty"`
@@ -44,7 +46,7 @@
 
 // Record returns the job's progress as a record.
 func (j *Job) Record() Record {
-	record := Record{State: j.state, FinalAt: j.finalAt}
+	record := Record{State: j.state, Team: j.Spec.Team, FinalAt: j.finalAt}
 	if j.startedTasks() > maxListedTasks {
 		record.Compact = j.compactRecord()
 		return record
--- a/sharder/layout.go
+++ b/sharder/layout.go
@@ -39,27 +39,35 @@
 // layout is the value of layoutKey.
 type layout struct {
 	Shards int
+	// Teams has the shards of the teams that were known when the layout was written; those of others follow from their names. A
+	// cell with one shard, or without teams, has none.
+	Teams []teamShard `json:",omitempty"`
 }
 
-// readLayout returns the stored number of shards, or zero when there is no layout yet.
-func readLayout(ctx context.Context, store keeper.TransactionalStore) (int, error) {
+// readLayout returns the stored layout; it has no shards when there is none yet.
+func readLayout(ctx context.Context, store keeper.TransactionalStore) (layout, error) {
 	entry, err := store.Get(ctx, layoutKey)
 	if err != nil || entry.Revision == 0 {
-		return 0, err
+		return layout{}, err
 	}
 	var known layout
 	if err := json.Unmarshal(entry.Value, &known); err != nil {
-		return 0, errors.Wrap(err, "decode layout")
+		return layout{}, errors.Wrap(err, "decode layout")
 	}
 	if known.Shards < 1 || known.Shards > maxShards {
-		return 0, errors.Errorf("layout has %d shards; 1 to %d are possible", known.Shards, maxShards)
+		return layout{}, errors.Errorf("layout has %d shards; 1 to %d are possible", known.Shards, maxShards)
 	}
-	return known.Shards, nil
+	for _, assigned := range known.Teams {
+		if assigned.Shard < 0 || assigned.Shard >= known.Shards {
+			return layout{}, errors.Errorf("layout assigns team %s to shard %d of %d", assigned.Team, assigned.Shard, known.Shards)
+		}
+	}
+	return known, nil
 }
 
-// writeLayout stores the number of shards unless another instance has done so.
-func writeLayout(ctx context.Context, store keeper.TransactionalStore, shards int) error {
-	value, err := json.Marshal(layout{Shards: shards})
+// writeLayout stores the layout unless another instance has done so.
+func writeLayout(ctx context.Context, store keeper.TransactionalStore, determined layout) error {
+	value, err := json.Marshal(determined)
 	if err != nil {
 		return errors.Wrap(err, "encode layout")
 	}
@@ -89,42 +97,50 @@
 	return c.stableCounts >= stableCountsNeeded || now.Sub(c.begunAt) >= maxCountTime
 }
 
-// awaitLayout returns the number of shards of the cell. It retries until the layout is in the store.
-func (s *Sharder) awaitLayout(ctx context.Context) (int, error) {
+// awaitLayout returns the layout of the cell. It retries until the layout is in the store.
+func (s *Sharder) awaitLayout(ctx context.Context) (layout, error) {
 	counter := serverCounter{begunAt: time.Now()}
 	for {
-		shards, err := s.tryLayout(ctx, &counter)
-		if shards > 0 {
-			return shards, nil
+		known, err := s.tryLayout(ctx, &counter)
+		if known.Shards > 0 {
+			return known, nil
 		}
 		if err != nil && !keeper.IsErrConflict(err) {
 			s.logger.Warn("failed to determine the shard layout; retrying", "Error", err.Error())
 		}
 		if !timekeeper.Sleep(ctx, layoutRetryInterval) {
-			return 0, ctx.Err()
+			return layout{}, ctx.Err()
 		}
 	}
 }
 
 // tryLayout reads the layout. If there is none, it counts the servers, and writes the layout once their number is final.
-func (s *Sharder) tryLayout(ctx context.Context, counter *serverCounter) (int, error) {
-	shards, err := readLayout(ctx, s.store)
-	if shards > 0 || err != nil {
-		return shards, err
+func (s *Sharder) tryLayout(ctx context.Context, counter *serverCounter) (layout, error) {
+	known, err := readLayout(ctx, s.store)
+	if known.Shards > 0 || err != nil {
+		return known, err
 	}
 	servers, err := s.directory.Servers(ctx)
 	if err != nil {
-		return 0, err
+		return layout{}, err
 	}
 	if !counter.observe(time.Now(), len(servers)) {
-		return 0, nil
+		return layout{}, nil
+	}
+	configuration := s.configurations.Proof().Configuration
+	if s.keys.Required && configuration == nil && time.Since(counter.begunAt) < maxCountTime {
+		return layout{}, nil
 	}
 	if counter.stableAt.IsZero() {
 		counter.stableAt = time.Now()
 	}
 	if time.Since(counter.stableAt) < layoutDelay(s.processors) {
-		return 0, nil
+		return layout{}, nil
+	}
+	determined := layout{Shards: ShardsFor(len(servers), s.processors)}
+	if configuration != nil && determined.Shards > 1 {
+		determined.Teams = assignTeams(configuration.Teams.All(), determined.Shards)
 	}
 	// The next attempt reads the layout back, also after a write without a response.
-	return 0, writeLayout(ctx, s.store, ShardsFor(len(servers), s.processors))
+	return layout{}, writeLayout(ctx, s.store, determined)
 }
--- a/sharder/shard.go
+++ b/sharder/shard.go
@@ -57,6 +57,17 @@
 	return shardStore{prefix: s.Prefix()}.storeKey(elector.OwnerKey)
 }
 
+// keysElsewhere returns the names, in the shard's store, that a key of the shard has in the other shards.
+func (s Shard) keysElsewhere(key string) []string {
+	var keys []string
+	for index := range s.Count {
+		if index != s.Index {
+			keys = append(keys, cellKeyPrefix+shardStore{prefix: s.withIndex(index).Prefix()}.storeKey(key))
+		}
+	}
+	return keys
+}
+
 // HasJob reports whether a job belongs to the shard.
 func (s Shard) HasJob(id specifier.JobID) bool {
 	return s.Index == jobShard(id, s.Count)
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -12,6 +12,7 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/follower"
+	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/specifier"
@@ -51,8 +52,10 @@
 	clock        timekeeper.Clock
 	freshnessLog freshnessLog
 	tomb         tomb.Tomb
-	shards       atomic.Pointer[[]*coordinator.Coordinator]
-	draining     atomic.Bool
+	// layout is set before shards.
+	layout   layout
+	shards   atomic.Pointer[[]*coordinator.Coordinator]
+	draining atomic.Bool
 }
 
 // Options holds the dependencies and settings of a Sharder.
@@ -108,19 +111,19 @@
 		return nil
 	})
 	s.tomb.Go(func() error {
-		count, err := s.awaitLayout(s.tomb.Context(context.Background()))
+		known, err := s.awaitLayout(s.tomb.Context(context.Background()))
 		if err != nil {
 			return nil
 		}
-		return s.join(count)
+		return s.join(known)
 	})
 }
 
 // join starts the coordinators of all shards.
-func (s *Sharder) join(count int) error {
+func (s *Sharder) join(known layout) error {
 	var shards []*coordinator.Coordinator
-	for i := range count {
-		shard := Shard{Index: i, Count: count}
+	for i := range known.Shards {
+		shard := Shard{Index: i, Count: known.Shards}
 		built, err := s.build(shard, s.optionsOf(shard)...)
 		if err != nil {
 			s.logger.Error("shard cannot be joined; the instance stays not ready", "Shard", i, "Error", err.Error())
@@ -128,6 +131,7 @@
 		}
 		shards = append(shards, built)
 	}
+	s.layout = known
 	s.shards.Store(&shards)
 	for _, shard := range shards {
 		shard.Start()
@@ -135,7 +139,11 @@
 			shard.Drain()
 		}
 	}
-	s.logger.Info("shards joined", "Shards", count)
+	attributes := []any{"Shards", known.Shards}
+	if len(known.Teams) > 0 {
+		attributes = append(attributes, "Teams", known.Teams)
+	}
+	s.logger.Info("shards joined", attributes...)
 	return nil
 }
 
@@ -144,6 +152,7 @@
 		coordinator.WithStore(shardStore{TransactionalStore: s.store, prefix: shard.Prefix()}),
 		coordinator.WithDirectory(s.directory), coordinator.WithConfigurations(s.configurations),
 		coordinator.WithHealth(s.health), coordinator.WithMembership(s.membership),
+		coordinator.WithIntake(intaker.WithOtherShards(intaker.OtherShards{KeysOf: shard.keysElsewhere, Always: s.keys.Required})),
 	}
 	if shard.Count == 1 {
 		return options
@@ -201,15 +210,6 @@
 	return nil
 }
 
-// coordinatorOf returns the coordinator of a job's shard. Its error is NotReady before the layout is known.
-func (s *Sharder) coordinatorOf(id specifier.JobID) (*coordinator.Coordinator, error) {
-	shards := s.coordinators()
-	if len(shards) == 0 {
-		return nil, errLayoutUnknown()
-	}
-	return shards[jobShard(id, len(shards))], nil
-}
-
 func errLayoutUnknown() error {
 	return classifier.New(classifier.NotReady, "the layout of the cell has not been read yet")
 }
@@ -233,29 +233,48 @@
 
 // Submit accepts a job; see coordinator.Coordinator.Submit.
 func (s *Sharder) Submit(ctx context.Context, job specifier.Job) error {
-	shard, err := s.coordinatorOf(job.ID)
-	if err != nil {
-		return err
+	shards := s.coordinators()
+	if len(shards) == 0 {
+		return errLayoutUnknown()
 	}
-	return shard.Submit(ctx, job)
+	return shards[s.layout.shardOf(job.Team, job.ID)].Submit(ctx, job)
 }
 
-// Cancel cancels a job. It reports whether there is such a job.
-func (s *Sharder) Cancel(ctx context.Context, _ specifier.Caller, id specifier.JobID) (bool, error) {
-	shard, err := s.coordinatorOf(id)
-	if err != nil {
-		return false, err
-	}
-	return shard.Cancel(ctx, id)
+// Cancel cancels a job. It reports whether the caller has such a job.
+func (s *Sharder) Cancel(ctx context.Context, caller specifier.Caller, id specifier.JobID) (bool, error) {
+	return s.find(caller, id, func(shard *coordinator.Coordinator) (bool, error) { return shard.Cancel(ctx, caller, id) })
 }
 
-// State returns the state of a job and reports whether there is such a job.
-func (s *Sharder) State(ctx context.Context, _ specifier.Caller, id specifier.JobID) (specifier.JobState, bool, error) {
-	shard, err := s.coordinatorOf(id)
-	if err != nil {
-		return specifier.Queued, false, err
+// find calls a function for the shards in which a caller's job may be, until one knows the job. An error counts only if no other
+// shard knows it.
+func (s *Sharder) find(
+	caller specifier.Caller, id specifier.JobID, try func(shard *coordinator.Coordinator) (bool, error),
+) (bool, error) {
+	shards := s.coordinators()
+	if len(shards) == 0 {
+		return false, errLayoutUnknown()
+	}
+	var firstErr error
+	for _, index := range s.layout.shardsFor(caller, id) {
+		known, err := try(shards[index])
+		if err == nil && known {
+			return true, nil
+		}
+		if firstErr == nil {
+			firstErr = err
+		}
 	}
-	return shard.State(ctx, id)
+	return false, firstErr
+}
+
+// State returns the state of a job and reports whether the caller has such a job.
+func (s *Sharder) State(ctx context.Context, caller specifier.Caller, id specifier.JobID) (specifier.JobState, bool, error) {
+	state := specifier.Queued
+	known, err := s.find(caller, id, func(shard *coordinator.Coordinator) (known bool, err error) {
+		state, known, err = shard.State(ctx, caller, id)
+		return known, err
+	})
+	return state, known, err
 }
 
 // Waiting returns the number of accepted jobs of a queue of which no task has started, in all shards.
--- a/sharder/sharder_test.go
+++ b/sharder/sharder_test.go
@@ -40,6 +40,11 @@
 	links     []*storeLink
 	instances []*sharder.Sharder
 	listed    []specifier.Server
+	// keys are those of the instances' settings.
+	keys sharder.Keys
+	// teams are those of the configuration, and revision is its revision; zero is no configuration.
+	teams    []specifier.Team
+	revision int64
 
 	logs    logBuffer
 	mu      sync.Mutex
@@ -52,7 +57,14 @@
 }
 
 func newCell(t *testing.T, instances, servers int) *cell {
+	return newCellWith(t, instances, servers, func(*cell) {})
+}
+
+// newCellWith returns a cell that is changed before its instances start.
+func newCellWith(t *testing.T, instances, servers int, setUp func(c *cell)) *cell {
 	c := &cell{
+		revision: 1,
+
 		t: t, store: fakekeeper.NewTransactional(), network: tester.NewNetwork(), servers: make(map[specifier.ServerID]*fakeServer),
 		starts: make(map[specifier.TaskID]int), acknowledged: make(map[specifier.TaskID]bool),
 	}
@@ -64,12 +76,13 @@
 		})
 		c.servers[id] = newFakeServer()
 	}
+	setUp(c)
 	for i := range instances {
 		link := c.link()
 		instance := sharder.New(sharder.Options{
 			Store: link, Directory: linkedDirectory{cell: c, link: link}, Instance: fmt.Sprintf("instance-%d", i), Build: c.builder(i),
 			Address: fmt.Sprintf("instance-%d:0", i), Processors: cellProcessors,
-			Logger: c.logger(i), Meter: meter.New(),
+			Logger: c.logger(i), Meter: meter.New(), Keys: c.keys,
 		})
 		instance.Start()
 		c.instances = append(c.instances, instance)
@@ -108,14 +121,20 @@
 func (c *cell) Configuration(ctx context.Context, known int64) (follower.Reading, error) {
 	page, err := c.store.List(ctx, "op")
 	reading := follower.Reading{StoreRevision: page.Revision}
-	if err != nil || known >= 1 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil || known >= c.revision {
 		return reading, err
 	}
 	queue := specifier.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}
 	advised := queue
 	advised.Name, advised.Prefix = "advised", "/advised/"
 	advised.Advice = specifier.AdviceCost{Needed: true, Fixed: 50 * time.Millisecond, TicketLife: ticketLife}
-	reading.Newer = &specifier.Configuration{Version: 1, Revision: 1, Queues: specifier.NewQueues(queue, advised)}
+	public := queue
+	public.Name, public.Prefix, public.Public = "public", "/public/", true
+	reading.Newer = &specifier.Configuration{
+		Version: c.revision, Revision: c.revision, Queues: specifier.NewQueues(queue, advised, public), Teams: specifier.NewTeams(c.teams...),
+	}
 	return reading, nil
 }
 
@@ -128,6 +147,13 @@
 	return follower.Change{StoreRevision: changes.Revision}, err
 }
 
+// configure changes the configuration.
+func (c *cell) configure(revision int64, teams ...specifier.Team) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision, c.teams = revision, teams
+}
+
 // Advise implements coordinator.AdviceService.
 func (c *cell) Advise(_ context.Context, _ specifier.StepID, servers []specifier.ServerID) (coordinator.Advice, error) {
 	time.Sleep(50 * time.Millisecond)
@@ -147,13 +173,18 @@
 }
 
 func (c *cell) submitSteps(instance int, prefix string, id specifier.JobID, steps ...specifier.Step) error {
+	return c.submitJob(instance, prefix, specifier.Job{ID: id, Steps: steps})
+}
+
+func (c *cell) submitJob(instance int, prefix string, job specifier.Job) error {
 	queue, err := c.instances[instance].Queue("h", prefix+"x")
 	if err != nil {
 		return err
 	}
+	job.Queue = queue
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
-	return c.instances[instance].Submit(ctx, specifier.Job{ID: id, Queue: queue, Steps: steps})
+	return c.instances[instance].Submit(ctx, job)
 }
 
 func (c *cell) stop() {
--- a/sharder/store.go
+++ b/sharder/store.go
@@ -12,6 +12,9 @@
 // rootPrefix is the prefix of all keys of this program.
 const rootPrefix = "egretring/"
 
+// cellKeyPrefix marks a key that is that of the cell, not of the shard.
+const cellKeyPrefix = "cell:"
+
 // shardStore maps the keys of a cell without shards to the keys of a shard, and back.
 type shardStore struct {
 	keeper.TransactionalStore
@@ -19,11 +22,19 @@
 }
 
 func (s shardStore) storeKey(key string) string {
+	if cellKey, marked := strings.CutPrefix(key, cellKeyPrefix); marked {
+		return cellKey
+	}
 	return s.prefix + strings.TrimPrefix(key, rootPrefix)
 }
 
 func (s shardStore) cellEntry(entry keeper.Entry) keeper.Entry {
-	entry.Key = rootPrefix + strings.TrimPrefix(entry.Key, s.prefix)
+	own, found := strings.CutPrefix(entry.Key, s.prefix)
+	if !found {
+		entry.Key = cellKeyPrefix + entry.Key
+		return entry
+	}
+	entry.Key = rootPrefix + own
 	return entry
 }
 
--- a/sharder/store_link_test.go
+++ b/sharder/store_link_test.go
@@ -16,8 +16,12 @@
 type storeLink struct {
 	keeper.TransactionalStore
 	cut atomic.Bool
+	// refusesConfiguration makes the reads and watches of the configuration fail.
+	refusesConfiguration atomic.Bool
 	// calls counts the reads, writes, renewals and watches, also those of the configuration.
 	calls atomic.Int64
+	// configurationReads counts the reads of the configuration that were served.
+	configurationReads atomic.Int64
 	// refusesTransfers makes the commits fail that transfer servers.
 	refusesTransfers atomic.Bool
 	// refusesTransferReads makes the reads of all transfers fail.
@@ -87,11 +91,18 @@
 // Configuration implements follower.Source.
 func (d linkedDirectory) Configuration(ctx context.Context, known int64) (follower.Reading, error) {
 	d.link.calls.Add(1)
+	if d.link.refusesConfiguration.Load() {
+		return follower.Reading{}, keeper.ErrUnavailable
+	}
+	d.link.configurationReads.Add(1)
 	return d.cell.Configuration(ctx, known)
 }
 
 // AwaitChange implements follower.Source.
 func (d linkedDirectory) AwaitChange(ctx context.Context, after int64, wait time.Duration) (follower.Change, error) {
 	d.link.calls.Add(1)
+	if d.link.refusesConfiguration.Load() {
+		return follower.Change{}, keeper.ErrUnavailable
+	}
 	return d.cell.AwaitChange(ctx, after, wait)
 }
