--- a/sharder/teams_test.go
+++ b/sharder/teams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -243,3 +244,30 @@
 		}
 	})
 }
+
+// TestRefusedKeyIsExplainedByLog guards against a call refused for its key whose cause cannot be found from its ID by the instructions in
+// docs/OPERATIONS.md.
+func TestRefusedKeyIsExplainedByLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCellWith(t, 1, 12, func(c *cell) { c.keys, c.teams = strictKeys, fourTeams })
+		defer c.stop()
+		time.Sleep(12 * time.Second)
+		require.Equal(t, http.StatusUnauthorized, c.post(0, refusedID))
+		lines := c.logs.search(t, refusedID)
+		require.Equal(t, "Unauthorized", lines[0].Kind)
+		require.Equal(t, "NotRun", lines[0].Outcome)
+		c.refuse(0)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, http.StatusServiceUnavailable, c.post(0, lateID))
+		lines = c.logs.search(t, lateID)
+		require.Equal(t, "NotReady", lines[0].Kind)
+		require.Contains(t, lines[0].Error, "could not be shown to be fresh: version 1 was last shown")
+		require.Len(t, c.logs.search(t, "configuration cannot be shown to be fresh; calls with keys are refused"), 1)
+		require.NotEmpty(t, c.logs.search(t, "configuration cannot be read"))
+		c.links[0].cut.Store(false)
+		c.links[0].refusesConfiguration.Store(false)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, classifier.Kind(-1), c.kindOf(0, "k-a"))
+		require.Len(t, c.logs.search(t, "configuration is shown to be fresh again"), 1)
+	})
+}
