Read the stored state without the data race of tomb.WithContext

Cause: tomb.WithContext starts a goroutine that kills the tomb when the parent context has ended, and adds a child without a lock; an owner whose term ends at once races. Change: the tomb derives its context itself. The reads end with the parent context as before.

--- a/coordinator/stored_state.go
+++ b/coordinator/stored_state.go
@@ -27,7 +27,9 @@
 // them and not by their sum. Since the election, only submissions and cancellations can be added.
 func (o *owner) readStored(ctx context.Context) (storedState, error) {
 	var stored storedState
-	reads, ctx := tomb.WithContext(ctx)
+	// tomb.WithContext has a data race when the context has ended already.
+	var reads tomb.Tomb
+	ctx = reads.Context(ctx)
 	reads.Go(func() error {
 		reads.Go(func() error { return o.readLanes(ctx) })
 		reads.Go(func() (err error) {
