Pause between reads of a store without a configuration

Cause: with strict keys an instance read a store that has no configuration every 60 ms. Change: only a failed first read is repeated after 60 ms. The instances of the tests start after all are made, and their questions end with the context.

--- a/follower/strict.go
+++ b/follower/strict.go
@@ -54,7 +54,7 @@
 		startedAt := time.Now()
 		f.round(ctx, &group, goal{provenAfter: f.freshness.Clock.Now().Add(-f.freshness.Enough)})
 		interval := proofInterval
-		if f.knownRevision() == 0 {
+		if f.firstReadFailed() {
 			interval = firstRetryInterval
 		}
 		timekeeper.Sleep(ctx, interval-time.Since(startedAt))
@@ -62,6 +62,12 @@
 	group.Wait()
 }
 
+func (f *Follower) firstReadFailed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision() == 0 && f.readFailing
+}
+
 // watchChanges gets changes as soon as a watch notices them. Watches are no proof: they may omit changes.
 func (f *Follower) watchChanges(ctx context.Context, group *sync.WaitGroup) {
 	// The first read needs no watch.
--- a/follower/strict_test.go
+++ b/follower/strict_test.go
@@ -129,7 +129,7 @@
 		<-ctx.Done()
 		return follower.Answer{}, ctx.Err()
 	}
-	time.Sleep(time.Millisecond)
+	timekeeper.Sleep(ctx, time.Millisecond)
 	return i.Answer(ctx, known, wait)
 }
 
@@ -150,10 +150,12 @@
 	entry  *strictInstance
 }
 
-func newStrictCell(t *testing.T) *strictCell {
+// newStrictCell starts the instances after a function has changed the cell.
+func newStrictCell(t *testing.T, setUp func(c *strictCell)) *strictCell {
 	store := &keyStore{changed: make(chan struct{})}
 	store.write()
 	c := &strictCell{store: store, entry: &strictInstance{store: store}, owners: [2]*strictInstance{{store: store}, {store: store}}}
+	setUp(c)
 	for n, i := range []*strictInstance{c.owners[0], c.owners[1], c.entry} {
 		var asks []follower.Peer
 		for _, owner := range c.owners {
@@ -167,7 +169,9 @@
 				Clock: &i.clock, Enough: follower.EnoughFor(strictBounds.MaxAgeOfRefusal()), Owners: func() []follower.Peer { return asks },
 				ReadsStore: func() bool { return n < 2 },
 			}))
-		// The rounds of the instances fall on different times.
+	}
+	// The rounds of the instances fall on different times.
+	for n, i := range []*strictInstance{c.owners[0], c.owners[1], c.entry} {
 		time.AfterFunc(time.Duration(n)*370*time.Millisecond, func() { i.Run(t.Context()) })
 	}
 	return c
@@ -296,7 +300,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				result := play(t, newStrictCell(t), k.fault)
+				result := play(t, newStrictCell(t, func(*strictCell) {}), k.fault)
 				t.Logf("%+v", result)
 				require.LessOrEqual(t, result.refusedFor, k.refusedAtMost)
 				require.GreaterOrEqual(t, result.refusedFor, k.refusedAtLeast)
@@ -313,7 +317,7 @@
 // second, and instances that do not read it when no owner answers.
 func TestStrictCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newStrictCell(t)
+		c := newStrictCell(t, func(*strictCell) {})
 		time.Sleep(10 * time.Second)
 		count := func() (owner, entry, asked int64) {
 			return c.owners[0].reads.Load(), c.entry.reads.Load(), c.owners[0].asked.Load()
@@ -330,3 +334,24 @@
 		require.InDelta(t, 60, c.entry.reads.Load()-entryLater, 1)
 	})
 }
+
+// TestStoreWithoutConfiguration guards against a store without a configuration that is read without a pause, a failed first read that is
+// not repeated soon, and a first configuration that is noticed late.
+func TestStoreWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStrictCell(t, func(c *strictCell) {
+			c.store.revision = 0
+			c.owners[0].refused.Store(true)
+		})
+		time.Sleep(time.Second)
+		require.Greater(t, c.owners[0].reads.Load(), int64(10))
+		c.owners[0].refused.Store(false)
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, c.entry.reads.Load(), int64(12))
+		c.store.write()
+		time.Sleep(100 * time.Millisecond)
+		for _, i := range []*strictInstance{c.owners[0], c.owners[1], c.entry} {
+			require.Equal(t, authorizer.Accepted, i.verdict("kept"))
+		}
+	})
+}
--- a/sharder/teams_test.go
+++ b/sharder/teams_test.go
@@ -271,3 +271,32 @@
 		require.Len(t, c.logs.search(t, "configuration is shown to be fresh again"), 1)
 	})
 }
+
+// TestKeysAreCheckedWhereTeamsAre guards against deployments without teams whose calls need keys, and against one whose contract
+// requires keys and that serves every call until it has teams.
+func TestKeysAreCheckedWhereTeamsAre(t *testing.T) {
+	for name, k := range map[string]struct {
+		keys   sharder.Keys
+		teams  []specifier.Team
+		caller specifier.Caller
+		kind   classifier.Kind
+	}{
+		"no teams":            {sharder.Keys{}, nil, specifier.Caller{Unchecked: true}, -1},
+		"required, no teams":  {sharder.Keys{Required: true}, nil, specifier.Caller{}, classifier.Unauthorized},
+		"teams, not required": {sharder.Keys{}, fourTeams, specifier.Caller{Team: "a"}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCellWith(t, 1, 12, func(c *cell) { c.keys, c.teams = k.keys, k.teams })
+				defer c.stop()
+				time.Sleep(8 * time.Second)
+				caller, err := c.instances[0].Authorize(specifier.Queue{}, "k-a")
+				require.Equal(t, k.caller, caller)
+				require.Equal(t, k.kind >= 0, err != nil)
+				if err != nil {
+					require.Equal(t, k.kind, classifier.KindOf(err))
+				}
+			})
+		})
+	}
+}
