--- a/coordinator/quota_test.go
+++ b/coordinator/quota_test.go
@@ -22,7 +22,7 @@
 			err := c.submitGang(i, specifier.JobID(rune('a'+i)), 5)
 			require.EqualError(t, err, "step 0: a gang of 5 needs 5000 millicores; team t may run 4000 millicores at a time")
 			require.True(t, classifier.IsErrKind(err, classifier.BadRequest))
-			_, known, err := c.instances[i].State(t.Context(), specifier.JobID(rune('a'+i)))
+			_, known, err := c.instances[i].State(t.Context(), specifier.Caller{Unchecked: true}, specifier.JobID(rune('a'+i)))
 			require.NoError(t, err)
 			require.False(t, known)
 			require.NoError(t, c.submitGang(i, specifier.JobID(rune('m'+i)), 4))
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -12,9 +12,11 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/follower"
+	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/meter"
 	"egretring.example/egretring/specifier"
+	"egretring.example/egretring/timekeeper"
 )
 
 const (
@@ -44,9 +46,16 @@
 	processors float64
 	build      Build
 	logger     *slog.Logger
-	tomb       tomb.Tomb
-	shards     atomic.Pointer[[]*coordinator.Coordinator]
-	draining   atomic.Bool
+	meter      *meter.Meter
+	keys       Keys
+	// clock dates proofs of the configuration.
+	clock        timekeeper.Clock
+	freshnessLog freshnessLog
+	tomb         tomb.Tomb
+	// layout is set before shards.
+	layout   layout
+	shards   atomic.Pointer[[]*coordinator.Coordinator]
+	draining atomic.Bool
 }
 
 // Options holds the dependencies and settings of a Sharder.
@@ -59,8 +68,11 @@
 	Address    string
 	Processors float64
 	Build      Build
-	Logger     *slog.Logger
-	Meter      *meter.Meter
+	Keys       Keys
+	// Clock neither steps nor stops; nil is the wall clock.
+	Clock  timekeeper.Clock
+	Logger *slog.Logger
+	Meter  *meter.Meter
 }
 
 // New returns a Sharder that is not started.
@@ -68,20 +80,22 @@
 	health := keeper.NewHealth(o.Logger)
 	s := &Sharder{
 		store: keeper.Monitor(o.Store, health), health: health, directory: o.Directory, instance: o.Instance, processors: o.Processors, build: o.Build,
-		logger: o.Logger,
+		logger: o.Logger, meter: o.Meter, keys: o.Keys, clock: o.Clock,
+	}
+	if s.clock == nil {
+		s.clock = timekeeper.WallClock{}
 	}
 	s.membership = coordinator.NewMembership(s.store, o.Instance, o.Address, o.Processors)
-	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter),
-		follower.WithPeer(s.newerConfiguration))
+	s.configurations = follower.New(o.Directory, follower.WithLogger(o.Logger), follower.WithMeter(o.Meter), s.followerOption())
 	return s
 }
 
 // newerConfiguration is a follower.Peer that asks the owner of a shard; the instances are spread over the shards. Owners read
 // the store themselves.
-func (s *Sharder) newerConfiguration(ctx context.Context, known int64, wait time.Duration) ([]byte, error) {
+func (s *Sharder) newerConfiguration(ctx context.Context, known int64, wait time.Duration) (follower.Answer, error) {
 	shards := s.coordinators()
 	if len(shards) == 0 || s.IsOwner() {
-		return nil, follower.ErrNoPeer
+		return follower.Answer{}, follower.ErrNoPeer
 	}
 	return shards[hashOf(s.instance)%len(shards)].NewerConfiguration(ctx, known, wait)
 }
@@ -97,19 +111,19 @@
 		return nil
 	})
 	s.tomb.Go(func() error {
-		count, err := s.awaitLayout(s.tomb.Context(context.Background()))
+		known, err := s.awaitLayout(s.tomb.Context(context.Background()))
 		if err != nil {
 			return nil
 		}
-		return s.join(count)
+		return s.join(known)
 	})
 }
 
 // join starts the coordinators of all shards.
-func (s *Sharder) join(count int) error {
+func (s *Sharder) join(known layout) error {
 	var shards []*coordinator.Coordinator
-	for i := range count {
-		shard := Shard{Index: i, Count: count}
+	for i := range known.Shards {
+		shard := Shard{Index: i, Count: known.Shards}
 		built, err := s.build(shard, s.optionsOf(shard)...)
 		if err != nil {
 			s.logger.Error("shard cannot be joined; the instance stays not ready", "Shard", i, "Error", err.Error())
@@ -117,6 +131,7 @@
 		}
 		shards = append(shards, built)
 	}
+	s.layout = known
 	s.shards.Store(&shards)
 	for _, shard := range shards {
 		shard.Start()
@@ -124,7 +139,11 @@
 			shard.Drain()
 		}
 	}
-	s.logger.Info("shards joined", "Shards", count)
+	attributes := []any{"Shards", known.Shards}
+	if len(known.Teams) > 0 {
+		attributes = append(attributes, "Teams", known.Teams)
+	}
+	s.logger.Info("shards joined", attributes...)
 	return nil
 }
 
@@ -133,6 +152,7 @@
 		coordinator.WithStore(shardStore{TransactionalStore: s.store, prefix: shard.Prefix()}),
 		coordinator.WithDirectory(s.directory), coordinator.WithConfigurations(s.configurations),
 		coordinator.WithHealth(s.health), coordinator.WithMembership(s.membership),
+		coordinator.WithIntake(intaker.WithOtherShards(intaker.OtherShards{KeysOf: shard.keysElsewhere, Always: s.keys.Required})),
 	}
 	if shard.Count == 1 {
 		return options
@@ -190,88 +210,10 @@
 	return nil
 }
 
-// coordinatorOf returns the coordinator of a job's shard. Its error is NotReady before the layout is known.
-func (s *Sharder) coordinatorOf(id specifier.JobID) (*coordinator.Coordinator, error) {
-	shards := s.coordinators()
-	if len(shards) == 0 {
-		return nil, errLayoutUnknown()
-	}
-	return shards[jobShard(id, len(shards))], nil
-}
-
 func errLayoutUnknown() error {
 	return classifier.New(classifier.NotReady, "the layout of the cell has not been read yet")
 }
 
-// Queue returns the queue of a host and path; see coordinator.Coordinator.Queue.
-func (s *Sharder) Queue(host, path string) (specifier.Queue, error) {
-	shards := s.coordinators()
-	if len(shards) == 0 {
-		return specifier.Queue{}, errLayoutUnknown()
-	}
-	return shards[0].Queue(host, path)
-}
-
-// MaxBodyBytes returns the configured limit of a request's body; zero means no limit.
-func (s *Sharder) MaxBodyBytes() int64 {
-	if shards := s.coordinators(); len(shards) > 0 {
-		return shards[0].MaxBodyBytes()
-	}
-	return 0
-}
-
-// MaxHeaderBytes returns the configured limit of a request's header; zero means no limit.
-func (s *Sharder) MaxHeaderBytes() int64 {
-	if shards := s.coordinators(); len(shards) > 0 {
-		return shards[0].MaxHeaderBytes()
-	}
-	return 0
-}
-
-// Submit accepts a job; see coordinator.Coordinator.Submit.
-func (s *Sharder) Submit(ctx context.Context, job specifier.Job) error {
-	shard, err := s.coordinatorOf(job.ID)
-	if err != nil {
-		return err
-	}
-	return shard.Submit(ctx, job)
-}
-
-// Cancel cancels a job. It reports whether there is such a job.
-func (s *Sharder) Cancel(ctx context.Context, id specifier.JobID) (bool, error) {
-	shard, err := s.coordinatorOf(id)
-	if err != nil {
-		return false, err
-	}
-	return shard.Cancel(ctx, id)
-}
-
-// State returns the state of a job and reports whether there is such a job.
-func (s *Sharder) State(ctx context.Context, id specifier.JobID) (specifier.JobState, bool, error) {
-	shard, err := s.coordinatorOf(id)
-	if err != nil {
-		return specifier.Queued, false, err
-	}
-	return shard.State(ctx, id)
-}
-
-// Waiting returns the number of accepted jobs of a queue of which no task has started, in all shards.
-func (s *Sharder) Waiting(ctx context.Context, queue specifier.Queue) (int, error) {
-	shards := s.coordinators()
-	if len(shards) == 0 {
-		return 0, errLayoutUnknown()
-	}
-	total := 0
-	for _, shard := range shards {
-		waiting, err := shard.Waiting(ctx, queue)
-		if err != nil {
-			return 0, err
-		}
-		total += waiting
-	}
-	return total, nil
-}
-
 // Ready reports whether callers should be sent to this instance.
 func (s *Sharder) Ready() bool {
 	shards := s.coordinators()
