Serve waiting steps of teams in fair order

Cause: the owner placed steps by tier, priority and latest start whatever their team, so that a flood of one team delayed the others.

Runs are charged when they are reserved; the charge is corrected at their end and taken back when they do not start. Jobs beyond the rate of their team yield in passes, are not placed between passes, leave a third of the advisors free, and do not delay holds of others. Each fourth hold goes to the oldest step of all, so that every step starts. Restored jobs are counted against the rates at their times of acceptance. The owner decides which share of a team's submissions to refuse (command Refuse).

--- a/adviser/pool.go
+++ b/adviser/pool.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// Len returns the number of advisors.
+func (p *Pool) Len() int {
+	return len(p.advisors)
+}
+
 // LongCalls returns how many long calls may be made at the same time.
 func (p *Pool) LongCalls() int {
 	reserved := min(max(p.shortCalls, p.previousShortCalls)+1, len(p.advisors)*maxReservedPercent/100)
--- a/arbiter/order.go
+++ b/arbiter/order.go
@@ -1,6 +1,10 @@
 package arbiter
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Order is the order of some waiting steps. The starts that are charged between two calls of Next take part in it.
 type Order[V any] struct {
@@ -34,10 +38,8 @@
 func Arrange[V any](a *Arbiter, ranks []*Rank[V], all bool) *Order[V] {
 	o := &Order[V]{arbiter: a, ranks: ranks}
 	for _, r := range ranks {
-		if r.Team != "" {
-			o.teams = true
-			break
-		}
+		r.class = r.classOf()
+		o.teams = o.teams || r.Team != ""
 	}
 	if !o.teams {
 		slices.SortFunc(ranks, compare[V])
@@ -52,8 +54,8 @@
 
 // compareWithTeams is compare with the services of a class kept together, because each has its virtual time.
 func compareWithTeams[V any](a, b *Rank[V]) int {
-	if order := compareClass(a, b); order != 0 {
-		return order
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
 	}
 	if a.Service != b.Service {
 		if a.Service < b.Service {
@@ -108,7 +110,7 @@
 	c.fills++
 	for o.position < len(o.ranks) {
 		r := o.ranks[o.position]
-		if r.Service != first.Service || compareClass(r, first) != 0 {
+		if r.Service != first.Service || r.class != first.class {
 			break
 		}
 		o.position++
@@ -151,7 +153,7 @@
 
 // Before reports whether a step is served before another one, with the tags as they are.
 func Before[V any](a, b *Rank[V]) bool {
-	if order := compareClass(a, b); order != 0 {
+	if order := cmp.Compare(a.classOf(), b.classOf()); order != 0 {
 		return order < 0
 	}
 	if a.flow != nil && b.flow != nil && a.flow.clock == b.flow.clock && a.flow.tag != b.flow.tag {
@@ -159,3 +161,12 @@
 	}
 	return compareWithin(a, b) < 0
 }
+
+// Ahead returns how far the team of a step was served ahead of the virtual time, in terms of its configured share of the service: after one
+// second ahead it is owed nothing for a second. It is negative for a team that is owed service, and zero without teams.
+func Ahead[V any](a *Arbiter, r *Rank[V]) time.Duration {
+	if r.flow == nil {
+		return 0
+	}
+	return time.Duration((r.flow.tag - r.flow.clock.now) / a.maxLag * float64(MaxCredit))
+}
--- a/arbiter/rank.go
+++ b/arbiter/rank.go
@@ -35,16 +35,25 @@
 	// LatestStart is when the step has to start for its job to meet its objective.
 	LatestStart time.Time
 
-	flow *flow
-	next *Rank[V]
+	// class is that of the last order with the step.
+	class int64
+	flow  *flow
+	next  *Rank[V]
 }
 
-// compareClass compares what precedes the order between teams.
-func compareClass[V any](a, b *Rank[V]) int {
-	if a.Tier != b.Tier || a.Beyond != b.Beyond {
-		return cmp.Or(compareBool(a.Tier == Worthless, b.Tier == Worthless), compareBool(a.Beyond, b.Beyond), cmp.Compare(a.Tier, b.Tier))
+// maxPriority bounds the number of a priority in the class of a step.
+const maxPriority = 1 << 48
+
+// classOf returns a number for what precedes the order between teams; lower ones are served first.
+func (r *Rank[V]) classOf() int64 {
+	class := int64(r.Tier)
+	if r.Beyond {
+		class += int64(Worthless)
+	}
+	if r.Tier == Worthless {
+		class += 2 * int64(Worthless)
 	}
-	return cmp.Compare(a.Priority, b.Priority)
+	return class*2*maxPriority + int64(min(max(r.Priority, -maxPriority+1), maxPriority-1))
 }
 
 // compareWithin compares two steps of a team and class. It compares IDs only when all else is equal, because a backlog is sorted in
@@ -59,20 +68,8 @@
 }
 
 func compare[V any](a, b *Rank[V]) int {
-	if order := compareClass(a, b); order != 0 {
-		return order
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
 	}
 	return compareWithin(a, b)
 }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/conductor/advisor_reservation.go
+++ b/conductor/advisor_reservation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/specifier"
 )
 
@@ -42,5 +43,5 @@
 
 // mayTakeAdvisor reports whether no advisors are reserved for a step before this one in the order of placement.
 func (p *pass) mayTakeAdvisor(w *waitingStep) bool {
-	return p.advisorsFor == nil || p.advisorsFor == w || compareWaitingSteps(w, p.advisorsFor) < 0
+	return p.advisorsFor == nil || p.advisorsFor == w || arbiter.Before(&w.rank, &p.advisorsFor.rank)
 }
--- a/conductor/command.go
+++ b/conductor/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/rater"
 	"egretring.example/egretring/specifier"
 )
 
@@ -76,6 +77,9 @@
 // Resign gives up the ownership of the cell.
 type Resign struct{ Reason string }
 
+// Refuse states the refusals of submissions that are in force from now on, instead of all earlier ones.
+type Refuse struct{ Refusals []rater.Refusal }
+
 // DeleteJobs deletes the keys of jobs whose final state has exceeded its retention.
 type DeleteJobs struct{ Jobs []specifier.JobID }
 
@@ -94,5 +98,6 @@
 func (Renew) command()      {}
 func (Advise) command()     {}
 func (Resign) command()     {}
+func (Refuse) command()     {}
 func (DeleteJobs) command() {}
 func (Decision) command()   {}
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -182,6 +182,7 @@
 		case r.version > j.Committed():
 			kept = append(kept, r)
 		case j.State().Final():
+			c.settleCharge(now, r.allocation, false)
 			r.session.release(r.task)
 		case r.session.isSilent():
 			// The server may be down, and carry out the order once it has restarted as another kind.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -85,6 +85,7 @@
 	reachableAt time.Time
 	resigned    bool
 
+	teams    teams
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -123,6 +124,7 @@
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
 		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
+	c.teams = newTeams()
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
@@ -164,8 +166,10 @@
 
 // Plan decides what to do next and returns all commands since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
+	c.rateRestored()
 	c.beginDue(now)
 	c.refreshStale()
+	c.decideRefusals(now)
 	c.place(now)
 	c.commit(now)
 	if c.sharded() {
@@ -207,9 +211,10 @@
 		c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "the job cannot run")
 		return
 	}
+	c.rate(j)
 	j.BeginDue(now)
 	c.markStale(j)
-	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
+	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", j.rateDetail())
 	if c.cancelledEarly[spec.ID] {
 		delete(c.cancelledEarly, spec.ID)
 		c.cancel(now, spec.ID)
@@ -235,6 +240,7 @@
 		return
 	}
 	c.configuration = configuration
+	c.teams.configure(configuration.Teams)
 	for _, j := range c.jobs {
 		j.updateQueue(&configuration)
 	}
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -6,7 +6,7 @@
 func (c *Conductor) placeGang(p *pass, w *waitingStep, servers []*session) bool {
 	chosen := c.chooseForGang(p, w, servers)
 	if chosen == nil {
-		if w.tier == onTime && p.mayHold(w) {
+		if w.tier == onTime && w.mayHoldInAdvance() && p.mayHold(w) {
 			c.holdCapacity(p, w, servers)
 		}
 		return false
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -119,6 +119,7 @@
 		if c.lacksAdvice(p, w) {
 			if _, asks := c.needsAdvice[service]; !asks {
 				c.needsAdvice[service] = adviceTurn{step: w.step.ID, expiresAt: p.now.Add(holdTimeout)}
+				c.teams.holds++
 			}
 			continue
 		}
@@ -128,6 +129,7 @@
 			continue
 		}
 		c.holds[service] = h
+		c.teams.holds++
 		c.hold(p, w, h.servers)
 		c.logDecision("HoldBegun", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("%d servers", len(h.servers)))
 	}
@@ -185,7 +187,7 @@
 		}
 	}
 	slices.SortFunc(steps, func(a, b *waitingStep) int {
-		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID), cmp.Compare(a.step.ID.Step, b.step.ID.Step))
+		return cmp.Or(c.compareForHold(a, b), a.due.Compare(b.due), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID), cmp.Compare(a.step.ID.Step, b.step.ID.Step))
 	})
 	return steps
 }
@@ -220,7 +222,7 @@
 // hasBacklog reports whether steps of the service wait whose jobs can still meet their objective.
 func (c *Conductor) hasBacklog(now time.Time, service string) bool {
 	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) {
+		if w.job.queue.Service == service && !w.job.beyondRate && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) {
 			return true
 		}
 	}
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -11,7 +11,9 @@
 type job struct {
 	*lifecycler.Job
 	queue specifier.Queue
-	dirty bool
+	// beyondRate is set while the job counts as sent beyond the rate of its team, and beyondStarted once a run of such a job was placed.
+	beyondRate, beyondStarted bool
+	dirty                     bool
 	// stale is set while the job's waiting steps are out of date.
 	stale    bool
 	inFlight bool
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -131,6 +131,7 @@
 
 // requeue releases the capacity of a run that is known not to run, and returns its task to the waiting tasks.
 func (c *Conductor) requeue(now time.Time, s *session, a *allocation) {
+	c.settleCharge(now, a, a.answered)
 	s.release(a.task)
 	j := c.jobs[a.task.Job]
 	if j == nil || j.State().Final() {
@@ -169,6 +170,7 @@
 		return
 	}
 	if a.state == reserved {
+		c.settleCharge(now, a, false)
 		s.release(a.task)
 		if j := c.jobs[a.task.Job]; j != nil {
 			j.Unplace(a.task, a.run)
--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -19,6 +19,8 @@
 	// call.
 	freeAdvisors int
 	freeForLong  int
+	// allAdvisors is the number of advisors, and longCalls how many long calls may be made at the same time.
+	allAdvisors, longCalls int
 	// advisorsFor is the step for which advisors are reserved, if there is one.
 	advisorsFor *waitingStep
 	// startsLeft is how many more starts may be in flight. Urgent steps may take it below zero.
@@ -46,6 +48,7 @@
 		held: make(map[holdKey]bool),
 	}
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
+	p.allAdvisors, p.longCalls = c.advisors.Len(), c.advisors.LongCalls()
 	p.advisorsFor = c.stepWithAdvisors(now)
 	// Most cells have one service, so that the map is read once for each group of its servers.
 	service, servers := "", []*session(nil)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -36,7 +37,10 @@
 	p := c.newPass(now)
 	c.findContended(p)
 	c.updateHolds(p)
-	for _, w := range c.inPlacementOrder(now) {
+	c.setTeamCapacity(p)
+	order := c.inPlacementOrder(now)
+	for r, ok := order.Next(); ok; r, ok = order.Next() {
+		w := r.Value
 		w.fresh = false
 		c.placeStep(p, w)
 	}
@@ -49,18 +53,18 @@
 
 // placeFresh is a pass over the fresh urgent steps. Servers stay held as in the last pass over all steps.
 func (c *Conductor) placeFresh(now time.Time) {
-	var fresh []*waitingStep
+	var fresh []*arbiter.Rank[*waitingStep]
 	for _, w := range c.waitingSteps {
 		if w.fresh && w.urgent() {
-			w.fresh, w.tier = false, w.tierAt(now)
-			fresh = append(fresh, w)
+			w.fresh = false
+			fresh = append(fresh, w.rankAt(now))
 		}
 	}
-	slices.SortFunc(fresh, compareWaitingSteps)
+	order := arbiter.Arrange(c.teams.arbiter, fresh, false)
 	c.counted.UrgentPasses++
 	p := c.newPass(now)
-	for _, w := range fresh {
-		c.placeStep(p, w)
+	for r, ok := order.Next(); ok; r, ok = order.Next() {
+		c.placeStep(p, r.Value)
 	}
 }
 
@@ -115,7 +119,7 @@
 
 // mayRequestAdvice reports whether advice may be requested for the step in this pass.
 func (p *pass) mayRequestAdvice(w *waitingStep) bool {
-	if p.freeAdvisors <= 0 || w.needsLongCall() && p.freeForLong <= 0 || !p.mayTakeAdvisor(w) {
+	if p.freeAdvisors <= 0 || w.needsLongCall() && p.freeForLong <= 0 || !p.mayTakeAdvisor(w) || !p.leavesAdvisors(w) {
 		return false
 	}
 	adv := w.job.adviceFor(w.step.ID)
@@ -242,6 +246,7 @@
 		},
 	}
 	s.add(a)
+	c.charge(w, a)
 	if w.isSuspect(index) {
 		a.protected = w.step.Tasks[index].CrashesOften()
 		s.trial = a
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -52,6 +52,7 @@
 	s.lastEndSeen = end.Number
 	a := s.allocations[end.Task]
 	if a != nil && a.run <= end.Run {
+		c.settleCharge(now, a, true)
 		s.release(end.Task)
 	}
 	j := c.jobs[end.Task.Job]
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/assessor"
 	"egretring.example/egretring/specifier"
 )
@@ -58,6 +59,8 @@
 	stopping   bool
 	stopSentAt time.Time
 	startedAt  time.Time
+	// charge is what the run has cost its team.
+	charge arbiter.Charge
 }
 
 // starting reports whether the start of the run has no result yet.
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -112,6 +112,8 @@
 	onAdvise func(conductor.Advise)
 	// onCommit is called with each commit, if it is set.
 	onCommit func(conductor.Commit)
+	// onRefuse is called with each command that states refusals, if it is set.
+	onRefuse func(conductor.Refuse)
 	// resignations counts the owners that resigned.
 	resignations int
 }
@@ -269,6 +271,10 @@
 		})
 	case conductor.Decision:
 		w.trace(epoch, c)
+	case conductor.Refuse:
+		if w.onRefuse != nil {
+			w.onRefuse(c)
+		}
 	case conductor.Borrow:
 		w.borrow(c)
 	case conductor.Move:
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -71,8 +71,8 @@
 		}
 		waited := p.now.Sub(w.wait.since)
 		w.wait.nextLineAt = p.now.Add(waited)
-		c.logDecision("StepWaits", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("after %s, due for %s: %+v",
-			waited.Round(time.Millisecond), p.now.Sub(w.due).Round(time.Millisecond), c.waitFigures(p, w)))
+		c.logDecision("StepWaits", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("after %s, due for %s: %+v%s",
+			waited.Round(time.Millisecond), p.now.Sub(w.due).Round(time.Millisecond), c.waitFigures(p, w), c.teamDetail(w)))
 	}
 }
 
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -1,10 +1,9 @@
 package conductor
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -23,26 +22,26 @@
 	// worthlessAt is when the result of the job stops having any value to its caller.
 	worthlessAt time.Time
 	tier        tier
+	// rank is the place of the step in the order of placement.
+	rank arbiter.Rank[*waitingStep]
 	// fresh is set until the first pass after the step began to wait, or got tickets.
 	fresh bool
 	wait  wait
 }
 
-// urgent reports whether the step may be placed before a pass over all steps.
+// urgent reports whether the step may be placed before a pass over all steps. Work beyond the rate of its team yields to all others.
 func (w *waitingStep) urgent() bool {
-	return w.job.queue.Priority == 0
+	return w.job.queue.Priority == 0 && !w.job.beyondRate
 }
 
-// tier groups waiting steps by the value that the result of their job still has for its caller.
-type tier int
+// tier groups waiting steps by the value that the result of their job still has for its caller. Jobs are worthless when they have
+// reached worthlessAfter times their objective.
+type tier = arbiter.Tier
 
 const (
-	// onTime jobs can still meet their objective.
-	onTime tier = iota
-	// overdue jobs have missed their objective.
-	overdue
-	// worthless jobs have reached worthlessAfter times their objective, so that their result has no value to the caller.
-	worthless
+	onTime    = arbiter.OnTime
+	overdue   = arbiter.Overdue
+	worthless = arbiter.Worthless
 )
 
 // worthlessAfter is the multiple of the objective after which a result has no value to the caller.
@@ -91,6 +90,7 @@
 			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)),
 			stepDue:     due.Add(j.CriticalPath() - j.RemainingTime(step.ID.Step)),
 		}
+		w.rank = w.newRank()
 		before := previous[step.ID]
 		w.fresh = before == nil || before.fresh
 		c.hasFresh = c.hasFresh || w.fresh && w.urgent()
@@ -131,33 +131,30 @@
 }
 
 // inPlacementOrder updates the tiers of the waiting steps and returns the steps in the order in which to place them.
-func (c *Conductor) inPlacementOrder(now time.Time) []*waitingStep {
-	waitingSteps := make([]*waitingStep, 0, len(c.waitingSteps))
+func (c *Conductor) inPlacementOrder(now time.Time) *arbiter.Order[*waitingStep] {
+	ranks := make([]*arbiter.Rank[*waitingStep], 0, len(c.waitingSteps))
 	for _, w := range c.waitingSteps {
-		w.tier = w.tierAt(now)
-		waitingSteps = append(waitingSteps, w)
+		ranks = append(ranks, w.rankAt(now))
 	}
-	slices.SortFunc(waitingSteps, compareWaitingSteps)
-	return waitingSteps
+	return arbiter.Arrange(c.teams.arbiter, ranks, true)
 }
 
-// compareWaitingSteps orders two waiting steps. It compares IDs only when all else is equal, because a backlog is
-// sorted in each pass.
-func compareWaitingSteps(a, b *waitingStep) int {
-	if a.tier != b.tier {
-		return cmp.Compare(a.tier, b.tier)
+// rankAt updates the tier of the step and returns its place in the order.
+func (w *waitingStep) rankAt(now time.Time) *arbiter.Rank[*waitingStep] {
+	w.tier = w.tierAt(now)
+	w.rank.Tier, w.rank.Beyond, w.rank.Priority = w.tier, w.job.beyondRate, w.job.queue.Priority
+	if w.rank.Service != w.job.queue.Service {
+		w.rank.Service = w.job.queue.Service
 	}
-	if a.job.queue.Priority != b.job.queue.Priority {
-		return cmp.Compare(a.job.queue.Priority, b.job.queue.Priority)
-	}
-	if order := a.latestStart.Compare(b.latestStart); order != 0 {
-		return order
+	return &w.rank
+}
+
+// newRank returns the place of a new waiting step in the order.
+func (w *waitingStep) newRank() arbiter.Rank[*waitingStep] {
+	return arbiter.Rank[*waitingStep]{
+		Value: w, Step: w.step.ID, Beyond: w.job.beyondRate, Priority: w.job.queue.Priority, Service: w.job.queue.Service,
+		Team: w.job.Spec.Team, LatestStart: w.latestStart,
 	}
-	return cmp.Or(
-		cmp.Compare(a.job.Spec.ID, b.job.Spec.ID),
-		cmp.Compare(a.step.ID.Step, b.step.ID.Step),
-		cmp.Compare(a.step.ID.Occurrence, b.step.ID.Occurrence),
-	)
 }
 
 // need returns the resources that a task of the step occupies.
