Refuse early what a team sends beyond its rate

Cause: submissions of a flood were stored although they could not be served in time.

Change: instances learn the refusals of the owner with the reply to NewerConfiguration and with that to the notification of each stored submission (Take), because they ask only one shard for configurations. A job that is stored already is not refused.

Result: TestFloodIsRefusedEarly (go test ./coordinator): more than 20 of 200 submissions of a flood are refused, none of them is known afterwards, none of the other team's is refused, one that returns at its time is accepted, all accepted ones run once, and none is refused after the flood.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -9,6 +9,7 @@
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/follower"
 	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/rater"
 )
 
 // followConfiguration uses each newer configuration of the follower until the context ends.
@@ -42,18 +43,21 @@
 	Knows bool
 	// Data is encoded with follower.Encode; it is empty if there is no newer configuration.
 	Data []byte `json:",omitempty"`
+	// Refusals are those of the owner for the teams of its shard.
+	Refusals []rater.Refusal `json:",omitempty"`
 }
 
 // handleNewer responds only as the owner, so that instances do not wait for each other in a circle.
 func (c *Coordinator) handleNewer(ctx context.Context, request newerRequest) (newerReply, error) {
-	if !c.IsOwner() {
+	o := c.owner.Load()
+	if !c.IsOwner() || o == nil {
 		return newerReply{}, nil
 	}
 	data, err := c.settings.configurations.Newer(ctx, request.Known, request.Wait)
 	if errors.Is(err, follower.ErrNoPeer) {
 		return newerReply{}, nil
 	}
-	return newerReply{Knows: true, Data: data}, err
+	return newerReply{Knows: true, Data: data, Refusals: o.currentRefusals()}, err
 }
 
 // NewerConfiguration is a follower.Peer that asks the owner.
@@ -68,6 +72,9 @@
 	if err == nil && !response.Knows {
 		err = follower.ErrNoPeer
 	}
+	if err == nil {
+		c.refusals.learnAll(c.settings.clock.Now(), response.Refusals)
+	}
 	return response.Data, err
 }
 
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -35,6 +35,8 @@
 		o.borrow(ctx, c)
 	case conductor.Resign:
 		o.elector.Resign(o.ownership.Epoch, c.Reason)
+	case conductor.Refuse:
+		o.refusals.Store(&statedRefusals{refusals: c.Refusals, at: o.settings.clock.Now()})
 	case conductor.Decision:
 		o.log(c)
 	}
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -33,8 +34,10 @@
 	intakeReadAt   time.Time
 	// recovered are the servers and transfers that were read after the election.
 	recovered conductor.ServersListed
-	delay     maxDelay
-	load      loadLine
+	// refusals are those of the last decision about them.
+	refusals atomic.Pointer[statedRefusals]
+	delay    maxDelay
+	load     loadLine
 }
 
 // queuedEvent is an event and the time at which it was posted.
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -9,6 +9,7 @@
 	"egretring.example/egretring/classifier"
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/rater"
 	"egretring.example/egretring/specifier"
 )
 
@@ -75,7 +76,11 @@
 	return conductor.JobCancelled{Job: r.Cancelled}
 }
 
-type takeReply struct{}
+type takeReply struct {
+	// Refusal is that of the team of a submitted job, if it has one. Instances that do not ask the owner of this shard for
+	// configurations learn it here.
+	Refusal *rater.Refusal `json:",omitempty"`
+}
 
 // acceptRequest requests that the owner stores a submission or cancellation for an instance that cannot reach the
 // store.
@@ -177,10 +182,16 @@
 }
 
 func (c *Coordinator) handleTake(_ context.Context, request takeRequest) (takeReply, error) {
-	if o := c.owner.Load(); o != nil {
-		o.post(request.event())
+	o := c.owner.Load()
+	if o == nil {
+		return takeReply{}, nil
+	}
+	o.post(request.event())
+	if request.Job == nil || request.Job.Team == "" {
+		return takeReply{}, nil
 	}
-	return takeReply{}, nil
+	refusal := o.refusalOf(request.Job.Team)
+	return takeReply{Refusal: &refusal}, nil
 }
 
 // notifyOwner notifies the owner of a stored submission or cancellation. A lost notification does no harm, because the
@@ -194,12 +205,16 @@
 	if current.Epoch == 0 || current.Owner.Instance == c.settings.instance {
 		return
 	}
-	_, err := messenger.Call[takeRequest, takeReply](
+	response, err := messenger.Call[takeRequest, takeReply](
 		context.Background(), c.shortCalls, current.Owner.Address, methodTake, request,
 	)
 	if err != nil {
 		c.settings.logger.Info("owner was not told; its watch finds the change", "Owner", current.Owner.Instance,
 			"Error", err.Error())
+		return
+	}
+	if response.Refusal != nil {
+		c.refusals.learn(c.settings.clock.Now(), *response.Refusal)
 	}
 }
 
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -20,6 +20,9 @@
 // instance, or takes long, the owner is requested to store the job, too. The store has one job for an ID, so that both may
 // succeed.
 func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
+	if err := c.checkRate(ctx, job); err != nil {
+		return err
+	}
 	job.AcceptedAt = c.settings.clock.Now()
 	own := c.storeJob(ctx, job)
 	defer own.cancel()
