Log jobs that come to count as within a rate, and measure a backlog of teams

Cause: nothing in the log showed when a job that arrived beyond the rate of its team came to count as within it, and the test of early refusal did not show that instances learn refusals with the configuration.

Change: decision JobWithinRate; BenchmarkBacklog with 20 teams; the test asks for the configuration on an instance that has sent nothing.

--- a/conductor/benchmark_test.go
+++ b/conductor/benchmark_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/specifier"
 )
 
 // load is the workload of a benchmark.
@@ -17,6 +20,8 @@
 	grantOneIn   int
 	grantsDiffer bool
 	job          func(w *simulation) jobOptions
+	// teams is the number of teams of the jobs.
+	teams int
 }
 
 func (l load) run(b *testing.B) {
@@ -27,8 +32,16 @@
 			w.advisors = append(w.advisors, fmt.Sprintf("advisor-%d", i))
 		}
 		w.elect()
+		var teams []specifier.Team
+		for i := range l.teams {
+			teams = append(teams, specifier.Team{Name: fmt.Sprint(i), Weight: 1})
+		}
+		w.deliver(w.owner().epoch, conductor.Configured{Configuration: specifier.Configuration{Revision: 1, Teams: specifier.NewTeams(teams...)}})
 		for i := range l.jobs {
 			job := newJob(i, l.job(w))
+			if l.teams > 0 {
+				job.Team = fmt.Sprint(i % l.teams)
+			}
 			job.ID += "x"
 			w.at(w.start.Add(time.Second+time.Duration(i)*l.interval), func() { w.submit(job) })
 		}
@@ -53,7 +66,13 @@
 // BenchmarkBacklog measures the Conductor over 20 s on a shard of 88 servers with nine advisors, with three kinds of
 // jobs that together need one and a half times the capacity.
 func BenchmarkBacklog(b *testing.B) {
-	load{servers: 88, jobs: 700, interval: 28 * time.Millisecond, advisors: 9, job: func(w *simulation) jobOptions {
+	for _, teams := range []int{0, 20} {
+		b.Run(fmt.Sprintf("%d teams", teams), func(b *testing.B) { backlog(teams).run(b) })
+	}
+}
+
+func backlog(teams int) load {
+	return load{servers: 88, jobs: 700, interval: 28 * time.Millisecond, advisors: 9, teams: teams, job: func(w *simulation) jobOptions {
 		switch kind := w.random.IntN(93); {
 		case kind < 6:
 			return jobOptions{Tasks: 1 + w.random.IntN(39), MilliCores: 18000, Seconds: 3 + 3*w.random.Float64(), Gang: true, Advice: true, Priority: 1, Attempts: 2}
@@ -62,5 +81,5 @@
 		default:
 			return jobOptions{Tasks: 1 + w.random.IntN(5), MilliCores: 9900, Seconds: 0.5 + w.random.Float64(), Gang: w.random.IntN(3) == 0, Advice: true, Attempts: 2}
 		}
-	}}.run(b)
+	}}
 }
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -200,6 +200,7 @@
 		}
 		j.beyondRate = false
 		c.markStale(j)
+		c.logDecision("JobWithinRate", specifier.TaskID{StepID: specifier.StepID{Job: j.Spec.ID}}, 0, "", "team "+team+" has sent less than its rate since")
 	}
 }
 
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -38,7 +38,7 @@
 		for i := range 200 {
 			time.Sleep(100 * time.Millisecond)
 			id := fmt.Sprintf("flood-%d", i)
-			err := c.submitAs(i%3, "flood", id)
+			err := c.submitAs(i%2, "flood", id)
 			if err == nil {
 				accepted = append(accepted, id)
 			} else {
@@ -49,9 +49,15 @@
 			if i%10 == 0 {
 				require.NoError(t, c.submitAs(i%3, "other", fmt.Sprintf("other-%d", i)))
 			}
-			for instance := range c.instances {
+			for instance := range 2 {
 				require.NoError(t, c.submitAs(instance, "flood", accepted[0]), "a job that is stored")
 			}
+			if len(refused) == 20 && err != nil {
+				// The last instance has sent no submission of the team, and learns the refusals with the configuration.
+				_, err := c.instances[2].NewerConfiguration(t.Context(), 2, 0)
+				require.NoError(t, err)
+				require.True(t, classifier.IsErrKind(c.submitAs(2, "flood", id), classifier.LimitReached))
+			}
 		}
 		require.Greater(t, len(refused), 20)
 		for _, id := range refused {
@@ -61,9 +67,6 @@
 				require.False(t, known)
 			}
 		}
-		// The configuration's reply has the same refusals as that to submissions.
-		_, err := c.instances[1].NewerConfiguration(t.Context(), 2, 0)
-		require.NoError(t, err)
 		last := refused[len(refused)-1]
 		time.Sleep(time.Until(retryAt[last]))
 		require.NoError(t, c.submitAs(0, "flood", last))
