Let steps within rates borrow servers first

Cause: 16 waiting steps borrow servers of other shards at a time, the oldest first; a flood could be all of them.

Change: steps within rates come before those beyond.

Result: go test ./conductor -run 'Borrow|Lend|Flood|Shards|Refusals' passes.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -78,7 +78,7 @@
 	}
 	// A backlog of steps that fit the shard would otherwise keep wider steps from borrowing.
 	slices.SortFunc(borrowing, func(a, b borrowingStep) int {
-		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareAge(a.wanted, b.wanted))
+		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareRate(a.step, b.step), compareAge(a.wanted, b.wanted))
 	})
 	for i, b := range borrowing {
 		if b.step.wait.borrows = i < maxBorrowingSteps; b.step.wait.borrows {
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -137,6 +137,11 @@
 	if c.teams.holds%holdsForAll == holdsForAll-1 {
 		return 0
 	}
+	return compareRate(a, b)
+}
+
+// compareRate orders steps within rates before those beyond.
+func compareRate(a, b *waitingStep) int {
 	return compareBool(!a.job.beyondRate, !b.job.beyondRate)
 }
 
