--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -184,6 +184,7 @@
 		case r.version > j.Committed():
 			kept = append(kept, r)
 		case j.State().Final():
+			c.settleCharge(now, r.allocation, false)
 			r.session.release(r.task)
 		case c.accounts.Exceeded(r.team):
 			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "the limit of the team was lowered: "+c.accounts.Usage(r.team).String())
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -89,6 +89,7 @@
 	reachableAt time.Time
 	resigned    bool
 
+	teams    teams
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -129,6 +130,7 @@
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
 		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
+	c.teams = newTeams()
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
@@ -171,8 +173,10 @@
 // Plan decides what to do next and returns all commands since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
 	c.replan = c.accounts.Advance(now) || c.replan
+	c.rateRestored()
 	c.beginDue(now)
 	c.refreshStale()
+	c.decideRefusals(now)
 	c.place(now)
 	c.commit(now)
 	if c.sharded() {
@@ -215,9 +219,10 @@
 		c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "the job cannot run")
 		return
 	}
+	c.rate(j)
 	j.BeginDue(now)
 	c.markStale(j)
-	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
+	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", j.rateDetail())
 	if c.cancelledEarly[spec.ID] {
 		delete(c.cancelledEarly, spec.ID)
 		c.cancel(now, spec.ID)
@@ -245,6 +250,7 @@
 	c.configuration = configuration
 	c.accounts.Configure(configuration.Teams)
 	c.replan = true
+	c.teams.configure(configuration.Teams)
 	for _, j := range c.jobs {
 		j.updateQueue(&configuration)
 		if c.updateWaves(j) {
--- a/conductor/quota.go
+++ b/conductor/quota.go
@@ -117,9 +117,9 @@
 				c.quota.outlooks[a.team] = known
 			}
 			if c.lasts(a) && !a.stopping {
-				known.AddLasting(a.charge)
+				known.AddLasting(a.counted)
 			} else {
-				known.Add(c.expectedRest(now, a), a.charge)
+				known.Add(c.expectedRest(now, a), a.counted)
 			}
 		}
 	}
--- a/conductor/quota_claim.go
+++ b/conductor/quota_claim.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/specifier"
 )
 
@@ -97,5 +98,5 @@
 	if first := w.hasWaitedFor(now, claimFirstAfter); first != other.hasWaitedFor(now, claimFirstAfter) {
 		return first
 	}
-	return compareWaitingSteps(w, other) < 0
+	return arbiter.Before(&w.rank, &other.rank)
 }
--- a/conductor/quota_day_test.go
+++ b/conductor/quota_day_test.go
@@ -17,7 +17,7 @@
 	urgentOf map[string][]specifier.Job
 }
 
-func newTeamDay(t *testing.T, limits map[string]int64) *teamDay {
+func newQuotaDay(t *testing.T, limits map[string]int64) *teamDay {
 	d := &teamDay{cellDay: newDay(t, 1, 1, 60, 20), urgentOf: make(map[string][]specifier.Job)}
 	d.traffic, d.grantOneIn, d.lengthOf = 20*time.Second, 3, lengthOf
 	d.configure(limits)
@@ -77,7 +77,7 @@
 		"all":             {gangs: 1, batch: 3, urgent: 15, least: 0.85, unused: 0.38},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newTeamDay(t, map[string]int64{"a": 300})
+			d := newQuotaDay(t, map[string]int64{"a": 300})
 			d.arrive(c.gangs, func() specifier.Job { return d.gangJob("a") })
 			d.arrive(c.batch, func() specifier.Job { return d.batchJob("a") })
 			d.arrive(c.urgent, func() specifier.Job { return d.urgentJob("a") })
@@ -95,7 +95,7 @@
 // takes from another team. Both teams run on a cell with enough capacity for both limits.
 func TestTeamAtLimitDelaysNoOther(t *testing.T) {
 	play := func(flood float64) (late float64, gangWait time.Duration) {
-		d := newTeamDay(t, map[string]int64{"a": 300, "b": 3000})
+		d := newQuotaDay(t, map[string]int64{"a": 300, "b": 3000})
 		d.arrive(15, func() specifier.Job { return d.urgentJob("b") })
 		d.arrive(1, func() specifier.Job { return d.gangJob("b") })
 		d.arrive(flood, func() specifier.Job { return d.gangJob("a") })
--- a/conductor/quota_test.go
+++ b/conductor/quota_test.go
@@ -115,7 +115,7 @@
 					id := specifier.TaskID{StepID: specifier.StepID{Job: "r"}, Index: number}
 					a := &allocation{task: id, state: confirmed, need: specifier.Resources{MilliCores: 100, MemoryMB: 1}}
 					if teams > 0 {
-						a.team, a.charge = fmt.Sprint(number%teams), specifier.Resources{MilliCores: 100}
+						a.team, a.counted = fmt.Sprint(number%teams), specifier.Resources{MilliCores: 100}
 					}
 					s.add(a)
 				}
--- a/conductor/remaining.go
+++ b/conductor/remaining.go
@@ -12,8 +12,8 @@
 // that the next owner counts them for their team although it no longer knows the steps of the job. The record is written again
 // when the last of them has ended.
 
-// chargeOf returns the team of a task and what a run of it takes of the team's limit. Without the job neither is known.
-func (c *Conductor) chargeOf(task specifier.TaskID) (string, specifier.Resources) {
+// countedOf returns the team of a task and what a run of it takes of the team's limit. Without the job neither is known.
+func (c *Conductor) countedOf(task specifier.TaskID) (string, specifier.Resources) {
 	j := c.jobs[task.Job]
 	if j == nil || task.Step >= len(j.Spec.Steps) {
 		return "", specifier.Resources{}
@@ -44,7 +44,7 @@
 				i = len(remaining.Runs)
 				groups[k] = i
 				remaining.Runs = append(remaining.Runs, lifecycler.RemainingRuns{
-					Server: s.id, Occurrence: a.task.Occurrence, Step: a.task.Step, Run: a.run, Need: a.charge,
+					Server: s.id, Occurrence: a.task.Occurrence, Step: a.task.Step, Run: a.run, Need: a.counted,
 				})
 			}
 			remaining.Team = a.team
@@ -81,7 +81,7 @@
 			}
 			a := &allocation{
 				task: id.Task(index), run: runs.Run, need: runs.Need, state: confirmed, startedAt: c.startedAt,
-				team: remaining.Team, charge: runs.Need, remaining: true,
+				team: remaining.Team, counted: runs.Need, remaining: true,
 			}
 			s.add(a)
 			a.stopping, s.stops = true, true
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -53,6 +53,7 @@
 	a := s.allocations[end.Task]
 	if a != nil && a.run <= end.Run {
 		a.mayStartUntil = time.Time{}
+		c.settleCharge(now, a, true)
 		s.release(end.Task)
 		c.rewriteSettled(end.Task.Job)
 	}
@@ -166,7 +167,7 @@
 		need = j.Spec.Steps[r.Task.Step].Occupies()
 	}
 	a := &allocation{task: r.Task, run: r.Run, need: need, state: confirmed, resolvedAt: now, fence: s.fence}
-	a.team, a.charge = c.chargeOf(r.Task)
+	a.team, a.counted = c.countedOf(r.Task)
 	s.add(a)
 	c.logDecision("OrphanStopped", r.Task, r.Run, s.server.ID, "")
 	c.stop(now, s, a)
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -19,7 +19,7 @@
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
-				team: j.Spec.Team, charge: step.Spec.Need,
+				team: j.Spec.Team, counted: step.Spec.Need,
 			})
 		}
 	}
@@ -40,6 +40,7 @@
 	}
 	c.restoreAllocations(j)
 	c.restoreDoubts(now, j)
+	c.rateLater(j)
 	j.BeginDue(now)
 	c.markStale(j)
 	c.logDecision("JobRestored", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "")
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"egretring.example/egretring/accountant"
+	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/assessor"
 	"egretring.example/egretring/specifier"
 )
@@ -29,9 +30,9 @@
 	run   int
 	need  specifier.Resources
 	state allocationState
-	// team is that of the job, and charge what the run takes of the team's limit: the whole need of the task.
-	team   string
-	charge specifier.Resources
+	// team is that of the job, and counted what the run takes of the team's limit: the whole need of the task.
+	team    string
+	counted specifier.Resources
 	// mayStartUntil is until when a start without a response may still be carried out; zero if there is none.
 	mayStartUntil time.Time
 	// remaining is set for a run of a job that had finished before this owner began.
@@ -66,6 +67,8 @@
 	stopping   bool
 	stopSentAt time.Time
 	startedAt  time.Time
+	// charge is what the run has cost its team.
+	charge arbiter.Charge
 }
 
 // starting reports whether the start of the run has no result yet.
@@ -177,9 +180,9 @@
 	if replaced := s.allocations[a.task]; replaced == nil {
 		s.runs.add(a.task.Job, s)
 	} else {
-		s.accounts.Release(replaced.team, replaced.charge)
+		s.accounts.Release(replaced.team, replaced.counted)
 	}
-	s.accounts.Take(a.team, a.charge)
+	s.accounts.Take(a.team, a.counted)
 	s.allocations[a.task] = a
 	s.used = s.used.Plus(a.need)
 	if a.starting() {
@@ -205,9 +208,9 @@
 	}
 	s.used = s.used.Minus(a.need)
 	if a.mayStartUntil.IsZero() {
-		s.accounts.Release(a.team, a.charge)
+		s.accounts.Release(a.team, a.counted)
 	} else {
-		s.accounts.ReleaseAt(a.team, a.charge, a.mayStartUntil)
+		s.accounts.ReleaseAt(a.team, a.counted, a.mayStartUntil)
 	}
 	if a.starting() {
 		s.starting--
--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -9,6 +9,7 @@
 	"egretring.example/egretring/conductor"
 	"egretring.example/egretring/follower"
 	"egretring.example/egretring/messenger"
+	"egretring.example/egretring/rater"
 )
 
 // followConfiguration uses each newer configuration of the follower until the context ends.
@@ -46,13 +47,16 @@
 	Revision int64         `json:",omitempty"`
 	Proven   bool          `json:",omitempty"`
 	Age      time.Duration `json:",omitempty"`
+	// Refusals are those of the owner for the teams of its shard.
+	Refusals []rater.Refusal `json:",omitempty"`
 }
 
 // handleNewer responds only as the owner, so that instances do not wait for each other in a circle. A former owner with a proof
 // responds with it at once: instances that the store refuses do not learn of its successor, and the age shows what the proof is
 // worth.
 func (c *Coordinator) handleNewer(ctx context.Context, request newerRequest) (newerReply, error) {
-	if !c.IsOwner() {
+	o := c.owner.Load()
+	if o == nil {
 		if !c.settings.configurations.IsStrict() {
 			return newerReply{}, nil
 		}
@@ -62,7 +66,11 @@
 	if errors.Is(err, follower.ErrNoPeer) {
 		return newerReply{}, nil
 	}
-	return newerReply{Knows: true, Data: answer.Data, Revision: answer.Revision, Proven: answer.Proven, Age: answer.Age}, err
+	reply := newerReply{Knows: true, Data: answer.Data, Revision: answer.Revision, Proven: answer.Proven, Age: answer.Age}
+	if o != nil {
+		reply.Refusals = o.currentRefusals()
+	}
+	return reply, err
 }
 
 // NewerConfiguration is a follower.Peer that asks the owner.
@@ -77,6 +85,9 @@
 	if err == nil && !response.Knows {
 		err = follower.ErrNoPeer
 	}
+	if err == nil {
+		c.refusals.learnAll(c.settings.clock.Now(), response.Refusals)
+	}
 	return follower.Answer{Data: response.Data, Revision: response.Revision, Proven: response.Proven, Age: response.Age}, err
 }
 
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -24,6 +24,9 @@
 	if err := c.checkQuota(job); err != nil {
 		return err
 	}
+	if err := c.checkRate(ctx, job); err != nil {
+		return err
+	}
 	job.AcceptedAt = c.settings.clock.Now()
 	own := c.storeJob(ctx, job)
 	defer own.cancel()
