Take tokens of a rate when a job starts

Cause: the token bucket counted jobs at their arrival, so that the jobs of a flooding team that found a token were served, also late, and others that were in time yielded. Change: the tokens of a team go to the first waiting jobs in the order within the team; a job takes its token at its first start within the rate. A start beyond the rate takes none. The bucket has room for a token of each waiting job beside the burst, so that a team that keeps its rate but cannot start is not beyond it. A successor begins with full buckets and counts restored jobs that have started as paid; the replay of arrivals is removed. TestTokensGoToJobsInTime and TestTokensAreKeptForWaitingJobs fail before.

--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -181,3 +181,30 @@
 		})
 	}
 }
+
+// TestTokensGoToJobsInTime guards against a team whose tokens are used for the jobs that arrived first although these are late, against a
+// job that needs a token for each step, and against a worthless job that is within the rate before one with a value.
+func TestTokensGoToJobsInTime(t *testing.T) {
+	steps := make([]*rank, 7)
+	for i := range steps {
+		steps[i] = newRank(0, i, 1)
+	}
+	steps[0].Tier, steps[1].Tier = arbiter.Worthless, arbiter.Overdue
+	steps[2].Paid = true
+	steps[4].Step.Job, steps[4].Step.Step = steps[3].Step.Job, 1
+	steps[5].Priority = 1
+	other := newRank(1, 9, 1)
+	arbiter.MarkBeyond(append(slices.Clone(steps), other), func(team string, waiting int) int {
+		if team == "1" {
+			return 1
+		}
+		require.Equal(t, 4, waiting)
+		return 2
+	})
+	var beyond []bool
+	for _, r := range steps {
+		beyond = append(beyond, r.Beyond)
+	}
+	require.Equal(t, []bool{true, true, false, false, false, true, false}, beyond)
+	require.False(t, other.Beyond)
+}
--- a/arbiter/rank.go
+++ b/arbiter/rank.go
@@ -25,8 +25,8 @@
 	Value V
 	Step  specifier.StepID
 	Tier  Tier
-	// Beyond is set for work that its team has sent beyond its rate.
-	Beyond bool
+	// Beyond is set for work beyond the rate of its team, by MarkBeyond. Paid is set once the job has taken a token of the rate.
+	Beyond, Paid bool
 	// Priority is that of the queue; zero is the highest.
 	Priority int
 	Service  string
--- a/arbiter/simulation_test.go
+++ b/arbiter/simulation_test.go
@@ -200,11 +200,10 @@
 			waiting[j] = true
 			if order == fair {
 				j.rank.Team = fmt.Sprint(j.team)
-				j.rank.Beyond = !rates.Arrive(time.Unix(0, 0).Add(j.accepted), j.rank.Team)
 			}
 		}
 		if free >= 3.5 {
-			free = pass(a, order, now, waiting, free, &runs)
+			free = pass(a, rates, order, now, waiting, free, &runs)
 		}
 	}
 	return jobs
@@ -229,7 +228,7 @@
 }
 
 // pass places what fits. Capacity is held for the first gang of each priority that does not fit, as conductor does.
-func pass(a *arbiter.Arbiter, order policy, now time.Duration, waiting map[*simJob]bool, free float64, runs *runHeap) float64 {
+func pass(a *arbiter.Arbiter, rates *rater.Rater, order policy, now time.Duration, waiting map[*simJob]bool, free float64, runs *runHeap) float64 {
 	ranks := make([]*arbiter.Rank[*simJob], 0, len(waiting))
 	for j := range waiting {
 		left := j.steps + 1
@@ -246,6 +245,7 @@
 		}
 		ranks = append(ranks, &j.rank)
 	}
+	arbiter.MarkBeyond(ranks, func(team string, waiting int) int { return rates.Tokens(time.Unix(0, int64(now)), team, waiting) })
 	held := 0.0
 	heldFor := math.MaxInt
 	o := arbiter.Arrange(a, ranks, true)
@@ -262,6 +262,10 @@
 			continue
 		}
 		for ; j.left > 0 && usable >= j.kind.cores; j.left-- {
+			if r.Team != "" && !r.Beyond && !r.Paid {
+				r.Paid = true
+				rates.Take(r.Team)
+			}
 			charge := arbiter.Start(a, r, specifier.Resources{MilliCores: int64(j.kind.cores * 1000)}, j.estimate)
 			took := j.runs[j.begun%len(j.runs)]
 			j.begun++
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -173,7 +173,6 @@
 // Plan decides what to do next and returns all commands since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
 	c.replan = c.accounts.Advance(now) || c.replan
-	c.rateRestored()
 	c.beginDue(now)
 	c.refreshStale()
 	c.decideRefusals(now)
@@ -219,10 +218,10 @@
 		c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "the job cannot run")
 		return
 	}
-	c.rate(j)
+	c.teams.rater.Arrive(spec.Team)
 	j.BeginDue(now)
 	c.markStale(j)
-	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", j.rateDetail())
+	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
 	if c.cancelledEarly[spec.ID] {
 		delete(c.cancelledEarly, spec.ID)
 		c.cancel(now, spec.ID)
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -223,7 +223,7 @@
 // hasBacklog reports whether steps of the service wait whose jobs can still meet their objective.
 func (c *Conductor) hasBacklog(now time.Time, service string) bool {
 	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && !w.job.beyondRate && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) && !c.isAtLimit(w) {
+		if w.job.queue.Service == service && !w.rank.Beyond && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) && !c.isAtLimit(w) {
 			return true
 		}
 	}
--- a/conductor/job.go
+++ b/conductor/job.go
@@ -11,9 +11,9 @@
 type job struct {
 	*lifecycler.Job
 	queue specifier.Queue
-	// beyondRate is set while the job counts as sent beyond the rate of its team, and beyondStarted once a run of such a job was placed.
-	beyondRate, beyondStarted bool
-	dirty                     bool
+	// paid is set once the job has taken a token of its team's rate, and begun once a run of it was placed.
+	paid, begun bool
+	dirty       bool
 	// stale is set while the job's waiting steps are out of date.
 	stale    bool
 	inFlight bool
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -35,6 +35,7 @@
 	c.fullPassNotBefore = c.passRate.begin(now, len(c.waitingSteps)*len(c.sessions))
 	c.counted.Passes++
 	p := c.newPass(now)
+	c.markBeyond(now)
 	c.chooseClaims(now)
 	c.findContended(p)
 	c.updateHolds(p)
@@ -54,6 +55,7 @@
 
 // placeFresh is a pass over the fresh urgent steps. Servers stay held as in the last pass over all steps.
 func (c *Conductor) placeFresh(now time.Time) {
+	c.markBeyond(now)
 	var fresh []*arbiter.Rank[*waitingStep]
 	for _, w := range c.waitingSteps {
 		if w.fresh && w.urgent() {
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -40,7 +40,7 @@
 	}
 	c.restoreAllocations(j)
 	c.restoreDoubts(now, j)
-	c.rateLater(j)
+	j.paid, j.begun = j.Started(), j.Started()
 	j.BeginDue(now)
 	c.markStale(j)
 	c.logDecision("JobRestored", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "")
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -1,9 +1,7 @@
 package conductor
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"egretring.example/egretring/arbiter"
@@ -27,8 +25,6 @@
 	rater   *rater.Rater
 	// configured is set when the configuration has teams.
 	configured bool
-	// unrated are restored jobs whose rate was not counted yet.
-	unrated []*job
 	// beyond is set while steps of jobs beyond the rate of their team may wait.
 	beyond bool
 	// started counts the jobs of each team beyond its rate that were started since the last decision about refusals.
@@ -54,49 +50,21 @@
 	t.rater.SetTeams(configured)
 }
 
-// rate counts a job against the rate of its team.
-func (c *Conductor) rate(j *job) {
-	if j.Spec.Team == "" {
-		return
-	}
-	c.rateRestored()
-	j.beyondRate = !c.teams.rater.Arrive(j.Spec.AcceptedAt, j.Spec.Team)
-	c.teams.beyond = c.teams.beyond || j.beyondRate
-}
-
-// rateLater notes a restored job for rateRestored.
-func (c *Conductor) rateLater(j *job) {
-	if j.Spec.Team != "" {
-		c.teams.unrated = append(c.teams.unrated, j)
-	}
-}
-
-// rateRestored counts the restored jobs against the rates, as if they had arrived when they were accepted. A backlog that a team has sent
-// beyond its rate therefore stays beyond it under a new owner. Jobs that have started count as within the rate.
-func (c *Conductor) rateRestored() {
-	if len(c.teams.unrated) == 0 || !c.teams.configured {
+// markBeyond finds the steps beyond the rates of their teams.
+func (c *Conductor) markBeyond(now time.Time) {
+	if !c.teams.configured {
 		return
 	}
-	unrated := c.teams.unrated
-	c.teams.unrated = nil
-	slices.SortFunc(unrated, func(a, b *job) int {
-		return cmp.Or(a.Spec.AcceptedAt.Compare(b.Spec.AcceptedAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
-	})
-	for _, j := range unrated {
-		within := c.teams.rater.Arrive(j.Spec.AcceptedAt, j.Spec.Team)
-		if !within && !j.Started() {
-			j.beyondRate, c.teams.beyond = true, true
-			c.markStale(j)
+	var ranks []*arbiter.Rank[*waitingStep]
+	for _, w := range c.waitingSteps {
+		if w.job.Spec.Team != "" {
+			ranks = append(ranks, w.rankAt(now))
 		}
 	}
-}
-
-// rateDetail describes the rate of the job's team for the log.
-func (j *job) rateDetail() string {
-	if !j.beyondRate {
-		return ""
+	arbiter.MarkBeyond(ranks, func(team string, waiting int) int { return c.teams.rater.Tokens(now, team, waiting) })
+	for _, r := range ranks {
+		c.teams.beyond = c.teams.beyond || r.Beyond
 	}
-	return "beyond the rate of team " + j.Spec.Team
 }
 
 // setTeamCapacity states the capacity of which runs are charged a share.
@@ -116,10 +84,14 @@
 // charge charges a run that was placed to its team.
 func (c *Conductor) charge(w *waitingStep, a *allocation) {
 	a.charge = arbiter.Start(c.teams.arbiter, &w.rank, a.need, w.step.Spec.Estimate)
-	if w.job.beyondRate && !w.job.beyondStarted {
-		w.job.beyondStarted = true
+	if !w.rank.Beyond && !w.job.paid {
+		w.job.paid = true
+		c.teams.rater.Take(w.job.Spec.Team)
+	}
+	if w.rank.Beyond && !w.job.begun {
 		c.teams.started[w.job.Spec.Team]++
 	}
+	w.job.begun = true
 }
 
 // settleCharge corrects the charge of an allocation that is released to its run time, or takes it back if the run did not start.
@@ -142,19 +114,19 @@
 
 // compareRate orders steps within rates before those beyond.
 func compareRate(a, b *waitingStep) int {
-	return compareBool(!a.job.beyondRate, !b.job.beyondRate)
+	return compareBool(!a.rank.Beyond, !b.rank.Beyond)
 }
 
 // mayHoldInAdvance reports whether servers may be held for the gang although it is not late. Urgent work within rates would wait for an urgent
 // gang beyond them.
 func (w *waitingStep) mayHoldInAdvance() bool {
-	return !w.job.beyondRate || w.job.queue.Priority > 0
+	return !w.rank.Beyond || w.job.queue.Priority > 0
 }
 
 // leavesAdvisors reports whether enough advisors are free for a call of the step. Calls beyond the rate of a team leave a part of the
 // advisors to others, because a call for a gang occupies one for a second.
 func (p *pass) leavesAdvisors(w *waitingStep) bool {
-	if !w.job.beyondRate {
+	if !w.rank.Beyond {
 		return true
 	}
 	if w.needsLongCall() && spareAdvisors*p.freeForLong <= p.longCalls {
@@ -163,17 +135,15 @@
 	return spareAdvisors*p.freeAdvisors > p.allAdvisors
 }
 
-// decideRefusals gives tokens that teams do not use to their waiting jobs beyond the rate, and decides what is refused of teams whose jobs
-// beyond the rate are late.
+// decideRefusals decides what is refused of teams whose jobs beyond the rate are late.
 func (c *Conductor) decideRefusals(now time.Time) {
 	if !c.teams.beyond || !c.teams.refusal.begin(now) {
 		return
 	}
 	c.teams.beyond = false
 	late := make(map[string]int)
-	jobs := make(map[string][]*job)
 	for _, w := range c.waitingSteps {
-		if !w.job.beyondRate {
+		if !w.rank.Beyond {
 			continue
 		}
 		c.teams.beyond = true
@@ -181,34 +151,15 @@
 		if w.tierAt(now) != onTime {
 			late[team]++
 		}
-		if known := jobs[team]; len(known) == 0 || known[len(known)-1] != w.job {
-			jobs[team] = append(known, w.job)
-		}
 	}
 	var demands []rater.Demand
-	for _, team := range sortedKeys(jobs) {
-		c.useSpareTokens(now, team, jobs[team])
+	for _, team := range sortedKeys(late) {
 		demands = append(demands, rater.Demand{Team: team, Late: late[team], Started: c.teams.started[team]})
 	}
 	clear(c.teams.started)
 	c.refuse(now, c.teams.rater.Decide(now, demands))
 }
 
-// useSpareTokens makes the oldest jobs beyond the rate count as within it, as far as the team leaves tokens unused.
-func (c *Conductor) useSpareTokens(now time.Time, team string, jobs []*job) {
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(a.Spec.AcceptedAt.Compare(b.Spec.AcceptedAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
-	})
-	for _, j := range slices.Compact(jobs) {
-		if !c.teams.rater.TakeSpare(now, team) {
-			return
-		}
-		j.beyondRate = false
-		c.markStale(j)
-		c.logDecision("JobWithinRate", specifier.TaskID{StepID: specifier.StepID{Job: j.Spec.ID}}, 0, "", "team "+team+" has sent less than its rate since")
-	}
-}
-
 // refuse publishes decisions about refusals. Without any there is one empty command after the last refusal.
 func (c *Conductor) refuse(now time.Time, decisions []rater.Decision) {
 	if len(decisions) == 0 && !c.teams.refusing {
@@ -242,8 +193,8 @@
 		return ""
 	}
 	detail := fmt.Sprintf(", team %s served %s ahead", w.job.Spec.Team, arbiter.Ahead(c.teams.arbiter, &w.rank).Round(time.Millisecond))
-	if w.job.beyondRate {
-		detail += ", " + w.job.rateDetail()
+	if w.rank.Beyond {
+		detail += ", beyond its rate"
 	}
 	return detail
 }
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -32,7 +32,7 @@
 
 // urgent reports whether the step may be placed before a pass over all steps. Work beyond the rate of its team yields to all others.
 func (w *waitingStep) urgent() bool {
-	return w.job.queue.Priority == 0 && !w.job.beyondRate
+	return w.job.queue.Priority == 0 && !w.rank.Beyond
 }
 
 // tier groups waiting steps by the value that the result of their job still has for its caller. Jobs are worthless when they have
@@ -94,13 +94,13 @@
 		w.rank = w.newRank()
 		before := previous[step.ID]
 		w.fresh = before == nil || before.fresh
-		c.hasFresh = c.hasFresh || w.fresh && w.urgent()
 		if before != nil {
-			w.wait = before.wait
+			w.wait, w.rank.Beyond = before.wait, before.rank.Beyond
 			if len(waiting) < len(before.waiting) {
 				w.wait.since = time.Time{}
 			}
 		}
+		c.hasFresh = c.hasFresh || w.fresh && w.urgent()
 		j.waitingSteps = append(j.waitingSteps, w)
 		c.waitingSteps[step.ID] = w
 	}
@@ -143,7 +143,7 @@
 // rankAt updates the tier of the step and returns its place in the order.
 func (w *waitingStep) rankAt(now time.Time) *arbiter.Rank[*waitingStep] {
 	w.tier = w.tierAt(now)
-	w.rank.Tier, w.rank.Beyond, w.rank.Priority = w.tier, w.job.beyondRate, w.job.queue.Priority
+	w.rank.Tier, w.rank.Paid, w.rank.Priority = w.tier, w.job.paid, w.job.queue.Priority
 	if w.rank.Service != w.job.queue.Service {
 		w.rank.Service = w.job.queue.Service
 	}
@@ -153,7 +153,7 @@
 // newRank returns the place of a new waiting step in the order.
 func (w *waitingStep) newRank() arbiter.Rank[*waitingStep] {
 	return arbiter.Rank[*waitingStep]{
-		Value: w, Step: w.step.ID, Beyond: w.job.beyondRate, Priority: w.job.queue.Priority, Service: w.job.queue.Service,
+		Value: w, Step: w.step.ID, Priority: w.job.queue.Priority, Service: w.job.queue.Service,
 		Team: w.job.Spec.Team, LatestStart: w.latestStart,
 	}
 }
--- a/rater/bucket.go
+++ b/rater/bucket.go
@@ -23,9 +23,7 @@
 	// all submissions, estimated from the share that was refused.
 	arrived           int
 	arrivals, offered float64
-	// beyondAt is when a job was last beyond the rate.
-	beyondAt time.Time
-	refusal  Refusal
+	refusal           Refusal
 }
 
 // setRate changes the rate. A new bucket is full.
@@ -35,27 +33,19 @@
 		b.tokens = burst
 	}
 	b.rate, b.burst = rate, burst
-	b.tokens = math.Min(b.tokens, burst)
 }
 
-// fill adds the tokens of the time since the last call. A time before that adds none.
-func (b *bucket) fill(now time.Time) {
+// fill adds the tokens of the time since the last call. A time before that adds none. The bucket has room for a token of each waiting
+// job beside the burst: a team whose jobs cannot start would otherwise lose tokens that it needs for them.
+func (b *bucket) fill(now time.Time, waiting int) {
 	if b.filledAt.IsZero() {
 		b.filledAt = now
 	}
 	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
-		b.tokens = math.Min(b.burst, b.tokens+b.rate*elapsed.Seconds())
+		b.tokens += b.rate * elapsed.Seconds()
 		b.filledAt = now
 	}
-}
-
-// take takes a token if there are at least as many as given.
-func (b *bucket) take(least float64) bool {
-	if b.tokens < least {
-		return false
-	}
-	b.tokens--
-	return true
+	b.tokens = math.Min(b.tokens, b.burst+float64(waiting))
 }
 
 // measure updates the rates of arrivals and submissions with the arrivals of the elapsed time.
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -19,8 +19,6 @@
 	minWindow = 2 * time.Second
 	// minTurn bounds the turn from below, so that a refused job does not come back while the same jobs still wait.
 	minTurn = 4 * time.Second
-	// recently is how long a job beyond the rate shows that its team sends more than its rate.
-	recently = 2 * time.Second
 )
 
 // Rater has the token buckets of the teams. It is not safe for concurrent use.
@@ -70,29 +68,29 @@
 	}
 }
 
-// Arrive counts a job that was accepted at the given time, and reports whether it is within the rate of its team. Jobs of unknown teams are.
-func (r *Rater) Arrive(at time.Time, team string) bool {
-	b := r.buckets[team]
-	if b == nil {
-		return true
-	}
-	b.arrived++
-	b.fill(at)
-	if b.take(1) {
-		return true
+// Arrive counts a job that was accepted.
+func (r *Rater) Arrive(team string) {
+	if b := r.buckets[team]; b != nil {
+		b.arrived++
 	}
-	b.beyondAt = b.filledAt
-	return false
 }
 
-// TakeSpare takes a token that the team does not use, for a job that was beyond the rate. It reports false when there is none.
-func (r *Rater) TakeSpare(now time.Time, team string) bool {
+// Tokens returns how many jobs of the team are within its rate, of which as many as given wait without having taken a token. There is no
+// bound for a team without a rate.
+func (r *Rater) Tokens(now time.Time, team string, waiting int) int {
 	b := r.buckets[team]
 	if b == nil {
-		return true
+		return math.MaxInt
+	}
+	b.fill(now, waiting)
+	return int(b.tokens)
+}
+
+// Take takes the token of a job within the rate that starts.
+func (r *Rater) Take(team string) {
+	if b := r.buckets[team]; b != nil {
+		b.tokens = math.Max(0, b.tokens-1)
 	}
-	b.fill(now)
-	return b.take(b.burst)
 }
 
 // Decide returns the refusals that are in force from now on, in the order of the teams. It is called about once a second.
@@ -113,7 +111,7 @@
 		if b == nil {
 			continue
 		}
-		share := b.share(now, d, elapsed)
+		share := b.share(d, elapsed)
 		if share <= 0 {
 			continue
 		}
@@ -132,10 +130,9 @@
 }
 
 // share returns the share of new submissions to refuse: what is offered beyond the rate and beyond what was served of the work beyond
-// it. It is zero unless the team sends more than its rate now, and its bucket is empty.
-func (b *bucket) share(now time.Time, d Demand, elapsed time.Duration) float64 {
-	b.fill(now)
-	if d.Late == 0 || elapsed <= 0 || b.tokens >= 1+b.rate*elapsed.Seconds()/2 || now.Sub(b.beyondAt) > recently || b.offered <= 0 {
+// it. It is zero unless the team sends more than its rate now.
+func (b *bucket) share(d Demand, elapsed time.Duration) float64 {
+	if d.Late == 0 || elapsed <= 0 || b.offered <= b.rate {
 		return 0
 	}
 	accepted := rateMargin*b.rate + float64(d.Started)/elapsed.Seconds()
--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -25,26 +25,52 @@
 	return r
 }
 
-// send lets a team send jobs at a rate for some seconds and returns how many of them are within its rate.
-func send(r *rater.Rater, from time.Time, seconds int, perSecond int) (within int) {
-	for i := range seconds * perSecond {
-		if r.Arrive(from.Add(time.Duration(i)*time.Second/time.Duration(perSecond)), "a") {
-			within++
-		}
+// send counts the jobs that a team sends in a second.
+func send(r *rater.Rater, jobs int) {
+	for range jobs {
+		r.Arrive("a")
+	}
+}
+
+// serve lets a team take a token for each of its waiting jobs, and returns how many it got.
+func serve(r *rater.Rater, now time.Time, waiting int) int {
+	count := min(waiting, r.Tokens(now, "a", waiting))
+	for range count {
+		r.Take("a")
 	}
-	return within
+	return count
 }
 
-// TestRateHasBurstOfFiveSeconds guards against a team that is marked within its rate or its burst, or sends more than both unmarked.
+// TestRateHasBurstOfFiveSeconds guards against a team that gets less or more than its rate and its burst.
 func TestRateHasBurstOfFiveSeconds(t *testing.T) {
 	r := newRater(20)
-	require.Equal(t, 400, send(r, begin, 20, 20))
-	require.InDelta(t, 20*10+100, send(r, begin.Add(20*time.Second), 10, 100), 2)
-	require.False(t, r.TakeSpare(begin.Add(30*time.Second), "a"))
-	require.True(t, r.TakeSpare(begin.Add(35*time.Second), "a"), "an unused bucket has tokens for waiting jobs")
-	require.False(t, r.TakeSpare(begin.Add(35*time.Second), "a"))
-	require.True(t, newRater(0.1).Arrive(begin, "a"), "a rate of less than a job in the burst")
-	require.True(t, r.Arrive(begin, "unknown"))
+	second := func(i int) time.Time { return begin.Add(time.Duration(i) * time.Second) }
+	for i := range 20 {
+		require.Equal(t, 20, serve(r, second(i), 20))
+	}
+	got := 0
+	for i := range 10 {
+		got += serve(r, second(20+i), 100)
+	}
+	require.InDelta(t, 20*10+80, got, 20)
+	require.Equal(t, 100, r.Tokens(second(60), "a", 0))
+	require.Equal(t, 1, serve(newRater(0.1), begin, 1), "a rate of less than a job in the burst")
+	require.Equal(t, 50, serve(r, begin, 50), "the time is before the last one")
+	require.Greater(t, r.Tokens(begin, "unknown", 5), 5)
+}
+
+// TestTokensAreKeptForWaitingJobs guards against a team that has sent no more than its rate and its burst, but whose jobs count as
+// beyond the rate because they could not start.
+func TestTokensAreKeptForWaitingJobs(t *testing.T) {
+	r := newRater(20)
+	waiting := 100
+	for i := range 10 {
+		waiting += 20
+		now := begin.Add(time.Duration(i+1) * time.Second)
+		r.Tokens(begin.Add(time.Duration(i)*time.Second), "a", waiting)
+		require.GreaterOrEqual(t, r.Tokens(now, "a", waiting), waiting)
+	}
+	require.Equal(t, 100, r.Tokens(begin.Add(time.Minute), "a", 0))
 }
 
 // TestRefusals guards against a refusal of a team that sends less than its rate or whose work is in time, against one that is applied long
@@ -54,7 +80,7 @@
 	late := []rater.Demand{{Team: "a", Late: 5}}
 	second := func(i int) time.Time { return begin.Add(time.Duration(i) * time.Second) }
 	for i := range 10 {
-		send(r, second(i), 1, 20)
+		send(r, 20)
 		require.Empty(t, r.Decide(second(i+1), late), "within the rate")
 	}
 	random := rand.New(rand.NewPCG(1, 1))
@@ -66,7 +92,7 @@
 			if _, refused := refusals.For(at, "a").Refuses(specifier.JobID(fmt.Sprintf("%016x", random.Uint64()))); refused {
 				continue
 			}
-			r.Arrive(at, "a")
+			r.Arrive("a")
 			if i >= 25 {
 				accepted++
 			}
@@ -85,14 +111,14 @@
 		require.False(t, refused)
 	}
 	for i := 40; i < 43; i++ {
-		send(r, second(i), 1, 10)
+		send(r, 10)
 		if i == 42 {
 			require.Empty(t, r.Decide(second(i+1), late), "the team has sent less than its rate for 3 s")
 		}
 	}
-	send(r, second(43), 5, 100)
+	send(r, 500)
 	require.Empty(t, r.Decide(second(48), nil), "nothing is late")
-	send(r, second(48), 1, 100)
+	send(r, 100)
 	require.NotEmpty(t, r.Decide(second(49), late))
 }
 
