Let work beyond a rate yield only while work within rates waits

Cause: urgent work beyond a rate got no pass between full passes, fewer starts in flight and two thirds of the advisors, also while nothing else wanted them. Change: the last pass notes whether a step within rates could have used more; only then does work beyond rates yield. Long advice calls beyond a rate still leave a third of the advisors, because work within rates that comes would wait for a second.

--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -25,6 +25,8 @@
 	advisorsFor *waitingStep
 	// startsLeft is how many more starts may be in flight. Urgent steps may take it below zero.
 	startsLeft int
+	// withinWaits is set when a step within the rate of its team waits that could use capacity, advisors or starts.
+	withinWaits bool
 	// held are the priorities of a service with a gang for which servers are held although it is not late.
 	held map[holdKey]bool
 }
@@ -38,7 +40,7 @@
 // mayStart reports whether another task of a step may be placed. More starts in flight than the instance can carry out in time
 // would end without a response.
 func (p *pass) mayStart(w *waitingStep) bool {
-	return p.startsLeft > 0 || w.urgent() && p.startsLeft > -maxStartsInFlight
+	return p.startsLeft > 0 || w.urgent() && !p.yields(w) && p.startsLeft > -maxStartsInFlight
 }
 
 func (c *Conductor) newPass(now time.Time) *pass {
@@ -47,6 +49,7 @@
 		contended: make(map[string]bool), maxFree: make(map[string]specifier.Resources), startsLeft: maxStartsInFlight,
 		held: make(map[holdKey]bool),
 	}
+	p.withinWaits = c.teams.withinWaits
 	p.freeAdvisors, p.freeForLong = c.advisors.Free(now)
 	p.allAdvisors, p.longCalls = c.advisors.Len(), c.advisors.LongCalls()
 	p.advisorsFor = c.stepWithAdvisors(now)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -40,12 +40,13 @@
 	c.findContended(p)
 	c.updateHolds(p)
 	c.setTeamCapacity(p)
+	p.withinWaits = false
 	order := c.inPlacementOrder(now)
 	for r, ok := order.Next(); ok; r, ok = order.Next() {
-		w := r.Value
-		w.fresh = false
-		c.placeStep(p, w)
+		r.Value.fresh = false
+		c.placeNext(p, r.Value)
 	}
+	c.teams.withinWaits = p.withinWaits
 	c.refreshStale()
 	if c.startsLimited {
 		c.counted.LimitedPasses++
@@ -56,18 +57,18 @@
 // placeFresh is a pass over the fresh urgent steps. Servers stay held as in the last pass over all steps.
 func (c *Conductor) placeFresh(now time.Time) {
 	c.markBeyond(now)
+	p := c.newPass(now)
 	var fresh []*arbiter.Rank[*waitingStep]
 	for _, w := range c.waitingSteps {
-		if w.fresh && w.urgent() {
+		if w.fresh && w.urgent() && !p.yields(w) {
 			w.fresh = false
 			fresh = append(fresh, w.rankAt(now))
 		}
 	}
 	order := arbiter.Arrange(c.teams.arbiter, fresh, false)
 	c.counted.UrgentPasses++
-	p := c.newPass(now)
 	for r, ok := order.Next(); ok; r, ok = order.Next() {
-		c.placeStep(p, r.Value)
+		c.placeNext(p, r.Value)
 	}
 }
 
@@ -86,6 +87,12 @@
 	return next, due
 }
 
+// placeNext places the next step in the order and notes whether steps beyond rates have to yield to it.
+func (c *Conductor) placeNext(p *pass, w *waitingStep) {
+	c.placeStep(p, w)
+	p.withinWaits = p.withinWaits || c.teams.configured && w.couldUseMore(p.now)
+}
+
 func (c *Conductor) placeStep(p *pass, w *waitingStep) {
 	if p.now.Before(w.job.blockedUntil) {
 		return
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -29,7 +29,9 @@
 	beyond bool
 	// started counts the jobs of each team beyond its rate that were started since the last decision about refusals.
 	started map[string]int
-	refusal throttle
+	// withinWaits is set when a step within the rate of its team could have used more in the last pass over all steps.
+	withinWaits bool
+	refusal     throttle
 	// refusing is set when the last decision has refused anything, and loggedAt is when the refusal of each team was last logged.
 	refusing bool
 	loggedAt map[string]time.Time
@@ -123,13 +125,29 @@
 	return !w.rank.Beyond || w.job.queue.Priority > 0
 }
 
-// leavesAdvisors reports whether enough advisors are free for a call of the step. Calls beyond the rate of a team leave a part of the
-// advisors to others, because a call for a gang occupies one for a second.
+// couldUseMore reports whether the step is within the rate of its team and waits for anything but its limit or its own advice call.
+func (w *waitingStep) couldUseMore(now time.Time) bool {
+	if w.rank.Beyond || w.tier == worthless || w.startable < w.required() || now.Before(w.job.blockedUntil) {
+		return false
+	}
+	adv := w.job.advice[w.step.ID]
+	return adv == nil || !now.Before(adv.pendingUntil)
+}
+
+// yields reports whether the step is beyond the rate of its team while work within rates waits.
+func (p *pass) yields(w *waitingStep) bool {
+	return w.rank.Beyond && p.withinWaits
+}
+
+// leavesAdvisors reports whether enough advisors are free for a call of the step. Long calls beyond the rate of a team always leave a third
+// of the advisors, because a call for a gang occupies one for a second, and work within rates may come meanwhile. Short calls do while
+// such work waits.
 func (p *pass) leavesAdvisors(w *waitingStep) bool {
-	if !w.rank.Beyond {
+	long := w.needsLongCall()
+	if !w.rank.Beyond || !long && !p.withinWaits {
 		return true
 	}
-	if w.needsLongCall() && spareAdvisors*p.freeForLong <= p.longCalls {
+	if long && spareAdvisors*p.freeForLong <= p.longCalls {
 		return false
 	}
 	return spareAdvisors*p.freeAdvisors > p.allAdvisors
--- a/conductor/teams_test.go
+++ b/conductor/teams_test.go
@@ -165,3 +165,39 @@
 		require.Equal(t, specifier.Completed, d.state(job.ID))
 	}
 }
+
+// TestUrgentFloodUsesWhatIsFree guards against urgent work beyond a rate that waits for passes over all steps, or for advisors, although
+// nothing else wants the capacity.
+func TestUrgentFloodUsesWhatIsFree(t *testing.T) {
+	play := func(team string) (waited time.Duration, most int) {
+		d := newDay(t, 1, 1, 40, 6)
+		d.grantOneIn = 3
+		d.elect()
+		d.deliver(d.owner().epoch, conductor.Configured{Configuration: specifier.Configuration{
+			Revision: 2, Teams: specifier.NewTeams(specifier.Team{Name: "a", Weight: 0.1}),
+		}})
+		inFlight := 0
+		d.onAdvise = func(c conductor.Advise) {
+			inFlight++
+			most = max(most, inFlight)
+			d.after(c.ExpectedTime, func() { inFlight-- })
+		}
+		for i := range 200 {
+			job := newJob(i, jobOptions{Tasks: 3, MilliCores: 4000, Seconds: 0.6, Advice: true, Attempts: 4, AdviceCost: specifier.AdviceCost{Fixed: 9 * time.Millisecond, PerServer: 130 * time.Microsecond}})
+			job.Team = team
+			d.at(d.start.Add(time.Second+time.Duration(i/20)*120*time.Millisecond), func() { d.submit(job) })
+		}
+		d.runUntil(time.Minute)
+		for _, job := range d.submitted {
+			for _, r := range d.runsOf[specifier.StepID{Job: job.ID}.Task(0)] {
+				waited += r.begunAt.Sub(job.AcceptedAt)
+			}
+		}
+		return waited / 200, most
+	}
+	free, freeMost := play("")
+	flood, floodMost := play("a")
+	t.Logf("mean wait %s and %d advisors at a time without a rate, %s and %d beyond a rate", free, freeMost, flood, floodMost)
+	require.Less(t, flood, free+10*time.Millisecond)
+	require.Equal(t, freeMost, floodMost)
+}
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -30,9 +30,9 @@
 	stepQuota
 }
 
-// urgent reports whether the step may be placed before a pass over all steps. Work beyond the rate of its team yields to all others.
+// urgent reports whether the step may be placed before a pass over all steps.
 func (w *waitingStep) urgent() bool {
-	return w.job.queue.Priority == 0 && !w.rank.Beyond
+	return w.job.queue.Priority == 0
 }
 
 // tier groups waiting steps by the value that the result of their job still has for its caller. Jobs are worthless when they have
