Decide refusals for each team and priority from what waits there

Cause: a refusal counted for the whole team and as soon as a step beyond the rate had missed its objective, so that late batch work refused urgent work, and late results that are worth something were given up. Change: a share is refused of the jobs of one team and priority, while those that wait there and still have a value would take longer to start, at the measured pace, than a new job keeps its value, and the first of them has waited for half of that. 1.1 times the pace is accepted, and of the team 1.1 times its rate. Log lines and the error name the priority.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -218,7 +218,7 @@
 		c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "the job cannot run")
 		return
 	}
-	c.teams.rater.Arrive(spec.Team)
+	c.teams.rater.Arrive(j.line())
 	j.BeginDue(now)
 	c.markStale(j)
 	c.logDecision("JobTaken", specifier.TaskID{StepID: specifier.StepID{Job: spec.ID}}, 0, "", "")
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -14,6 +14,8 @@
 	refusalInterval = 500 * time.Millisecond
 	// refusalLineInterval is how often the log repeats the refusal of a team.
 	refusalLineInterval = 5 * time.Second
+	// maxPatience bounds the patience of a job, so that the sum of a line does not overflow.
+	maxPatience = time.Hour
 	// holdsForAll is how many holds there are for each one that goes to the oldest step, whatever the rate of its team, so that every step
 	// starts eventually.
 	holdsForAll = 4
@@ -25,24 +27,20 @@
 	rater   *rater.Rater
 	// configured is set when the configuration has teams.
 	configured bool
-	// beyond is set while steps of jobs beyond the rate of their team may wait.
-	beyond bool
-	// started counts the jobs of each team beyond its rate that were started since the last decision about refusals.
-	started map[string]int
 	// withinWaits is set when a step within the rate of its team could have used more in the last pass over all steps.
 	withinWaits bool
 	refusal     throttle
-	// refusing is set when the last decision has refused anything, and loggedAt is when the refusal of each team was last logged.
+	// refusing is set when the last decision has refused anything, and loggedAt is when the refusal of each line was last logged.
 	refusing bool
-	loggedAt map[string]time.Time
+	loggedAt map[rater.Line]time.Time
 	// holds counts the holds and the turns for advice that have begun.
 	holds int
 }
 
 func newTeams() teams {
 	return teams{
-		arbiter: arbiter.New(), rater: rater.New(), started: make(map[string]int), refusal: throttle{interval: refusalInterval},
-		loggedAt: make(map[string]time.Time),
+		arbiter: arbiter.New(), rater: rater.New(), refusal: throttle{interval: refusalInterval},
+		loggedAt: make(map[rater.Line]time.Time),
 	}
 }
 
@@ -64,9 +62,6 @@
 		}
 	}
 	arbiter.MarkBeyond(ranks, func(team string, waiting int) int { return c.teams.rater.Tokens(now, team, waiting) })
-	for _, r := range ranks {
-		c.teams.beyond = c.teams.beyond || r.Beyond
-	}
 }
 
 // setTeamCapacity states the capacity of which runs are charged a share.
@@ -90,10 +85,10 @@
 		w.job.paid = true
 		c.teams.rater.Take(w.job.Spec.Team)
 	}
-	if w.rank.Beyond && !w.job.begun {
-		c.teams.started[w.job.Spec.Team]++
+	if !w.job.begun {
+		w.job.begun = true
+		c.teams.rater.Start(w.job.line())
 	}
-	w.job.begun = true
 }
 
 // settleCharge corrects the charge of an allocation that is released to its run time, or takes it back if the run did not start.
@@ -153,31 +148,51 @@
 	return spareAdvisors*p.freeAdvisors > p.allAdvisors
 }
 
-// decideRefusals decides what is refused of teams whose jobs beyond the rate are late.
+// decideRefusals decides what is refused of the lines in which jobs beyond the rate of their team wait.
 func (c *Conductor) decideRefusals(now time.Time) {
-	if !c.teams.beyond || !c.teams.refusal.begin(now) {
+	if !c.teams.configured || !c.teams.refusal.begin(now) {
 		return
 	}
-	c.teams.beyond = false
-	late := make(map[string]int)
+	waiting := make(map[rater.Line]*lineDemand)
 	for _, w := range c.waitingSteps {
-		if !w.rank.Beyond {
+		if w.job.Spec.Team == "" || w.job.begun || w.job.waitingSteps[0] != w || w.tierAt(now) == worthless {
 			continue
 		}
-		c.teams.beyond = true
-		team := w.job.Spec.Team
-		if w.tierAt(now) != onTime {
-			late[team]++
+		d := waiting[w.job.line()]
+		if d == nil {
+			d = &lineDemand{}
+			waiting[w.job.line()] = d
 		}
+		d.add(now, w)
 	}
 	var demands []rater.Demand
-	for _, team := range sortedKeys(late) {
-		demands = append(demands, rater.Demand{Team: team, Late: late[team], Started: c.teams.started[team]})
+	for line, d := range waiting {
+		if d.beyond {
+			demands = append(demands, rater.Demand{Line: line, Waiting: d.jobs, Oldest: d.oldest, Patience: d.patience / time.Duration(d.jobs)})
+		}
 	}
-	clear(c.teams.started)
 	c.refuse(now, c.teams.rater.Decide(now, demands))
 }
 
+// lineDemand has the jobs of a line that have not started. The patience is the sum of theirs.
+type lineDemand struct {
+	jobs             int
+	oldest, patience time.Duration
+	beyond           bool
+}
+
+func (d *lineDemand) add(now time.Time, w *waitingStep) {
+	d.jobs++
+	d.oldest = max(d.oldest, now.Sub(w.due))
+	d.patience += min(max(0, w.worthlessAt.Sub(w.due)-w.job.RemainingTime(w.step.ID.Step)), maxPatience)
+	d.beyond = d.beyond || w.rank.Beyond
+}
+
+// line returns the line in which the job waits.
+func (j *job) line() rater.Line {
+	return rater.Line{Team: j.Spec.Team, Priority: j.queue.Priority}
+}
+
 // refuse publishes decisions about refusals. Without any there is one empty command after the last refusal.
 func (c *Conductor) refuse(now time.Time, decisions []rater.Decision) {
 	if len(decisions) == 0 && !c.teams.refusing {
@@ -185,21 +200,22 @@
 	}
 	c.teams.refusing = len(decisions) > 0
 	var command Refuse
-	refused := make(map[string]bool, len(decisions))
+	refused := make(map[rater.Line]bool, len(decisions))
 	for _, d := range decisions {
 		command.Refusals = append(command.Refusals, d.Refusal)
-		refused[d.Team] = true
-		if last, known := c.teams.loggedAt[d.Team]; !known || now.Sub(last) >= refusalLineInterval {
-			c.teams.loggedAt[d.Team] = now
+		refused[d.Line] = true
+		if last, known := c.teams.loggedAt[d.Line]; !known || now.Sub(last) >= refusalLineInterval {
+			c.teams.loggedAt[d.Line] = now
 			c.logDecision("TeamRefused", specifier.TaskID{}, 0, "", fmt.Sprintf(
-				"team %s: share %.2f, turn %s, rate %.3g, accepted %.3g and offered %.3g jobs a second, %d steps late",
-				d.Team, d.Share, d.Turn.Round(time.Millisecond), d.Rate, d.Arrivals, d.Offered, d.Late))
+				"team %s, priority %d: share %.2f, turn %s, rate %.3g, offered %.3g and started %.3g jobs a second, %d wait, the first one for %s of %s",
+				d.Team, d.Priority, d.Share, d.Turn.Round(time.Millisecond), d.Rate, d.Offered, d.Pace, d.Demand.Waiting,
+				d.Demand.Oldest.Round(time.Millisecond), d.Demand.Patience.Round(time.Millisecond)))
 		}
 	}
-	for team := range c.teams.loggedAt {
-		if !refused[team] {
-			delete(c.teams.loggedAt, team)
-			c.logDecision("TeamAccepted", specifier.TaskID{}, 0, "", "team "+team)
+	for line := range c.teams.loggedAt {
+		if !refused[line] {
+			delete(c.teams.loggedAt, line)
+			c.logDecision("TeamAccepted", specifier.TaskID{}, 0, "", fmt.Sprintf("team %s, priority %d", line.Team, line.Priority))
 		}
 	}
 	c.emit(command)
--- a/conductor/teams_test.go
+++ b/conductor/teams_test.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// TestRefusalsAreDecided guards against a flood of which nothing is refused, against refusals of a team within its rate, and against refusals
-// that go on after the flood.
+// TestRefusalsAreDecided guards against a flood of which nothing is refused, against refusals of a team within its rate, of work that
+// starts while it has a value, and of urgent work because other work of its team waits, and against refusals that go on after the flood.
 func TestRefusalsAreDecided(t *testing.T) {
 	d := newFloodDay(7.5, true)
 	var refused []rater.Refusal
@@ -127,6 +127,7 @@
 	d.onRefuse = func(c conductor.Refuse) {
 		for _, r := range c.Refusals {
 			require.Equal(t, "0", r.Team)
+			require.NotZero(t, r.Priority, "urgent work of the flood starts while it has a value")
 			refused, refusedAt = append(refused, r), d.now.Sub(d.start)
 		}
 	}
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -79,7 +79,7 @@
 }
 
 type takeReply struct {
-	// Refusal is that of the team of a submitted job, if it has one. Instances that do not ask the owner of this shard for
+	// Refusal is that of the team and priority of a submitted job. Instances that do not ask the owner of this shard for
 	// configurations learn it here.
 	Refusal *rater.Refusal `json:",omitempty"`
 }
@@ -193,7 +193,7 @@
 	if request.Job == nil || request.Job.Team == "" {
 		return takeReply{}, nil
 	}
-	refusal := o.refusalOf(request.Job.Team)
+	refusal := o.refusalOf(lineOf(*request.Job))
 	return takeReply{Refusal: &refusal}, nil
 }
 
--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -29,10 +29,10 @@
 	l.refusals.LearnAll(now, refusals)
 }
 
-func (l *learnedRefusals) of(now time.Time, team string) rater.Refusal {
+func (l *learnedRefusals) of(now time.Time, line rater.Line) rater.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.refusals.For(now, team)
+	return l.refusals.For(now, line)
 }
 
 // statedRefusals are the refusals of the owner's last decision.
@@ -55,39 +55,44 @@
 	return current
 }
 
-// refusalOf returns the refusal of a team; one that refuses nothing if there is none.
-func (o *owner) refusalOf(team string) rater.Refusal {
+// lineOf returns the line in which a job waits.
+func lineOf(job specifier.Job) rater.Line {
+	return rater.Line{Team: job.Team, Priority: job.Queue.Priority}
+}
+
+// refusalOf returns the refusal of a line; one that refuses nothing if there is none.
+func (o *owner) refusalOf(line rater.Line) rater.Refusal {
 	for _, r := range o.currentRefusals() {
-		if r.Team == team {
+		if r.Line == line {
 			return r
 		}
 	}
-	return rater.Refusal{Team: team}
+	return rater.Refusal{Line: line}
 }
 
-// refusalOf returns the refusal of a team that this instance knows.
-func (c *Coordinator) refusalOf(team string) rater.Refusal {
+// refusalOf returns the refusal of a line that this instance knows.
+func (c *Coordinator) refusalOf(line rater.Line) rater.Refusal {
 	if o := c.owner.Load(); o != nil {
-		return o.refusalOf(team)
+		return o.refusalOf(line)
 	}
-	return c.refusals.of(c.settings.clock.Now(), team)
+	return c.refusals.of(c.settings.clock.Now(), line)
 }
 
-// checkRate refuses a submission of a team that is beyond its rate, if the owner has requested that. A job that is stored already is not
+// checkRate refuses a submission if the owner has requested that for its team and priority. A job that is stored already is not
 // refused: its caller repeats the submission, and the job may run.
 func (c *Coordinator) checkRate(ctx context.Context, job specifier.Job) error {
 	if job.Team == "" {
 		return nil
 	}
-	refusal := c.refusalOf(job.Team)
+	refusal := c.refusalOf(lineOf(job))
 	wait, refused := refusal.Refuses(job.ID)
 	if !refused || c.mayBeStored(ctx, job.ID) {
 		return nil
 	}
 	c.settings.meter.Count("Submissions.RefusedBeyondRate", 1)
 	return classifier.New(classifier.LimitReached,
-		"team %s is beyond its rate and its work waits; job %s was not accepted and never runs (share refused %.2f, decided %s ago)",
-		job.Team, job.ID, refusal.Share, refusal.Age.Round(time.Millisecond)).WithRetryAt(time.Now().Add(wait))
+		"team %s is beyond its rate, and new jobs of priority %d would start too late; job %s was not accepted and never runs (share refused %.2f, decided %s ago)",
+		job.Team, job.Queue.Priority, job.ID, refusal.Share, refusal.Age.Round(time.Millisecond)).WithRetryAt(time.Now().Add(wait))
 }
 
 // mayBeStored reports whether a job is in the store, or the store cannot be read. The submission is read first, because the record
--- a/rater/bucket.go
+++ b/rater/bucket.go
@@ -5,25 +5,16 @@
 	"time"
 )
 
-const (
-	// BurstTime is the time for which a team that has sent nothing may send at any rate what it could have sent at its rate. It is the
-	// window in which quotas are measured, too (quota_window_s).
-	BurstTime = 5 * time.Second
-	// rateTime is the time constant of the measured rate of arrivals. Refusals are decided once a second.
-	rateTime = 2 * time.Second
-)
+// BurstTime is the time for which a team that has sent nothing may send at any rate what it could have sent at its rate. It is the
+// window in which quotas are measured, too (quota_window_s).
+const BurstTime = 5 * time.Second
 
-// bucket is the token bucket of a team, and what was measured of the team.
+// bucket is the token bucket of a team.
 type bucket struct {
 	// rate is in jobs a second, and burst in jobs.
 	rate, burst float64
 	tokens      float64
 	filledAt    time.Time
-	// arrived is the number of jobs since the last decision about refusals. arrivals is the smoothed number a second, and offered that of
-	// all submissions, estimated from the share that was refused.
-	arrived           int
-	arrivals, offered float64
-	refusal           Refusal
 }
 
 // setRate changes the rate. A new bucket is full.
@@ -47,15 +38,3 @@
 	}
 	b.tokens = math.Min(b.tokens, b.burst+float64(waiting))
 }
-
-// measure updates the rates of arrivals and submissions with the arrivals of the elapsed time.
-func (b *bucket) measure(elapsed time.Duration) {
-	if elapsed <= 0 {
-		return
-	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/rateTime.Seconds())
-	arrivals := float64(b.arrived) / elapsed.Seconds()
-	b.arrivals += weight * (arrivals - b.arrivals)
-	b.offered += weight * (arrivals/(1-b.refusal.Share) - b.offered)
-	b.arrived = 0
-}
--- a/rater/doc.go
+++ b/rater/doc.go
@@ -1,11 +1,12 @@
-// Package rater counts the jobs that teams send against their rates, and decides what is refused of a team that sends more than can be
-// served. It is pure: it contains no clock, goroutine or log.
+// Package rater decides what of a team is within its rate, and what is refused of a team that sends more than can be served. It is pure: it
+// contains no clock, goroutine or log.
 //
-// The owner of a team's jobs has a token bucket for the team (Rater). A job that finds no token is beyond the rate; its steps yield to
-// all work within rates. Tokens that the team does not use are given to its jobs beyond the rate that still wait.
+// The owner of a team's jobs has a token bucket for the team (Rater). A job takes a token when it first starts within the rate. The waiting
+// jobs for which there are no tokens are beyond the rate, and their steps yield to all work within rates.
 //
-// While jobs beyond the rate wait that have missed their objective, the owner states the share of new submissions to refuse (Refusal).
-// Entry instances apply it (Refusals) until it is older than MaxAge. Whether a submission is refused follows from the hash of its job and
-// from a window in the space of hashes that moves with time. The window passes each hash once in a turn, so that a job that was refused
-// is accepted when it comes back at the time that the refusal has stated, however many others are sent meanwhile.
+// Jobs of a team that have the same priority are a line. While new jobs of a line would become worthless before they start, at the pace
+// at which the line is served, the owner states the share of them to refuse (Refusal). Entry instances apply it (Refusals) until it
+// is older than MaxAge. Whether a submission is refused follows from the hash of its job and from a window in the space of hashes that moves
+// with time. The window passes each hash once in a turn, so that a job that was refused is accepted when it comes back at the
+// time that the refusal has stated, however many others are sent meanwhile.
 package rater
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// rateMargin is the factor of its rate at which jobs of a team are accepted while it is refused a share. It keeps a team whose jobs
-	// are refused beyond its rate, so that one that falls below it is noticed.
-	rateMargin = 1.1
+	// margin is the factor of its pace at which jobs of a line are accepted while it is refused a share, so that capacity that becomes
+	// free is used. Of a team, as much more than its rate is accepted.
+	margin = 1.1
 	// maxShare bounds the share of refused submissions, so that entry instances go on to learn it from the submissions that they accept.
 	maxShare = 0.9
 	// minWindow is how long each job is accepted in a turn. Retry-After has whole seconds, and a caller adds its own delay.
@@ -21,33 +21,35 @@
 	minTurn = 4 * time.Second
 )
 
-// Rater has the token buckets of the teams. It is not safe for concurrent use.
+// Rater has the token buckets of the teams, and what was measured of their lines. It is not safe for concurrent use.
 type Rater struct {
 	buckets   map[string]*bucket
+	flows     map[Line]*flow
 	decidedAt time.Time
 }
 
-// Demand is the work of a team beyond its rate.
+// Demand is a line in which jobs beyond the rate of the team wait.
 type Demand struct {
-	Team string
-	// Late is the number of waiting steps whose job has missed its objective.
-	Late int
-	// Started is the number of runs that were started since the last decision, in jobs.
-	Started int
+	Line
+	// Waiting is the number of jobs that have not started and still have a value, and Oldest the time for which the first one has waited.
+	Waiting int
+	Oldest  time.Duration
+	// Patience is how long a new job may wait for its start until its result has no value.
+	Patience time.Duration
 }
 
 // Decision is a refusal with the figures from which it was decided.
 type Decision struct {
 	Refusal
-	// Rate is that of the team, Arrivals the measured rate of accepted jobs, and Offered the estimated rate of all submissions; in jobs
-	// a second.
-	Rate, Arrivals, Offered float64
-	Late                    int
+	Demand Demand
+	// Rate is that of the team, Offered the estimated rate of submissions of the line, and Pace the rate of its first starts; in jobs a
+	// second.
+	Rate, Offered, Pace float64
 }
 
 // New returns a Rater without teams.
 func New() *Rater {
-	return &Rater{buckets: make(map[string]*bucket)}
+	return &Rater{buckets: make(map[string]*bucket), flows: make(map[Line]*flow)}
 }
 
 // SetTeams applies the rates of a configuration. A team without a weight has no rate.
@@ -57,6 +59,11 @@
 			delete(r.buckets, name)
 		}
 	}
+	for line := range r.flows {
+		if r.buckets[line.Team] == nil {
+			delete(r.flows, line)
+		}
+	}
 	for _, team := range teams.All() {
 		if team.Weight <= 0 {
 			continue
@@ -68,13 +75,6 @@
 	}
 }
 
-// Arrive counts a job that was accepted.
-func (r *Rater) Arrive(team string) {
-	if b := r.buckets[team]; b != nil {
-		b.arrived++
-	}
-}
-
 // Tokens returns how many jobs of the team are within its rate, of which as many as given wait without having taken a token. There is no
 // bound for a team without a rate.
 func (r *Rater) Tokens(now time.Time, team string, waiting int) int {
@@ -93,48 +93,70 @@
 	}
 }
 
-// Decide returns the refusals that are in force from now on, in the order of the teams. It is called about once a second.
+// Arrive counts a job that was accepted.
+func (r *Rater) Arrive(line Line) {
+	if f := r.flowOf(line); f != nil {
+		f.arrived++
+	}
+}
+
+// Start counts the first start of a job.
+func (r *Rater) Start(line Line) {
+	if f := r.flowOf(line); f != nil {
+		f.started++
+	}
+}
+
+// flowOf returns what was measured of a line; nil if its team has no rate.
+func (r *Rater) flowOf(line Line) *flow {
+	if r.buckets[line.Team] == nil {
+		return nil
+	}
+	f := r.flows[line]
+	if f == nil {
+		f = &flow{}
+		r.flows[line] = f
+	}
+	return f
+}
+
+// Decide returns the refusals that are in force from now on, in the order of the lines. It is called about once a second.
 func (r *Rater) Decide(now time.Time, demands []Demand) []Decision {
 	elapsed := now.Sub(r.decidedAt)
 	if r.decidedAt.IsZero() {
 		elapsed = 0
 	}
 	r.decidedAt = now
-	for _, b := range r.buckets {
-		b.measure(elapsed)
-		b.refusal = b.refusal.After(elapsed)
+	offered := make(map[string]float64)
+	for line, f := range r.flows {
+		f.measure(elapsed)
+		f.refusal = Refusal{Phase: f.refusal.Phase}
+		offered[line.Team] += f.offered
+	}
+	excess := make(map[string]float64)
+	for _, d := range demands {
+		if f := r.flowOf(d.Line); f != nil {
+			excess[d.Team] += f.excess(d)
+		}
 	}
 	var decisions []Decision
-	refused := make(map[string]bool, len(demands))
 	for _, d := range demands {
-		b := r.buckets[d.Team]
-		if b == nil {
+		if excess[d.Team] <= 0 {
 			continue
 		}
-		share := b.share(d, elapsed)
-		if share <= 0 {
+		// Of the whole team no more is refused than what it sends beyond its rate.
+		b, f := r.buckets[d.Team], r.flows[d.Line]
+		part := math.Min(1, (offered[d.Team]-margin*b.rate)/excess[d.Team])
+		share := math.Min(maxShare, part*f.excess(d)/f.offered)
+		if f.offered <= 0 || share <= 0 {
 			continue
 		}
-		refused[d.Team] = true
 		turn := max(minTurn, time.Duration(float64(minWindow)/(1-share)))
-		b.refusal = Refusal{Team: d.Team, Share: share, Phase: b.refusal.Phase, Turn: turn}
-		decisions = append(decisions, Decision{Refusal: b.refusal, Rate: b.rate, Arrivals: b.arrivals, Offered: b.offered, Late: d.Late})
-	}
-	for name, b := range r.buckets {
-		if !refused[name] {
-			b.refusal = Refusal{Phase: b.refusal.Phase}
-		}
+		f.refusal = Refusal{Line: d.Line, Share: share, Phase: f.refusal.Phase, Turn: turn}
+		decisions = append(decisions, Decision{Refusal: f.refusal, Demand: d, Rate: b.rate, Offered: f.offered, Pace: f.pace()})
 	}
-	slices.SortFunc(decisions, func(a, b Decision) int { return cmp.Compare(a.Team, b.Team) })
+	slices.SortFunc(decisions, func(a, b Decision) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Priority, b.Priority))
+	})
 	return decisions
 }
-
-// share returns the share of new submissions to refuse: what is offered beyond the rate and beyond what was served of the work beyond
-// it. It is zero unless the team sends more than its rate now.
-func (b *bucket) share(d Demand, elapsed time.Duration) float64 {
-	if d.Late == 0 || elapsed <= 0 || b.offered <= b.rate {
-		return 0
-	}
-	accepted := rateMargin*b.rate + float64(d.Started)/elapsed.Seconds()
-	return math.Min(maxShare, 1-accepted/b.offered)
-}
--- a/rater/refusal.go
+++ b/rater/refusal.go
@@ -11,9 +11,9 @@
 // MaxAge is how old a refusal may be when it is applied. Instances learn refusals once a second, and one answer may be lost.
 const MaxAge = 3 * time.Second
 
-// Refusal says which submissions of a team are refused.
+// Refusal says which submissions of a line are refused.
 type Refusal struct {
-	Team string
+	Line
 	// Share is the share of new submissions to refuse.
 	Share float64
 	// Phase is the start of the window of accepted hashes, as a part of all hashes. The window moves through all of them in a Turn.
@@ -60,9 +60,9 @@
 	return float64(sum>>11) / (1 << 53)
 }
 
-// Refusals are the refusals that an entry instance has learned, by team. It is not safe for concurrent use.
+// Refusals are the refusals that an entry instance has learned. It is not safe for concurrent use.
 type Refusals struct {
-	byTeam map[string]learned
+	byLine map[Line]learned
 }
 
 type learned struct {
@@ -70,29 +70,29 @@
 	at time.Time
 }
 
-// Learn replaces what is known about a team; a share of zero means that nothing is refused.
+// Learn replaces what is known about a line; a share of zero means that nothing is refused.
 func (r *Refusals) Learn(now time.Time, refusal Refusal) {
 	if refusal.Share <= 0 {
-		delete(r.byTeam, refusal.Team)
+		delete(r.byLine, refusal.Line)
 		return
 	}
-	if r.byTeam == nil {
-		r.byTeam = make(map[string]learned)
+	if r.byLine == nil {
+		r.byLine = make(map[Line]learned)
 	}
-	r.byTeam[refusal.Team] = learned{Refusal: refusal, at: now}
+	r.byLine[refusal.Line] = learned{Refusal: refusal, at: now}
 }
 
-// LearnAll replaces what is known about all teams of an owner.
+// LearnAll replaces what is known about all lines of an owner.
 func (r *Refusals) LearnAll(now time.Time, refusals []Refusal) {
-	clear(r.byTeam)
+	clear(r.byLine)
 	for _, refusal := range refusals {
 		r.Learn(now, refusal)
 	}
 }
 
-// For returns the present refusal of a team; it refuses nothing if there is none.
-func (r *Refusals) For(now time.Time, team string) Refusal {
-	known, found := r.byTeam[team]
+// For returns the present refusal of a line; it refuses nothing if there is none.
+func (r *Refusals) For(now time.Time, line Line) Refusal {
+	known, found := r.byLine[line]
 	if !found {
 		return Refusal{}
 	}
