Simulate floods with quotas and check the flooding team's own share

Each team may run 1.9 times its mean need in the new loads. A flooding team must have as many jobs in time as its rate is worth.

--- a/arbiter/simulation_test.go
+++ b/arbiter/simulation_test.go
@@ -53,6 +53,8 @@
 	wide int
 	// lost is the part of the capacity that is lost in the middle.
 	lost float64
+	// quota is how many times its mean need a team may run at a time; zero if there is no limit.
+	quota float64
 }
 
 type simJob struct {
@@ -159,9 +161,12 @@
 	var teams []specifier.Team
 	arrivals := make(map[time.Duration][]*simJob)
 	var jobs []*simJob
+	limits := limitsOf(s)
 	for team := range teamCount {
 		teams = append(teams, specifier.Team{Name: fmt.Sprint(team), Weight: weightOf(team)})
 		for _, j := range jobsOf(s, team) {
+			// A gang that its team may never run is refused at once; here it runs in waves instead.
+			j.gang = j.gang && float64(j.tasks)*j.kind.cores <= limits[team]
 			tick := j.accepted.Truncate(simTick)
 			arrivals[tick] = append(arrivals[tick], j)
 			j.rank = arbiter.Rank[*simJob]{Value: j, Service: "s", Priority: j.kind.priority, Step: specifier.StepID{Job: specifier.JobID(fmt.Sprintf("%06d", len(jobs)))}}
@@ -184,6 +189,7 @@
 		for len(runs) > 0 && runs[0].at <= now {
 			r := heap.Pop(&runs).(simRun)
 			free += r.job.kind.cores
+			limits[r.job.team] += r.job.kind.cores
 			a.End(r.charge, r.took)
 			r.job.running--
 			switch {
@@ -203,12 +209,28 @@
 			}
 		}
 		if free >= 3.5 {
-			free = pass(a, rates, order, now, waiting, free, &runs)
+			free = pass(a, rates, order, now, waiting, free, limits, &runs)
 		}
 	}
 	return jobs
 }
 
+// limitsOf returns how many cores each team may run.
+func limitsOf(s scenario) []float64 {
+	limits := make([]float64, teamCount)
+	for team := range limits {
+		for _, j := range jobsOf(scenario{}, team) {
+			for _, took := range j.runs {
+				limits[team] += s.quota * took.Seconds() * j.kind.cores / traffic.Seconds()
+			}
+		}
+		if s.quota == 0 {
+			limits[team] = math.Inf(1)
+		}
+	}
+	return limits
+}
+
 // lose loses a part of the servers. Every second run, for a half, is on one of them and has to start again.
 func lose(s scenario, free float64, runs runHeap, waiting map[*simJob]bool) (float64, runHeap) {
 	random := rand.New(rand.NewPCG(4, 4))
@@ -228,7 +250,7 @@
 }
 
 // pass places what fits. Capacity is held for the first gang of each priority that does not fit, as conductor does.
-func pass(a *arbiter.Arbiter, rates *rater.Rater, order policy, now time.Duration, waiting map[*simJob]bool, free float64, runs *runHeap) float64 {
+func pass(a *arbiter.Arbiter, rates *rater.Rater, order policy, now time.Duration, waiting map[*simJob]bool, free float64, limits []float64, runs *runHeap) float64 {
 	ranks := make([]*arbiter.Rank[*simJob], 0, len(waiting))
 	for j := range waiting {
 		left := j.steps + 1
@@ -255,13 +277,16 @@
 		if j.kind.priority >= heldFor {
 			usable -= held
 		}
-		if wanted := float64(j.left) * j.kind.cores; j.gang && wanted > usable {
+		limit := limits[j.team]
+		if wanted := float64(j.left) * j.kind.cores; j.gang && wanted > limit {
+			continue
+		} else if j.gang && wanted > usable {
 			if held == 0 && !r.Beyond && r.Tier == arbiter.OnTime {
 				held, heldFor = wanted, j.kind.priority
 			}
 			continue
 		}
-		for ; j.left > 0 && usable >= j.kind.cores; j.left-- {
+		for ; j.left > 0 && min(usable, limits[j.team]) >= j.kind.cores; j.left-- {
 			if r.Team != "" && !r.Beyond && !r.Paid {
 				r.Paid = true
 				rates.Take(r.Team)
@@ -272,6 +297,7 @@
 			j.running++
 			free -= j.kind.cores
 			usable -= j.kind.cores
+			limits[j.team] -= j.kind.cores
 			heap.Push(runs, simRun{at: now + took, took: took, job: j, charge: charge})
 		}
 		if j.left == 0 {
@@ -281,6 +307,11 @@
 	return free
 }
 
+// isFlooding reports whether the team sends more than its usual load.
+func (s scenario) isFlooding(team int) bool {
+	return s.floods[team] > 1 || s.wide > 0 && s.wide == team
+}
+
 // inTime returns the share of jobs in time of the teams that send their usual load, and of the others.
 func inTime(s scenario, jobs []*simJob) (others, flooding float64) {
 	count, met := [2]float64{}, [2]float64{}
@@ -289,7 +320,7 @@
 			continue
 		}
 		i := 0
-		if s.floods[j.team] > 1 || s.wide > 0 && s.wide == j.team {
+		if s.isFlooding(j.team) {
 			i = 1
 		}
 		count[i]++
@@ -300,14 +331,40 @@
 	return met[0] / count[0], met[1] / cmp.Or(count[1], 1)
 }
 
-// TestFloodOfOneTeamDoesNotHarmOthers guards against a team whose flood makes jobs of other teams late, and against a step that never
-// starts. The baselines show that the loads do harm without an order between teams.
+// requireRateIsServed checks that a flooding team has at least as many jobs in time as its rate, with the share in time of its usual load.
+func requireRateIsServed(t *testing.T, s scenario, before, after []*simJob) {
+	for team := range teamCount {
+		if !s.isFlooding(team) {
+			continue
+		}
+		only := scenario{floods: map[int]float64{team: 2}}
+		counted := func(jobs []*simJob) (sent, share float64) {
+			for _, j := range jobs {
+				if j.team == team && j.accepted >= floodFrom && j.accepted <= floodEnds {
+					sent++
+				}
+			}
+			_, share = inTime(only, jobs)
+			return sent, share
+		}
+		_, usual := counted(before)
+		sent, share := counted(after)
+		worth := min(sent, weightOf(team)*(floodEnds-floodFrom).Seconds()) * usual
+		t.Logf("team %d: %.0f of %.0f jobs in time, its rate is worth %.0f", team, sent*share, sent, worth)
+		require.GreaterOrEqual(t, sent*share, worth*(1-maxLoss))
+	}
+}
+
+// TestFloodOfOneTeamDoesNotHarmOthers guards against a team whose flood makes jobs of other teams late, against one that has fewer jobs in
+// time than its rate, and against a step that never starts. The baselines show that the loads do harm without an order between teams.
 func TestFloodOfOneTeamDoesNotHarmOthers(t *testing.T) {
 	for _, s := range []scenario{
 		{name: "one team at 5 times its load", floods: map[int]float64{0: 5}},
 		{name: "one team at 7.5 times its load", floods: map[int]float64{2: 7.5}},
 		{name: "two teams at 7.5 and 5 times their load", floods: map[int]float64{1: 7.5, 4: 5}},
 		{name: "burst of wide jobs", wide: 1},
+		{name: "one team at 5 times its load, quotas", floods: map[int]float64{0: 5}, quota: 1.9},
+		{name: "two teams at 7.5 and 5 times their load, quotas", floods: map[int]float64{1: 7.5, 4: 5}, quota: 1.9},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
@@ -323,7 +380,7 @@
 
 func requireOthersUnharmed(t *testing.T, s scenario) {
 	for _, order := range []policy{arrival, present, fair} {
-		before, after := play(scenario{lost: s.lost}, order), play(s, order)
+		before, after := play(scenario{lost: s.lost, quota: s.quota}, order), play(s, order)
 		for _, j := range after {
 			require.NotZero(t, j.ended, "every step starts")
 		}
@@ -332,6 +389,9 @@
 		t.Logf("%s: others %.4f in time, %.4f without the flood; flooding teams %.4f", order, others, othersBefore, flooding)
 		if order == fair {
 			require.GreaterOrEqual(t, others, othersBefore-maxLoss)
+			if s.lost == 0 {
+				requireRateIsServed(t, s, before, after)
+			}
 		}
 	}
 }
