--- a/arbiter/doc.go
+++ b/arbiter/doc.go
@@ -2,7 +2,7 @@
 //
 // Steps are served by class: work within the rates of the teams before work beyond them, and results that have lost their value last
 // of all; then by tier, the value that the result still has; then by the priority of the queue. Within a class, steps of one team are
-// served by their latest start. Without teams this is the whole order.
+// served by their latest start. Without teams this is the whole order. MarkBeyond finds the work beyond the rates.
 //
 // Between teams of a class the order is start-time fair queueing. There is one virtual time for each service, priority and side of the
 // rate. Each team has a tag in it; the team with the lowest tag is served next. The start of a run raises the tag of its team by
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -52,15 +52,15 @@
 
 // markBeyond finds the steps beyond the rates of their teams.
 func (c *Conductor) markBeyond(now time.Time) {
-	if !c.teams.configured {
-		return
-	}
 	var ranks []*arbiter.Rank[*waitingStep]
 	for _, w := range c.waitingSteps {
 		if w.job.Spec.Team != "" {
 			ranks = append(ranks, w.rankAt(now))
 		}
 	}
+	if len(ranks) == 0 {
+		return
+	}
 	arbiter.MarkBeyond(ranks, func(team string, waiting int) int { return c.teams.rater.Tokens(now, team, waiting) })
 }
 
