See the restart of a server whose wall clock was set back

Cause: incarnations of a server are compared by their start times. After a restart with a wall clock that was set back, each response of the new incarnation counted as one of an earlier incarnation and was dropped, so that the server was not used again and its runs never counted as ended. Change: a response to a call that was sent when the newest incarnation was known is from that one or a later one, whatever its start time. Entries and responses of the one before are ignored. The lease of an incarnation with such a clock counts as long, because its start time does not tell its age. An expired ticket gives way to one for an incarnation with an earlier start time. Limit: a server that also has another address after such a restart is not seen, because only its entry shows it.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -279,16 +279,16 @@
 		adv.validUntil = e.ValidUntil
 	}
 	for _, grant := range e.Grants {
-		adv.grant(grant.Server, ticket{text: grant.Ticket, validUntil: e.ValidUntil, incarnation: e.Incarnations[grant.Server]})
+		adv.grant(e.SentAt, grant.Server, ticket{text: grant.Ticket, validUntil: e.ValidUntil, incarnation: e.Incarnations[grant.Server]})
 	}
 	for _, server := range e.Servers {
 		adv.refuse(server, e.Incarnations[server])
 	}
 }
 
-// grant records a ticket, unless there is one for a later incarnation.
-func (a *advice) grant(server specifier.ServerID, t ticket) {
-	if known, granted := a.granted[server]; !granted || known.incarnation <= t.incarnation {
+// grant records a ticket that was asked for at a time, unless there was a valid one for an incarnation with a later start time.
+func (a *advice) grant(askedAt time.Time, server specifier.ServerID, t ticket) {
+	if known, granted := a.granted[server]; !granted || known.incarnation <= t.incarnation || known.validUntil.Before(askedAt) {
 		a.granted[server] = t
 	}
 }
--- a/conductor/former_lease.go
+++ b/conductor/former_lease.go
@@ -37,7 +37,7 @@
 // mayOutlastRenewals reports whether a run that was recorded by an earlier owner, or precedes a restart, may last longer than the
 // renewals of that owner say. A run that an earlier incarnation has reported has ended with it.
 func (c *Conductor) mayOutlastRenewals(s *session, a *allocation) bool {
-	if a.incarnation < s.server.Incarnation {
+	if s.isOutlived(a) {
 		return !a.answered
 	}
 	return a.longLease && c.mayHoldFormerLease(s.leaseEnd, a.incarnation)
@@ -55,7 +55,9 @@
 	for _, a := range s.allocations {
 		a.endsBy = time.Time{}
 	}
-	if !c.mayHoldFormerLease(now, s.server.Incarnation) {
+	// A clock that was set back says nothing about the age of the incarnation.
+	wasSetBack := s.formerIncarnation > s.server.Incarnation
+	if !wasSetBack && !c.mayHoldFormerLease(now, s.server.Incarnation) {
 		return
 	}
 	s.longLeaseUntil = now.Add(leaseBound(c.settings.maxLease))
--- a/conductor/incarnation.go
+++ b/conductor/incarnation.go
@@ -8,6 +8,23 @@
 	return s.describedIncarnation == s.server.Incarnation
 }
 
+// isFormer reports whether an incarnation is the one before the newest known, of which an entry or a response may still arrive. It may
+// have the later start time, because the wall clock of a server may be set back.
+func (s *session) isFormer(incarnation int64) bool {
+	return s.formerIncarnation != 0 && incarnation == s.formerIncarnation
+}
+
+// mayBeSetBack reports whether a response from an incarnation with an earlier start time than the newest known is from a later one: the
+// call was sent after the newest known was noticed, so that no incarnation before that can have responded.
+func (s *session) mayBeSetBack(e RenewEnded) bool {
+	return e.Report.Incarnation != 0 && e.Incarnation == s.server.Incarnation
+}
+
+// isOutlived reports whether a run was sent to an incarnation before the newest known.
+func (s *session) isOutlived(a *allocation) bool {
+	return a.incarnation < s.server.Incarnation || s.isFormer(a.incarnation)
+}
+
 // withdrawReserved requeues the runs that were placed on an earlier incarnation of a server and whose starts were not sent yet: the
 // present one may have other labels, another capacity and another address.
 func (c *Conductor) withdrawReserved(now time.Time, s *session) {
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -70,6 +70,9 @@
 
 // updateServer applies the entry of a server in a list.
 func (c *Conductor) updateServer(now time.Time, s *session, server specifier.Server) {
+	if s.isFormer(server.Incarnation) {
+		return
+	}
 	if s.server.Incarnation != 0 && server.Incarnation > s.server.Incarnation {
 		c.serverRestarted(now, s, server.Incarnation)
 	}
@@ -108,7 +111,7 @@
 	s.lastEndSeen, s.acknowledged, s.confirmed, s.pending = 0, 0, 0, nil
 	s.renewalInFlight, s.nextRenewalAt, s.renewalFailures = false, now, 0
 	s.fence++
-	s.health, s.restartedAt = assessor.Health{}, now
+	s.health, s.restartedAt, s.formerIncarnation = assessor.Health{}, now, s.server.Incarnation
 	c.withdrawReserved(now, s)
 }
 
@@ -212,10 +215,10 @@
 		}
 		return
 	}
-	if e.Report.Incarnation < s.server.Incarnation {
+	if s.isFormer(e.Report.Incarnation) || e.Report.Incarnation < s.server.Incarnation && !s.mayBeSetBack(e) {
 		return
 	}
-	if e.Report.Incarnation > s.server.Incarnation {
+	if e.Report.Incarnation != s.server.Incarnation {
 		if s.server.Incarnation != 0 {
 			c.serverRestarted(now, s, e.Report.Incarnation)
 		}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -117,7 +117,7 @@
 	for _, a := range lost {
 		c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
 		c.requeue(now, s, a)
-		if a.incarnation != 0 && a.incarnation < s.server.Incarnation && !a.shutdown {
+		if a.incarnation != 0 && s.isOutlived(a) && !a.shutdown {
 			c.recordCrash(now, s, a)
 		}
 	}
@@ -131,7 +131,7 @@
 // confirmRun records that the server reports a run as running.
 func (c *Conductor) confirmRun(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
 	c.markStarted(a.task.Job)
-	if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
+	if a.incarnation != 0 && s.isOutlived(a) {
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 		c.noteStartedBy(s, a)
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -79,7 +79,9 @@
 	// server is the newest entry of the server, with the newest known incarnation, and describedIncarnation is that of the entry.
 	server               specifier.Server
 	describedIncarnation int64
-	listed               bool
+	// formerIncarnation is the one before the newest known, if a restart was noticed.
+	formerIncarnation int64
+	listed            bool
 	// reconciled is set once the server has responded under this owner's fencing token and its report was compared with
 	// the allocations. It is cleared when the server restarts or the lease of its runs ends.
 	reconciled bool
