Await an unanswered start without a ticket for longer after a restart that is seen

Cause: the next incarnation of a server carries out a start without a response 6 s after the restart, while the server is cut off. The owner allowed for 3 s. Change: when the restart is seen, a start of this owner without a response and without a ticket is awaited for 15 s (formerCallTime) and the longest lease, until the new incarnation responds. With a ticket 3 s stay, because the server refuses an expired ticket. Servers that respond, and servers without a restart, cost no more.

--- a/conductor/former_lease.go
+++ b/conductor/former_lease.go
@@ -16,7 +16,7 @@
 	// carried out: a call without a response may be carried out seconds later.
 	formerCallTime = 15 * time.Second
 	// lateStartTime is how long after the lack of a response to a start the server, or its next incarnation, may still carry it
-	// out. Longer delays are not covered: the task would wait for as much longer.
+	// out, unless a restart is seen. Longer delays are not covered: the task would wait for as much longer.
 	lateStartTime = 3 * time.Second
 	// wallClockSkew is by how much the wall clocks of a backend server and of the owner may differ. They may jump by seconds.
 	wallClockSkew = 10 * time.Second
@@ -85,6 +85,19 @@
 	a.endsBy = now.Add(lateStartTime + leaseBound(c.settings.maxLease))
 }
 
+// awaitOutlivedStart records the same after a restart of the server was seen. Until the new incarnation responds, no fencing token
+// excludes a start of this owner, so that it is awaited for as long as calls may be late. One with a ticket is refused once the ticket
+// has expired.
+func (c *Conductor) awaitOutlivedStart(now time.Time, a *allocation) {
+	c.awaitLateStart(now, a)
+	if a.endsBy.IsZero() || a.fence == 0 || a.order.Ticket != "" {
+		return
+	}
+	if latest := a.startedAt.Add(formerCallTime + leaseBound(c.settings.maxLease)); latest.After(a.endsBy) {
+		a.endsBy = latest
+	}
+}
+
 // mayHaveFormerLease reports whether calls of an earlier owner that were meant for an earlier incarnation of a server may have
 // renewed the lease of the one that sends its first response to this owner. The records of runs tell, if there are some.
 func (c *Conductor) mayHaveFormerLease(s *session, report specifier.ServerReport) bool {
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -102,7 +102,7 @@
 		s.setState(a, outcomeUnknown)
 		a.shutdown = s.server.Draining
 		if !a.answered {
-			c.awaitLateStart(now, a)
+			c.awaitOutlivedStart(now, a)
 			// Only the former incarnation knows a stop that it has carried out.
 			a.resolvedAt = time.Time{}
 		}
--- a/conductor/restart_cost_test.go
+++ b/conductor/restart_cost_test.go
@@ -50,3 +50,31 @@
 	t.Logf("second run at %.3f s", w.secondStart(job))
 	require.Less(t, w.secondStart(job), 104.0+5.2)
 }
+
+// TestStartWithTicketIsNotAwaitedForLong guards against a task that waits for as long as calls may be late although its ticket has
+// expired, after its start got no response and its server has restarted and never responds.
+func TestStartWithTicketIsNotAwaitedForLong(t *testing.T) {
+	w := newBusyCell(t)
+	job := newJob(1, jobOptions{Tasks: 1, MilliCores: 60000, Seconds: 20, Advice: true})
+	w.at(w.start.Add(seconds(12)), func() { w.submit(job) })
+	w.interceptStart = func(s *fakeServer, o specifier.StartOrder, _ func()) bool {
+		if o.Task.Job != job.ID || w.intercepted {
+			return false
+		}
+		w.intercepted = true
+		s.crash(w, seconds(0.3))
+		s.silentUntil = w.now.Add(seconds(40))
+		return true
+	}
+	w.runUntil(seconds(80))
+	w.requireOneRun(job)
+	t.Logf("run at %.3f s", w.startAfterLoss(job))
+	require.Less(t, w.startAfterLoss(job), 12.7+13.9)
+}
+
+// startAfterLoss returns when the only run of a job began whose first start was lost.
+func (w *simulation) startAfterLoss(job specifier.Job) float64 {
+	runs := w.runsOf[specifier.TaskID{StepID: specifier.StepID{Job: job.ID}}]
+	require.Len(w.t, runs, 1, strings.Join(w.decisions, "\n"))
+	return runs[0].begunAt.Sub(w.start).Seconds()
+}
