Send an unanswered start again to the same server, and await the end of a reported late run

Cause: after a start without a response the server responded under a later fencing token without the run, and the task started elsewhere. When the server restarted afterwards, its next incarnation, which knows no fencing token, carried out the first start. When that was reported, its task started elsewhere although the late run was still being stopped. Change: the start is sent again to the same server, at most twice, instead of placing the task anew; a late start in the next incarnation is then the only run, because the former incarnation's run ended with it. A task of which a server reports an unrecorded run waits for the end of that run; the run counts with its need meanwhile, also for a quota.

--- a/conductor/job.go
+++ b/conductor/job.go
@@ -24,6 +24,8 @@
 	blockedUntil time.Time
 	// deleting is set while the job's keys are being deleted from the store.
 	deleting bool
+	// hasOrphans is set once an orphan of the job was found, and cleared when none is left.
+	hasOrphans bool
 	// reserved are the placed runs whose start waits for the commit of their record.
 	reserved     []*reservation
 	waitingSteps []*waitingStep
--- a/conductor/late_start_test.go
+++ b/conductor/late_start_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"egretring.example/egretring/specifier"
 )
 
@@ -89,3 +91,30 @@
 		t.Run(owner, lateStart{late: 0.01, cutAt: 13.4, staleList: true, owner: owner, ownerAt: 13.4}.requireOneRun)
 	}
 }
+
+// TestLateStartAfterResponseHasOneRun guards against a second run of a task whose start got no response and was not carried out by the
+// incarnation of the server that responded next, but by the one after that.
+func TestLateStartAfterResponseHasOneRun(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %t", gang), func(t *testing.T) {
+			w := newSimulation(t, 1, 4)
+			job := newJob(1, jobOptions{Tasks: 1, MilliCores: 60000, Seconds: 20, Gang: gang})
+			w.at(w.start.Add(seconds(12)), func() { w.submit(job) })
+			var first *fakeServer
+			w.interceptStart = func(s *fakeServer, o specifier.StartOrder, apply func()) bool {
+				if w.intercepted {
+					return false
+				}
+				w.intercepted, first = true, s
+				w.at(w.start.Add(seconds(14)), func() { s.crash(w, seconds(0.3)) })
+				w.at(w.start.Add(seconds(14.301)), apply)
+				return true
+			}
+			w.runUntil(seconds(80))
+			w.requireOneRun(job)
+			runs := w.runsOf[specifier.TaskID{StepID: specifier.StepID{Job: job.ID}}]
+			require.Same(t, first, runs[0].server)
+			require.Less(t, runs[0].begunAt.Sub(w.start), seconds(12.8), "the start is not to be held up")
+		})
+	}
+}
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -11,6 +11,9 @@
 func (c *Conductor) sendStart(now time.Time, s *session, a *allocation) {
 	s.setState(a, sent)
 	a.startedAt, a.clockBefore = now, s.clock
+	if a.firstSentAt.IsZero() {
+		a.firstSentAt = now
+	}
 	a.incarnation, a.address = s.server.Incarnation, s.server.Address
 	a.order.Fence = s.fence
 	a.fence = s.fence
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -115,6 +115,10 @@
 		}
 	}
 	for _, a := range lost {
+		if c.mayResend(now, s, a) {
+			c.resend(now, s, a)
+			continue
+		}
 		c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
 		c.requeue(now, s, a)
 		if a.incarnation != 0 && s.isOutlived(a) && !a.shutdown {
@@ -161,8 +165,12 @@
 	if j := c.jobs[r.Task.Job]; j != nil && r.Task.Step < len(j.Spec.Steps) {
 		need = j.Spec.Steps[r.Task.Step].Occupies()
 	}
-	a := &allocation{task: r.Task, run: r.Run, need: need, state: confirmed, resolvedAt: now, fence: s.fence}
+	a := &allocation{task: r.Task, run: r.Run, need: need, state: confirmed, resolvedAt: now, fence: s.fence, orphan: true}
 	s.add(a)
+	if j := c.jobs[r.Task.Job]; j != nil {
+		j.hasOrphans = true
+		c.markStale(j)
+	}
 	c.logDecision("OrphanStopped", r.Task, r.Run, s.server.ID, "")
 	c.stop(now, s, a)
 }
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -55,9 +55,15 @@
 	fence   int64
 	// resolvedAt is when the server responded to the start or the stop, or first reported the run.
 	resolvedAt time.Time
+	// resends is how often the start was sent again.
+	resends int
+	// orphan runs were reported by the server without being recorded for it.
+	orphan     bool
 	stopping   bool
 	stopSentAt time.Time
-	startedAt  time.Time
+	// startedAt is when the start was sent last, and firstSentAt when it was sent first.
+	startedAt   time.Time
+	firstSentAt time.Time
 }
 
 // starting reports whether the start of the run has no result yet.
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -80,8 +80,9 @@
 	j.waitingSteps = j.waitingSteps[:0]
 	c.replan = true
 	allowed := objectiveOf(j)
+	orphans := c.orphansOf(j)
 	for _, step := range j.ReadySteps() {
-		waiting := step.WaitingTasks()
+		waiting := orphans.without(step, step.WaitingTasks())
 		if len(waiting) == 0 {
 			continue
 		}
