Tell successors of starts that may have got no response

Cause: an owner is killed right after a start without a response, and the server has restarted behind a cut. Its successor finds a placed run in the record, waits for the lease only and starts the task again, while the next incarnation carries out the first start. Change: a record lists the tasks with unanswered and with doubtful starts, and when it was written, as the time since its owner began. A successor awaits late starts (13.6 s) from records that were written at most 0.9 s before the last one of its predecessor, and doubtful ones from records of the last 13.6 s. An answer is written with the next record for another reason; after 0.9 s without any write an owner writes one record again, so that its last starts do not count as recent. A start without a response makes its job's record due. Cost: a record grows by about 60 bytes and a few for each step; a task on a server that does not respond to the successor starts again after 13.6 s instead of 5 s when it was placed within 0.9 s before the predecessor's last write.

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -58,7 +58,7 @@
 			later = append(later, j)
 			continue
 		}
-		value, err := j.Record().Encode()
+		value, err := c.recordOf(now, j).Encode()
 		if err != nil {
 			// The next change of the job tries again.
 			j.dirty = false
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -88,6 +88,9 @@
 	shard    shard
 	borrower borrower
 	lender   lender
+	// restoredStarts has what the records say of the predecessor's last starts, until the next plan.
+	restoredStarts restoredStarts
+	unanswered     unanswered
 }
 
 // New returns the state machine of an owner whose ownership began at the given time under the given epoch.
@@ -164,6 +167,7 @@
 
 // Plan decides what to do next and returns all commands since the last call.
 func (c *Conductor) Plan(now time.Time) []Command {
+	c.awaitRestoredStarts()
 	c.beginDue(now)
 	c.refreshStale()
 	c.place(now)
@@ -177,6 +181,7 @@
 	}
 	if c.sweepPass.begin(now) {
 		c.expire(now)
+		c.closeUnanswered(now)
 		c.resendStops(now)
 		c.checkReachability(now)
 	}
--- a/conductor/late_start_test.go
+++ b/conductor/late_start_test.go
@@ -84,6 +84,11 @@
 	lateStart{late: 0.01, cutAt: 12.306, staleList: true, owner: "CrashOwner", ownerAt: 12.4}.requireOneRun(t)
 }
 
+// TestDoubtfulStartInRecordHasOneRun guards against the same when the owner is killed after it has found that the start got no response.
+func TestDoubtfulStartInRecordHasOneRun(t *testing.T) {
+	lateStart{late: 0.01, cutAt: 12.306, staleList: true, owner: "CrashOwner", ownerAt: 13}.requireOneRun(t)
+}
+
 // TestOutlivedStartInRecordHasOneRun guards against a second run of a task whose start was carried out by the next incarnation of
 // its server, when a successor finds the former incarnation in the record and the server is not listed.
 func TestOutlivedStartInRecordHasOneRun(t *testing.T) {
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -60,13 +60,14 @@
 			return
 		}
 		s.setState(a, confirmed)
-		a.resolvedAt, a.answered = now, true
 		s.health.RecordConnection()
-		c.markStarted(a.task.Job)
+		c.markStarted(a)
+		a.resolvedAt, a.answered = now, true
 		return
 	case specifier.OrderUnknown:
 		s.setState(a, outcomeUnknown)
 		c.awaitLateStart(now, a)
+		c.noteDoubt(a)
 		c.raiseFence(now, s, a.fence)
 		c.logDecision("StartDoubtful", a.task, a.run, s.server.ID, "")
 		return
@@ -226,9 +227,12 @@
 	}
 }
 
-// markStarted records that a run of the job is known to have started.
-func (c *Conductor) markStarted(id specifier.JobID) {
-	if j := c.jobs[id]; j != nil {
+// markStarted records that a run is known to have started.
+func (c *Conductor) markStarted(a *allocation) {
+	if j := c.jobs[a.task.Job]; j != nil {
 		j.MarkStarted()
+		if !a.answered {
+			j.NoteStart(a.task, a.run, lifecycler.Answered)
+		}
 	}
 }
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -134,7 +134,7 @@
 
 // confirmRun records that the server reports a run as running.
 func (c *Conductor) confirmRun(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
-	c.markStarted(a.task.Job)
+	c.markStarted(a)
 	if a.incarnation != 0 && s.isOutlived(a) {
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 		c.noteStartedBy(s, a)
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -19,6 +19,7 @@
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
+				start: task.Start, written: j.Written(),
 			})
 		}
 	}
@@ -28,6 +29,7 @@
 func (c *Conductor) Restore(now time.Time, restored *lifecycler.Job) {
 	restored.Spec = restored.Spec.WithAcceptedAt(acceptedAt(now, JobArrived{Job: restored.Spec}))
 	j := c.addJob(restored)
+	c.restoredStarts.add(restored.Written())
 	if j.State().Final() {
 		j.retainedSince = now
 		if j.Committed() < j.Version() {
--- a/lifecycler/change.go
+++ b/lifecycler/change.go
@@ -12,7 +12,7 @@
 	task.State = Placed
 	task.Run = p.Run
 	task.Server, task.Incarnation, task.Address = p.Server.ID, p.Server.Incarnation, p.Server.Address
-	task.LongLease = p.LongLease
+	task.LongLease, task.Start = p.LongLease, Unanswered
 	j.version++
 }
 
--- a/lifecycler/compact.go
+++ b/lifecycler/compact.go
@@ -23,7 +23,10 @@
 	Servers         []ServerRecord `json:",omitempty"`
 	// LongLeases are the positions in Servers, as ranges, of those with a run whose Placement has LongLease set. It then holds for
 	// all runs of the job there.
-	LongLeases string      `json:",omitempty"`
+	LongLeases string `json:",omitempty"`
+	// Unanswered and Doubtful are the positions of those with such a start, which then hold for all runs of the job there.
+	Unanswered string      `json:",omitempty"`
+	Doubtful   string      `json:",omitempty"`
 	Groups     []TaskGroup `json:",omitempty"`
 	// Details has at most maxListedTasks entries. Without its entry a task starts from the beginning instead of its checkpoint,
 	// and the crashes under it are forgotten.
@@ -74,7 +77,9 @@
 	servers map[ServerRecord]int
 	// longLeases are the positions of the servers with long leases.
 	longLeases map[int]bool
-	crashes    []TaskDetail
+	// starts are the positions of the servers with starts in the states Unanswered and Doubtful.
+	starts  [Doubtful + 1]map[int]bool
+	crashes []TaskDetail
 	// checkpoints are the details of tasks under which no server has crashed.
 	checkpoints []TaskDetail
 }
@@ -102,6 +107,9 @@
 func (j *Job) compactRecord() *CompactRecord {
 	b := &compact{groups: make(map[groupKey]int), servers: make(map[ServerRecord]int), longLeases: make(map[int]bool)}
 	b.record.FirstOccurrence = j.firstOpen
+	for state := range b.starts {
+		b.starts[state] = make(map[int]bool)
+	}
 	for occurrence := j.firstOpen; occurrence < j.nextOccurrence; occurrence++ {
 		known := j.occurrences[occurrence]
 		if known == nil {
@@ -131,6 +139,9 @@
 		if task.LongLease {
 			b.longLeases[b.server(key.server)] = true
 		}
+		if task.Start != Answered {
+			b.starts[task.Start][b.server(key.server)] = true
+		}
 	}
 	i, known := b.groups[key]
 	if !known {
@@ -176,16 +187,22 @@
 	for i := range b.record.Groups {
 		b.record.Groups[i].Tasks = b.ranges[i].String()
 	}
-	var longLeases rangeList
-	for _, position := range slices.Sorted(maps.Keys(b.longLeases)) {
-		longLeases.add(position)
-	}
-	b.record.LongLeases = longLeases.String()
+	b.record.LongLeases = rangesOf(b.longLeases)
+	b.record.Unanswered, b.record.Doubtful = rangesOf(b.starts[Unanswered]), rangesOf(b.starts[Doubtful])
 	details := slices.Concat(b.crashes, b.checkpoints)
 	b.record.Details = details[:min(len(details), maxListedTasks)]
 	return &b.record
 }
 
+// rangesOf returns a set of numbers as a list of ranges.
+func rangesOf(set map[int]bool) string {
+	var ranges rangeList
+	for _, number := range slices.Sorted(maps.Keys(set)) {
+		ranges.add(number)
+	}
+	return ranges.String()
+}
+
 // restoreCompact applies a compact record to a new job.
 func (j *Job) restoreCompact(record *CompactRecord) error {
 	if record.FirstOccurrence < 0 || record.FirstOccurrence > j.Spec.OccurrenceCount() {
@@ -197,8 +214,24 @@
 	if err != nil {
 		return errors.Wrapf(err, "long leases of job %s", j.Spec.ID)
 	}
+	unanswered, err := setOfRanges(record.Unanswered)
+	if err != nil {
+		return errors.Wrapf(err, "unanswered starts of job %s", j.Spec.ID)
+	}
+	doubtful, err := setOfRanges(record.Doubtful)
+	if err != nil {
+		return errors.Wrapf(err, "doubtful starts of job %s", j.Spec.ID)
+	}
 	for _, group := range record.Groups {
-		if err := j.restoreGroup(record, group, longLeases[group.Server]); err != nil {
+		start := Answered
+		switch {
+		case group.State != Placed:
+		case doubtful[group.Server]:
+			start = Doubtful
+		case unanswered[group.Server]:
+			start = Unanswered
+		}
+		if err := j.restoreGroup(record, group, longLeases[group.Server], start); err != nil {
 			return err
 		}
 	}
@@ -213,7 +246,7 @@
 	return nil
 }
 
-func (j *Job) restoreGroup(record *CompactRecord, group TaskGroup, longLease bool) error {
+func (j *Job) restoreGroup(record *CompactRecord, group TaskGroup, longLease bool, start StartState) error {
 	var server ServerRecord
 	if group.State == Placed {
 		if group.Server < 0 || group.Server >= len(record.Servers) {
@@ -232,7 +265,7 @@
 		}
 		*task = Task{
 			State: group.State, Run: group.Run, FailedRuns: slices.Clone(group.FailedRuns), Server: server.ID,
-			Incarnation: server.Incarnation, Address: server.Address, LongLease: longLease && group.State == Placed,
+			Incarnation: server.Incarnation, Address: server.Address, LongLease: longLease && group.State == Placed, Start: start,
 		}
 		if group.State == Done {
 			step.done++
--- a/lifecycler/job.go
+++ b/lifecycler/job.go
@@ -24,7 +24,9 @@
 	paths   []time.Duration
 	started bool
 	// version counts the changes; committed is the newest version that is in the store.
-	version   uint64
+	version uint64
+	// written is when the record was written from which the job was restored.
+	written   Written
 	committed uint64
 	// committedFinal is the final state once the store has it.
 	committedFinal specifier.JobState
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -14,6 +14,7 @@
 	State specifier.JobState
 	// FinalAt is set with a final state.
 	FinalAt time.Time    `json:",omitzero"`
+	Written Written      `json:",omitzero"`
 	Steps   []StepRecord `json:",omitempty"`
 	// Compact takes the place of Steps for a job with many tasks.
 	Compact *CompactRecord `json:",omitempty"`
@@ -26,6 +27,9 @@
 	// Done is set when all tasks are done; Tasks is then empty.
 	Done  bool         `json:",omitempty"`
 	Tasks []TaskRecord `json:",omitempty"`
+	// Unanswered and Doubtful are the indexes of the placed tasks with these starts, as ranges such as "0-4,7".
+	Unanswered string `json:",omitempty"`
+	Doubtful   string `json:",omitempty"`
 }
 
 // TaskRecord is the progress of a task that was started at least once.
@@ -73,10 +77,17 @@
 	if kept.Done {
 		return kept, true
 	}
+	var unanswered, doubtful rangeList
 	for i, task := range s.Tasks {
 		if task.Run == 0 {
 			continue
 		}
+		if task.State == Placed && task.Start == Unanswered {
+			unanswered.add(i)
+		}
+		if task.State == Placed && task.Start == Doubtful {
+			doubtful.add(i)
+		}
 		kept.Tasks = append(kept.Tasks, TaskRecord{
 			Index: i, State: task.State, Run: task.Run, FailedRuns: task.FailedRuns,
 			Server: task.Server, Incarnation: task.Incarnation, Checkpoint: task.Checkpoint, Crashes: task.Crashes,
@@ -87,6 +98,7 @@
 			last.Address, last.LongLease = task.Address, task.LongLease
 		}
 	}
+	kept.Unanswered, kept.Doubtful = unanswered.String(), doubtful.String()
 	return kept, len(kept.Tasks) > 0
 }
 
@@ -106,6 +118,7 @@
 // Restore returns a job with the progress of its record from the store.
 func Restore(spec specifier.Job, record Record) (*Job, error) {
 	j := New(spec)
+	j.written = record.Written
 	if record.State.Final() {
 		j.state, j.committedFinal, j.finalAt = record.State, record.State, record.FinalAt
 		j.started = true
@@ -166,7 +179,10 @@
 			s.done++
 		}
 	}
-	return nil
+	if err := s.restoreStarts(kept.Unanswered, Unanswered); err != nil {
+		return err
+	}
+	return s.restoreStarts(kept.Doubtful, Doubtful)
 }
 
 // hasRun reports whether the state restored from the record shows that a task has run.
--- a/lifecycler/record_test.go
+++ b/lifecycler/record_test.go
@@ -152,6 +152,7 @@
 			if step.Spec.Gang {
 				job.Place(step, 1-index, lifecycler.Placement{Run: run, Server: serverNumbered(random.IntN(5)), LongLease: random.IntN(3) == 0})
 			}
+			job.NoteStart(id.Task(index), run, lifecycler.StartState(random.IntN(3)))
 			job.SetCheckpoint(id.Task(index), fmt.Sprint(random.IntN(3)))
 			switch random.IntN(5) {
 			case 0:
@@ -187,7 +188,7 @@
 // requireSameSteps compares the tasks of two jobs, as far as a record of many tasks keeps them.
 func requireSameSteps(t *testing.T, spec specifier.Job, want, got *lifecycler.Job) {
 	t.Helper()
-	listed := 0
+	listed, compact := 0, want.Record().Compact != nil
 	for occurrence := range spec.OccurrenceCount() {
 		for i := range spec.Steps {
 			id := specifier.StepID{Job: spec.ID, Occurrence: occurrence, Step: i}
@@ -210,6 +211,9 @@
 					require.Equal(t, a.Tasks[index].Server, b.Tasks[index].Server)
 					require.Equal(t, a.Tasks[index].Incarnation, b.Tasks[index].Incarnation)
 					require.Equal(t, a.Tasks[index].Address, b.Tasks[index].Address)
+					// A compact record keeps the start of which least is known for all runs on a server.
+					require.GreaterOrEqual(t, b.Tasks[index].Start, a.Tasks[index].Start)
+					require.True(t, compact || a.Tasks[index].Start == b.Tasks[index].Start)
 				}
 				if a.SharedCheckpoint(index) != "" {
 					listed++
--- a/lifecycler/task.go
+++ b/lifecycler/task.go
@@ -29,7 +29,9 @@
 	Incarnation int64
 	Address     string
 	// LongLease is that of the newest run's Placement.
-	LongLease  bool
+	LongLease bool
+	// Start is that of the newest run.
+	Start      StartState
 	Checkpoint string
 	// Crashes are the crashes of servers under runs of the task since one of them has lasted for long.
 	Crashes []Crash
