Send a predecessor's unanswered start again to the same server

Cause: in the soak of TestLateStarts an owner ended after a start that was sent three times without a response. Its successor found that the server did not have the run, and started the task elsewhere; the next incarnation of the server then carried out the first start. Change: a run that the record shows with a doubtful start, without advice and not of a gang, is started again on the same server when that server, in the same incarnation, does not have it.

--- a/conductor/resend.go
+++ b/conductor/resend.go
@@ -1,6 +1,10 @@
 package conductor
 
-import "time"
+import (
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
 
 const (
 	// maxResends bounds how often a start without a response is sent again, so that a server that responds to renewals and to no
@@ -14,16 +18,30 @@
 // token and does not have the run. The next incarnation may still carry out the first start. That is no second run while the task is on
 // this server, because the run of the incarnation before has ended with it.
 func (c *Conductor) mayResend(now time.Time, s *session, a *allocation) bool {
-	if a.state != outcomeUnknown || a.answered || a.stopping || a.fence == 0 || a.resends >= maxResends || s.isOutlived(a) || !s.usable(now) {
+	unanswered := a.state == outcomeUnknown && a.fence != 0 || a.restoredDoubt
+	if !unanswered || a.answered || a.stopping || a.resends >= maxResends || s.isOutlived(a) || s.lentTo != nil || !s.accepts(now) {
 		return false
 	}
 	j := c.jobs[a.task.Job]
-	if j == nil || j.State().Final() {
+	if j == nil || j.State().Final() || a.restoredDoubt && !c.restoreOrder(j, a) {
 		return false
 	}
 	return !j.inGang(a.task) || now.Sub(a.firstSentAt) < gangResendTime
 }
 
+// restoreOrder makes the start order of a run from the record of an earlier owner, whose start may have got no response. It reports
+// whether that is possible: not with advice, because the record has no ticket.
+func (c *Conductor) restoreOrder(j *job, a *allocation) bool {
+	step, ok := j.Step(a.task.StepID)
+	if !ok || j.queue.Advice.Needed || step.Spec.Gang {
+		return false
+	}
+	a.order = specifier.StartOrder{
+		Task: a.task, Run: a.run, Spec: j.Spec.Spec, Checkpoint: step.SharedCheckpoint(a.task.Index),
+	}
+	return true
+}
+
 // resend sends a start again, under the present fencing token. Its record is in the store.
 func (c *Conductor) resend(now time.Time, s *session, a *allocation) {
 	a.resends++
--- a/conductor/restored_start.go
+++ b/conductor/restored_start.go
@@ -44,6 +44,7 @@
 	for _, s := range c.sessions {
 		for _, a := range s.allocations {
 			if c.restoredStarts.isDoubtful(a, lateStartTime+leaseBound(c.settings.maxLease)) {
+				a.restoredDoubt = true
 				c.awaitLateStart(c.startedAt, a)
 			}
 			a.start = lifecycler.Answered
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -44,6 +44,8 @@
 	// start is what the record of an earlier owner says of the start, and written is when that record was written.
 	start   lifecycler.StartState
 	written lifecycler.Written
+	// restoredDoubt is set when the record shows that the start may have got no response.
+	restoredDoubt bool
 	// longLease is set when the record of an earlier owner says that the lease of the server might be longer than its renewals.
 	longLease bool
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
@@ -245,7 +247,12 @@
 
 // available reports whether new runs could be placed on the server if no other shard wanted it.
 func (s *session) available(now time.Time) bool {
-	return s.reconciled && s.listed && s.isDescribed() && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
+	return s.reconciled && s.accepts(now)
+}
+
+// accepts reports whether new runs could be placed on the server once its report was compared with the allocations.
+func (s *session) accepts(now time.Time) bool {
+	return s.listed && s.isDescribed() && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
 		s.health.AllowsRun(now, s.trials(now))
 }
 
