Keep connections for task calls and usage reports out of the shares

Cause: by reading, the shares of a backend server's connections add up to all of them, and those for task calls and usage reports come on top, without a limit. Full shares and one such connection of each of one to three instances are the 65 to 67 of 64 that were seen in TestDemoBreaksNoGuarantee. Change: each slot gives up one of its connections if it has more than one (64 for 8 slots: 7 a slot, 8 left). Each instance opens at most two connections to a backend server besides its share, one for task calls, which are made one after the other, and one for usage reports; they end after 2 s without a call. In a demo, with up to 3 instances a zone, at most 56 + 6 connections can be open now instead of 64 and more. Limit: more than 4 instances of a zone with such calls to one server at the same time can exceed what is left; a configuration with one connection a slot leaves none.

--- a/server/capacity.go
+++ b/server/capacity.go
@@ -87,7 +87,7 @@
 
 // updateCapacity applies the capacity of the configuration in force.
 func (m *membership) updateCapacity(state ticketer.State) {
-	effective := m.capacity.update(configuredCapacity(state.Services()), state.Applied())
+	effective := m.capacity.update(configuredCapacity(state.Services()).withoutControl(), state.Applied())
 	m.setCapacity(effective)
 	m.growCapacity()
 }
--- a/server/compose.go
+++ b/server/compose.go
@@ -29,6 +29,7 @@
 // the store or of the list as it is when an option has set it.
 func (d *Daemon) connect() {
 	d.http = &http.Client{Transport: &http.Transport{DialContext: d.dial}}
+	d.control = newControlClient(d.dial)
 	if d.store == nil {
 		d.store = keeper.NewClient(d.settings.Store, d.http)
 	}
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -40,6 +40,8 @@
 	store    keeper.Store
 	list     lister.List
 	http     *http.Client
+	// control is the client for task calls and usage reports.
+	control *http.Client
 
 	identities identities
 
@@ -164,7 +166,7 @@
 
 // usage returns the usage report of a backend server.
 func (d *Daemon) usage(ctx context.Context, server describer.BackendServer) (forwarder.UsageReport, error) {
-	return forwarder.NewTaskClient(server.Address, d.http).Usage(ctx)
+	return forwarder.NewTaskClient(server.Address, d.control).Usage(ctx)
 }
 
 // applyChanges passes changes of the configuration and of the instance list to the request path and to the scheduler.
--- a/server/tasks.go
+++ b/server/tasks.go
@@ -14,7 +14,7 @@
 		Instance: d.self.ID, Zone: d.self.AvailabilityZone, Store: d.store, Membership: taskMembership{d.membership},
 		Configuration: d.distributor, Logger: d.logger,
 		Connect: func(server describer.BackendServer) forwarder.TaskServer {
-			return forwarder.NewTaskClient(server.Address, d.http)
+			return forwarder.NewTaskClient(server.Address, d.control)
 		},
 	})
 }
