--- a/conductor/place.go
+++ b/conductor/place.go
@@ -34,6 +34,7 @@
 	c.fullPassNotBefore = c.passRate.begin(now, len(c.waitingSteps)*len(c.sessions))
 	c.counted.Passes++
 	p := c.newPass(now)
+	c.chooseClaims(now)
 	c.findContended(p)
 	c.updateHolds(p)
 	for _, w := range c.inPlacementOrder(now) {
@@ -83,6 +84,9 @@
 	if p.now.Before(w.job.blockedUntil) {
 		return
 	}
+	if !c.expectsQuota(p, w) {
+		return
+	}
 	if !p.mayStart(w) {
 		c.startsLimited = true
 		return
@@ -92,7 +96,7 @@
 	if advised && p.mayRequestAdvice(w) {
 		c.requestAdvice(p, w)
 	}
-	if !w.need().Fits(p.maxFree[service]) {
+	if w.startable < w.required() || !w.need().Fits(p.maxFree[service]) {
 		return
 	}
 	var candidates []*session
@@ -212,6 +216,9 @@
 			c.startsLimited = true
 			break
 		}
+		if w.startable <= 0 {
+			break
+		}
 		i := slices.IndexFunc(servers, func(s *session) bool { return !placedOn(s, w.step, index) })
 		if i < 0 {
 			continue
@@ -233,9 +240,11 @@
 // reserve places a run and allocates its capacity; its start order is sent once its record is in the store.
 func (c *Conductor) reserve(p *pass, w *waitingStep, s *session, index, run int) {
 	p.startsLeft--
+	w.startable--
 	w.job.Place(w.step, index, lifecycler.Placement{Run: run, Server: s.server, LongLease: p.now.Before(s.longLeaseUntil)})
 	a := &allocation{
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
+		team: w.job.Spec.Team, charge: w.step.Spec.Need,
 		order: specifier.StartOrder{
 			Task: w.step.ID.Task(index), Run: run, Spec: w.job.Spec.Spec, Checkpoint: w.step.SharedCheckpoint(index),
 			Ticket: w.job.ticket(w.step.ID, s.server),
--- a/conductor/resend.go
+++ b/conductor/resend.go
@@ -22,6 +22,10 @@
 	if !unanswered || a.answered || a.stopping || a.resends >= maxResends || s.isOutlived(a) || s.lentTo != nil || !s.accepts(now) {
 		return false
 	}
+	// A new configuration may have lowered the limit of the team since the first start.
+	if c.accounts.Exceeded(a.team) {
+		return false
+	}
 	j := c.jobs[a.task.Job]
 	if j == nil || j.State().Final() || a.restoredDoubt && !c.restoreOrder(j, a) {
 		return false
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -20,6 +20,7 @@
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
 				start: task.Start, written: j.Written(),
+				team: j.Spec.Team, charge: step.Spec.Need,
 			})
 		}
 	}
@@ -32,6 +33,7 @@
 	c.restoredStarts.add(restored.Written())
 	if j.State().Final() {
 		j.retainedSince = now
+		c.restoreRemaining(j)
 		if j.Committed() < j.Version() {
 			c.markDirty(j)
 			c.logDecision("JobInvalid", specifier.TaskID{StepID: specifier.StepID{Job: restored.Spec.ID}}, 0, "", "the stored job cannot run")
--- a/lifecycler/record.go
+++ b/lifecycler/record.go
@@ -12,12 +12,16 @@
 // Record is the progress of a job as kept in the store.
 type Record struct {
 	State specifier.JobState
+	// Team is the team of the job. A final job has nothing but its record in the store.
+	Team string `json:",omitempty"`
 	// FinalAt is set with a final state.
 	FinalAt time.Time    `json:",omitzero"`
 	Written Written      `json:",omitzero"`
 	Steps   []StepRecord `json:",omitempty"`
 	// Compact takes the place of Steps for a job with many tasks.
 	Compact *CompactRecord `json:",omitempty"`
+	// Remaining is set for a finished job of a team with runs that still exist.
+	Remaining *Remaining `json:",omitempty"`
 }
 
 // StepRecord is the progress of a step.
@@ -48,7 +52,7 @@
 
 // Record returns the job's progress as a record.
 func (j *Job) Record() Record {
-	record := Record{State: j.state, FinalAt: j.finalAt}
+	record := Record{State: j.state, Team: j.Spec.Team, FinalAt: j.finalAt}
 	if j.startedTasks() > maxListedTasks {
 		record.Compact = j.compactRecord()
 		return record
@@ -121,7 +125,7 @@
 	j.written = record.Written
 	if record.State.Final() {
 		j.state, j.committedFinal, j.finalAt = record.State, record.State, record.FinalAt
-		j.started = true
+		j.started, j.remaining = true, record.Remaining
 		return j, nil
 	}
 	if j.state.Final() {
