Send no start with a ticket again

Cause: a start that is sent again to a server that keeps orders without a response holds up the task by 0.6 s each time; urgent tasks with advice have an objective of little more than a second. Change: a task whose start had a ticket is placed anew at once, as before. Its late start is refused once the ticket has expired. Result: TestUnansweredStartWithTicketIsNotResent, new, and the tests of late starts and restarts pass.

--- a/conductor/late_start_test.go
+++ b/conductor/late_start_test.go
@@ -131,3 +131,22 @@
 		})
 	}
 }
+
+// TestUnansweredStartWithTicketIsNotResent guards against a task with advice, which may be urgent, that waits for another answer of a
+// server whose start got no response.
+func TestUnansweredStartWithTicketIsNotResent(t *testing.T) {
+	w := newSimulation(t, 1, 4)
+	job := newJob(1, jobOptions{Tasks: 1, MilliCores: 60000, Seconds: 20, Advice: true})
+	w.at(w.start.Add(seconds(12)), func() { w.submit(job) })
+	w.interceptStart = func(*fakeServer, specifier.StartOrder, func()) bool {
+		first := !w.intercepted
+		w.intercepted = true
+		return first
+	}
+	w.runUntil(seconds(80))
+	w.requireOneRun(job)
+	for _, d := range w.decisions {
+		require.NotContains(t, d, "StartResent")
+	}
+	require.Less(t, w.startAfterLoss(job), 12.8)
+}
--- a/conductor/resend.go
+++ b/conductor/resend.go
@@ -22,6 +22,10 @@
 	if !unanswered || a.answered || a.stopping || a.resends >= maxResends || s.isOutlived(a) || s.lentTo != nil || !s.accepts(now) {
 		return false
 	}
+	// With a ticket a late start is refused once the ticket has expired. The task is not to wait for another answer of this server.
+	if a.order.Ticket != "" {
+		return false
+	}
 	// A new configuration may have lowered the limit of the team since the first start.
 	if c.accounts.Exceeded(a.team) {
 		return false
