--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -58,7 +58,7 @@
 			later = append(later, j)
 			continue
 		}
-		record := j.Record()
+		record := c.recordOf(now, j)
 		record.Remaining = c.remainingOf(j)
 		value, err := record.Encode()
 		if err != nil {
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -118,11 +118,15 @@
 		}
 	}
 	for _, a := range lost {
+		if c.mayResend(now, s, a) {
+			c.resend(now, s, a)
+			continue
+		}
 		if !a.remaining {
 			c.logDecision("RunVanished", a.task, a.run, s.server.ID, "")
 		}
 		c.requeue(now, s, a)
-		if a.incarnation != 0 && a.incarnation < s.server.Incarnation && !a.shutdown {
+		if a.incarnation != 0 && s.isOutlived(a) && !a.shutdown {
 			c.recordCrash(now, s, a)
 		}
 	}
@@ -135,8 +139,8 @@
 
 // confirmRun records that the server reports a run as running.
 func (c *Conductor) confirmRun(now time.Time, s *session, a *allocation, r specifier.RunningTask) {
-	c.markStarted(a.task.Job)
-	if a.incarnation != 0 && a.incarnation < s.server.Incarnation {
+	c.markStarted(a)
+	if a.incarnation != 0 && s.isOutlived(a) {
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 		c.noteStartedBy(s, a)
 	}
@@ -166,9 +170,13 @@
 	if j := c.jobs[r.Task.Job]; j != nil && r.Task.Step < len(j.Spec.Steps) {
 		need = j.Spec.Steps[r.Task.Step].Occupies()
 	}
-	a := &allocation{task: r.Task, run: r.Run, need: need, state: confirmed, resolvedAt: now, fence: s.fence}
+	a := &allocation{task: r.Task, run: r.Run, need: need, state: confirmed, resolvedAt: now, fence: s.fence, orphan: true}
 	a.team, a.counted = c.countedOf(r.Task)
 	s.add(a)
+	if j := c.jobs[r.Task.Job]; j != nil {
+		j.hasOrphans = true
+		c.markStale(j)
+	}
 	c.logDecision("OrphanStopped", r.Task, r.Run, s.server.ID, "")
 	c.stop(now, s, a)
 }
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -19,6 +19,7 @@
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
+				start: task.Start, written: j.Written(),
 				team: j.Spec.Team, counted: step.Spec.Need,
 			})
 		}
@@ -29,6 +30,7 @@
 func (c *Conductor) Restore(now time.Time, restored *lifecycler.Job) {
 	restored.Spec = restored.Spec.WithAcceptedAt(acceptedAt(now, JobArrived{Job: restored.Spec}))
 	j := c.addJob(restored)
+	c.restoredStarts.add(restored.Written())
 	if j.State().Final() {
 		j.retainedSince = now
 		c.restoreRemaining(j)
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -6,6 +6,7 @@
 	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/assessor"
+	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
 
@@ -49,6 +50,11 @@
 	clockBefore time.Duration
 	// endsBy is when the run has certainly ended, if that is after the end of the server's lease; zero otherwise.
 	endsBy time.Time
+	// start is what the record of an earlier owner says of the start, and written is when that record was written.
+	start   lifecycler.StartState
+	written lifecycler.Written
+	// restoredDoubt is set when the record shows that the start may have got no response.
+	restoredDoubt bool
 	// longLease is set when the record of an earlier owner says that the lease of the server might be longer than its renewals.
 	longLease bool
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
@@ -64,9 +70,15 @@
 	fence   int64
 	// resolvedAt is when the server responded to the start or the stop, or first reported the run.
 	resolvedAt time.Time
+	// resends is how often the start was sent again.
+	resends int
+	// orphan runs were reported by the server without being recorded for it.
+	orphan     bool
 	stopping   bool
 	stopSentAt time.Time
-	startedAt  time.Time
+	// startedAt is when the start was sent last, and firstSentAt when it was sent first.
+	startedAt   time.Time
+	firstSentAt time.Time
 	// charge is what the run has cost its team.
 	charge arbiter.Charge
 }
@@ -90,7 +102,9 @@
 	// server is the newest entry of the server, with the newest known incarnation, and describedIncarnation is that of the entry.
 	server               specifier.Server
 	describedIncarnation int64
-	listed               bool
+	// formerIncarnation is the one before the newest known, if a restart was noticed.
+	formerIncarnation int64
+	listed            bool
 	// reconciled is set once the server has responded under this owner's fencing token and its report was compared with
 	// the allocations. It is cleared when the server restarts or the lease of its runs ends.
 	reconciled bool
@@ -255,7 +269,12 @@
 
 // available reports whether new runs could be placed on the server if no other shard wanted it.
 func (s *session) available(now time.Time) bool {
-	return s.reconciled && s.listed && s.isDescribed() && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
+	return s.reconciled && s.accepts(now)
+}
+
+// accepts reports whether new runs could be placed on the server once its report was compared with the allocations.
+func (s *session) accepts(now time.Time) bool {
+	return s.listed && s.isDescribed() && !s.moving && s.clockKnown && !s.server.Draining && s.responsive() &&
 		s.health.AllowsRun(now, s.trials(now))
 }
 
