Place urgent steps on fast servers, and keep capacity of these for them

Package matcher orders servers by what a step needs, and chooses the fast servers that are kept for urgent steps. The conductor measures the runs, names and prefers servers in this order while speeds take effect, and keeps other steps off the reserved servers.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -230,8 +230,8 @@
 	if fitting >= wanted {
 		return nil
 	}
-	slices.SortFunc(expired, compareExpectedCapacity)
-	slices.SortFunc(unknown, compareExpectedCapacity)
+	slices.SortFunc(expired, w.compareExpectedCapacity)
+	slices.SortFunc(unknown, w.compareExpectedCapacity)
 	var names []specifier.ServerID
 	for _, s := range expired {
 		if fitting >= 2*wanted || len(names) == maxAdviceServers {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -85,6 +85,7 @@
 	reachableAt time.Time
 	resigned    bool
 
+	speeds   speeds
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -123,6 +124,7 @@
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
 		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
+	c.speeds = newSpeeds(c.settings.equalServers)
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -53,6 +53,23 @@
 	// restartsAs is what the server is after its next restart, if it is of another kind then.
 	restartsAs *fakeKind
 	waiting    func()
+	// speed is by how much runs on the server are shorter, and slowUntil is until when they take slowFactor times as long. Zero
+	// stands for one.
+	speed      float64
+	slowUntil  time.Time
+	slowFactor float64
+}
+
+// timeOf returns how long work takes on the server that takes some time at speed one.
+func (s *fakeServer) timeOf(w *simulation, work time.Duration) time.Duration {
+	factor := 1.0
+	if s.speed > 0 {
+		factor /= s.speed
+	}
+	if w.now.Before(s.slowUntil) {
+		factor *= s.slowFactor
+	}
+	return time.Duration(float64(work) * factor)
 }
 
 // fakeKind is the kind of a server.
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -77,6 +77,9 @@
 		if server.Draining && !s.server.Draining {
 			c.logDecision("ServerDraining", specifier.TaskID{}, 0, server.ID, "")
 		}
+		if s.isDescribed() && !sameKind(s.server, server) {
+			c.forgetSpeed(s)
+		}
 		s.server, s.describedIncarnation = server, server.Incarnation
 	}
 }
@@ -109,6 +112,7 @@
 	s.renewalInFlight, s.nextRenewalAt, s.renewalFailures = false, now, 0
 	s.fence++
 	s.health, s.restartedAt = assessor.Health{}, now
+	c.forgetSpeed(s)
 	c.withdrawReserved(now, s)
 }
 
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -154,14 +154,15 @@
 	return false
 }
 
-// choose chooses servers for a wish until they and those on their way fit the wanted tasks. Idle servers come first, then
+// choose chooses servers for a wish until they and those on their way fit the wanted tasks. Those that are kept for urgent steps come
+// last, and are not lent to steps that fit elsewhere. Otherwise idle servers come first, then
 // those that were chosen before, then those with the least used cores.
 func (c *Conductor) choose(now time.Time, w *wish, previous map[specifier.ServerID]bool) {
 	fitting := c.tasksOnTheWay(w)
 	var candidates []*session
 	for _, s := range c.sessions {
 		// Servers that are held for a step of this shard are not lent.
-		if s.holder != nil || w.IdleOnly && (len(s.allocations) > 0 || c.isAdmitted(s)) {
+		if s.holder != nil || w.IdleOnly && (s.reserved || len(s.allocations) > 0 || c.isAdmitted(s)) {
 			continue
 		}
 		if s.usable(now) && !w.refused[s.server.ID] && w.fitsEmpty(s.server) > 0 && !c.runsForGood(s) {
@@ -170,6 +171,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b *session) int {
 		return cmp.Or(
+			compareBool(!a.reserved, !b.reserved),
 			compareBool(len(a.allocations) == 0, len(b.allocations) == 0),
 			compareBool(previous[a.server.ID], previous[b.server.ID]),
 			cmp.Compare(a.used.MilliCores, b.used.MilliCores), cmp.Compare(a.server.ID, b.server.ID),
--- a/conductor/named_servers.go
+++ b/conductor/named_servers.go
@@ -33,10 +33,11 @@
 	return 1 - s.takenPart
 }
 
-// compareExpectedCapacity orders the server first that is expected to have the most free cores when a call that begins now ends. If
+// compareExpectedCapacity orders the server first that has a speed which the step prefers, and then that is expected to have the most free cores when a call that begins now ends. If
 // all calls at a time named the servers with the most free cores, one step would take them, and the tickets of the others expire unused.
-func compareExpectedCapacity(a, b *session) int {
+func (w *waitingStep) compareExpectedCapacity(a, b *session) int {
 	return cmp.Or(
+		w.compareNamed(a, b),
 		cmp.Compare(float64(b.freeCapacity().MilliCores)*b.expectedPart(), float64(a.freeCapacity().MilliCores)*a.expectedPart()),
 		cmp.Compare(a.server.ID, b.server.ID),
 	)
@@ -45,6 +46,7 @@
 // compareExpectedNearness is compareNearness for the servers to name in a call that begins now.
 func (w *waitingStep) compareExpectedNearness(a, b *session) int {
 	return cmp.Or(
+		w.compareNamed(a, b),
 		cmp.Compare(w.nearness(b)*b.expectedPart(), w.nearness(a)*a.expectedPart()),
 		cmp.Compare(a.server.ID, b.server.ID),
 	)
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -105,6 +105,7 @@
 	maxLease       time.Duration
 	finalRetention time.Duration
 	shardIndex     int
+	equalServers   bool
 	// homeOf is nil when the cell has one shard.
 	homeOf func(specifier.Server) int
 }
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -35,6 +35,7 @@
 	c.counted.Passes++
 	p := c.newPass(now)
 	c.findContended(p)
+	c.updateSpeeds(p)
 	c.updateHolds(p)
 	for _, w := range c.inPlacementOrder(now) {
 		w.fresh = false
@@ -87,6 +88,7 @@
 		c.startsLimited = true
 		return
 	}
+	w.preference = c.preference(p.now, w)
 	service := w.job.queue.Service
 	advised := w.job.queue.Advice.Needed
 	if advised && p.mayRequestAdvice(w) {
@@ -168,13 +170,14 @@
 }
 
 // sortByPreference sorts the servers by how well they suit the step: those near its data first, then those without
-// earlier failures of the job, then those with the least free cores, so that large tasks find large free capacity
+// earlier failures of the job, then those of a speed that it prefers, then those with the least free cores, so that large tasks find large free capacity
 // elsewhere.
 func (w *waitingStep) sortByPreference(servers []*session) {
 	slices.SortFunc(servers, func(a, b *session) int {
 		return cmp.Or(
 			compareBool(a.server.HasLabel(w.step.Spec.PreferredRack), b.server.HasLabel(w.step.Spec.PreferredRack)),
 			compareBool(!w.job.avoid[a.server.ID], !w.job.avoid[b.server.ID]),
+			w.compareSpeed(a, b),
 			cmp.Compare(a.freeCapacity().MilliCores, b.freeCapacity().MilliCores),
 			cmp.Compare(a.server.ID, b.server.ID),
 		)
@@ -251,7 +254,7 @@
 	if adv := w.job.advice[w.step.ID]; adv != nil {
 		adv.placedAt = p.now
 	}
-	c.logDecision("RunPlaced", a.task, run, s.server.ID, "")
+	c.logDecision("RunPlaced", a.task, run, s.server.ID, c.speedDetail(s))
 }
 
 // placedOn reports whether a run of the task has an allocation on the server.
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -14,6 +14,7 @@
 	}
 	c.settleDoubts(now, s.server.Address, e.Report.Incarnation, e.SentAt)
 	s.renewalFailures, s.suspect = 0, false
+	s.noteEndsAfter(now, e.SentAt)
 	s.clock, s.clockReadAt, s.clockKnown, s.aliveAt = e.Report.Clock, now, true, now
 	if s.predecessorLease {
 		// An earlier owner may have renewed the lease until this first response; from now on the fencing token prevents
@@ -57,6 +58,7 @@
 	j := c.jobs[end.Task.Job]
 	pending := pendingEnd{number: end.Number, job: end.Task.Job}
 	if j != nil {
+		c.observeRun(now, s, a, j, end)
 		c.updateHealth(now, s, j, a, end)
 		if j.End(now, end) {
 			c.changed(j)
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"egretring.example/egretring/assessor"
+	"egretring.example/egretring/calibrator"
 	"egretring.example/egretring/specifier"
 )
 
@@ -151,6 +152,14 @@
 	confirmed int64
 	pending   []pendingEnd
 
+	// endsAfter is the time after which the runs have ended whose ends the newest response lists for the first time.
+	endsAfter time.Time
+	// class is that of the server's speed, and reserved is set while it is kept for urgent steps; wasReserved and urgentUse, which is what
+	// these use on it, are set at each choice.
+	class                 calibrator.Class
+	reserved, wasReserved bool
+	urgentUse             specifier.Resources
+
 	health assessor.Health
 	// holder is the step that the server is held for in the present placement pass, if any.
 	holder *holder
--- a/conductor/shard.go
+++ b/conductor/shard.go
@@ -205,6 +205,7 @@
 // responses to that token say nothing about the next session.
 func (c *Conductor) removeSession(s *session) {
 	c.lastFences[s.id] = s.fence + 1
+	c.forgetSpeed(s)
 	delete(c.sessions, s.server.ID)
 	c.ordered = nil
 }
--- a/conductor/simulated_owner_test.go
+++ b/conductor/simulated_owner_test.go
@@ -62,6 +62,9 @@
 		options = append(options, conductor.WithFirstTerm())
 	}
 	o.terms++
+	if w.equalServers {
+		options = append(options, conductor.WithEqualServers())
+	}
 	if len(w.owners) > 1 {
 		options = append(options, conductor.WithShard(o.shard, w.homeOf))
 	}
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -92,6 +92,13 @@
 	if w.lengthOf != nil {
 		duration = w.lengthOf(r.task, duration)
 	}
+	duration = r.server.timeOf(w, duration)
+	if step.Gang && w.lengthOf != nil && r.server.speed > 0 {
+		// A gang ends with its slowest member.
+		for _, member := range w.members(r) {
+			duration = max(duration, member.server.timeOf(w, w.lengthOf(member.task, step.Estimate)))
+		}
+	}
 	if w.now.Before(r.server.failsUntil) || strings.HasPrefix(r.job.Spec, "fails") {
 		duration, reason = duration/4, specifier.RunFailed
 	}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -108,6 +108,8 @@
 	voidTickets int
 	// lengthOf returns how long a run takes whose step has an estimate, if it is set.
 	lengthOf func(specifier.TaskID, time.Duration) time.Duration
+	// equalServers makes the owners treat all servers as equally fast.
+	equalServers bool
 	// onAdvise is called with each advice call, if it is set.
 	onAdvise func(conductor.Advise)
 	// onCommit is called with each commit, if it is set.
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -26,6 +26,9 @@
 	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
 	borrowsSince time.Time
 	nextAskAt    time.Time
+	// usesReserve is set while the step may use the servers that are kept for urgent steps, and reserveCheckAt is when that is checked again.
+	usesReserve    bool
+	reserveCheckAt time.Time
 	// asked describes the last wish in the log.
 	asked string
 }
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/matcher"
 	"egretring.example/egretring/specifier"
 )
 
@@ -23,6 +24,8 @@
 	// worthlessAt is when the result of the job stops having any value to its caller.
 	worthlessAt time.Time
 	tier        tier
+	// preference is the order in which the step prefers servers of different speeds in the present pass.
+	preference matcher.Preference
 	// fresh is set until the first pass after the step began to wait, or got tickets.
 	fresh bool
 	wait  wait
