--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -29,6 +29,10 @@
 	// usesReserve is set while the step may use the servers that are kept for urgent steps, and reserveCheckAt is when that is checked again.
 	usesReserve    bool
 	reserveCheckAt time.Time
+	// claims is set while quota of the team accumulates for the gang, enoughSince is since when it suffices, and claimNotBefore the
+	// earliest time of the next claim after one in which the gang did not start.
+	claims                      bool
+	enoughSince, claimNotBefore time.Time
 	// asked describes the last wish in the log.
 	asked string
 }
@@ -74,6 +78,10 @@
 		}
 		waited := p.now.Sub(w.wait.since)
 		w.wait.nextLineAt = p.now.Add(waited)
+		if c.isAtLimit(w) {
+			c.logQuotaWait(p, w, waited)
+			continue
+		}
 		c.logDecision("StepWaits", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf("after %s, due for %s: %+v",
 			waited.Round(time.Millisecond), p.now.Sub(w.due).Round(time.Millisecond), c.waitFigures(p, w)))
 	}
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -29,6 +29,7 @@
 	// fresh is set until the first pass after the step began to wait, or got tickets.
 	fresh bool
 	wait  wait
+	stepQuota
 }
 
 // urgent reports whether the step may be placed before a pass over all steps.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -35,6 +35,8 @@
 	recovered conductor.ServersListed
 	delay     maxDelay
 	load      loadLine
+	// counted are the teams that have had runs in this term.
+	counted map[string]bool
 }
 
 // queuedEvent is an event and the time at which it was posted.
@@ -49,7 +51,7 @@
 	o := &owner{
 		Coordinator: c, ownership: ownership, predecessors: term.Predecessors, first: term.First,
 		events: make(chan queuedEvent, eventQueueSize), queries: make(chan func(*conductor.Conductor)),
-		memberAddresses: make(map[string]string), done: ctx.Done(),
+		memberAddresses: make(map[string]string), done: ctx.Done(), counted: make(map[string]bool),
 	}
 	startedAt := c.settings.clock.Now()
 	for {
@@ -67,6 +69,7 @@
 		"RecoveryTime", c.settings.clock.Now().Sub(startedAt).String())
 	c.owner.Store(o)
 	defer c.owner.Store(nil)
+	defer o.clearQuotas()
 	go o.watchIntake(ctx)
 	go o.followServers(ctx)
 	go o.followMembers(ctx)
@@ -219,12 +222,15 @@
 	}
 }
 
-// state returns the state of a job that the state machine knows, and reports whether it knows the job.
-func (o *owner) state(ctx context.Context, id specifier.JobID) (specifier.JobState, bool) {
-	var state specifier.JobState
-	var known bool
-	if !o.query(ctx, func(stateMachine *conductor.Conductor) { state, known = stateMachine.State(id) }) {
-		return state, false
+// state returns the state of a job that the state machine knows.
+func (o *owner) state(ctx context.Context, id specifier.JobID) jobStateReply {
+	var found jobStateReply
+	answered := o.query(ctx, func(stateMachine *conductor.Conductor) {
+		found.State, found.Known = stateMachine.State(id)
+		found.Team = stateMachine.TeamOf(id)
+	})
+	if !answered {
+		return jobStateReply{}
 	}
-	return state, known
+	return found
 }
