--- a/conductor/owner_load.go
+++ b/conductor/owner_load.go
@@ -1,6 +1,10 @@
 package conductor
 
-import "time"
+import (
+	"time"
+
+	"egretring.example/egretring/calibrator"
+)
 
 // OwnerLoad are figures of an owner's work. The counts are those since the last call of TakeLoad.
 type OwnerLoad struct {
@@ -28,6 +32,9 @@
 	// Holds are the steps that servers are held for, and HeldServers the held servers. AdviceTurns are the steps that would have servers
 	// held if advice admitted more of them.
 	Holds, HeldServers, AdviceTurns int
+	// FastServers, SlowServers and ReservedServers are usable servers by their speed, while speeds take effect. Reserved ones are kept for
+	// urgent steps.
+	FastServers, SlowServers, ReservedServers int
 	// Servers are the usable servers, and CoresInUse and MemoryInUse percentages of them.
 	Servers, CoresInUse, MemoryInUse int
 }
@@ -67,9 +74,23 @@
 		load.StartsInFlight += s.starting
 		if s.usable(now) {
 			usable = append(usable, s)
+			load.countSpeed(s)
 		}
 	}
 	load.Servers = len(usable)
 	load.CoresInUse, load.MemoryInUse = percentInUse(usable)
 	return load
 }
+
+// countSpeed counts a usable server by its speed.
+func (l *OwnerLoad) countSpeed(s *session) {
+	switch {
+	case s.reserved:
+		l.ReservedServers++
+		l.FastServers++
+	case s.class == calibrator.Fast:
+		l.FastServers++
+	case s.class == calibrator.Slow:
+		l.SlowServers++
+	}
+}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -112,6 +112,8 @@
 	equalServers bool
 	// onAdvise is called with each advice call, if it is set.
 	onAdvise func(conductor.Advise)
+	// onDecision is called with each decision, if it is set.
+	onDecision func(conductor.Decision)
 	// onCommit is called with each commit, if it is set.
 	onCommit func(conductor.Commit)
 	// resignations counts the owners that resigned.
@@ -273,6 +275,9 @@
 			})
 		})
 	case conductor.Decision:
+		if w.onDecision != nil {
+			w.onDecision(c)
+		}
 		w.trace(epoch, c)
 	case conductor.Borrow:
 		w.borrow(c)
--- a/conductor/speeds.go
+++ b/conductor/speeds.go
@@ -287,5 +287,8 @@
 	if !c.speeds.inEffect {
 		return ""
 	}
+	if s.reserved {
+		return "speed fast, reserved"
+	}
 	return "speed " + s.class.String()
 }
