--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -90,6 +90,7 @@
 	resigned    bool
 
 	teams    teams
+	speeds   speeds
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -134,6 +135,7 @@
 		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
 	c.teams = newTeams()
+	c.speeds = newSpeeds(c.settings.equalServers)
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -108,8 +108,12 @@
 	voidTickets int
 	// lengthOf returns how long a run takes whose step has an estimate, if it is set.
 	lengthOf func(specifier.TaskID, time.Duration) time.Duration
+	// equalServers makes the owners treat all servers as equally fast.
+	equalServers bool
 	// onAdvise is called with each advice call, if it is set.
 	onAdvise func(conductor.Advise)
+	// onDecision is called with each decision, if it is set.
+	onDecision func(conductor.Decision)
 	// onCommit is called with each commit, if it is set.
 	onCommit func(conductor.Commit)
 	// onRefuse is called with each command that states refusals, if it is set.
@@ -273,6 +277,9 @@
 			})
 		})
 	case conductor.Decision:
+		if w.onDecision != nil {
+			w.onDecision(c)
+		}
 		w.trace(epoch, c)
 	case conductor.Refuse:
 		if w.onRefuse != nil {
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -26,6 +26,9 @@
 	// borrowsSince is when borrows was set, and nextAskAt when the other shards are asked again.
 	borrowsSince time.Time
 	nextAskAt    time.Time
+	// usesReserve is set while the step may use the servers that are kept for urgent steps, and reserveCheckAt is when that is checked again.
+	usesReserve    bool
+	reserveCheckAt time.Time
 	// claims is set while quota of the team accumulates for the gang, enoughSince is since when it suffices, and claimNotBefore the
 	// earliest time of the next claim after one in which the gang did not start.
 	claims                      bool
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -5,6 +5,7 @@
 
 	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/matcher"
 	"egretring.example/egretring/specifier"
 )
 
@@ -24,6 +25,8 @@
 	tier        tier
 	// rank is the place of the step in the order of placement.
 	rank arbiter.Rank[*waitingStep]
+	// preference is the order in which the step prefers servers of different speeds in the present pass.
+	preference matcher.Preference
 	// fresh is set until the first pass after the step began to wait, or got tickets.
 	fresh bool
 	wait  wait
