--- a/follower/strict.go
+++ b/follower/strict.go
@@ -104,8 +104,9 @@
 	}
 }
 
-// round asks the sources one after the other until one reaches the goal: the next one when one has failed or has not answered in
-// time. An earlier proof that is still fresh enough does not count, as it would delay the next one to the next round. It returns after proofInterval at the latest; attempts that still wait go on and are applied when they end.
+// round asks the sources one after the other until one reaches the goal: the next one when one has failed or has not answered in time.
+// An earlier proof that is still fresh enough does not count, as it would delay the next one to the next round. A round ends after
+// proofInterval, or after the time for two sources if that is longer; attempts that still wait go on and are applied when they end.
 func (f *Follower) round(ctx context.Context, group *sync.WaitGroup, g goal) {
 	patience := nextAfter
 	if g.noticed() {
