Send starts that need nothing of an exceeded resource

Cause: a reservation ignores the resources of which the task needs nothing, but the check when the start is sent did not. A team above a lowered limit of one resource, as of accelerators, had its starts without that resource reserved, recorded and withheld in each pass, and none of its work ran. Change: Exceeded gets the need of the task and ignores the same resources as Fits.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -114,10 +114,18 @@
 	return count(need, known.running.Plus(kept), known.limit, most)
 }
 
-// Exceeded reports whether the team has more than its limit of any resource.
-func (a *Accountant) Exceeded(team string) bool {
+// Exceeded reports whether the team has more than its limit of a resource of which a task needs some. Like Fits, it ignores the others.
+func (a *Accountant) Exceeded(team string, need specifier.Resources) bool {
 	known := a.accounts[team]
-	return known != nil && isBeyond(known.running, known.limit)
+	if known == nil {
+		return false
+	}
+	for _, p := range pairs(need, known.running, known.limit) {
+		if p[0] > 0 && p[2] > 0 && p[1] > p[2] {
+			return true
+		}
+	}
+	return false
 }
 
 // Usage is what a team has, and its limit.
--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -185,7 +185,7 @@
 			kept = append(kept, r)
 		case j.State().Final():
 			r.session.release(r.task)
-		case c.accounts.Exceeded(r.team):
+		case c.accounts.Exceeded(r.team, r.charge):
 			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "the limit of the team was lowered: "+c.accounts.Usage(r.team).String())
 			c.requeue(now, r.session, r.allocation)
 		case r.session.isSilent():
--- a/conductor/quota_test.go
+++ b/conductor/quota_test.go
@@ -81,6 +81,31 @@
 	require.Greater(t, c.load(now, "a"), full)
 }
 
+// TestStartBesideExceededResource guards against starts that are reserved and withheld again and again because the team has more than its
+// limit of a resource that they do not need.
+func TestStartBesideExceededResource(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newPassConductor(now, 1, "a")
+	c.Handle(now, configured(1, specifier.Team{Name: "t", MaxRunning: specifier.Resources{MilliCores: 10_000, Accelerators: 1}}))
+	c.accounts.Take("t", specifier.Resources{Accelerators: 2})
+	step := specifier.Step{Count: 1, Need: specifier.Resources{MilliCores: 600}, Estimate: time.Second}
+	queue := specifier.Queue{Service: "a"}
+	c.Handle(now, JobArrived{Job: specifier.Job{ID: "j", Team: "t", Queue: queue, AcceptedAt: now, Steps: []specifier.Step{step}}})
+	starts := 0
+	for range 20 {
+		for _, command := range c.Plan(now) {
+			switch command := command.(type) {
+			case Commit:
+				c.Handle(now, CommitEnded{Lane: command.Lane})
+			case Start:
+				starts++
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	require.Equal(t, 1, starts)
+}
+
 // BenchmarkStepsOfTeams measures a pass over 500 steps that fit no server, with 3,500 runs on 350 servers: without teams, and with teams
 // below and at their limits.
 func BenchmarkStepsOfTeams(b *testing.B) {
