Confirm a repeated submission of a job above a lowered limit

Cause: the quota was checked before it was known whether the job is already accepted. A caller that repeated a call after a lost response was told that the job never runs, although it waits and runs once the limit is raised. Change: before it refuses, Submit asks for the state of the job. Only refusals cost the additional call to the owner and reads of the store. Result: TestAcceptedJobIsConfirmedAfterLowerLimit passes; before the change it got the refusal. Package coordinator passes.

--- a/coordinator/quota_test.go
+++ b/coordinator/quota_test.go
@@ -33,6 +33,20 @@
 	})
 }
 
+// TestAcceptedJobIsConfirmedAfterLowerLimit guards against a refusal that says that a job never runs although an earlier submission of
+// it was accepted.
+func TestAcceptedJobIsConfirmedAfterLowerLimit(t *testing.T) {
+	runWithCell(t, 2, func(t *testing.T, c *cell) {
+		c.limitTeam(t, 4000)
+		require.NoError(t, c.submitGang(0, "a", 4))
+		c.limitTeam(t, 2000)
+		for i := range c.instances {
+			require.NoError(t, c.submitGang(i, "a", 4))
+			require.True(t, classifier.IsErrKind(c.submitGang(i, "b", 4), classifier.BadRequest))
+		}
+	})
+}
+
 // TestQuotaGauges guards against gauges that miss a team's runs, or go on to show them after the owner's term.
 func TestQuotaGauges(t *testing.T) {
 	var measured *meter.Meter
--- a/coordinator/submit.go
+++ b/coordinator/submit.go
@@ -19,10 +19,10 @@
 
 // Submit accepts a job. The context's deadline is the time until which the caller waits. If the store does not serve this
 // instance, or takes long, the owner is requested to store the job, too. The store has one job for an ID, so that both may
-// succeed. A job that its team may never run is refused.
+// succeed. A job that its team may never run is refused, unless it was accepted before.
 func (c *Coordinator) Submit(ctx context.Context, job specifier.Job) error {
-	if err := c.checkQuota(job); err != nil {
-		return err
+	if refusal := c.checkQuota(job); refusal != nil {
+		return c.refuseUnlessAccepted(ctx, job, refusal)
 	}
 	job.AcceptedAt = c.settings.clock.Now()
 	own := c.storeJob(ctx, job)
@@ -54,6 +54,20 @@
 	return accountant.Check(configuration.Teams, job)
 }
 
+// refuseUnlessAccepted returns a refusal, or nil for a job that was accepted before the limit of its team was lowered: it waits for a limit
+// that permits it, so that a refusal, which promises that the job never runs, would be wrong.
+func (c *Coordinator) refuseUnlessAccepted(ctx context.Context, job specifier.Job, refusal error) error {
+	_, accepted, err := c.State(ctx, specifier.Caller{Team: job.Team}, job.ID)
+	switch {
+	case err != nil:
+		return err
+	case accepted:
+		return nil
+	default:
+		return refusal
+	}
+}
+
 // attempt is an attempt of this instance to store a job.
 type attempt struct {
 	result  chan error
