Let a gang wait for an earlier run of one of its tasks

Cause: a gang without a team could be placed on a server that still had an earlier run of one of its tasks, found again by a report and being stopped. The new allocation replaced the earlier one, whose capacity stayed counted on the server until the session ended, and whose stop was not repeated. Gangs of teams already waited. Change: all gangs wait for such runs; session.add releases what it replaces, also the number of starts in flight. Result: TestGangWaitsForRunFoundAgain and TestReplacedRunIsReleased pass and failed before.

--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -5,7 +5,7 @@
 // placeGang places all tasks of a gang or none, and reports whether it placed them.
 func (c *Conductor) placeGang(p *pass, w *waitingStep, servers []*session) bool {
 	chosen := c.chooseForGang(p, w, servers)
-	if chosen == nil || w.isCounted() && c.hasRuns(w) {
+	if chosen == nil || c.hasRuns(w) {
 		if w.tier == onTime && p.mayHold(w) {
 			c.holdCapacity(p, w, servers)
 		}
--- a/conductor/quota.go
+++ b/conductor/quota.go
@@ -143,7 +143,7 @@
 }
 
 // hasRuns reports whether a run of the waiting step exists, as one that was lost and has been found again. A gang that starts on its
-// server would take its place in the count.
+// server would take its place in the counts of the server and of the team.
 func (c *Conductor) hasRuns(w *waitingStep) bool {
 	for s := range c.runs[w.job.Spec.ID] {
 		if s.taskCount(w.step.ID) > 0 {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -173,12 +173,10 @@
 	}
 }
 
+// add allocates the capacity of a run, in place of an earlier run of the same task.
 func (s *session) add(a *allocation) {
-	if replaced := s.allocations[a.task]; replaced == nil {
-		s.runs.add(a.task.Job, s)
-	} else {
-		s.accounts.Release(replaced.team, replaced.charge)
-	}
+	s.release(a.task)
+	s.runs.add(a.task.Job, s)
 	s.accounts.Take(a.team, a.charge)
 	s.allocations[a.task] = a
 	s.used = s.used.Plus(a.need)
