Use the configuration that arrives while an owner restores jobs

Cause: an owner took the configuration before it read the jobs from the store, and later ones were posted to it only after it had read them. One that arrived in between was not used until the next change: the owner went on with earlier limits of teams, or without any configuration, in which case no task of a team starts. Change: the owner uses the newest configuration again once later ones are posted to it.

--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -69,6 +69,7 @@
 		"RecoveryTime", c.settings.clock.Now().Sub(startedAt).String())
 	c.owner.Store(o)
 	defer c.owner.Store(nil)
+	o.configureAgain()
 	defer o.clearQuotas()
 	go o.watchIntake(ctx)
 	go o.followServers(ctx)
@@ -81,6 +82,13 @@
 	o.run(ctx)
 }
 
+// configureAgain uses the configuration that arrived while the jobs were restored. From now on, later ones are posted.
+func (o *owner) configureAgain() {
+	if configuration := o.configuration.Load(); configuration != nil {
+		o.stateMachine.Handle(o.settings.clock.Now(), conductor.Configured{Configuration: *configuration})
+	}
+}
+
 // post queues an event for the owner's goroutine. It blocks while the queue is full, and drops the event after the
 // term.
 func (o *owner) post(event conductor.Event) {
--- a/coordinator/quota_test.go
+++ b/coordinator/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,26 +51,52 @@
 // TestQuotaGauges guards against gauges that miss a team's runs, or go on to show them after the owner's term.
 func TestQuotaGauges(t *testing.T) {
 	var measured *meter.Meter
-	gauges := func() (running, limit float64) {
-		recorder := httptest.NewRecorder()
-		measured.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
-		var page map[string]map[string]float64
-		require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &page))
-		return page["Teams.t.RunningMilliCores"]["value"], page["Teams.t.LimitMilliCores"]["value"]
-	}
 	runWithCell(t, 1, func(t *testing.T, c *cell) {
 		c.limitTeam(t, 4000)
 		measured = c.meter
 		require.NoError(t, c.submitGang(0, longJob, 3))
 		time.Sleep(4 * time.Second)
-		running, limit := gauges()
+		running, limit := quotaGauges(t, measured)
 		require.InDelta(t, 3000, running, 0)
 		require.InDelta(t, 4000, limit, 0)
 	})
-	running, _ := gauges()
+	running, _ := quotaGauges(t, measured)
 	require.Zero(t, running)
 }
 
+// TestConfigurationDuringRecoveryCounts guards against an owner that goes on with earlier limits, or with none, because a configuration
+// arrived while it read the jobs from the store.
+func TestConfigurationDuringRecoveryCounts(t *testing.T) {
+	runWithCell(t, 2, func(t *testing.T, c *cell) {
+		c.limitTeam(t, 4000)
+		c.stores[1].listDelay.Store(int64(8 * time.Second))
+		require.NoError(t, c.instances[0].Stop())
+		c.instances[0] = nil
+		for !strings.Contains(c.owner(), "instance-1") {
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
+		c.stores[1].listDelay.Store(0)
+		c.limitTeam(t, 2000)
+		time.Sleep(20 * time.Second)
+		require.NoError(t, c.submitGang(1, longJob, 2))
+		time.Sleep(4 * time.Second)
+		running, limit := quotaGauges(t, c.meter)
+		require.InDelta(t, 2000, running, 0)
+		require.InDelta(t, 2000, limit, 0)
+	})
+}
+
+// quotaGauges returns the thousandths of cores that the team has running, and its limit.
+func quotaGauges(t *testing.T, measured *meter.Meter) (running, limit float64) {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	measured.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	var page map[string]map[string]float64
+	require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &page))
+	return page["Teams.t.RunningMilliCores"]["value"], page["Teams.t.LimitMilliCores"]["value"]
+}
+
 // limitTeam configures a team with a limit in thousandths of cores, and waits until all instances use it.
 func (c *cell) limitTeam(t *testing.T, milliCores int64) {
 	t.Helper()
