Name the stopped runs of a completed job in its record

Cause: a task that is completed by a later run may have an earlier one that was found again and is being stopped. The record of the completed job did not name it, so that a new owner did not count it for the team until the server reported it. Change: remainingOf covers completed jobs, except confirmed members of gangs, which end together.

--- a/conductor/quota_test.go
+++ b/conductor/quota_test.go
@@ -106,6 +106,31 @@
 	require.Equal(t, 1, starts)
 }
 
+// TestRecordOfCompletedJobNamesStoppedRun guards against a new owner that does not count an earlier run of a task, which was found again and
+// is still being stopped when a later run completes the job.
+func TestRecordOfCompletedJobNamesStoppedRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newPassConductor(now, 2, "a")
+	c.Handle(now, configured(1, withCores("t", 20)))
+	step := specifier.Step{Count: 1, Need: specifier.Resources{MilliCores: 600}, Estimate: time.Second}
+	queue := specifier.Queue{Service: "a"}
+	c.Handle(now, JobArrived{Job: specifier.Job{ID: "j", Team: "t", Queue: queue, AcceptedAt: now, Steps: []specifier.Step{step}}})
+	c.Plan(now.Add(time.Second))
+	task := specifier.StepID{Job: "j"}.Task(0)
+	placed, other := c.sessions["i-0000"], c.sessions["i-0001"]
+	if placed.allocations[task] == nil {
+		placed, other = other, placed
+	}
+	placed.setState(placed.allocations[task], confirmed)
+	c.stopOrphan(now, other, specifier.RunningTask{Task: task, Run: 0})
+	c.runEnded(now, placed, specifier.EndedTask{Task: task, Run: 1, Number: 1, Reason: specifier.RunDone})
+	require.Equal(t, specifier.Completed, c.jobs["j"].State())
+	remaining := c.remainingOf(c.jobs["j"])
+	require.NotNil(t, remaining)
+	require.Len(t, remaining.Runs, 1)
+	require.Equal(t, other.id, remaining.Runs[0].Server)
+}
+
 // BenchmarkStepsOfTeams measures a pass over 500 steps that fit no server, with 3,500 runs on 350 servers: without teams, and with teams
 // below and at their limits.
 func BenchmarkStepsOfTeams(b *testing.B) {
--- a/conductor/remaining.go
+++ b/conductor/remaining.go
@@ -8,7 +8,7 @@
 	"egretring.example/egretring/specifier"
 )
 
-// A job that fails or is cancelled is in the store as finished while its runs are still being stopped. Its record names these runs, so
+// A finished job, mostly one that fails or is cancelled, is in the store as such while runs of it are still being stopped. Its record names these runs, so
 // that the next owner counts them for their team although it no longer knows the steps of the job. The record is written again
 // when the last of them has ended.
 
@@ -21,9 +21,10 @@
 	return j.Spec.Team, j.Spec.Steps[task.Step].Need
 }
 
-// remainingOf returns the runs of a finished job of a team that may still exist, or nil. Those of a completed job have ended.
+// remainingOf returns the runs of a finished job of a team that may still exist, or nil. A completed job has some if an earlier run of a
+// task, which was found again, is being stopped; the members of a gang end together.
 func (c *Conductor) remainingOf(j *job) *lifecycler.Remaining {
-	if state := j.State(); state != specifier.Failed && state != specifier.Cancelled {
+	if !j.State().Final() {
 		return nil
 	}
 	type key struct {
@@ -38,6 +39,9 @@
 			if a.task.Job != j.Spec.ID || a.team == "" || a.state == reserved {
 				continue
 			}
+			if j.State() == specifier.Completed && a.state == confirmed && j.inGang(a.task) {
+				continue
+			}
 			k := key{s.id, a.task.StepID, a.run}
 			i, known := groups[k]
 			if !known {
