--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -82,10 +82,14 @@
 func Decide(teams specifier.Teams, call Call, freshness Freshness, bounds Bounds) Decision {
 	team, known := teams.ByKey(call.Key)
 	mayBeAdded := bounds.Strict() && !freshness.within(bounds.MaxAgeOfRefusal())
+	mayBeRevoked := bounds.Strict() && !freshness.within(bounds.MaxAge())
 	switch {
+	case call.Public && known && mayBeRevoked:
+		// The queue is served without a key, and the key must not give access to the jobs of its team.
+		return Decision{Caller: specifier.Caller{Doubtful: true}}
 	case call.Public:
 		return Decision{Caller: specifier.Caller{Team: team.Name, Doubtful: call.Key != "" && !known && mayBeAdded}}
-	case bounds.Strict() && !freshness.within(bounds.MaxAge()):
+	case mayBeRevoked:
 		return Decision{Verdict: NotFresh}
 	case known:
 		return Decision{Caller: specifier.Caller{Team: team.Name}}
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -38,7 +38,9 @@
 		"not strict, known":              {authorizer.Call{Key: "k"}, never, authorizer.Bounds{}, authorizer.Accepted, "a", false},
 		"not strict, unknown":            {authorizer.Call{Key: "x"}, never, authorizer.Bounds{}, authorizer.UnknownKey, "", false},
 		"public without key":             {authorizer.Call{Public: true}, never, strict, authorizer.Accepted, "", false},
-		"public with known key":          {authorizer.Call{Public: true, Key: "k"}, never, strict, authorizer.Accepted, "a", false},
+		"public with known key":          {authorizer.Call{Public: true, Key: "k"}, aged(4500 * time.Millisecond), strict, authorizer.Accepted, "a", false},
+		"public, key may be revoked":     {authorizer.Call{Public: true, Key: "k"}, aged(4501 * time.Millisecond), strict, authorizer.Accepted, "", true},
+		"public, key never shown":        {authorizer.Call{Public: true, Key: "k"}, never, strict, authorizer.Accepted, "", true},
 		"public with key that may be":    {authorizer.Call{Public: true, Key: "x"}, never, strict, authorizer.Accepted, "", true},
 		"public with key that is no key": {authorizer.Call{Public: true, Key: "x"}, aged(0), strict, authorizer.Accepted, "", false},
 		"no bound of configurations": {
--- a/conductor/resend.go
+++ b/conductor/resend.go
@@ -27,7 +27,7 @@
 		return false
 	}
 	// A new configuration may have lowered the limit of the team since the first start.
-	if c.accounts.Exceeded(a.team) {
+	if c.accounts.Exceeded(a.team, a.counted) {
 		return false
 	}
 	j := c.jobs[a.task.Job]
