--- a/conductor/gang_found_run_test.go
+++ b/conductor/gang_found_run_test.go
@@ -46,7 +46,7 @@
 	s, need := c.sessions["i-0000"], specifier.Resources{MilliCores: 100}
 	task := specifier.StepID{Job: "j"}.Task(0)
 	for run := range 2 {
-		s.add(&allocation{task: task, run: run + 1, need: need, state: reserved, team: "t", charge: need})
+		s.add(&allocation{task: task, run: run + 1, need: need, state: reserved, team: "t", counted: need})
 	}
 	require.Equal(t, need, s.used)
 	require.Equal(t, need, c.accounts.Usage("t").Running)
--- a/specifier/caller.go
+++ b/specifier/caller.go
@@ -6,7 +6,7 @@
 	Team string
 	// Unchecked is set in a deployment without keys: a call may be about any job.
 	Unchecked bool
-	// Doubtful is set for a call to a public queue with an unknown key that a newer configuration may have added.
+	// Doubtful is set for a call to a public queue with a key that a newer configuration may have added or revoked.
 	Doubtful bool
 }
 
