Let tasks wait for a server near their data while that pays, and start tasks again after the end of an orphan

Cause: a task whose near servers are full started on a far one at once, for FarFactor times as long. Change: conductor asks forecaster; the end of an orphan makes the waiting steps of its job be computed anew.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -172,6 +172,7 @@
 		coordinator.WithInstance(p.settings.Instance, announced),
 		coordinator.WithConductor(
 			conductor.WithMaximumLease(p.settings.MaximumLease()),
+			conductor.WithFarFactor(p.settings.FarFactor),
 			conductor.WithFinalStateRetention(time.Duration(p.settings.StateKeptSeconds)*time.Second+stateMargin),
 		),
 	)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -91,6 +91,7 @@
 
 	teams    teams
 	speeds   speeds
+	nearness nearness
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -136,6 +137,7 @@
 	}
 	c.teams = newTeams()
 	c.speeds = newSpeeds(c.settings.equalServers)
+	c.nearness = newNearness(c.settings.farFactor)
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/gang_found_run_test.go
+++ b/conductor/gang_found_run_test.go
@@ -31,7 +31,7 @@
 		plan()
 		require.Len(t, s.allocations, 1, team)
 		require.Equal(t, need, s.used, team)
-		s.release(found)
+		c.runEnded(now, s, specifier.EndedTask{Number: 1, Task: found, Run: 1, Reason: specifier.RunStopped})
 		plan()
 		require.Len(t, s.allocations, 2, team)
 		require.Equal(t, need.Times(2), s.used, team)
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -106,6 +106,7 @@
 	finalRetention time.Duration
 	shardIndex     int
 	equalServers   bool
+	farFactor      float64
 	// homeOf is nil when the cell has one shard.
 	homeOf func(specifier.Server) int
 }
--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -29,6 +29,8 @@
 	withinWaits bool
 	// held are the priorities of a service with a gang for which servers are held although it is not late.
 	held map[holdKey]bool
+	// wantedOnRack is what the steps that wait for each rack want of it, in thousandths of a core.
+	wantedOnRack map[string]int64
 }
 
 // holdKey identifies the steps of a priority that use a service.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -220,6 +220,7 @@
 // placeTasks places as many waiting tasks as fit, and reports whether it placed any.
 func (c *Conductor) placeTasks(p *pass, w *waitingStep, servers []*session) bool {
 	servers = slices.DeleteFunc(servers, func(s *session) bool { return w.fits(s) == 0 })
+	servers = c.withoutFar(p, w, servers)
 	w.sortByPreference(servers)
 	placed := false
 	var suspects []int
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -55,6 +55,7 @@
 	if a != nil && a.run <= end.Run {
 		a.mayStartUntil = time.Time{}
 		c.settleCharge(now, a, true)
+		c.noteReleased(now, s, a)
 		s.release(end.Task)
 		c.rewriteSettled(end.Task.Job)
 	}
@@ -62,6 +63,10 @@
 	pending := pendingEnd{number: end.Number, job: end.Task.Job}
 	if j != nil {
 		c.observeRun(now, s, a, j, end)
+		if a != nil && a.orphan {
+			// The end of a run that the job does not count changes nothing in it, but its task may start again.
+			c.markStale(j)
+		}
 		c.updateHealth(now, s, j, a, end)
 		if j.End(now, end) {
 			c.changed(j)
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -33,6 +33,8 @@
 	// earliest time of the next claim after one in which the gang did not start.
 	claims                      bool
 	enoughSince, claimNotBefore time.Time
+	// forRack is set once tasks of the step have waited for their preferred rack.
+	forRack bool
 	// asked describes the last wish in the log.
 	asked string
 }
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -97,6 +97,8 @@
 }
 
 const (
+	// decisionInterval is the longest time between two decisions about a task: the owner places tasks every 50 ms, under load less often.
+	decisionInterval = 150 * time.Millisecond
 	// maxForecast bounds the forecast for racks that release little.
 	maxForecast = time.Hour
 	// queueShare is the part of the longer run time on a far server that a wait may take while far servers are free. The rack runs as
@@ -118,12 +120,15 @@
 		longest = longer
 	}
 	latestFarStart := c.LatestStart.Add(-longer)
+	lastDecision := latestFarStart.Add(-decisionInterval)
 	switch {
 	case forecast.NearIn > longest:
 		return forecast
-	case now.Before(latestFarStart):
+	case now.Before(lastDecision):
 		// A start on a far server still meets the objective until then.
-		forecast.WaitUntil = latestFarStart
+		forecast.WaitUntil = lastDecision
+	case now.Before(latestFarStart):
+		return forecast
 	case now.Add(forecast.NearIn).Before(c.LatestStart):
 		// Only a near server meets the objective.
 		forecast.WaitUntil = c.LatestStart
