--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -162,7 +162,7 @@
 	total, known := 0.0, 0
 	for _, s := range c.ordered {
 		s.update()
-		if s.known() {
+		if s.knownFrom(earlyEnds, maxClassDeviation) {
 			total += s.speed
 			known++
 		}
@@ -175,11 +175,11 @@
 	}
 }
 
-// knownSpeeds returns the logarithmic speeds that are known, in increasing order.
-func (c *Calibrator) knownSpeeds() []float64 {
+// speedsKnownFrom returns the logarithmic speeds that are known from a number of ends and with a standard deviation, in increasing order.
+func (c *Calibrator) speedsKnownFrom(ends int, deviation float64) []float64 {
 	speeds := make([]float64, 0, len(c.servers))
 	for _, s := range c.ordered {
-		if s.known() {
+		if s.knownFrom(ends, deviation) {
 			speeds = append(speeds, s.speed)
 		}
 	}
--- a/calibrator/class.go
+++ b/calibrator/class.go
@@ -14,6 +14,10 @@
 	// They do until the ratio is below endSpread, so that noise does not change the placement back and forth.
 	minSpread = 1.5
 	endSpread = 1.4
+	// earlySpread is the ratio from which on speeds take effect although they are known from earlyEnds ends only. That of equal servers
+	// was up to 1.6 then (TestEqualServersHaveNoClass).
+	earlySpread = 2.0
+	earlyEnds   = 4
 	// minClassShare is the part of the servers that are fast, and that are slow, at least. A few servers in trouble do not make all others
 	// fast.
 	minClassShare = 0.15
@@ -107,7 +111,7 @@
 
 // classify finds out whether speeds differ, and the class of each server.
 func (c *Calibrator) classify(now time.Time) {
-	c.spread = c.spread.next(c.knownSpeeds(), len(c.ordered))
+	c.spread = c.compare()
 	first := len(c.changes)
 	for _, s := range c.ordered {
 		class := c.spread.classOf(s)
@@ -121,17 +125,24 @@
 	slices.SortFunc(c.changes[first:], func(a, b Change) int { return cmp.Compare(a.Server, b.Server) })
 }
 
-// next returns the spread of sorted logarithmic speeds, of a number of servers with ends.
-func (s spread) next(speeds []float64, servers int) spread {
+// compare returns the spread of the speeds. They are compared once half of the servers with ends are known well, or earlier if they differ
+// by more. Speeds that are in effect are compared even when fewer are known.
+func (c *Calibrator) compare() spread {
+	inEffect := c.spread.inEffect
+	required := minSpread
+	speeds := c.speedsKnownFrom(minEnds, maxDeviation)
+	if float64(len(speeds)) < minKnownShare*float64(len(c.ordered)) {
+		required = earlySpread
+		speeds = c.speedsKnownFrom(earlyEnds, maxClassDeviation)
+	}
+	if inEffect {
+		required = endSpread
+	}
 	n := len(speeds)
-	if n < minServers || !s.inEffect && float64(n) < minKnownShare*float64(servers) {
+	if n < minServers || !inEffect && float64(n) < minKnownShare*float64(len(c.ordered)) {
 		return spread{known: n, ratio: 1}
 	}
 	found := spread{known: n, ratio: math.Exp(speeds[(n-1)*9/10] - speeds[(n-1)/10])}
-	required := minSpread
-	if s.inEffect {
-		required = endSpread
-	}
 	found.inEffect = found.ratio >= required
 	found.split(speeds)
 	return found
--- a/calibrator/doc.go
+++ b/calibrator/doc.go
@@ -7,6 +7,6 @@
 // does not make these look average.
 //
 // A server is classified once the standard deviation of its logarithmic speed is at most maxClassDeviation, and the speeds of half of the
-// servers are known from minEnds ends each. With the users' load
+// servers are known from minEnds ends each, or from earlyEnds if they differ by earlySpread. With the users' load
 // that is so after about nine ends a server on average (TestEndsUntilFastServersAreKnown).
 package calibrator
--- a/calibrator/server.go
+++ b/calibrator/server.go
@@ -111,7 +111,7 @@
 	s.speed, s.deviation = sum/precision, 1/math.Sqrt(precision)
 }
 
-// known reports whether the speed is known well enough to be compared with those of others.
-func (s *server) known() bool {
-	return s.deviation <= maxDeviation && len(s.ends) >= minEnds
+// knownFrom reports whether the speed is known from a number of ends and with a standard deviation.
+func (s *server) knownFrom(ends int, deviation float64) bool {
+	return s.deviation <= deviation && len(s.ends) >= ends
 }
--- a/calibrator/step.go
+++ b/calibrator/step.go
@@ -28,12 +28,12 @@
 	biasSum, biasWeight float64
 }
 
-// estimateBias follows the mean of the steps of this sweep: quickly at first, and slowly later.
+// estimateBias follows the mean of the steps of this sweep. It is the mean over all sweeps at first, and follows slowly later.
 func (q *queue) estimateBias() {
 	if q.biasWeight <= 0 {
 		return
 	}
-	rate := max(biasRate, 2/float64(q.estimates+2))
+	rate := max(biasRate, 1/float64(q.estimates+1))
 	q.bias += rate * (q.biasSum/q.biasWeight - q.bias)
 	q.estimates++
 	q.biasSum, q.biasWeight = 0, 0
