Check configurations of the users' platform before they are sent

The decoder accepts missing names, queues that can never match, shared keys and contradictory limits.

Change: `egretring configuration check [-in-force FILE] [-json] FILE` reports errors, warnings and the differences from the configuration in force, each with its place in the file. The pure package checker decides; platform.ReadDocument reads the names on the wire. Keys are shown by their last four characters only. Exit codes: 0 valid, 2 bad command line, 3 file cannot be read, and the new 8 (valid with warnings) and 9 (not valid). No program that serves callers is changed.

--- /dev/null
+++ b/checker/service.go
@@ -0,0 +1,8 @@
+package checker
+
+// Service is a pool of backend servers of the configuration.
+type Service struct {
+	Place            string
+	Name             Field[string]
+	EnforcesCapacity Field[bool]
+}
--- a/cmd/egretring/main.go
+++ b/cmd/egretring/main.go
@@ -26,7 +26,7 @@
 	os.Exit(code)
 }
 
-// run runs one command and returns the exit code: zero, or that of the kind of its error.
+// run runs one command and returns the exit code: zero, that of the kind of its error, or that of the outcome of a check.
 func run(ctx context.Context, console *console, args []string) int {
 	root := rootCommand(console)
 	if err := root.Parse(args); err != nil {
@@ -52,6 +52,10 @@
 	if err == nil {
 		return 0
 	}
+	var checked checkOutcome
+	if errors.As(err, &checked) {
+		return checked.code
+	}
 	fmt.Fprintf(stderr, "egretring: %v\n", err)
 	return classifier.ErrorResponseOf(classifier.KindOf(err)).ExitCode
 }
--- a/cmd/egretring/root.go
+++ b/cmd/egretring/root.go
@@ -39,12 +39,12 @@
 		ShortUsage: "egretring <subcommand> [flags] [arguments]",
 		ShortHelp:  "operate a cell",
 		LongHelp: "Exit codes: 0 done, 1 failed, 2 bad request or ticket, 3 not found, 4 try again later,\n" +
-			"5 outcome unknown, 6 conflict, 7 forbidden.\n\nExample:\n  " + instancesVariable +
+			"5 outcome unknown, 6 conflict, 7 forbidden, 8 valid with warnings, 9 configuration not valid.\n\nExample:\n  " + instancesVariable +
 			"=http://10.0.0.1:7002,http://10.0.0.2:7002 egretring status",
 		FlagSet: c.flags("egretring"),
 		Subcommands: []*ffcli.Command{
-			ticketCommand(c), statusCommand(c), servicesCommand(c), jobsCommand(c), tasksCommand(c), workersCommand(c),
-			zonesCommand(c), teamsCommand(c), whyCommand(c), drainCommand(c), declareDeadCommand(c), topCommand(c), demoCommand(c),
+			ticketCommand(c), configurationCommand(c), statusCommand(c), servicesCommand(c), jobsCommand(c), tasksCommand(c),
+			workersCommand(c), zonesCommand(c), teamsCommand(c), whyCommand(c), drainCommand(c), declareDeadCommand(c), topCommand(c), demoCommand(c),
 		},
 	}
 }
@@ -103,9 +103,8 @@
 	arguments string, run func(ctx context.Context, client *requester.Client, args []string) error,
 ) func(context.Context, []string) error {
 	return func(ctx context.Context, args []string) error {
-		if want := len(strings.Fields(arguments)); len(args) != want {
-			return classifier.New(classifier.BadRequest,
-				"%d arguments are given, but %d are needed: %q (flags stand before them)", len(args), want, arguments)
+		if err := checkArguments(arguments, args); err != nil {
+			return err
 		}
 		client, err := c.client()
 		if err != nil {
@@ -117,6 +116,15 @@
 	}
 }
 
+// checkArguments returns an error unless there are as many arguments as the names, which are separated by spaces.
+func checkArguments(names string, args []string) error {
+	if want := len(strings.Fields(names)); len(args) != want {
+		return classifier.New(classifier.BadRequest,
+			"%d arguments are given, but %d are needed: %q (flags stand before them)", len(args), want, names)
+	}
+	return nil
+}
+
 // show writes a view as JSON for programs or as a table for people.
 func show[V any](c *console, view V, err error, table func(io.Writer, V) error) error {
 	if err != nil {
