Send no start again to a server whose capacity has shrunk

Cause: a start without a response was sent again without the check of the capacity that the first start passes. Change: mayResend refuses while the runs of the server exceed its capacity. Result: TestNoResendAboveCapacity failed before the change and passes.

--- a/conductor/resend.go
+++ b/conductor/resend.go
@@ -26,6 +26,10 @@
 	if a.order.Ticket != "" {
 		return false
 	}
+	// The capacity may have shrunk since the first start.
+	if !s.used.Fits(s.server.Capacity) {
+		return false
+	}
 	// A new configuration may have lowered the limit of the team since the first start.
 	if c.accounts.Exceeded(a.team, a.counted) {
 		return false
