Let the tasks of a new job wait for orphans found before it

Cause: an orphan of a job that the owner does not know yet marked no job. Once the job arrived, its task started beside the orphan. Change: a job that is added looks for orphans among the known runs. Result: TestTaskWaitsForOrphanFoundBeforeJob failed before the change and passes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -210,6 +210,8 @@
 	j.updateQueue(&c.configuration)
 	c.updateWaves(j)
 	c.jobs[restored.Spec.ID] = j
+	// Orphans may have been found before the job was known.
+	j.hasOrphans = len(c.runs[restored.Spec.ID]) > 0
 	if restored.Spec.Scheduled() && !restored.State().Final() {
 		c.scheduled[restored.Spec.ID] = j
 	}
