Bound waits for near servers after the objective is missed

Cause: past its latest start, a step without urgency waited for its rack as long as the rate of releases promised a server soon, even if other steps took all that became free. Servers that were held for it meanwhile were idle if they were far.

--- a/conductor/near_wait.go
+++ b/conductor/near_wait.go
@@ -62,6 +62,10 @@
 	if w.urgent() && p.now.After(w.latestStart) || !p.hasRack(w) {
 		return false
 	}
+	// Servers that are held for the step would be idle.
+	if c.hasHold(w) || c.waitedTooLong(p.now, w) {
+		return false
+	}
 	need := w.need().MilliCores
 	wanted := p.wantedOnRack[w.step.Spec.PreferredRack] + need*int64(tasks)
 	forecast := c.nearness.forecaster.Decide(p.now, forecaster.Choice{
@@ -72,6 +76,9 @@
 		return false
 	}
 	p.wantOnRack(w.step.Spec.PreferredRack, wanted)
+	if w.wait.forRackSince.IsZero() {
+		w.wait.forRackSince = p.now
+	}
 	if !w.wait.forRack {
 		w.wait.forRack = true
 		c.logDecision("NearWait", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf(
@@ -82,6 +89,16 @@
 	return true
 }
 
+// waitedTooLong reports whether a step past its latest start has waited for its rack for as long as a run away from it takes longer. The
+// forecast does not know which other steps take what the rack releases, so that the wait might not end.
+func (c *Conductor) waitedTooLong(now time.Time, w *waitingStep) bool {
+	if w.wait.forRackSince.IsZero() || now.Before(w.latestStart) {
+		return false
+	}
+	longer := time.Duration(float64(w.step.Spec.Estimate) * (c.settings.farFactor - 1))
+	return now.Sub(w.wait.forRackSince) > longer
+}
+
 // hasRack reports whether a usable server on the preferred rack of a step may run it.
 func (p *pass) hasRack(w *waitingStep) bool {
 	return slices.ContainsFunc(p.usable[w.job.queue.Service], func(s *session) bool {
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -35,6 +35,8 @@
 	enoughSince, claimNotBefore time.Time
 	// forRack is set once tasks of the step have waited for their preferred rack.
 	forRack bool
+	// forRackSince is since when the step waits for its preferred rack without a start of a task.
+	forRackSince time.Time
 	// asked describes the last wish in the log.
 	asked string
 }
