Accept a server again after an outdated entry from before two restarts

Cause: after the clock of a server was set back and it restarted again, an entry from before both restarts counted as the newest incarnation, and the responses of the present one were ignored as those of the former one until the next restart. Change: a response to a call that was sent after the newest incarnation was noticed shows that the one that has responded is present, whatever came before. Result: TestOutdatedEntryAfterTwoRestarts failed before the change and passes.

--- a/conductor/incarnation.go
+++ b/conductor/incarnation.go
@@ -15,7 +15,8 @@
 }
 
 // mayBeSetBack reports whether a response from an incarnation with an earlier start time than the newest known is from a later one: the
-// call was sent after the newest known was noticed, so that no incarnation before that can have responded.
+// call was sent after the newest known was noticed, so that no incarnation before that can have responded. If the former one has, the
+// newest known was that of an outdated entry from before two restarts.
 func (s *session) mayBeSetBack(e RenewEnded) bool {
 	return e.Report.Incarnation != 0 && e.Incarnation == s.server.Incarnation
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -219,7 +219,7 @@
 		}
 		return
 	}
-	if s.isFormer(e.Report.Incarnation) || e.Report.Incarnation < s.server.Incarnation && !s.mayBeSetBack(e) {
+	if (s.isFormer(e.Report.Incarnation) || e.Report.Incarnation < s.server.Incarnation) && !s.mayBeSetBack(e) {
 		return
 	}
 	if e.Report.Incarnation != s.server.Incarnation {
