Consider advice when a step may need servers kept for urgent ones

Cause: servers that advice had refused counted as places for a step, so that a step whose only admitted servers are kept for urgent steps waited as long as they were. Change: checkReserve counts the servers that advice has admitted or was not asked about. Result: TestStepRefusedByAdviceGetsReservedServers failed before the change and passes.

--- a/conductor/speeds.go
+++ b/conductor/speeds.go
@@ -231,12 +231,18 @@
 		w.wait.reserveCheckAt = p.now.Add(reserveCheckInterval)
 		fits := func(s *session) int { return c.fitsLater(w, s) }
 		w.wait.usesReserve = false
-		unreserved := p.candidates(w)
+		unreserved := c.mayAdmit(p, w)
 		w.wait.usesReserve = true
-		w.wait.usesReserve = !fitsOn(unreserved, w.required(), fits) && fitsOn(p.candidates(w), w.required(), fits)
+		w.wait.usesReserve = !fitsOn(unreserved, w.required(), fits) && fitsOn(c.mayAdmit(p, w), w.required(), fits)
 	}
 }
 
+// mayAdmit returns the usable servers that may run the step and that advice has not refused.
+func (c *Conductor) mayAdmit(p *pass, w *waitingStep) []*session {
+	admitted, unknown := c.admittedServers(p, w)
+	return slices.Concat(admitted, unknown)
+}
+
 // isReservedFrom reports whether the server is kept for urgent steps and the step is none.
 func (s *session) isReservedFrom(w *waitingStep) bool {
 	return s.reserved && !w.urgent() && !w.wait.usesReserve
