Withhold the start of a task of which an orphan was found

Cause: an orphan that was found between the placement of its task and the commit of the record did not keep the start from being sent, so that the task had two runs until the orphan had stopped. Change: sendReserved returns such a task to the waiting ones; it starts after the end of the orphan. Result: TestNoStartBesideOrphanFoundBeforeCommit failed before the change and passes.

--- a/conductor/commit.go
+++ b/conductor/commit.go
@@ -178,6 +178,7 @@
 // sendReserved sends the start orders of the runs whose records are in the store.
 func (c *Conductor) sendReserved(now time.Time, j *job) {
 	kept := j.reserved[:0]
+	orphans := c.orphansOf(j)
 	for _, r := range j.reserved {
 		switch {
 		case r.session.allocations[r.task] != r.allocation:
@@ -186,6 +187,9 @@
 		case j.State().Final():
 			c.settleCharge(now, r.allocation, false)
 			r.session.release(r.task)
+		case orphans[r.task]:
+			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "an orphan of the task was found")
+			c.requeue(now, r.session, r.allocation)
 		case c.accounts.Exceeded(r.team, r.counted):
 			c.logDecision("StartWithheld", r.task, r.run, r.session.id, "the limit of the team was lowered: "+c.accounts.Usage(r.team).String())
 			c.requeue(now, r.session, r.allocation)
--- a/conductor/orphan_test.go
+++ b/conductor/orphan_test.go
@@ -32,3 +32,33 @@
 	plan()
 	require.Equal(t, 1, len(s.allocations)+len(other.allocations))
 }
+
+// TestNoStartBesideOrphanFoundBeforeCommit guards against the start of a task of which an orphan was found between the placement and the
+// commit of its record.
+func TestNoStartBesideOrphanFoundBeforeCommit(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		c := newPassConductor(now, 2, "a")
+		step := specifier.Step{Count: 2, Need: specifier.Resources{MilliCores: 100}, Estimate: time.Second, Gang: gang, MaxPerServer: 1}
+		c.Handle(now, JobArrived{Job: specifier.Job{
+			ID: "j", Queue: specifier.Queue{Service: "a"}, AcceptedAt: now, Steps: []specifier.Step{step},
+		}})
+		commands := c.Plan(now)
+		require.Len(t, c.jobs["j"].reserved, 2)
+		reserved := c.jobs["j"].reserved[0]
+		other := c.session("i-0009")
+		c.stopOrphan(now, other, specifier.RunningTask{Task: reserved.task, Run: 9})
+		for _, command := range commands {
+			if commit, ok := command.(Commit); ok {
+				c.Handle(now, CommitEnded{Lane: commit.Lane})
+			}
+		}
+		var started []specifier.TaskID
+		for _, command := range c.Plan(now) {
+			if start, ok := command.(Start); ok {
+				started = append(started, start.Order.Task)
+			}
+		}
+		require.NotContains(t, started, reserved.task)
+	}
+}
