--- a/conductor/named_servers.go
+++ b/conductor/named_servers.go
@@ -33,8 +33,9 @@
 	return 1 - s.takenPart
 }
 
-// compareExpectedCapacity orders the server first that has a speed which the step prefers, and then that is expected to have the most free cores when a call that begins now ends. If
-// all calls at a time named the servers with the most free cores, one step would take them, and the tickets of the others expire unused.
+// compareExpectedCapacity orders the server first that has a speed which the step prefers, and then the one that is expected to have the
+// most free cores when a call that begins now ends. If all calls at a time named the servers with the most free cores, one step would
+// take them, and the tickets of the others expire unused.
 func (w *waitingStep) compareExpectedCapacity(a, b *session) int {
 	return cmp.Or(
 		w.compareNamed(a, b),
--- a/conductor/remaining.go
+++ b/conductor/remaining.go
@@ -8,9 +8,9 @@
 	"egretring.example/egretring/specifier"
 )
 
-// A finished job, mostly one that fails or is cancelled, is in the store as such while runs of it are still being stopped. Its record names these runs, so
-// that the next owner counts them for their team although it no longer knows the steps of the job. The record is written again
-// when the last of them has ended.
+// A finished job, mostly one that fails or is cancelled, is in the store as such while runs of it are still being stopped. Its record
+// names these runs, so that the next owner counts them for their team although it no longer knows the steps of the job. The record is
+// written again when the last of them has ended.
 
 // countedOf returns the team of a task and what a run of it takes of the team's limit. Without the job neither is known.
 func (c *Conductor) countedOf(task specifier.TaskID) (string, specifier.Resources) {
