Check the store for a readiness response

Cause: an instance without requests notices late that the store does not serve it. Change: GET /readiness reads the store unless it has just served a call.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -191,8 +191,8 @@
 	return mux
 }
 
-func (p *process) readiness(w http.ResponseWriter, _ *http.Request) {
-	if !p.sharder.Ready() {
+func (p *process) readiness(w http.ResponseWriter, r *http.Request) {
+	if !p.sharder.CheckReady(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -246,7 +246,7 @@
 	ctx := i.tomb.Context(context.Background())
 	for i.health.FailingFor() >= suspectAfter && ctx.Err() == nil {
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, err := i.store.Get(probe, probeKey)
+		_, err := i.store.Get(probe, ProbeKey)
 		cancel()
 		i.health.Record(err == nil)
 		if err != nil {
--- a/intaker/key.go
+++ b/intaker/key.go
@@ -16,8 +16,8 @@
 const (
 	jobPrefix    = Prefix + "jobs/"
 	cancelPrefix = Prefix + "cancels/"
-	// probeKey is read to find out whether the store serves calls. It does not exist.
-	probeKey = "egretring/probe"
+	// ProbeKey is read to find out whether the store serves calls. It does not exist.
+	ProbeKey = "egretring/probe"
 )
 
 // JobKey returns the key of a submitted job.
--- a/keeper/health.go
+++ b/keeper/health.go
@@ -17,6 +17,8 @@
 	mu sync.Mutex
 	// failingSince is when calls began to be refused or to get no response; zero while the store serves them.
 	failingSince time.Time
+	// servedAt is when the last call was served.
+	servedAt time.Time
 }
 
 // NewHealth returns the health of a store that serves this instance.
@@ -34,6 +36,7 @@
 			h.logger.Info("store answers again", "FailingSince", h.failingSince)
 		}
 		h.failingSince = time.Time{}
+		h.servedAt = time.Now()
 	case h.failingSince.IsZero():
 		h.failingSince = time.Now()
 		h.logger.Warn("store gave no answer")
@@ -49,3 +52,10 @@
 	}
 	return max(time.Since(h.failingSince), 1)
 }
+
+// ServedWithin reports whether the last call to the store was served, at most a given time ago.
+func (h *Health) ServedWithin(age time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failingSince.IsZero() && !h.servedAt.IsZero() && time.Since(h.servedAt) <= age
+}
