Respond to readiness checks without a read while the store fails

Cause: the second check after a cut waited for its read. Change: the response is immediate once the store has failed for 0.4 s; a read in the background follows.

--- a/sharder/readiness.go
+++ b/sharder/readiness.go
@@ -12,23 +12,31 @@
 	freshCallAge = 100 * time.Millisecond
 	// readinessTimeout bounds the read. A slow store takes about 250 ms to respond.
 	readinessTimeout = 500 * time.Millisecond
+	// failingAfter is how long the store must have failed for the response not to wait for the read. It is shorter than the time
+	// from the failure of a read to the next check, which comes a second after the last one.
+	failingAfter = 400 * time.Millisecond
 )
 
 // CheckReady is like Ready, but the store must serve this instance now: unless it has just served a call, it is read. An instance
 // without requests would otherwise notice late that it is cut off, and the load balancer uses a zone that is cut off until all of
-// its instances are not ready.
+// its instances are not ready. While the store fails, the response is immediate, and the read shows the next check whether the
+// store serves again.
 func (s *Sharder) CheckReady(ctx context.Context) bool {
 	if s.draining.Load() {
 		return false
 	}
-	return s.storeServes(ctx) && s.Ready()
+	if s.health.FailingFor() >= failingAfter {
+		s.tomb.Go(func() error {
+			s.readStore(s.tomb.Context(context.Background()))
+			return nil
+		})
+		return false
+	}
+	return (s.health.ServedWithin(freshCallAge) || s.readStore(ctx)) && s.Ready()
 }
 
-// storeServes reports whether the store has just served a call, or serves a read now.
-func (s *Sharder) storeServes(ctx context.Context) bool {
-	if s.health.ServedWithin(freshCallAge) {
-		return true
-	}
+// readStore reports whether the store serves a read.
+func (s *Sharder) readStore(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
 	defer cancel()
 	_, err := s.store.Get(ctx, intaker.ProbeKey)
--- a/sharder/readiness_test.go
+++ b/sharder/readiness_test.go
@@ -40,10 +40,15 @@
 
 		c.store.SetFaults(fakekeeper.Faults{Down: true})
 		time.Sleep(150 * time.Millisecond)
-		require.False(t, c.instances[0].CheckReady(t.Context()))
+		for range 3 {
+			require.False(t, c.instances[0].CheckReady(t.Context()))
+			time.Sleep(time.Second)
+		}
 
 		c.store.SetFaults(fakekeeper.Faults{})
 		time.Sleep(time.Second)
+		c.instances[0].CheckReady(t.Context())
+		time.Sleep(time.Second)
 		require.True(t, c.instances[0].CheckReady(t.Context()))
 		c.instances[0].Drain()
 		require.False(t, c.instances[0].CheckReady(t.Context()))
