Answer readiness at once while the store fails

Cause: the second check after a cut waited 0.5 s for its read, which moved the callers of the zone half a second later. Change: once the store has failed for 0.4 s the response is immediate, and a read in the background shows the next check whether the store serves again.

--- a/sharder/readiness.go
+++ b/sharder/readiness.go
@@ -26,10 +26,7 @@
 		return false
 	}
 	if s.health.FailingFor() >= failingAfter {
-		s.tomb.Go(func() error {
-			s.readStore(s.tomb.Context(context.Background()))
-			return nil
-		})
+		go s.readStore(context.WithoutCancel(ctx))
 		return false
 	}
 	return (s.health.ServedWithin(freshCallAge) || s.readStore(ctx)) && s.Ready()
