Spread refused calls of elections, and let stale reads probe the store

Cause: calls of all instances in elections and probes exceed the rate limit of the store in a cell of 301 instances. Change: the owner is taken from watches, non-candidates stand by, refused calls are spread, and probes may be stale.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -62,6 +62,7 @@
 	if ownMembership {
 		s.membership = NewMembership(s.store, s.instance, s.address, s.processors)
 	}
+	spread := func() time.Duration { return s.membership.spread(s.shardCount()) }
 	c := &Coordinator{
 		settings: s, ownMembership: ownMembership,
 		intaker:    intaker.New(s.store, s.logger, append(s.intake, intaker.WithHealth(s.health))...),
@@ -72,7 +73,9 @@
 	}
 	self := elector.Owner{Instance: s.instance, Incarnation: s.clock.Now().UnixNano(), Address: s.address}
 	c.elector = elector.New(s.store, self, c.runOwner, s.clock, s.logger, elector.WithDelay(c.electionDelay),
-		elector.WithWatchTime(func() time.Duration { return s.membership.watchTime(s.shardName()) }))
+		elector.WithWatchTime(func() time.Duration { return s.membership.watchTime(s.shardName()) }),
+		elector.WithStandby(func() time.Duration { return s.membership.standby(s.shardName(), s.shardCount()) }),
+		elector.WithSpread(spread))
 	if s.configurations == nil {
 		c.ownFollower = follower.New(s.directory, follower.WithLogger(s.logger), follower.WithMeter(s.meter))
 		c.settings.configurations = c.ownFollower
@@ -90,6 +93,13 @@
 	return strconv.Itoa(s.shards.Index)
 }
 
+func (s settings) shardCount() int {
+	if s.shards == nil {
+		return 1
+	}
+	return s.shards.Count
+}
+
 // client returns a pool of connections to other instances.
 func (s settings) client(timeout time.Duration) *messenger.Client {
 	options := []messenger.Option{messenger.WithLogger(s.logger), messenger.WithCallTimeout(timeout)}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -21,8 +22,18 @@
 	// before they read it again.
 	candidateWatchTime = 2 * time.Second
 	standbyWatchTime   = 12 * time.Second
-	// candidateInterval is how often an instance reads the members to find out whether it is a candidate.
-	candidateInterval = 10 * time.Second
+	// candidateInterval is how often an instance reads the members to find out whether it is a candidate. The first time is earlier,
+	// because the instances of a cell start one after the other.
+	candidateInterval      = 10 * time.Second
+	firstCandidateInterval = 2 * time.Second
+	// callInterval is the time between two calls to the store for which all instances of a cell aim when they make the same call
+	// for each shard: a thousand a second, of the 2,000 reads that the smallest store admits.
+	callInterval = time.Millisecond
+	// minStandbySpread is the spread from which instances that are no candidates wait for these in elections. In smaller cells the
+	// calls of all of them take less than 0.2 s.
+	minStandbySpread = 200 * time.Millisecond
+	// standbyTime is how long they wait at least: a candidate needs about 0.2 s.
+	standbyTime = time.Second
 )
 
 // Membership is the registration of an instance, and its view of the other ones. The coordinators of all shards of an instance
@@ -46,13 +57,15 @@
 	var group sync.WaitGroup
 	group.Go(func() { m.keep(ctx) })
 	group.Go(func() {
+		interval := firstCandidateInterval
 		for ctx.Err() == nil {
 			_, err := m.members(ctx)
 			if err != nil {
 				timekeeper.Sleep(ctx, retryInterval*4)
 				continue
 			}
-			timekeeper.Sleep(ctx, candidateInterval)
+			timekeeper.Sleep(ctx, interval)
+			interval = candidateInterval
 		}
 	})
 	group.Wait()
@@ -68,6 +81,24 @@
 	return standbyWatchTime
 }
 
+// spread returns the time over which the instances of a cell spread a call that each of them makes for each shard.
+func (m *Membership) spread(shards int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(shards*len(m.known)) * callInterval
+}
+
+// standby returns how long the instance waits for the candidates of a shard in an election.
+func (m *Membership) standby(shard string, shards int) time.Duration {
+	spread := m.spread(shards)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if spread < minStandbySpread || isCandidate(m.self, m.known, shard) {
+		return 0
+	}
+	return standbyTime + rand.N(spread)
+}
+
 // isCandidate reports whether an instance is one of the candidates of a shard: the largest members, and among those of similar
 // size the ones that rendezvous hashing prefers for the shard.
 func isCandidate(self member, members []member, shard string) bool {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -55,6 +55,10 @@
 	delay    func(ctx context.Context) time.Duration
 	// watchTime returns how long to wait for a change of the owner before it is read again.
 	watchTime func() time.Duration
+	// standby returns how long to wait for others to become the owner before this instance takes part in an election.
+	standby func() time.Duration
+	// spread returns the time over which all instances spread their calls after the store refused one.
+	spread func() time.Duration
 
 	mu      sync.Mutex
 	current Ownership
@@ -103,6 +107,18 @@
 	return func(e *Elector) { e.watchTime = watchTime }
 }
 
+// WithStandby sets a function that returns how long the instance waits for others to become the owner before it takes part in an
+// election, and makes no call to the store meanwhile but a watch.
+func WithStandby(standby func() time.Duration) Option {
+	return func(e *Elector) { e.standby = standby }
+}
+
+// WithSpread sets a function that returns the time over which all instances spread their calls after the store has refused one
+// because of its rate limit. Otherwise the calls of many instances leave no room for those of the owner.
+func WithSpread(spread func() time.Duration) Option {
+	return func(e *Elector) { e.spread = spread }
+}
+
 // New returns an elector.
 func New(
 	store keeper.TransactionalStore, self Owner, runOwner OwnerFunc, clock timekeeper.Clock, logger *slog.Logger,
@@ -111,6 +127,7 @@
 	e := &Elector{
 		store: store, self: self, runOwner: runOwner, clock: clock, logger: logger,
 		resignations: make(chan resignation, 1), watchTime: func() time.Duration { return defaultWatchTime },
+		standby: func() time.Duration { return 0 }, spread: func() time.Duration { return 0 },
 	}
 	for _, option := range options {
 		option(e)
@@ -209,7 +226,7 @@
 		// has compacted that part of its history.
 		page, err := e.store.List(ctx, OwnerKey)
 		if err != nil {
-			timekeeper.Sleep(ctx, retryInterval)
+			e.pause(ctx, err)
 			continue
 		}
 		ownership, err := ownershipOf(page.Entry(OwnerKey))
@@ -218,24 +235,64 @@
 			timekeeper.Sleep(ctx, renewInterval)
 			continue
 		}
+		e.follow(ctx, ownership, page.Revision)
+	}
+}
+
+// follow follows the ownership that was read at a revision of the store, and takes part in elections. It returns when the owner
+// key has to be read again: after an election, and when a watch reports no change, because it may miss one.
+func (e *Elector) follow(ctx context.Context, ownership Ownership, revision int64) {
+	for ctx.Err() == nil {
 		e.setCurrent(ownership)
+		wait := e.watchTime()
+		if ownership.Epoch == 0 {
+			wait = e.standby()
+		}
+		if ownership.Owner.Instance == e.self.Instance || wait == 0 {
+			e.campaign(ctx, ownership)
+			return
+		}
+		changes, err := e.store.Watch(ctx, keeper.WatchOptions{Prefix: OwnerKey, AfterRevision: revision, Wait: wait})
+		if err != nil {
+			e.pause(ctx, err)
+			return
+		}
+		changed, found, err := lastChange(changes)
 		switch {
-		case ownership.Epoch == 0 || ownership.Owner.Instance == e.self.Instance:
+		case err != nil:
+			return
+		case changed:
+			ownership, revision = found, changes.Revision
+		case ownership.Epoch == 0:
 			e.campaign(ctx, ownership)
+			return
 		default:
-			e.awaitOwnerChange(ctx, page.Revision)
+			return
 		}
 	}
 }
 
-// awaitOwnerChange waits until the owner key changes after a revision of the store, for at most the watch time.
-func (e *Elector) awaitOwnerChange(ctx context.Context, revision int64) {
-	_, err := e.store.Watch(ctx, keeper.WatchOptions{
-		Prefix: OwnerKey, AfterRevision: revision, Wait: e.watchTime(),
-	})
-	if err != nil {
-		timekeeper.Sleep(ctx, retryInterval)
+// lastChange returns the ownership after some changes, and whether they contain one of the owner key.
+func lastChange(changes keeper.Changes) (changed bool, found Ownership, err error) {
+	for _, change := range changes.Changes {
+		if change.Entry.Key != OwnerKey {
+			continue
+		}
+		changed, found, err = true, Ownership{}, nil
+		if !change.Deleted {
+			found, err = ownershipOf(change.Entry)
+		}
+	}
+	return changed, found, err
+}
+
+// pause waits after a failed call. A store that refuses calls because of its rate limit has to get fewer of them.
+func (e *Elector) pause(ctx context.Context, err error) {
+	wait := retryInterval
+	if spread := e.spread(); errors.Is(err, keeper.ErrRateLimited) && spread > retryInterval {
+		wait += rand.N(spread)
 	}
+	timekeeper.Sleep(ctx, wait)
 }
 
 func (e *Elector) setCurrent(ownership Ownership) {
@@ -262,7 +319,7 @@
 	}
 	entry, err := e.store.Get(ctx, TermKey)
 	if err != nil {
-		timekeeper.Sleep(ctx, retryInterval)
+		e.pause(ctx, err)
 		return
 	}
 	predecessors, err := predecessorsOf(entry)
@@ -272,7 +329,7 @@
 	requestedAt := e.clock.Now()
 	lease, err := e.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: leaseTTL})
 	if err != nil {
-		timekeeper.Sleep(ctx, retryInterval)
+		e.pause(ctx, err)
 		return
 	}
 	value, err := json.Marshal(e.self)
@@ -291,7 +348,7 @@
 	if err != nil {
 		// If a write without a response took effect, the next read finds an owner with this instance's name.
 		if !errors.Is(err, keeper.ErrConflict) {
-			timekeeper.Sleep(ctx, retryInterval)
+			e.pause(ctx, err)
 		}
 		return
 	}
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -241,12 +241,13 @@
 	}
 }
 
-// awaitStore returns once the store does not fail, or has failed for less than suspectAfter.
+// awaitStore returns once the store does not fail, or has failed for less than suspectAfter. Its reads may be stale, so that those
+// of many instances do not exceed the rate limit.
 func (i *Intaker) awaitStore() {
 	ctx := i.tomb.Context(context.Background())
 	for i.health.FailingFor() >= suspectAfter && ctx.Err() == nil {
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, err := i.store.Get(probe, ProbeKey)
+		_, err := i.store.Get(keeper.AllowStale(probe), ProbeKey)
 		cancel()
 		i.health.Record(err == nil)
 		if err != nil {
--- a/sharder/readiness.go
+++ b/sharder/readiness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/keeper"
 )
 
 const (
@@ -32,10 +33,10 @@
 	return (s.health.ServedWithin(freshCallAge) || s.readStore(ctx)) && s.Ready()
 }
 
-// readStore reports whether the store serves a read.
+// readStore reports whether the store serves a read, which may be stale and is therefore cheap.
 func (s *Sharder) readStore(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
 	defer cancel()
-	_, err := s.store.Get(ctx, intaker.ProbeKey)
+	_, err := s.store.Get(keeper.AllowStale(ctx), intaker.ProbeKey)
 	return err == nil
 }
