Elections of large cells need few store calls

Cause: in the elections of all shards each instance read the owner, the members and the term of each shard. With 301 instances and eight shards these reads exceeded the 2,000 a second that the store admits.

--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -44,12 +44,28 @@
 	mu    sync.Mutex
 	// known are the members when they were last read; nil before.
 	known []member
+	// read is closed once the members have been read.
+	read     chan struct{}
+	readOnce sync.Once
 }
 
 // NewMembership returns the membership of an instance that other instances call at an address. The store has the members of
 // the whole cell.
 func NewMembership(store keeper.TransactionalStore, instance, address string, processors float64) *Membership {
-	return &Membership{store: store, self: member{Instance: instance, Address: address, Processors: processors}}
+	return &Membership{
+		store: store, self: member{Instance: instance, Address: address, Processors: processors}, read: make(chan struct{}),
+	}
+}
+
+// Await waits until the members have been read, for at most a given time. An instance that does not know them takes part in the
+// elections of all shards like a candidate.
+func (m *Membership) Await(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case <-m.read:
+	case <-ctx.Done():
+	}
 }
 
 // Run registers the instance and follows the members until the context ends.
@@ -133,4 +149,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.known = slices.Clone(members)
+	m.readOnce.Do(func() { close(m.read) })
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -221,6 +221,10 @@
 
 // Run takes part in elections until the context ends.
 func (e *Elector) Run(ctx context.Context) {
+	if spread := e.spread(); spread > 0 && e.standby() > 0 {
+		// All instances of a cell may start at the same time.
+		timekeeper.Sleep(ctx, rand.N(spread))
+	}
 	for ctx.Err() == nil {
 		// A listing returns the store's revision. A watch after the older revision of the key would fail once the store
 		// has compacted that part of its history.
--- a/sharder/sharder.go
+++ b/sharder/sharder.go
@@ -26,6 +26,8 @@
 	// preferenceDelay bounds the delay that is derived from the instance and the shard, so that each shard prefers the
 	// instances in a different order.
 	preferenceDelay = 100 * time.Millisecond
+	// maxMembershipWait bounds the wait for the members at the start; a slow store takes about 250 ms to respond.
+	maxMembershipWait = 300 * time.Millisecond
 )
 
 // Build makes the coordinator of a shard from the shard's options, to which it adds those that are common to all
@@ -111,10 +113,12 @@
 		return nil
 	})
 	s.tomb.Go(func() error {
-		known, err := s.awaitLayout(s.tomb.Context(context.Background()))
+		ctx := s.tomb.Context(context.Background())
+		known, err := s.awaitLayout(ctx)
 		if err != nil {
 			return nil
 		}
+		s.membership.Await(ctx, maxMembershipWait)
 		return s.join(known)
 	})
 }
