Show refusals beyond a rate that are not true

Cause: checkRate reads the store before it refuses, which does not show an earlier submission of the same job whose commit takes effect late. The first submission may come before the refusals begin, or while their window permits the job. Change: a test in which commits of first submissions take effect 6 s after their call, callers give up after 3 s and repeat the job through another instance.

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -33,6 +33,8 @@
 	clientTimeout = 800 * time.Millisecond
 	// callerTimeout is how long callers wait for a response.
 	callerTimeout = 3 * time.Second
+	// lateBy is how long after their call late transactions take effect.
+	lateBy = 6 * time.Second
 	// finalStateRetention is how long the state of a finished job is kept.
 	finalStateRetention = 30 * time.Second
 )
@@ -105,11 +107,12 @@
 }
 
 // faultyStore is the store as one instance reaches it. Its transactions and reads are refused while refusing is set,
-// and get no response while unresponsive is set.
+// and get no response while unresponsive is set. Transactions that isLate selects get no response, and take effect after lateBy.
 type faultyStore struct {
 	keeper.TransactionalStore
 	refusing     atomic.Bool
 	unresponsive atomic.Bool
+	isLate       atomic.Pointer[func(keeper.Transaction) bool]
 	// listDelay is how many nanoseconds longer each List takes.
 	listDelay atomic.Int64
 }
@@ -149,6 +152,11 @@
 	if err := s.fault(ctx); err != nil {
 		return 0, err
 	}
+	if isLate := s.isLate.Load(); isLate != nil && (*isLate)(transaction) {
+		time.AfterFunc(lateBy, func() { _, _ = s.TransactionalStore.Commit(context.Background(), transaction) })
+		timekeeper.Sleep(ctx, clientTimeout)
+		return 0, keeper.ErrUnavailable
+	}
 	return s.TransactionalStore.Commit(ctx, transaction)
 }
 
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"egretring.example/egretring/classifier"
+	"egretring.example/egretring/intaker"
+	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
 )
 
@@ -82,3 +86,111 @@
 		}
 	})
 }
+
+// flooded runs a test while a team sends more than can be served, through the first two instances.
+func flooded(t *testing.T, c *cell, test func()) {
+	t.Helper()
+	c.mu.Lock()
+	c.current.Version, c.current.Revision = 2, 2
+	c.current.Teams = specifier.NewTeams(specifier.Team{Name: "flood", Weight: 2}, specifier.Team{Name: "other", Weight: 2})
+	c.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(100 * time.Millisecond):
+				_ = c.submitAs(i%2, "flood", fmt.Sprintf("flood-%d", i))
+			}
+		}
+	})
+	test()
+	close(ended)
+	group.Wait()
+}
+
+// lateJob is a job whose first submission ends without a confirmation.
+type lateJob struct {
+	id string
+	// first and repeated are the results of its two submissions.
+	first, repeated error
+}
+
+// submitLate submits jobs through the last instance. Their commits take effect late, also those of the owner. Each job is submitted again
+// through another instance once its caller has given up.
+func submitLate(t *testing.T, c *cell, jobs int) []lateJob {
+	t.Helper()
+	var first sync.Map
+	isLate := func(transaction keeper.Transaction) bool {
+		return slices.ContainsFunc(transaction.Writes, func(w keeper.Write) bool {
+			_, late := first.Load(w.Key)
+			return late
+		})
+	}
+	for _, store := range c.stores {
+		store.isLate.Store(&isLate)
+	}
+	last := len(c.instances) - 1
+	late := make([]lateJob, jobs)
+	var group sync.WaitGroup
+	for i := range late {
+		time.Sleep(300 * time.Millisecond)
+		late[i].id = fmt.Sprintf("late-%d", i)
+		group.Go(func() {
+			key := intaker.JobKey(specifier.JobID(late[i].id))
+			first.Store(key, nil)
+			late[i].first = c.submitAs(last, "flood", late[i].id)
+			first.Delete(key)
+			late[i].repeated = c.submitAs(i%last, "flood", late[i].id)
+		})
+	}
+	group.Wait()
+	return late
+}
+
+// requireTrue checks that no refused job was stored, that each accepted one has run once, and that some were refused.
+func requireTrue(t *testing.T, c *cell, late []lateJob) {
+	t.Helper()
+	var untrue []string
+	unconfirmed, refused, undecided := 0, 0, 0
+	for _, job := range late {
+		if classifier.IsErrNotRun(job.first) {
+			continue
+		}
+		require.Error(t, job.first)
+		unconfirmed++
+		c.servers.mu.Lock()
+		starts := c.servers.starts[specifier.StepID{Job: specifier.JobID(job.id)}.Task(0)]
+		c.servers.mu.Unlock()
+		switch {
+		case job.repeated == nil:
+			require.Equal(t, 1, starts, job.id)
+		case classifier.IsErrNotRun(job.repeated):
+			refused++
+			if starts > 0 {
+				untrue = append(untrue, job.id)
+			}
+		default:
+			undecided++
+		}
+	}
+	t.Logf("of %d unconfirmed jobs %d were refused when repeated, %d got no decision, %d of the refused ones ran", unconfirmed, refused, undecided, len(untrue))
+	require.Empty(t, untrue, "refused jobs that ran")
+	require.Positive(t, refused)
+}
+
+// TestRefusedJobNeverRuns guards against a refusal of a job whose earlier submission is still under way to the store and takes effect
+// later: the first submission came before the refusals began, or while they permitted the job.
+func TestRefusedJobNeverRuns(t *testing.T) {
+	var subject *cell
+	var late []lateJob
+	runWithCell(t, 3, func(t *testing.T, c *cell) {
+		subject = c
+		flooded(t, c, func() { late = submitLate(t, c, 100) })
+		time.Sleep(time.Minute)
+	})
+	requireTrue(t, subject, late)
+}
