Test refusals while the owner, instances or the store are disturbed

Retry-After aims at the middle of the time for which the stepped window certainly contains the job, so that TestRefusedJobIsAcceptedWhenItReturns has its former 0.8 s on both sides.

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -50,6 +50,8 @@
 	servers   *fakeServers
 	mu        sync.Mutex
 	current   specifier.Configuration
+	// lateKey selects keys whose writes take effect late, for submitLate.
+	lateKey func(key string) bool
 	// meter is that of all instances.
 	meter *meter.Meter
 }
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -98,7 +99,7 @@
 	})
 }
 
-// flooded runs a test while a team sends more than can be served, through the first two instances.
+// flooded runs a test while a team sends more than can be served, through the second and the third instance.
 func flooded(t *testing.T, c *cell, test func()) {
 	t.Helper()
 	c.mu.Lock()
@@ -114,7 +115,7 @@
 			case <-ended:
 				return
 			case <-time.After(100 * time.Millisecond):
-				_ = c.submitAs(i%2, "flood", fmt.Sprintf("flood-%d", i))
+				_ = c.submitAs(1+i%2, "flood", fmt.Sprintf("flood-%d", i))
 			}
 		}
 	})
@@ -138,7 +139,7 @@
 	isLate := func(transaction keeper.Transaction) bool {
 		return slices.ContainsFunc(transaction.Writes, func(w keeper.Write) bool {
 			_, late := first.Load(w.Key)
-			return late
+			return late || c.lateKey != nil && c.lateKey(w.Key)
 		})
 	}
 	for _, store := range c.stores {
@@ -155,7 +156,7 @@
 			first.Store(key, nil)
 			late[i].first = c.submitAs(last, "flood", late[i].id)
 			first.Delete(key)
-			late[i].repeated = c.submitAs(i%last, "flood", late[i].id)
+			late[i].repeated = c.submitAs(1+i%2, "flood", late[i].id)
 		})
 	}
 	group.Wait()
@@ -194,14 +195,49 @@
 }
 
 // TestRefusedJobNeverRuns guards against a refusal of a job whose earlier submission is still under way to the store and takes effect
-// later: the first submission came before the refusals began, or while they permitted the job.
+// later: the first submission came before the refusals began, or while they permitted the job. It also guards against refusals that end because
+// instances cannot learn them from the owner.
 func TestRefusedJobNeverRuns(t *testing.T) {
-	var subject *cell
-	var late []lateJob
-	runWithCell(t, 3, func(t *testing.T, c *cell) {
-		subject = c
-		flooded(t, c, func() { late = submitLate(t, c, 100) })
-		time.Sleep(time.Minute)
-	})
-	requireTrue(t, subject, late)
+	cases := []struct {
+		name string
+		// disturb is called before the flood, and its result during it.
+		disturb func(c *cell) func()
+	}{
+		{"calm", func(*cell) func() { return func() {} }},
+		{"owner is cut off from the other instances", func(c *cell) func() {
+			return func() { c.network.CutOff("instance-0") }
+		}},
+		{"owner ends", func(c *cell) func() {
+			return func() {
+				require.NoError(t, c.instances[0].Stop())
+				c.instances[0] = nil
+			}
+		}},
+		{"store refuses the first instance, and the owner stores its jobs", func(c *cell) func() {
+			return func() { c.stores[3].refusing.Store(true) }
+		}},
+		{"some statements take effect late", func(c *cell) func() {
+			c.lateKey = func(key string) bool {
+				return strings.HasPrefix(key, "egretring/refusals/") && time.Now().Unix()%5 == 0
+			}
+			return func() {}
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var subject *cell
+			var late []lateJob
+			runWithCell(t, 4, func(t *testing.T, c *cell) {
+				subject = c
+				disturb := test.disturb(c)
+				flooded(t, c, func() {
+					time.AfterFunc(15*time.Second, disturb)
+					late = submitLate(t, c, 150)
+				})
+				c.stores[3].refusing.Store(false)
+				time.Sleep(time.Minute)
+			})
+			requireTrue(t, subject, late)
+		})
+	}
 }
--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -181,7 +181,7 @@
 			for age := time.Duration(0); age <= rater.MinStatementTime; age += 250 * time.Millisecond {
 				wait := r.Wait(id, age)
 				require.LessOrEqual(t, wait, r.Turn)
-				for _, late := range []time.Duration{-400 * time.Millisecond, 0, 800 * time.Millisecond} {
+				for _, late := range []time.Duration{-800 * time.Millisecond, 0, 800 * time.Millisecond} {
 					// Statements are a little more than their shortest time apart.
 					const step = rater.MinStatementTime + 50*time.Millisecond
 					later := r.After((age + wait + late) / step * step)
--- a/rater/refusal.go
+++ b/rater/refusal.go
@@ -32,12 +32,13 @@
 	return r.Share > 0 && r.ahead(id) >= 1-r.Share
 }
 
-// Wait returns after which time a job that is refused will be accepted if it comes back, for a refusal of the given age. Of the time for which
-// the window contains the job, it is the middle: the window that is stated is up to MinStatementTime behind.
+// Wait returns after which time a job that is refused will be accepted if it comes back, for a refusal of the given age. It is the middle of the
+// time for which the window certainly contains the job: the window that is stated is up to MinStatementTime behind.
 func (r Refusal) Wait(id specifier.JobID, age time.Duration) time.Duration {
 	now := r.After(age)
-	wait := time.Duration((now.ahead(id) - (1-r.Share)/2) * float64(r.Turn))
-	return max(wait, MinStatementTime)
+	inWindow := time.Duration((1 - r.Share) * float64(r.Turn))
+	end := time.Duration(now.ahead(id) * float64(r.Turn))
+	return max(end-(inWindow-MinStatementTime)/2, MinStatementTime)
 }
 
 // ahead returns how far a job is ahead of the start of the window, as a part of all hashes.
