Measure the store calls of conditions on statements

Cause: submissions of teams that are not refused must cost no further store calls, and a configuration without teams must change nothing. Change: TestCostOfStatements counts the calls of instances; BenchmarkStatements shows the cost of a decision.

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,6 +116,8 @@
 	refusing     atomic.Bool
 	unresponsive atomic.Bool
 	isLate       atomic.Pointer[func(keeper.Transaction) bool]
+	// reads is the number of reads of single keys of this program.
+	reads atomic.Int64
 	// listDelay is how many nanoseconds longer each List takes.
 	listDelay atomic.Int64
 }
@@ -137,6 +140,9 @@
 	if err := s.fault(ctx); err != nil {
 		return keeper.Entry{}, err
 	}
+	if strings.HasPrefix(key, "egretring/") {
+		s.reads.Add(1)
+	}
 	return s.TransactionalStore.Get(ctx, key)
 }
 
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -241,3 +242,61 @@
 		})
 	}
 }
+
+// intakeCalls are the transactions and reads of an instance for submissions.
+type intakeCalls struct{ commits, reads int64 }
+
+// countIntake counts the transactions of an instance that store jobs, and checks their conditions.
+func countIntake(store *faultyStore, check func(keeper.Transaction)) func() intakeCalls {
+	var commits atomic.Int64
+	readsBefore := store.reads.Load()
+	count := func(transaction keeper.Transaction) bool {
+		if slices.ContainsFunc(transaction.Writes, func(w keeper.Write) bool { return strings.HasPrefix(w.Key, intaker.JobKey("")) }) {
+			commits.Add(1)
+			check(transaction)
+		}
+		return false
+	}
+	store.isLate.Store(&count)
+	return func() intakeCalls {
+		return intakeCalls{commits: commits.Load(), reads: store.reads.Load() - readsBefore}
+	}
+}
+
+// TestCostOfStatements guards against more store calls than one for a submission of a team that is not refused, than one write a second for a
+// team that is, and against conditions on statements without teams.
+func TestCostOfStatements(t *testing.T) {
+	runWithCell(t, 4, func(t *testing.T, c *cell) {
+		calls := countIntake(c.stores[3], func(transaction keeper.Transaction) {
+			for _, condition := range transaction.Conditions {
+				require.False(t, strings.HasPrefix(condition.Key, "egretring/refusals/"))
+			}
+		})
+		for i := range 10 {
+			require.NoError(t, c.submit(3, specifier.JobID(fmt.Sprint("free-", i))))
+		}
+		require.Equal(t, intakeCalls{commits: 10}, calls())
+		require.Empty(t, c.store.Keys("egretring/refusals/"))
+
+		ofOther := countIntake(c.stores[3], func(keeper.Transaction) {})
+		ofFlood := countIntake(c.stores[1], func(keeper.Transaction) {})
+		var statements atomic.Int64
+		count := func(transaction keeper.Transaction) bool {
+			if slices.ContainsFunc(transaction.Writes, func(w keeper.Write) bool { return strings.HasPrefix(w.Key, "egretring/refusals/") }) {
+				statements.Add(1)
+			}
+			return false
+		}
+		c.stores[0].isLate.Store(&count)
+		flooded(t, c, func() {
+			for i := range 60 {
+				time.Sleep(time.Second)
+				require.NoError(t, c.submitAs(3, "other", fmt.Sprint("other-", i)))
+			}
+		})
+		require.Equal(t, intakeCalls{commits: 60}, ofOther())
+		require.Positive(t, statements.Load())
+		require.LessOrEqual(t, statements.Load(), int64(60))
+		t.Logf("%d statements in 60 s, calls of an instance for about 300 submissions of the flood: %+v", statements.Load(), ofFlood())
+	})
+}
--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -275,3 +275,19 @@
 	require.Nil(t, next)
 	require.Zero(t, wait)
 }
+
+// BenchmarkStatements shows the cost of the decision about a submission for an instance that knows the statements of 20 teams.
+func BenchmarkStatements(b *testing.B) {
+	var known rater.Statements
+	now := time.Unix(1000, 0)
+	for i := range 20 {
+		line := rater.Line{Team: fmt.Sprint("team-", i), Priority: 1}
+		known.Learn(now, rater.Stated{Team: line.Team, Revision: 1, Statement: rater.Statement{Refusals: []rater.Refusal{
+			{Line: urgent}, {Line: line, Share: 0.5, Turn: 6 * time.Second},
+		}}})
+	}
+	line := rater.Line{Team: "team-7", Priority: 1}
+	for b.Loop() {
+		known.Of(now, line.Team).Refuses(line, "68adf68c000000ae")
+	}
+}
