--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -136,7 +136,8 @@
 }
 
 // endRefusals replaces a statement that the owner should have replaced by one without refusals, and returns a description of the outcome. Jobs
-// that the old statement refuses cannot be stored before, because another instance may still apply it.
+// that the old statement refuses cannot be stored before, because another instance may still apply it. An expired statement has been in force
+// for more than rater.MinStatementTime, also if the answer that told it took long.
 func (c *Coordinator) endRefusals(ctx context.Context, expired rater.Stated) string {
 	next := expired.Next(nil)
 	value, err := json.Marshal(next)
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -412,6 +412,7 @@
 			group.Go(func() {
 				err := submit(fmt.Sprint("batch", n), c.key, c.revision, c.contended)
 				if c.revision == first {
+					var moved *intaker.FenceMovedError
 					require.ErrorAs(t, err, &moved)
 				} else {
 					require.NoError(t, err)
--- a/rater/statement.go
+++ b/rater/statement.go
@@ -34,7 +34,7 @@
 	// Revision is that of the team's key.
 	Revision int64
 	Statement
-	// Age is how long the statement has been in force at most, as far as it is known.
+	// Age is the time since the owner sent the write, or since the statement was first read from the store and MinStatementTime.
 	Age time.Duration `json:",omitempty"`
 }
 
@@ -58,9 +58,10 @@
 	return s.Age > MaxAge
 }
 
-// Permits reports whether a job may be stored under the statement, which was found to be in force some time after the job arrived. A statement
-// was known then that permits the job, or refuses it. No other instance may have refused the job since it arrived. That is certain if only
-// the known statement and this one were in force meanwhile, or if the time has sufficed for one replacement at most.
+// Permits reports whether a job may be stored under the statement, which was found to be in force after the job arrived. The known statement is
+// the newest one when the job arrived or was permitted last. No other instance may have refused the job since it arrived. That is certain if
+// neither this statement nor its predecessor refuses it, and no earlier one was in force meanwhile: the predecessor is the known one, or the time
+// sufficed for one replacement at most.
 func (s Stated) Permits(line Line, id specifier.JobID, known Stated, sinceArrival time.Duration) bool {
 	if s.Refuses(line, id) || refusalOf(s.FormerRefusals, line).Refuses(id) {
 		return false
@@ -89,7 +90,7 @@
 
 type known struct {
 	Stated
-	// at is never later than the time at which the statement came into force, or a lower bound of the age is not known: see Observe.
+	// at is never later than the confirmation of the statement's write, from which MinStatementTime is counted.
 	at time.Time
 }
 
@@ -104,7 +105,8 @@
 	s.byTeam[stated.Team] = known{Stated: stated, at: at.Add(-stated.Age)}
 }
 
-// Observe learns a statement that was read from the store, and returns it with its age. It may have been replaced by now.
+// Observe learns a statement that was read from the store, and returns it with its age. How old it was then is not known, so that it counts as
+// old enough to be replaced.
 func (s *Statements) Observe(now time.Time, stated Stated) Stated {
 	stated.Age = MinStatementTime
 	s.Learn(now, stated)
