--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,6 +34,8 @@
 	clientTimeout = 800 * time.Millisecond
 	// callerTimeout is how long callers wait for a response.
 	callerTimeout = 3 * time.Second
+	// longestLate is how long after their call transactions take effect at most.
+	longestLate = 6 * time.Second
 	// finalStateRetention is how long the state of a finished job is kept.
 	finalStateRetention = 30 * time.Second
 )
@@ -48,6 +51,8 @@
 	servers   *fakeServers
 	mu        sync.Mutex
 	current   specifier.Configuration
+	// lateKey selects keys whose writes take effect late, for submitLate.
+	lateKey func(key string) bool
 	// meter is that of all instances.
 	meter *meter.Meter
 }
@@ -105,11 +110,15 @@
 }
 
 // faultyStore is the store as one instance reaches it. Its transactions and reads are refused while refusing is set,
-// and get no response while unresponsive is set.
+// and get no response while unresponsive is set. Transactions that are late get no response.
 type faultyStore struct {
 	keeper.TransactionalStore
 	refusing     atomic.Bool
 	unresponsive atomic.Bool
+	// lateBy returns after which time a transaction takes effect; zero if it is not late.
+	lateBy atomic.Pointer[func(keeper.Transaction) time.Duration]
+	// reads is the number of reads of single keys of this program.
+	reads atomic.Int64
 	// listDelay is how many nanoseconds longer each List takes.
 	listDelay atomic.Int64
 }
@@ -132,6 +141,9 @@
 	if err := s.fault(ctx); err != nil {
 		return keeper.Entry{}, err
 	}
+	if strings.HasPrefix(key, "egretring/") {
+		s.reads.Add(1)
+	}
 	return s.TransactionalStore.Get(ctx, key)
 }
 
@@ -149,6 +161,13 @@
 	if err := s.fault(ctx); err != nil {
 		return 0, err
 	}
+	if lateBy := s.lateBy.Load(); lateBy != nil {
+		if late := (*lateBy)(transaction); late > 0 {
+			time.AfterFunc(late, func() { _, _ = s.TransactionalStore.Commit(context.Background(), transaction) })
+			timekeeper.Sleep(ctx, clientTimeout)
+			return 0, keeper.ErrUnavailable
+		}
+	}
 	return s.TransactionalStore.Commit(ctx, transaction)
 }
 
