Undecided submissions have an unknown outcome, and long names of teams no statement

Cause: an undecided submission was answered 503, which on the users' platform states that the job never runs. A team's name is part of a store key, which may have 200 bytes. Change: undecided submissions are answered 502; teams with names of more than 128 bytes are not refused beyond their rate. Measured: go test of coordinator, intaker, rater, sharder and platform passes.

--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -13,6 +13,10 @@
 	"egretring.example/egretring/specifier"
 )
 
+// maxRefusedTeam is the longest name, in bytes, of a team whose jobs are refused beyond its rate. The store's keys have 200 bytes at
+// most, and one has the name.
+const maxRefusedTeam = 128
+
 // undecidedRetry is the time after which a submission without a decision should be repeated. The instance knows the newest statement by then.
 const undecidedRetry = time.Second
 
@@ -64,7 +68,7 @@
 // fenceOf returns the condition on which a job is stored: the statement about its team has not been replaced. There is none for a job without
 // a team.
 func (c *Coordinator) fenceOf(job specifier.Job, permit int64) intaker.Fence {
-	if job.Team == "" {
+	if job.Team == "" || len(job.Team) > maxRefusedTeam {
 		return intaker.Fence{}
 	}
 	return intaker.Fence{
@@ -131,7 +135,7 @@
 // undecided returns the error for a submission of which it is not known whether another instance has refused it. It promises nothing.
 func (c *Coordinator) undecided(s *submission, current rater.Stated, reason string) error {
 	c.settings.meter.Count("Submissions.Undecided", 1)
-	return classifier.New(classifier.StoreUnavailable, "job %s of team %s, which is beyond its rate, is neither accepted nor refused: %s (revision %d, decided %s ago)",
+	return classifier.New(classifier.OutcomeUnknown, "job %s of team %s, which is beyond its rate, is neither accepted nor refused: %s (revision %d, decided %s ago)",
 		s.job.ID, s.job.Team, reason, current.Revision, current.Age.Round(time.Millisecond)).WithRetryAt(time.Now().Add(undecidedRetry))
 }
 
@@ -174,7 +178,7 @@
 	for _, key := range []string{intaker.JobKey(job.ID), intaker.StateKey(job.ID)} {
 		entry, err := c.settings.store.Get(ctx, key)
 		if err != nil {
-			return false, classifier.Wrap(err, classifier.StoreUnavailable, "read job %s", job.ID)
+			return false, classifier.Wrap(err, classifier.OutcomeUnknown, "read job %s, which may have been accepted before", job.ID)
 		}
 		if entry.Revision != 0 {
 			team, err := intaker.TeamOf(entry.Value)
--- a/coordinator/statements.go
+++ b/coordinator/statements.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,7 @@
 	case <-o.refusals:
 	default:
 	}
+	refusals = slices.DeleteFunc(slices.Clone(refusals), func(r rater.Refusal) bool { return len(r.Team) > maxRefusedTeam })
 	o.refusals <- decidedRefusals{refusals: refusals, at: o.settings.clock.Now()}
 }
 
