Start the followers of a test after its sources are set up

TestPeerSparesTheStore and TestStoreIsReadWithoutPeer failed now and then. The first one set readTime while the follower ran: a data race, and a first read of 2 s that had begun before the first configuration was written. The second one switched the peer off at 3 s, when the follower also asks it regularly; a question that was counted before the switch and sent after it made the expected number of questions wrong. The sources are now set up before the followers start, and the tests act between the regular calls.

go test -race ./follower -run "TestPeerSparesTheStore|TestStoreIsReadWithoutPeer" -count 300, twice, GOMAXPROCS=2: both tests failed once in 600 runs, with a data race and with asked+1 (2 instead of 3). After: -run Peer -count 1500, no failure and no race.

--- a/follower/peer_test.go
+++ b/follower/peer_test.go
@@ -39,6 +39,10 @@
 	require.Error(t, err)
 }
 
+// settledAfter is when the followers of a pair know the first configuration. They make regular calls at whole seconds, and the tests act
+// between these: the order of events at the same time is not defined.
+const settledAfter = 3100 * time.Millisecond
+
 // pair is a follower that asks another one, which reads the store.
 type pair struct {
 	leaderSource, source *source
@@ -47,8 +51,11 @@
 	peerDown             atomic.Bool
 }
 
-func newPair(t *testing.T) *pair {
+// newPair starts the followers with the first configuration in the store, after a function has set the times of the sources.
+func newPair(t *testing.T, setUp func(p *pair)) *pair {
 	p := &pair{leaderSource: newSource(), source: newSource()}
+	p.write(1)
+	setUp(p)
 	logger := follower.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	leader := follower.New(p.leaderSource, logger)
 	p.follower = follower.New(p.source, logger, follower.WithPeer(func(ctx context.Context, known int64, wait time.Duration) (follower.Answer, error) {
@@ -79,10 +86,8 @@
 // miss changes after the one that a peer has sent.
 func TestPeerSparesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
-		p.leaderSource.readTime, p.source.readTime = 100*time.Millisecond, 2*time.Second
-		p.write(1)
-		time.Sleep(3 * time.Second)
+		p := newPair(t, func(p *pair) { p.leaderSource.readTime, p.source.readTime = 100*time.Millisecond, 2*time.Second })
+		time.Sleep(settledAfter)
 		require.Equal(t, int64(1), known(t, p.follower))
 		reads := p.source.readCount()
 		for revision := range int64(5) {
@@ -99,9 +104,8 @@
 func TestStoreIsReadWithoutPeer(t *testing.T) {
 	for _, down := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			p := newPair(t)
-			p.write(1)
-			time.Sleep(3 * time.Second)
+			p := newPair(t, func(*pair) {})
+			time.Sleep(settledAfter)
 			p.peerDown.Store(down)
 			p.leaderSource.setOutage(true)
 			asked := p.asked.Load()
@@ -128,10 +132,8 @@
 // then keeps callers waiting for a store that does not serve it.
 func TestPeerDoesNotStandForTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
-		p.write(1)
-		time.Sleep(3 * time.Second)
-		p.source.outageTime = time.Second
+		p := newPair(t, func(p *pair) { p.source.outageTime = time.Second })
+		time.Sleep(settledAfter)
 		p.source.setOutage(true)
 		time.Sleep(3 * time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
