Do not take tasks that crash servers for an outage

Servers that were lost soon after the start of a suspect on trial no longer count as lost in an outage. Crashes under a run that is not likely to have caused them, because runs of other jobs are or because it had outlived its start before an outage, are recorded as excused, and a task is given up after five crashes only if two are not excused. Two, because a task that crashes servers some time after its start gets no new runs beside it from its fourth run on; so it is still given up at five. Records of earlier versions have no excused crashes and are treated as before.

--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -53,9 +53,9 @@
 	return true
 }
 
-// findCause marks the runs that are likely to have crashed the server, once it has restarted or its lease has ended. A run whose
-// start got no response may never have begun.
-func (s *session) findCause() {
+// findCause marks the runs that are likely to have crashed the server, once it has restarted or its lease has ended, and those that are
+// not because runs of other jobs are. A run whose start got no response may never have begun.
+func (s *session) findCause(now time.Time) {
 	var suspects []*allocation
 	jobs := make(map[specifier.JobID]bool)
 	for _, a := range s.allocations {
@@ -66,13 +66,19 @@
 	}
 	for _, a := range suspects {
 		a.mayHaveCrashed, a.alone = true, len(jobs) == 1
+		if a == s.trial {
+			s.trialCrashedAt = now
+		}
+	}
+	for _, a := range s.allocations {
+		a.crashedByOthers = a.crashedByOthers || len(jobs) > 0 && !jobs[a.task.Job]
 	}
 }
 
 // noteStartedBy records that the present incarnation of the server has carried out a start that was sent to an earlier one. So the run
 // has crashed no server yet, and a later loss of it is one of the present incarnation.
 func (c *Conductor) noteStartedBy(s *session, a *allocation) {
-	a.incarnation, a.mayHaveCrashed, a.alone = s.server.Incarnation, false, false
+	a.incarnation, a.mayHaveCrashed, a.alone, a.crashedByOthers = s.server.Incarnation, false, false, false
 	j := c.jobs[a.task.Job]
 	if j != nil && j.StartedBy(a.task, a.run, a.incarnation) {
 		c.markDirty(j)
@@ -102,7 +108,9 @@
 	if j == nil {
 		return
 	}
+	crash.Excused = a.crashedByOthers
 	if c.isOutage(now, s.server.Zone) {
+		crash.Excused = !a.mayHaveCrashed
 		crash.Caused, crash.Alone, crash.Outage = false, false, true
 	}
 	givenUp := j.Crashed(now, a.task, crash)
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -97,7 +97,7 @@
 		incarnation, s.server.Incarnation, len(s.allocations), s.unansweredStarts(), s.renewalInFlight,
 	))
 	c.settleDoubts(now, s.server.Address, incarnation, time.Time{})
-	s.findCause()
+	s.findCause(now)
 	for _, a := range s.allocations {
 		if a.state == reserved {
 			continue
@@ -133,7 +133,7 @@
 	}
 	c.logDecision("LeaseEnded", specifier.TaskID{}, 0, s.server.ID, fmt.Sprintf("%d of %d runs lost; incarnation %d; %s since its last response",
 		len(lost), len(s.allocations), s.server.Incarnation, s.sinceResponse(now)))
-	s.findCause()
+	s.findCause(now)
 	for _, a := range lost {
 		c.requeue(now, s, a)
 		switch {
--- a/conductor/outage.go
+++ b/conductor/outage.go
@@ -11,7 +11,8 @@
 )
 
 // isOutage reports whether so many servers of a zone have restarted lately or do not respond that no task is likely to have crashed
-// them.
+// them. Servers that suspects have crashed do not count: several tasks that crash servers would pass for an outage, and would be
+// started again and again.
 func (c *Conductor) isOutage(now time.Time, zone string) bool {
 	lost, servers := 0, 0
 	for _, s := range c.orderedSessions() {
@@ -19,9 +20,21 @@
 			continue
 		}
 		servers++
+		if s.crashedByTrial(now) {
+			continue
+		}
 		if !s.responsive() || !s.restartedAt.IsZero() && now.Sub(s.restartedAt) < outageWindow {
 			lost++
 		}
 	}
 	return lost >= outageServers && percent(int64(lost), int64(servers)) >= outagePercent
 }
+
+// crashedByTrial reports whether the server has lately been lost soon after the start of its trial, or does not respond since then.
+func (s *session) crashedByTrial(now time.Time) bool {
+	if !s.trialCrashedAt.IsZero() && now.Sub(s.trialCrashedAt) < outageWindow {
+		return true
+	}
+	open := s.trial != nil && s.allocations[s.trial.task] == s.trial && s.trial.state == confirmed && !s.outlived(s.trial)
+	return open && !s.responsive()
+}
--- a/conductor/outage_test.go
+++ b/conductor/outage_test.go
@@ -69,3 +69,29 @@
 	}
 	return found
 }
+
+// TestCrashingTasksAreNoOutage guards against jobs that are given up although they crash nothing, and tasks that crash servers again and
+// again: several such tasks at once passed for outages, which were blamed on none of them, and the crashes counted for all tasks
+// beside them.
+func TestCrashingTasksAreNoOutage(t *testing.T) {
+	const servers, crashing = 8, 12
+	for spacing := 37 * time.Millisecond; spacing < 400*time.Millisecond; spacing += 37 * time.Millisecond {
+		t.Run(spacing.String(), func(t *testing.T) {
+			w := newSimulation(t, 1, servers)
+			lasting := newJob(0, jobOptions{Tasks: 2, MilliCores: 1000, Seconds: 1})
+			lasting.Steps[0].LongRunning = true
+			w.at(w.start.Add(time.Second), func() { w.submit(lasting) })
+			for i := range crashing {
+				job := newJob(1+i, jobOptions{Tasks: 2, MilliCores: 1000, Seconds: 1, Spec: "crashes", Attempts: 3})
+				w.at(w.start.Add(3*time.Second+time.Duration(i)*spacing), func() { w.submit(job) })
+			}
+			w.runUntil(90 * time.Second)
+			require.Empty(t, w.violations)
+			require.Equal(t, stateNames[specifier.Running], stateNames[w.state(lasting.ID)])
+			require.Len(t, w.crashes, crashing, "each of these tasks has to crash a server")
+			for task, crashes := range w.crashes {
+				require.Less(t, crashes, 5, "%s", task)
+			}
+		})
+	}
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -61,6 +61,8 @@
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
 	// no run of another job.
 	mayHaveCrashed, alone bool
+	// crashedByOthers is set when runs of other jobs are likely to have crashed the server, and this one is not.
+	crashedByOthers bool
 	// protected is set for a task under which servers have crashed often, whatever the cause.
 	protected bool
 	// survived is set once the run has lasted for survivalTime.
@@ -142,6 +144,8 @@
 	takenPart float64
 	// trial is the last suspect that was placed on the server; see onTrial.
 	trial *allocation
+	// trialCrashedAt is when the loss of the server to its trial was last noticed.
+	trialCrashedAt time.Time
 	// claimedBy is the job for whose suspects the server gets no other runs until claimedUntil.
 	claimedBy    *job
 	claimedUntil time.Time
--- a/lifecycler/crash.go
+++ b/lifecycler/crash.go
@@ -12,8 +12,10 @@
 	// have caused one of them, and maxSharedCrashes the number at which it is given up in any case.
 	maxCausedCrashes = 2
 	maxSharedCrashes = 3
-	// maxCrashes is the number of crashes under a task, whatever their cause, at which it is given up.
-	maxCrashes = 5
+	// maxCrashes is the number of crashes under a task at which it is given up, whatever their cause, if at least minUnexcused of
+	// them are not excused. The last two of five are under runs without new runs beside them, see oftenCrashes.
+	maxCrashes   = 5
+	minUnexcused = 2
 	// oftenCrashes is the number of crashes under a task after which it runs without new runs beside it.
 	oftenCrashes = 3
 )
@@ -30,6 +32,9 @@
 	Caused bool `json:",omitempty"`
 	// Outage is set if most servers of a zone were lost at that time.
 	Outage bool `json:",omitempty"`
+	// Excused is set if the run is not likely to have caused the crash: runs of other jobs are, or most servers of the zone were lost
+	// some time after its start.
+	Excused bool `json:",omitempty"`
 	// Alone is set if no other job is as likely to have caused the crash.
 	Alone bool `json:",omitempty"`
 }
@@ -146,18 +151,22 @@
 
 // crashesServers reports whether the task is given up. Only servers that have certainly crashed count.
 func (t *Task) crashesServers() bool {
-	certain, caused, alone := 0, 0, false
+	certain, unexcused, caused, alone := 0, 0, 0, false
 	for _, crash := range t.Crashes {
 		if crash.Doubtful() {
 			continue
 		}
 		certain++
+		if !crash.Excused {
+			unexcused++
+		}
 		alone = alone || crash.Alone
 		if crash.Caused {
 			caused++
 		}
 	}
-	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes || certain >= maxCrashes
+	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes ||
+		certain >= maxCrashes && unexcused >= minUnexcused
 }
 
 // DoubtfulCrashes returns how many servers were lost under the task of which it is not known whether they have crashed.
--- a/lifecycler/script_test.go
+++ b/lifecycler/script_test.go
@@ -35,6 +35,7 @@
 	Run        int
 	Reason     specifier.EndReason
 	Caused     bool
+	Excused    bool
 	Alone      bool
 	// Now is in seconds after the job's acceptance.
 	Now float64
@@ -73,7 +74,7 @@
 		job.Unplace(id.Task(a.Index), a.Run)
 	case "Crash":
 		job.Unplace(id.Task(a.Index), a.Run)
-		job.Crashed(now, id.Task(a.Index), lifecycler.Crash{Run: a.Run, Caused: a.Caused, Alone: a.Alone})
+		job.Crashed(now, id.Task(a.Index), lifecycler.Crash{Run: a.Run, Caused: a.Caused, Excused: a.Excused, Alone: a.Alone})
 	case "Survive":
 		job.Survived(id.Task(a.Index), a.Run)
 	case "Cancel":
