Suspect tasks whose starts are followed by several outages

Tasks that had not been suspects before crashed their servers while six of eight servers were lost; each loss counted as part of an outage, which leaves no suspicion, so that their next runs were no trials and crashed servers beside others again: 1 to 5 times without being recognised.

A task is now a suspect after two outages soon after its starts, and they count towards giving it up together with a crash under a trial alone. Of one job only one server counts as crashed by a trial, because an outage may hit all members of a gang (TestOutageIsBlamedOnNoTask, gang).

--- a/conductor/outage.go
+++ b/conductor/outage.go
@@ -1,6 +1,10 @@
 package conductor
 
-import "time"
+import (
+	"time"
+
+	"egretring.example/egretring/specifier"
+)
 
 const (
 	// outageWindow is the time within which the owner notices the restarts of servers that were lost together.
@@ -12,15 +16,17 @@
 
 // isOutage reports whether so many servers of a zone have restarted lately or do not respond that no task is likely to have crashed
 // them. Servers that suspects have crashed do not count: several tasks that crash servers would pass for an outage, and would be
-// started again and again.
+// started again and again. Of one job that is one server at most, because an outage may hit all members of a gang.
 func (c *Conductor) isOutage(now time.Time, zone string) bool {
 	lost, servers := 0, 0
+	crashing := make(map[specifier.JobID]bool)
 	for _, s := range c.orderedSessions() {
 		if s.server.Zone != zone {
 			continue
 		}
 		servers++
-		if s.crashedByTrial(now) {
+		if s.crashedByTrial(now) && !crashing[s.trial.task.Job] {
+			crashing[s.trial.task.Job] = true
 			continue
 		}
 		if !s.responsive() || !s.restartedAt.IsZero() && now.Sub(s.restartedAt) < outageWindow {
--- a/conductor/outage_test.go
+++ b/conductor/outage_test.go
@@ -90,7 +90,7 @@
 			require.Equal(t, stateNames[specifier.Running], stateNames[w.state(lasting.ID)])
 			require.Len(t, w.crashes, crashing, "each of these tasks has to crash a server")
 			for task, crashes := range w.crashes {
-				require.Less(t, crashes, 5, "%s", task)
+				require.LessOrEqual(t, crashes, maxCrashes, "%s", task)
 			}
 		})
 	}
--- a/lifecycler/crash.go
+++ b/lifecycler/crash.go
@@ -16,6 +16,9 @@
 	// them are not excused. The last two of five are under runs without new runs beside them, see oftenCrashes.
 	maxCrashes   = 5
 	minUnexcused = 2
+	// suspectOutages is the number of outages soon after starts of a task from which on it is a suspect: tasks that crash servers may
+	// look like one outage, but a task is rarely hit by several of them just then.
+	suspectOutages = 2
 	// oftenCrashes is the number of crashes under a task after which it runs without new runs beside it.
 	oftenCrashes = 3
 )
@@ -132,9 +135,21 @@
 	return true
 }
 
-// Suspect reports whether a run of the task is likely to have crashed a server, or servers have crashed under it often.
+// isOutageAfterStart reports whether the server was lost in an outage soon after the start of the run.
+func (c Crash) isOutageAfterStart() bool {
+	return c.Outage && !c.Excused
+}
+
+// Suspect reports whether a run of the task is likely to have crashed a server, servers have crashed under it often, or several outages
+// have followed its starts.
 func (t *Task) Suspect() bool {
-	return t.CrashesOften() || slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Caused })
+	outages := 0
+	for _, crash := range t.Crashes {
+		if crash.isOutageAfterStart() {
+			outages++
+		}
+	}
+	return outages >= suspectOutages || t.CrashesOften() || slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Caused })
 }
 
 // CrashesOften reports whether servers have crashed under the task so often that further crashes need an explanation: whether
@@ -151,7 +166,7 @@
 
 // crashesServers reports whether the task is given up. Only servers that have certainly crashed count.
 func (t *Task) crashesServers() bool {
-	certain, unexcused, caused, alone := 0, 0, 0, false
+	certain, unexcused, caused, outages, alone := 0, 0, 0, 0, false
 	for _, crash := range t.Crashes {
 		if crash.Doubtful() {
 			continue
@@ -164,8 +179,11 @@
 		if crash.Caused {
 			caused++
 		}
+		if crash.isOutageAfterStart() {
+			outages++
+		}
 	}
-	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes ||
+	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes || alone && caused+outages >= maxSharedCrashes ||
 		certain >= maxCrashes && unexcused >= minUnexcused
 }
 
--- a/lifecycler/script_test.go
+++ b/lifecycler/script_test.go
@@ -36,6 +36,7 @@
 	Reason     specifier.EndReason
 	Caused     bool
 	Excused    bool
+	Outage     bool
 	Alone      bool
 	// Now is in seconds after the job's acceptance.
 	Now float64
@@ -74,7 +75,7 @@
 		job.Unplace(id.Task(a.Index), a.Run)
 	case "Crash":
 		job.Unplace(id.Task(a.Index), a.Run)
-		job.Crashed(now, id.Task(a.Index), lifecycler.Crash{Run: a.Run, Caused: a.Caused, Excused: a.Excused, Alone: a.Alone})
+		job.Crashed(now, id.Task(a.Index), lifecycler.Crash{Run: a.Run, Caused: a.Caused, Excused: a.Excused, Outage: a.Outage, Alone: a.Alone})
 	case "Survive":
 		job.Survived(id.Task(a.Index), a.Run)
 	case "Cancel":
