Blame losses of several servers at a time on no task

A loss beside which at least a tenth of the other servers of the zone have been lost within 5 s, without a run that is likely to have crashed them, now leaves no job alone in suspicion, and does not count for tasks that had outlived their start. Servers with runs of the same job do not count, so that a task that crashes one server after the other is given up as before (TestCrashingTaskIsGivenUp).

TestSimultaneousLossesAreBlamedOnNoTask: both cases fail before, after 5 and 2 losses; pass after 7 and 2.

--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -109,9 +109,12 @@
 		return
 	}
 	crash.Excused = a.crashedByOthers
-	if c.isOutage(now, s.server.Zone) {
+	switch {
+	case c.isOutage(now, s.server.Zone):
 		crash.Excused = !a.mayHaveCrashed
 		crash.Caused, crash.Alone, crash.Outage = false, false, true
+	case c.coincides(now, s, a.task.Job):
+		crash.Excused, crash.Alone = !a.mayHaveCrashed, false
 	}
 	givenUp := j.Crashed(now, a.task, crash)
 	if crash.Caused {
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -98,6 +98,7 @@
 	))
 	c.settleDoubts(now, s.server.Address, incarnation, time.Time{})
 	s.findCause(now)
+	s.restartExplained, s.jobsAtRestart = s.isLossExplained(), s.jobs()
 	for _, a := range s.allocations {
 		if a.state == reserved {
 			continue
--- a/conductor/outage_test.go
+++ b/conductor/outage_test.go
@@ -95,3 +95,62 @@
 		})
 	}
 }
+
+// TestSimultaneousLossesAreBlamedOnNoTask guards against a job that crashes nothing and is given up because some of the servers, with its
+// runs among them, restart together again and again.
+func TestSimultaneousLossesAreBlamedOnNoTask(t *testing.T) {
+	const servers, lost = 16, 5
+	for name, k := range map[string]struct {
+		// losses is how often the servers restart, and age the age of the oldest run then.
+		losses int
+		age    time.Duration
+	}{
+		"soon after a start":      {losses: 2, age: 100 * time.Millisecond},
+		"some time after a start": {losses: 7, age: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSimulation(t, 1, servers)
+			job := newJob(0, jobOptions{Tasks: 2, MilliCores: 1000, Seconds: 1})
+			job.Steps[0].LongRunning = true
+			w.at(w.start.Add(time.Second), func() { w.submit(job) })
+			losses := 0
+			w.every(100*time.Millisecond, func() {
+				group := w.serversWithRunsOf(k.age)
+				if losses == k.losses || len(group) == 0 {
+					return
+				}
+				losses++
+				for i := 0; len(group) < lost; i++ {
+					if s := w.servers[specifier.ServerID(fmt.Sprintf("i-%02d", i))]; len(s.runs) == 0 {
+						group = append(group, s)
+					}
+				}
+				for _, s := range group {
+					s.crash(w, 600*time.Millisecond)
+				}
+			})
+			w.runUntil(70 * time.Second)
+			require.Empty(t, w.violations)
+			require.Equal(t, k.losses, losses, "the case has to lose runs")
+			require.Equal(t, stateNames[specifier.Running], stateNames[w.state(job.ID)])
+		})
+	}
+}
+
+// serversWithRunsOf returns the servers with runs, if one of these has the given age.
+func (w *simulation) serversWithRunsOf(age time.Duration) []*fakeServer {
+	var found []*fakeServer
+	isOldEnough := false
+	for _, s := range w.servers {
+		for _, r := range s.runs {
+			isOldEnough = isOldEnough || w.now.Sub(r.begunAt) >= age
+		}
+		if len(s.runs) > 0 {
+			found = append(found, s)
+		}
+	}
+	if !isOldEnough {
+		return nil
+	}
+	return found
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -152,6 +152,10 @@
 
 	// restartedAt is when a restart of the server was last noticed.
 	restartedAt time.Time
+	// restartExplained is set if a run is likely to have caused that restart, or the server was draining; jobsAtRestart are the jobs
+	// that had runs on the server.
+	restartExplained bool
+	jobsAtRestart    map[specifier.JobID]bool
 	// aliveAt is when the present incarnation of the server last responded.
 	aliveAt     time.Time
 	clock       time.Duration
--- a/lifecycler/crash.go
+++ b/lifecycler/crash.go
@@ -35,10 +35,10 @@
 	Caused bool `json:",omitempty"`
 	// Outage is set if most servers of a zone were lost at that time.
 	Outage bool `json:",omitempty"`
-	// Excused is set if the run is not likely to have caused the crash: runs of other jobs are, or most servers of the zone were lost
-	// some time after its start.
+	// Excused is set if the run is not likely to have caused the crash: runs of other jobs are, or other servers of the zone were lost
+	// at about that time, some time after the start of the run.
 	Excused bool `json:",omitempty"`
-	// Alone is set if no other job is as likely to have caused the crash.
+	// Alone is set if no other job is as likely to have caused the crash, and few other servers of the zone were lost at about that time.
 	Alone bool `json:",omitempty"`
 }
 
