--- a/conductor/session.go
+++ b/conductor/session.go
@@ -61,6 +61,8 @@
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
 	// no run of another job.
 	mayHaveCrashed, alone bool
+	// crashedByOthers is set when runs of other jobs are likely to have crashed the server, and this one is not.
+	crashedByOthers bool
 	// protected is set for a task under which servers have crashed often, whatever the cause.
 	protected bool
 	// survived is set once the run has lasted for survivalTime.
@@ -142,12 +144,18 @@
 	takenPart float64
 	// trial is the last suspect that was placed on the server; see onTrial.
 	trial *allocation
+	// trialCrashedAt is when the loss of the server to its trial was last noticed.
+	trialCrashedAt time.Time
 	// claimedBy is the job for whose suspects the server gets no other runs until claimedUntil.
 	claimedBy    *job
 	claimedUntil time.Time
 
 	// restartedAt is when a restart of the server was last noticed.
 	restartedAt time.Time
+	// restartExplained is set if a run is likely to have caused that restart, or the server was draining; jobsAtRestart are the jobs
+	// that had runs on the server.
+	restartExplained bool
+	jobsAtRestart    map[specifier.JobID]bool
 	// aliveAt is when the present incarnation of the server last responded.
 	aliveAt     time.Time
 	clock       time.Duration
--- a/lifecycler/crash.go
+++ b/lifecycler/crash.go
@@ -12,8 +12,13 @@
 	// have caused one of them, and maxSharedCrashes the number at which it is given up in any case.
 	maxCausedCrashes = 2
 	maxSharedCrashes = 3
-	// maxCrashes is the number of crashes under a task, whatever their cause, at which it is given up.
-	maxCrashes = 5
+	// maxCrashes is the number of crashes under a task at which it is given up, whatever their cause, if at least minUnexcused of
+	// them are not excused. The last two of five are under runs without new runs beside them, see oftenCrashes.
+	maxCrashes   = 5
+	minUnexcused = 2
+	// suspectOutages is the number of outages soon after starts of a task from which on it is a suspect: tasks that crash servers may
+	// look like one outage, but a task is rarely hit by several of them just then.
+	suspectOutages = 2
 	// oftenCrashes is the number of crashes under a task after which it runs without new runs beside it.
 	oftenCrashes = 3
 )
@@ -30,7 +35,10 @@
 	Caused bool `json:",omitempty"`
 	// Outage is set if most servers of a zone were lost at that time.
 	Outage bool `json:",omitempty"`
-	// Alone is set if no other job is as likely to have caused the crash.
+	// Excused is set if the run is not likely to have caused the crash: runs of other jobs are, or other servers of the zone were lost
+	// at about that time, some time after the start of the run.
+	Excused bool `json:",omitempty"`
+	// Alone is set if no other job is as likely to have caused the crash, and few other servers of the zone were lost at about that time.
 	Alone bool `json:",omitempty"`
 }
 
@@ -127,9 +135,21 @@
 	return true
 }
 
-// Suspect reports whether a run of the task is likely to have crashed a server, or servers have crashed under it often.
+// isOutageAfterStart reports whether the server was lost in an outage soon after the start of the run.
+func (c Crash) isOutageAfterStart() bool {
+	return c.Outage && !c.Excused
+}
+
+// Suspect reports whether a run of the task is likely to have crashed a server, servers have crashed under it often, or several outages
+// have followed its starts.
 func (t *Task) Suspect() bool {
-	return t.CrashesOften() || slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Caused })
+	outages := 0
+	for _, crash := range t.Crashes {
+		if crash.isOutageAfterStart() {
+			outages++
+		}
+	}
+	return outages >= suspectOutages || t.CrashesOften() || slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Caused })
 }
 
 // CrashesOften reports whether servers have crashed under the task so often that further crashes need an explanation: whether
@@ -146,18 +166,25 @@
 
 // crashesServers reports whether the task is given up. Only servers that have certainly crashed count.
 func (t *Task) crashesServers() bool {
-	certain, caused, alone := 0, 0, false
+	certain, unexcused, caused, outages, alone := 0, 0, 0, 0, false
 	for _, crash := range t.Crashes {
 		if crash.Doubtful() {
 			continue
 		}
 		certain++
+		if !crash.Excused {
+			unexcused++
+		}
 		alone = alone || crash.Alone
 		if crash.Caused {
 			caused++
 		}
+		if crash.isOutageAfterStart() {
+			outages++
+		}
 	}
-	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes || certain >= maxCrashes
+	return caused >= maxCausedCrashes && alone || caused >= maxSharedCrashes || alone && caused+outages >= maxSharedCrashes ||
+		certain >= maxCrashes && unexcused >= minUnexcused
 }
 
 // DoubtfulCrashes returns how many servers were lost under the task of which it is not known whether they have crashed.
