Conductor: filter steps of teams at their limit once in a pass

Cause: isAtLimit was asked at eight places for each waiting step, so that each new rule about steps that may not start has to be added to all.

Change: a pass over all steps filters the waiting steps once (pass.permitted), and holds, the backlog and blocked steps use the result. Single steps are looked up with permittedStep. borrow has one place that ends the time of steps that may not start. Behaviour is the same. TestStepAtLimitIsNoBacklog calls the new functions and checks the same three answers.

--- a/conductor/advice_turn.go
+++ b/conductor/advice_turn.go
@@ -16,9 +16,9 @@
 // time, so that other steps get theirs.
 func (c *Conductor) endAdviceTurns(p *pass) {
 	for service, turn := range c.needsAdvice {
-		w := c.waitingSteps[turn.step]
+		w := c.permittedStep(turn.step)
 		switch {
-		case w == nil || c.isAtLimit(w) || !c.lacksAdvice(p, w):
+		case w == nil || !c.lacksAdvice(p, w):
 			delete(c.needsAdvice, service)
 		case !p.now.Before(turn.expiresAt):
 			w.wait.postponeHold(p.now)
--- a/conductor/advisor_reservation.go
+++ b/conductor/advisor_reservation.go
@@ -18,7 +18,7 @@
 
 // reserveAdvisors keeps advisors for the step, unless a reservation is in force or has just ended.
 func (c *Conductor) reserveAdvisors(p *pass, w *waitingStep) {
-	if p.now.Before(c.reservation.notBefore) || c.isAtLimit(w) {
+	if p.now.Before(c.reservation.notBefore) || w.startable < w.required() {
 		return
 	}
 	longest := w.adviceTime(maxAdviceServers)
@@ -38,10 +38,7 @@
 	if !now.Before(c.reservation.until) {
 		return nil
 	}
-	if w := c.waitingSteps[c.reservation.step]; w != nil && !c.isAtLimit(w) {
-		return w
-	}
-	return nil
+	return c.permittedStep(c.reservation.step)
 }
 
 // mayTakeAdvisor reports whether no advisors are reserved for a step before this one in the order of placement.
--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -69,14 +69,7 @@
 	}
 	c.borrower.needs = c.borrower.needs[:0]
 	usable := c.usableByHome(now)
-	var borrowing []borrowingStep
-	for _, w := range c.waitingSteps {
-		if c.needsForeign(now, w, usable) {
-			wanted := w.wanted()
-			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
-			borrowing = append(borrowing, borrowingStep{w, wanted})
-		}
-	}
+	borrowing := c.stepsThatBorrow(now, usable)
 	// A backlog of steps that fit the shard would otherwise keep wider steps from borrowing.
 	slices.SortFunc(borrowing, func(a, b borrowingStep) int {
 		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareRate(a.step, b.step), compareAge(a.wanted, b.wanted))
@@ -98,6 +91,22 @@
 	wanted ServersWanted
 }
 
+// stepsThatBorrow returns the steps that need foreign servers and may start on them.
+func (c *Conductor) stepsThatBorrow(now time.Time, usable serversByHome) []borrowingStep {
+	var borrowing []borrowingStep
+	for _, w := range c.waitingSteps {
+		switch {
+		case c.isAtLimit(w):
+			w.endBorrowing(now)
+		case c.needsForeign(now, w, usable):
+			wanted := w.wanted()
+			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
+			borrowing = append(borrowing, borrowingStep{w, wanted})
+		}
+	}
+	return borrowing
+}
+
 // serversByHome are the usable servers of the shard, those at home and those that are borrowed.
 type serversByHome struct{ home, foreign []*session }
 
@@ -157,10 +166,6 @@
 	if now.Before(w.wait.unfitSince) {
 		return false
 	}
-	if c.isAtLimit(w) {
-		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
-		return false
-	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
 	if home >= wanted.Tasks && !w.waitsForOthers(now, usable.home) {
@@ -187,6 +192,13 @@
 	return true
 }
 
+// endBorrowing makes the time of a step that may not start begin anew in which it does not fit, except during a pause.
+func (w *waitingStep) endBorrowing(now time.Time) {
+	if !now.Before(w.wait.unfitSince) {
+		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
+	}
+}
+
 // waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, or on steps that servers are
 // held for, and not on advice. A long-running step would keep the servers for good.
 func (w *waitingStep) waitsForOthers(now time.Time, home []*session) bool {
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -88,8 +88,8 @@
 		s.holder = nil
 	}
 	for service, h := range c.holds {
-		w := c.waitingSteps[h.step]
-		if w == nil || w.wait.since.IsZero() || w.wait.since.After(h.begunAt) || c.isAtLimit(w) {
+		w := c.permittedStep(h.step)
+		if w == nil || w.wait.since.IsZero() || w.wait.since.After(h.begunAt) {
 			delete(c.holds, service)
 			continue
 		}
@@ -181,9 +181,8 @@
 // stepsToHoldFor returns the steps without a hold that have waited for long, oldest first.
 func (c *Conductor) stepsToHoldFor(p *pass) []*waitingStep {
 	var steps []*waitingStep
-	for _, w := range c.waitingSteps {
-		if w.isOverdueFor(p.now, p.holdAfter(w.job.queue.Service), c.startedAt) && !p.now.Before(w.wait.holdNotBefore) &&
-			!c.hasHold(w) && !c.isAtLimit(w) {
+	for _, w := range p.permitted {
+		if w.isOverdueFor(p.now, p.holdAfter(w.job.queue.Service), c.startedAt) && !p.now.Before(w.wait.holdNotBefore) && !c.hasHold(w) {
 			steps = append(steps, w)
 		}
 	}
@@ -221,9 +220,9 @@
 }
 
 // hasBacklog reports whether steps of the service wait whose jobs can still meet their objective.
-func (c *Conductor) hasBacklog(now time.Time, service string) bool {
-	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && !w.rank.Beyond && w.tierAt(now) == onTime && w.hasWaitedFor(now, backlogAfter) && !c.isAtLimit(w) {
+func (p *pass) hasBacklog(service string) bool {
+	for _, w := range p.permitted {
+		if w.job.queue.Service == service && !w.rank.Beyond && w.tierAt(p.now) == onTime && w.hasWaitedFor(p.now, backlogAfter) {
 			return true
 		}
 	}
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -111,8 +111,12 @@
 	}
 	previous := c.clearLent()
 	wishes := make([]*wish, 0, len(c.lender.wishes))
+	var permitted []*waitingStep
+	if len(c.lender.wishes) > 0 {
+		permitted = c.permittedSteps()
+	}
 	for _, w := range c.lender.wishes {
-		if !c.hasOlderNeed(w) && (!w.IdleOnly || !c.hasBlockedStep(now, w.Service)) {
+		if !c.hasOlderNeed(w) && (!w.IdleOnly || !c.hasBlockedStep(now, w.Service, permitted)) {
 			wishes = append(wishes, w)
 		}
 	}
--- a/conductor/load.go
+++ b/conductor/load.go
@@ -18,12 +18,12 @@
 	return servers
 }
 
-// hasBlockedStep reports whether a step of this shard has waited for capacity for longer than advice takes. A step that would fit
+// hasBlockedStep reports whether one of the steps has waited for capacity for longer than advice takes. A step that would fit
 // waits for tickets.
-func (c *Conductor) hasBlockedStep(now time.Time, service string) bool {
+func (c *Conductor) hasBlockedStep(now time.Time, service string, steps []*waitingStep) bool {
 	servers := c.availableServers(now, service)
-	for _, w := range c.waitingSteps {
-		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) && !c.isAtLimit(w) && !w.couldFit(w.job.adviceFor(w.step.ID), servers) {
+	for _, w := range steps {
+		if w.job.queue.Service == service && w.hasWaitedFor(now, backlogAfter) && !w.couldFit(w.job.adviceFor(w.step.ID), servers) {
 			return true
 		}
 	}
--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -25,6 +25,9 @@
 	advisorsFor *waitingStep
 	// startsLeft is how many more starts may be in flight. Urgent steps may take it below zero.
 	startsLeft int
+	// permitted are the waiting steps that the limits of their teams permit to start, before any is placed. Only passes over all steps have
+	// them.
+	permitted []*waitingStep
 	// withinWaits is set when a step within the rate of its team waits that could use capacity, advisors or starts.
 	withinWaits bool
 	// held are the priorities of a service with a gang for which servers are held although it is not late.
@@ -89,9 +92,9 @@
 }
 
 // findContended finds the services that are contended.
-func (c *Conductor) findContended(p *pass) {
+func (p *pass) findContended() {
 	for service, servers := range p.usable {
-		p.contended[service] = isBusy(servers) && c.hasBacklog(p.now, service)
+		p.contended[service] = isBusy(servers) && p.hasBacklog(service)
 	}
 }
 
--- a/conductor/quota.go
+++ b/conductor/quota.go
@@ -74,6 +74,25 @@
 	return w.isCounted() && c.startableTasks(w) < w.required()
 }
 
+// permittedSteps returns the waiting steps that the limits of their teams permit to start.
+func (c *Conductor) permittedSteps() []*waitingStep {
+	steps := make([]*waitingStep, 0, len(c.waitingSteps))
+	for _, w := range c.waitingSteps {
+		if !c.isAtLimit(w) {
+			steps = append(steps, w)
+		}
+	}
+	return steps
+}
+
+// permittedStep returns a step, or nil if it does not wait or the limit of its team does not permit it to start.
+func (c *Conductor) permittedStep(id specifier.StepID) *waitingStep {
+	if w := c.waitingSteps[id]; w != nil && !c.isAtLimit(w) {
+		return w
+	}
+	return nil
+}
+
 // expectsQuota updates what the limit of its team permits a step. It reports false when the step can neither start now nor by the time at
 // which advice that is requested now could admit it: advice calls for all steps of a team at its limit would occupy the advisors
 // and lead to no starts.
--- a/conductor/quota_test.go
+++ b/conductor/quota_test.go
@@ -64,8 +64,10 @@
 	later := now.Add(2 * borrowAfter)
 	observe := func() []bool {
 		usable := c.usableByHome(now)
-		c.needsForeign(now, w, usable)
-		return []bool{c.hasBacklog(now, "a"), c.hasBlockedStep(now, "a"), c.needsForeign(later, w, usable)}
+		c.stepsThatBorrow(now, usable)
+		permitted := c.permittedSteps()
+		p := &pass{now: now, permitted: permitted}
+		return []bool{p.hasBacklog("a"), c.hasBlockedStep(now, "a", permitted), len(c.stepsThatBorrow(later, usable)) > 0}
 	}
 	for _, s := range c.sessions {
 		s.used = s.server.Capacity
