Forecaster: racks that tasks prefer, and the longest wait past the objective

Cause: near_wait.go kept the racks whose ends of runs count, and computed the longer run time on a far server that forecaster computes too. hasRack repeated the conditions of pass.candidates and two fields of a step recorded since when it waits.

Change: forecaster has the preferred racks (Prefer, RunEnded) and ends the wait of a task past its latest start (Choice.WaitingSince). mayRun includes the label that a step requires, so that its three callers need not check it. wait.nearSince replaces forRack and forRackSince: the start of a task already resets wait.since.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -96,7 +96,7 @@
 	for id, t := range adv.granted {
 		s := c.sessions[id]
 		if s != nil && t.incarnation == s.server.Incarnation && t.usable(now) && s.usable(now) &&
-			s.server.HasLabel(w.step.Spec.RequiredLabel) && s.server.Service == w.job.queue.Service && s.mayRun(w) {
+			s.server.Service == w.job.queue.Service && s.mayRun(w) {
 			servers = append(servers, s)
 		}
 	}
--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -56,10 +56,10 @@
 	return known && t.Home != c.shard.index
 }
 
-// mayRun reports whether a step may run on the server: borrowed servers are kept for the steps that need them, and some fast ones for
-// urgent steps.
+// mayRun reports whether a step may run on the server: it has the label that the step requires, borrowed servers are kept for the steps
+// that need them, and some fast ones for urgent steps.
 func (s *session) mayRun(w *waitingStep) bool {
-	return (!s.foreign || w.wait.borrows) && !s.isReservedFrom(w)
+	return s.server.HasLabel(w.step.Spec.RequiredLabel) && (!s.foreign || w.wait.borrows) && !s.isReservedFrom(w)
 }
 
 // borrow asks other shards for the servers that waiting steps lack, and returns those that none needs.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,6 +5,7 @@
 
 	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/adviser"
+	"egretring.example/egretring/forecaster"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -31,6 +32,8 @@
 	// accounts counts what the allocations of all sessions take of the limits of teams.
 	accounts *accountant.Accountant
 	quota    quota
+	// forecaster decides which tasks wait for a server near their data.
+	forecaster *forecaster.Forecaster
 	// ordered has the sessions in the order of their servers' IDs; nil when it has to be made anew.
 	ordered []*session
 	// lastFences are the fencing tokens of servers that were removed from the list. A server that is listed again has
@@ -91,7 +94,6 @@
 
 	teams    teams
 	speeds   speeds
-	nearness nearness
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -137,7 +139,7 @@
 	}
 	c.teams = newTeams()
 	c.speeds = newSpeeds(c.settings.equalServers)
-	c.nearness = newNearness(c.settings.farFactor)
+	c.forecaster = forecaster.New(forecaster.WithFarFactor(c.settings.farFactor))
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/expire.go
+++ b/conductor/expire.go
@@ -14,7 +14,7 @@
 	}
 	c.dropDoubts()
 	c.retryUnwritable(now)
-	c.forgetRacks(now)
+	c.forecaster.Forget(now)
 	var old []specifier.JobID
 	for id, j := range c.jobs {
 		if len(old) == deleteBatch {
--- a/conductor/near_wait_test.go
+++ b/conductor/near_wait_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"egretring.example/egretring/forecaster"
 	"egretring.example/egretring/specifier"
 )
 
@@ -29,14 +30,13 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			owner := newPassConductor(now, 2, "a")
-			owner.settings.farFactor = c.farFactor
-			owner.nearness = newNearness(c.farFactor)
+			owner.forecaster = forecaster.New(forecaster.WithFarFactor(c.farFactor))
 			near, far := owner.sessions["i-0000"], owner.sessions["i-0001"]
 			near.server.Labels, far.server.Labels = []string{"r1"}, []string{"r2"}
 			near.add(&allocation{task: specifier.StepID{Job: "other"}.Task(0), run: 1, need: near.server.Capacity, state: confirmed})
 			near.listed = !c.rackLeaves
 			for second := range 10 {
-				owner.nearness.forecaster.Released(now.Add(time.Duration(second-10)*time.Second), "r1", 1000*c.releasedCores)
+				owner.forecaster.Released(now.Add(time.Duration(second-10)*time.Second), "r1", 1000*c.releasedCores)
 			}
 			step := specifier.Step{
 				Count: 1, Need: specifier.Resources{MilliCores: 500}, Estimate: 2 * time.Second, PreferredRack: "r1",
@@ -58,13 +58,12 @@
 func TestWaitingTaskTakesNearServer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	owner := newPassConductor(now, 2, "a")
-	owner.settings.farFactor = 3
-	owner.nearness = newNearness(3)
+	owner.forecaster = forecaster.New(forecaster.WithFarFactor(3))
 	near, far := owner.sessions["i-0000"], owner.sessions["i-0001"]
 	near.server.Labels, far.server.Labels = []string{"r1"}, []string{"r2"}
 	occupied := specifier.StepID{Job: "other"}.Task(0)
 	near.add(&allocation{task: occupied, run: 1, need: near.server.Capacity, state: confirmed})
-	owner.nearness.forecaster.Released(now, "r1", 4000)
+	owner.forecaster.Released(now, "r1", 4000)
 	owner.Handle(now, JobArrived{Job: specifier.Job{
 		ID: "j", Queue: specifier.Queue{Service: "a", Priority: 1, Stretch: 4}, AcceptedAt: now,
 		Steps: []specifier.Step{{Count: 1, Need: specifier.Resources{MilliCores: 500}, Estimate: 2 * time.Second, PreferredRack: "r1"}},
--- a/conductor/overdue_near_wait_test.go
+++ b/conductor/overdue_near_wait_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"egretring.example/egretring/forecaster"
 	"egretring.example/egretring/specifier"
 )
 
@@ -13,12 +14,11 @@
 // its objective waits for r1.
 func newFullRack(now time.Time) (owner *Conductor, far *session) {
 	owner = newPassConductor(now, 2, "a")
-	owner.settings.farFactor = 3
-	owner.nearness = newNearness(3)
+	owner.forecaster = forecaster.New(forecaster.WithFarFactor(3))
 	near, far := owner.sessions["i-0000"], owner.sessions["i-0001"]
 	near.server.Labels, far.server.Labels = []string{"r1"}, []string{"r2"}
 	near.add(&allocation{task: specifier.StepID{Job: "other"}.Task(0), run: 1, need: near.server.Capacity, state: confirmed})
-	owner.nearness.forecaster.Released(now, "r1", 4000)
+	owner.forecaster.Released(now, "r1", 4000)
 	owner.Handle(now, JobArrived{Job: specifier.Job{
 		ID: "j", Queue: specifier.Queue{Service: "a", Priority: 1, Stretch: 4}, AcceptedAt: now.Add(-9 * time.Second),
 		Steps: []specifier.Step{{Count: 1, Need: specifier.Resources{MilliCores: 500}, Estimate: 2 * time.Second, PreferredRack: "r1"}},
@@ -34,7 +34,7 @@
 	// Servers are held for one step of a service at a time, so that others have no hold.
 	owner.holdNotBefore["a"] = now.Add(time.Hour)
 	for began := now; len(far.allocations) == 0 && now.Sub(began) < 30*time.Second; now = now.Add(10 * time.Millisecond) {
-		owner.nearness.forecaster.Released(now, "r1", 40)
+		owner.forecaster.Released(now, "r1", 40)
 		owner.Plan(now)
 	}
 	require.Len(t, far.allocations, 1)
--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -102,7 +102,7 @@
 func (p *pass) candidates(w *waitingStep) []*session {
 	var found []*session
 	for _, s := range p.usable[w.job.queue.Service] {
-		if s.server.HasLabel(w.step.Spec.RequiredLabel) && s.mayRun(w) {
+		if s.mayRun(w) {
 			found = append(found, s)
 		}
 	}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -55,7 +55,7 @@
 	if a != nil && a.run <= end.Run {
 		a.mayStartUntil = time.Time{}
 		c.settleCharge(now, a, true)
-		c.noteReleased(now, s, a)
+		c.forecaster.RunEnded(now, s.server.Labels, a.need.MilliCores)
 		s.release(end.Task)
 		c.rewriteSettled(end.Task.Job)
 	}
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -33,10 +33,8 @@
 	// earliest time of the next claim after one in which the gang did not start.
 	claims                      bool
 	enoughSince, claimNotBefore time.Time
-	// forRack is set once tasks of the step have waited for their preferred rack.
-	forRack bool
-	// forRackSince is since when the step waits for its preferred rack without a start of a task.
-	forRackSince time.Time
+	// nearSince is when tasks of the step first waited for their preferred rack.
+	nearSince time.Time
 	// asked describes the last wish in the log.
 	asked string
 }
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -101,7 +101,7 @@
 		if before != nil {
 			w.wait, w.rank.Beyond = before.wait, before.rank.Beyond
 			if len(waiting) < len(before.waiting) {
-				w.wait.since, w.wait.forRackSince = time.Time{}, time.Time{}
+				w.wait.since = time.Time{}
 			}
 		}
 		c.hasFresh = c.hasFresh || w.fresh && w.urgent()
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -1,6 +1,7 @@
 package forecaster
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -9,10 +10,16 @@
 // tasks of callers, which take some 5 s, and follows a change of the load within as long.
 const releaseHalfLife = 10 * time.Second
 
+// rackRetention is how long the ends of runs on a rack are counted after a task has preferred it. What was learned has lost nearly all
+// of its weight by then.
+const rackRetention = time.Minute
+
 // Forecaster learns how fast racks release capacity. It is not safe for concurrent use.
 type Forecaster struct {
 	farFactor float64
 	racks     map[string]*releases
+	// preferredAt is when a task last preferred a rack. Only what these racks release is counted by RunEnded.
+	preferredAt map[string]time.Time
 }
 
 // Option configures a Forecaster.
@@ -25,7 +32,7 @@
 
 // New returns a Forecaster that has seen no ends of runs.
 func New(options ...Option) *Forecaster {
-	f := &Forecaster{racks: make(map[string]*releases)}
+	f := &Forecaster{racks: make(map[string]*releases), preferredAt: make(map[string]time.Time)}
 	for _, option := range options {
 		option(f)
 	}
@@ -38,6 +45,23 @@
 	milliCores      float64
 }
 
+// Prefer records that a waiting task prefers a rack.
+func (f *Forecaster) Prefer(now time.Time, rack string) {
+	f.preferredAt[rack] = now
+}
+
+// RunEnded records that the end of a run has released capacity on a server with some labels, in thousandths of a core.
+func (f *Forecaster) RunEnded(now time.Time, labels []string, milliCores int64) {
+	if len(f.preferredAt) == 0 {
+		return
+	}
+	for _, label := range labels {
+		if _, preferred := f.preferredAt[label]; preferred {
+			f.Released(now, label, milliCores)
+		}
+	}
+}
+
 // Released records that the end of a run has released capacity on a rack, in thousandths of a core.
 func (f *Forecaster) Released(now time.Time, rack string, milliCores int64) {
 	r := f.racks[rack]
@@ -83,6 +107,8 @@
 	LatestStart time.Time
 	// Contended is set while work waits for the capacity that a far run would occupy for longer.
 	Contended bool
+	// WaitingSince is since when the task has waited for the rack; zero if it has not.
+	WaitingSince time.Time
 }
 
 // Forecast is what a decision is based on.
@@ -107,6 +133,11 @@
 	queueShare = 0.25
 )
 
+// Applies reports whether any task waits.
+func (f *Forecaster) Applies() bool {
+	return f.farFactor > 1
+}
+
 // Decide returns whether a task should wait for a near server instead of starting on a far one now.
 func (f *Forecaster) Decide(now time.Time, c Choice) Forecast {
 	longer := time.Duration(float64(c.RunTime) * (f.farFactor - 1))
@@ -132,7 +163,7 @@
 	case now.Add(forecast.NearIn).Before(c.LatestStart):
 		// Only a near server meets the objective.
 		forecast.WaitUntil = c.LatestStart
-	case !now.Before(c.LatestStart):
+	case !now.Before(c.LatestStart) && !c.hasWaitedFor(now, longer):
 		// The objective is missed in any case, so that the earlier end counts.
 		forecast.WaitUntil = now.Add(forecast.NearIn)
 	default:
@@ -142,6 +173,12 @@
 	return forecast
 }
 
+// hasWaitedFor reports whether the task has waited for its rack for longer than a time. The forecast does not know which other tasks take
+// what the rack releases, so that the wait might not end.
+func (c *Choice) hasWaitedFor(now time.Time, limit time.Duration) bool {
+	return !c.WaitingSince.IsZero() && now.Sub(c.WaitingSince) > limit
+}
+
 func (f *Forecaster) nearIn(now time.Time, c Choice) time.Duration {
 	rate := f.rate(now, c.Rack)
 	if rate <= 0 {
@@ -151,9 +188,10 @@
 	return time.Duration(min(seconds, maxForecast.Seconds()) * float64(time.Second))
 }
 
-// Forget drops what is known about racks that have not released capacity for so long that it has no weight, so that the state does
-// not grow with racks that have left.
+// Forget drops racks that no task has preferred for rackRetention, and what is known about racks that have not released capacity for so
+// long that it has no weight, so that the state does not grow with racks that have left.
 func (f *Forecaster) Forget(now time.Time) {
+	maps.DeleteFunc(f.preferredAt, func(_ string, at time.Time) bool { return now.Sub(at) > rackRetention })
 	const halfLives = 10
 	for rack, r := range f.racks {
 		if now.Sub(r.lastAt) > halfLives*releaseHalfLife {
