Steps that wait for a near server use no advisors and no other servers

Cause: a step decided to wait for its preferred rack only after its advice call, so that the call occupied an advisor for tickets that expired unused. After 3 s servers were held for such a step and after 3 s it borrowed some.

Change: the decision precedes the advice call. While the step waits and no task of it fits a near server, it makes no call; once one fits, the call names near servers only. It borrows no servers and no hold begins for it until the time at which the last decision ends the wait. Where advice is needed, the wait ends earlier by the time of a call, because the step has no tickets for far servers then. A step with a hold still does not wait, and no step counts as waiting while far servers are full too.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -168,7 +168,7 @@
 
 // serversToRequest returns the servers to request tickets for, or none when no call would help now.
 func (c *Conductor) serversToRequest(p *pass, w *waitingStep, adv *advice) []specifier.ServerID {
-	servers := p.candidates(w)
+	servers := w.withoutFar(p.now, p.candidates(w))
 	if w.tier == onTime && !c.hasHold(w) {
 		return w.ticketsInAdvance(p.now, adv, servers)
 	}
--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -96,7 +96,7 @@
 	var borrowing []borrowingStep
 	for _, w := range c.waitingSteps {
 		switch {
-		case c.isAtLimit(w):
+		case c.isAtLimit(w) || w.waitsForNear(now):
 			w.endBorrowing(now)
 		case c.needsForeign(now, w, usable):
 			wanted := w.wanted()
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -182,7 +182,8 @@
 func (c *Conductor) stepsToHoldFor(p *pass) []*waitingStep {
 	var steps []*waitingStep
 	for _, w := range p.permitted {
-		if w.isOverdueFor(p.now, p.holdAfter(w.job.queue.Service), c.startedAt) && !p.now.Before(w.wait.holdNotBefore) && !c.hasHold(w) {
+		if w.isOverdueFor(p.now, p.holdAfter(w.job.queue.Service), c.startedAt) && !p.now.Before(w.wait.holdNotBefore) && !c.hasHold(w) &&
+			!w.waitsForNear(p.now) {
 			steps = append(steps, w)
 		}
 	}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -106,6 +106,9 @@
 		c.startsLimited = true
 		return
 	}
+	if c.decideNearWait(p, w) {
+		return
+	}
 	w.preference = c.preference(p.now, w)
 	service := w.job.queue.Service
 	advised := w.job.queue.Advice.Needed
@@ -121,7 +124,7 @@
 	} else {
 		candidates = p.candidates(w)
 	}
-	candidates = w.withoutHeld(p.now, candidates)
+	candidates = w.withoutFar(p.now, w.withoutHeld(p.now, candidates))
 	placed := false
 	if w.step.Spec.Gang {
 		placed = c.placeGang(p, w, candidates)
@@ -221,7 +224,6 @@
 // placeTasks places as many waiting tasks as fit, and reports whether it placed any.
 func (c *Conductor) placeTasks(p *pass, w *waitingStep, servers []*session) bool {
 	servers = slices.DeleteFunc(servers, func(s *session) bool { return w.fits(s) == 0 })
-	servers = c.withoutFar(p, w, servers)
 	w.sortByPreference(servers)
 	placed := false
 	var suspects []int
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -33,8 +33,9 @@
 	// earliest time of the next claim after one in which the gang did not start.
 	claims                      bool
 	enoughSince, claimNotBefore time.Time
-	// nearSince is when tasks of the step first waited for their preferred rack.
-	nearSince time.Time
+	// nearSince is when tasks of the step first waited for their preferred rack, and nearUntil is until when they wait for it at most, by
+	// the last decision.
+	nearSince, nearUntil time.Time
 	// asked describes the last wish in the log.
 	asked string
 }
