Steps beyond the rate of their team get to borrow servers

Cause: of the steps that need servers of other shards, 16 borrow at a time, and those within rates came first whatever their age. A step beyond its rate that does not fit its shard never borrowed, and so never started, while at least 16 within rates waited.

Change: the 4 oldest of the 16 borrow whatever their rates, the same part as that of holds (holdsForAll).

Not covered: the same load without memory that is in use for good. All servers of the shard then become free at the same moment, the service does not count as busy, and gangs within rates use the held servers after 2 s (heldPatience).

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -33,6 +33,9 @@
 	returnAfter = 3 * time.Second
 	// maxBorrowingSteps bounds the steps for which servers are borrowed at a time.
 	maxBorrowingSteps = 16
+	// borrowingForAll is how many of them are the oldest ones, whatever the rates of their teams, so that every step borrows eventually. It
+	// is the same part as that of holds.
+	borrowingForAll = maxBorrowingSteps / holdsForAll
 )
 
 // borrower decides which servers of other shards this one needs.
@@ -70,10 +73,7 @@
 	c.borrower.needs = c.borrower.needs[:0]
 	usable := c.usableByHome(now)
 	borrowing := c.stepsThatBorrow(now, usable)
-	// A backlog of steps that fit the shard would otherwise keep wider steps from borrowing.
-	slices.SortFunc(borrowing, func(a, b borrowingStep) int {
-		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareRate(a.step, b.step), compareAge(a.wanted, b.wanted))
-	})
+	sortBorrowing(borrowing)
 	for i, b := range borrowing {
 		if b.step.wait.borrows = i < maxBorrowingSteps; b.step.wait.borrows {
 			c.ask(now, b.step, b.wanted, usable)
@@ -91,6 +91,19 @@
 	wanted ServersWanted
 }
 
+// sortBorrowing orders the steps that need foreign servers: those that do not fit the shard first, because a backlog of others would keep
+// them from borrowing, then those within rates. The first borrowingForAll depend on their age and not on rates.
+func sortBorrowing(steps []borrowingStep) {
+	byWidth := func(a, b borrowingStep) int { return compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly) }
+	byAge := func(a, b borrowingStep) int { return compareAge(a.wanted, b.wanted) }
+	slices.SortFunc(steps, func(a, b borrowingStep) int { return cmp.Or(byWidth(a, b), byAge(a, b)) })
+	if len(steps) > maxBorrowingSteps {
+		slices.SortFunc(steps[borrowingForAll:], func(a, b borrowingStep) int {
+			return cmp.Or(byWidth(a, b), compareRate(a.step, b.step), byAge(a, b))
+		})
+	}
+}
+
 // stepsThatBorrow returns the steps that need foreign servers and may start on them.
 func (c *Conductor) stepsThatBorrow(now time.Time, usable serversByHome) []borrowingStep {
 	var borrowing []borrowingStep
