Conductor: one value for what a record says of a start

Cause: the fields start, written and restoredDoubt of an allocation belong together and were read and reset in four files.

Change: recordedStart has them, with settle, which decides whether the start is doubtful. Behaviour is the same.

Measured: go test ./conductor -run 'Restart|Restored|Late|Doubt|Resen|Crash|Random' passes.

--- a/conductor/resend.go
+++ b/conductor/resend.go
@@ -18,7 +18,7 @@
 // token and does not have the run. The next incarnation may still carry out the first start. That is no second run while the task is on
 // this server, because the run of the incarnation before has ended with it.
 func (c *Conductor) mayResend(now time.Time, s *session, a *allocation) bool {
-	unanswered := a.state == outcomeUnknown && a.fence != 0 || a.restoredDoubt
+	unanswered := a.state == outcomeUnknown && a.fence != 0 || a.recorded.doubtful
 	if !unanswered || a.answered || a.stopping || a.resends >= maxResends || s.isOutlived(a) || s.lentTo != nil || !s.accepts(now) {
 		return false
 	}
@@ -35,7 +35,7 @@
 		return false
 	}
 	j := c.jobs[a.task.Job]
-	if j == nil || j.State().Final() || a.restoredDoubt && !c.restoreOrder(j, a) {
+	if j == nil || j.State().Final() || a.recorded.doubtful && !c.restoreOrder(j, a) {
 		return false
 	}
 	return !j.inGang(a.task) || now.Sub(a.firstSentAt) < gangResendTime
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -19,7 +19,7 @@
 			s.add(&allocation{
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
-				start: task.Start, written: j.Written(),
+				recorded: recordedStart{state: task.Start, written: j.Written()},
 				team: j.Spec.Team, counted: step.Spec.Need,
 			})
 		}
--- a/conductor/restored_start.go
+++ b/conductor/restored_start.go
@@ -23,16 +23,26 @@
 	}
 }
 
-// isDoubtful reports whether a start of a restored run may have got no response, so that it may be carried out late.
-func (r *restoredStarts) isDoubtful(a *allocation, doubtTime time.Duration) bool {
-	switch a.start {
+// recordedStart is what the record of an earlier owner says of the start of a run. The zero value is that of an answered one.
+type recordedStart struct {
+	state lifecycler.StartState
+	// written is when the record was written.
+	written lifecycler.Written
+	// doubtful is set when the start may have got no response, so that it may be carried out late.
+	doubtful bool
+}
+
+// settle decides whether the start is doubtful, given when the earlier owner wrote its last record and how long before that it may have
+// sent starts that are still carried out.
+func (r recordedStart) settle(last lifecycler.Written, doubtTime time.Duration) recordedStart {
+	switch r.state {
 	case lifecycler.Unanswered:
-		return a.written.IsWithin(r.last, unansweredTime)
+		r.doubtful = r.written.IsWithin(last, unansweredTime)
 	case lifecycler.Doubtful:
-		return a.written.IsWithin(r.last, doubtTime)
-	default:
-		return false
+		r.doubtful = r.written.IsWithin(last, doubtTime)
 	}
+	r.state = lifecycler.Answered
+	return r
 }
 
 // awaitRestoredStarts awaits late starts of the predecessor whose outcome it may not have known.
@@ -43,11 +53,13 @@
 	c.restoredStarts.pending = false
 	for _, s := range c.sessions {
 		for _, a := range s.allocations {
-			if c.restoredStarts.isDoubtful(a, lateStartTime+leaseBound(c.settings.maxLease)) {
-				a.restoredDoubt = true
+			if a.recorded.state == lifecycler.Answered {
+				continue
+			}
+			a.recorded = a.recorded.settle(c.restoredStarts.last, lateStartTime+leaseBound(c.settings.maxLease))
+			if a.recorded.doubtful {
 				c.awaitLateStart(c.startedAt, a)
 			}
-			a.start = lifecycler.Answered
 		}
 	}
 }
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -7,7 +7,6 @@
 	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/assessor"
 	"egretring.example/egretring/calibrator"
-	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
 
@@ -51,11 +50,8 @@
 	clockBefore time.Duration
 	// endsBy is when the run has certainly ended, if that is after the end of the server's lease; zero otherwise.
 	endsBy time.Time
-	// start is what the record of an earlier owner says of the start, and written is when that record was written.
-	start   lifecycler.StartState
-	written lifecycler.Written
-	// restoredDoubt is set when the record shows that the start may have got no response.
-	restoredDoubt bool
+	// recorded is what the record of an earlier owner says of the start.
+	recorded recordedStart
 	// longLease is set when the record of an earlier owner says that the lease of the server might be longer than its renewals.
 	longLease bool
 	// mayHaveCrashed is set when the server has restarted or does not respond, and the run is likely to have crashed it, and alone if that holds for
