Accountant: claims of gangs and expected ends of runs

Cause: conductor decided for which gang of a team quota accumulates and how long runs should still last, although neither needs its state.

Change: accountant.Claims chooses the gangs, Claim.HoldsBack says which steps are held back, and Outlooks has the expected releases of all teams. conductor passes waiting gangs and runs. Behaviour is the same.

--- a/accountant/outlook.go
+++ b/accountant/outlook.go
@@ -13,8 +13,53 @@
 	outlookSteps = 64
 	// Horizon is how far an Outlook reaches.
 	Horizon = outlookSteps * outlookStep
+	// overrunShare divides the estimate of a run that has taken longer to get the time that it is expected to take still. Estimates are
+	// off by half and more.
+	overrunShare = 4
+	// stoppingTime is how long a run that is being stopped should last; the platform states 900 ms.
+	stoppingTime = time.Second
 )
 
+// Run is what the end of a run is expected from.
+type Run struct {
+	// Stopping is set for a run that is being stopped, and Lasts for one that lasts until its job is cancelled.
+	Stopping, Lasts bool
+	Estimate        time.Duration
+	// StartedAt is zero for a run that has not started.
+	StartedAt time.Time
+}
+
+// rest returns how long the run should still last.
+func (r Run) rest(now time.Time) time.Duration {
+	switch {
+	case r.Stopping:
+		return stoppingTime
+	case r.StartedAt.IsZero():
+		return r.Estimate
+	}
+	if rest := r.StartedAt.Add(r.Estimate).Sub(now); rest > 0 {
+		return rest
+	}
+	return r.Estimate / overrunShare
+}
+
+// Outlooks has the Outlook of each team with runs.
+type Outlooks map[string]*Outlook
+
+// Add adds a run of a team.
+func (o Outlooks) Add(now time.Time, team string, need specifier.Resources, r Run) {
+	known := o[team]
+	if known == nil {
+		known = &Outlook{}
+		o[team] = known
+	}
+	if r.Lasts && !r.Stopping {
+		known.AddLasting(need)
+	} else {
+		known.Add(r.rest(now), need)
+	}
+}
+
 // Outlook is what the runs of a team are expected to release, and when.
 type Outlook struct {
 	released [outlookSteps]specifier.Resources
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -113,7 +113,6 @@
 		sessions:     make(map[specifier.ServerID]*session),
 		runs:         make(runIndex),
 		accounts:     accountant.New(),
-		quota:        newQuota(),
 		lastFences:   make(map[specifier.ServerID]int64),
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
@@ -137,6 +136,7 @@
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
 		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
+	c.quota = newQuota(c.accounts)
 	c.teams = newTeams()
 	c.speeds = newSpeeds(c.settings.equalServers)
 	c.forecaster = forecaster.New(forecaster.WithFarFactor(c.settings.farFactor))
--- a/conductor/quota.go
+++ b/conductor/quota.go
@@ -14,29 +14,26 @@
 const (
 	// outlookInterval is how often the expected ends of the runs of teams are collected from all sessions.
 	outlookInterval = 50 * time.Millisecond
-	// overrunShare divides the estimate of a run that has taken longer to get the time that it is expected to take still. Estimates are
-	// off by half and more.
-	overrunShare = 4
-	// stoppingTime is how long a run that is being stopped should last; the platform states 900 ms.
-	stoppingTime = time.Second
 	// atLimitInterval is the minimum time between two lines about the same team at its limit.
 	atLimitInterval = 10 * time.Second
 )
 
 // quota is what the owner knows beyond the counts of the accountant.
 type quota struct {
-	// claims are the gangs for which quota accumulates, by team.
-	claims map[string]*quotaClaim
+	// claims are the gangs for which quota accumulates.
+	claims *accountant.Claims
+	// gangs is memory for the gangs that wait in a pass.
+	gangs []accountant.Gang
 	// outlooks are the expected releases of each team since outlookPass last began.
-	outlooks    map[string]*accountant.Outlook
+	outlooks    accountant.Outlooks
 	outlookPass throttle
 	// lineNotBefore is the earliest time of the next line about each team at its limit.
 	lineNotBefore map[string]time.Time
 }
 
-func newQuota() quota {
+func newQuota(accounts *accountant.Accountant) quota {
 	return quota{
-		claims: make(map[string]*quotaClaim), lineNotBefore: make(map[string]time.Time),
+		claims: accountant.NewClaims(accounts), lineNotBefore: make(map[string]time.Time),
 		outlookPass: throttle{interval: outlookInterval},
 	}
 }
@@ -55,8 +52,8 @@
 
 // kept returns what is kept from the step for a gang of its team.
 func (c *Conductor) kept(w *waitingStep) specifier.Resources {
-	if claim := c.quota.claims[w.job.Spec.Team]; claim != nil && claim.holdsBack(w) {
-		return claim.need
+	if claim := c.claimAgainst(w); claim != nil {
+		return claim.Need
 	}
 	return specifier.Resources{}
 }
@@ -111,8 +108,8 @@
 // team release until then counts only for a gang from which no other step takes it.
 func (c *Conductor) expectedTasks(now time.Time, w *waitingStep) int {
 	team := w.job.Spec.Team
-	claim := c.quota.claims[team]
-	if claim == nil || claim.step != w.step.ID || !claim.late || !w.job.queue.Advice.Needed {
+	claim := c.quota.claims.Of(team)
+	if claim == nil || claim.Step != w.step.ID || !claim.Late || !w.job.queue.Advice.Needed {
 		return w.startable
 	}
 	released := c.outlook(now, team).Within(w.adviceTime(adviceServers))
@@ -124,41 +121,24 @@
 	if !c.quota.outlookPass.begin(now) {
 		return c.quota.outlooks[team]
 	}
-	c.quota.outlooks = make(map[string]*accountant.Outlook)
+	c.quota.outlooks = make(accountant.Outlooks)
 	for _, s := range c.sessions {
 		for _, a := range s.allocations {
-			if a.team == "" {
-				continue
-			}
-			known := c.quota.outlooks[a.team]
-			if known == nil {
-				known = &accountant.Outlook{}
-				c.quota.outlooks[a.team] = known
-			}
-			if c.lasts(a) && !a.stopping {
-				known.AddLasting(a.counted)
-			} else {
-				known.Add(c.expectedRest(now, a), a.counted)
+			if a.team != "" {
+				c.quota.outlooks.Add(now, a.team, a.counted, c.expectedRun(a))
 			}
 		}
 	}
 	return c.quota.outlooks[team]
 }
 
-// expectedRest returns how long a run should still last.
-func (c *Conductor) expectedRest(now time.Time, a *allocation) time.Duration {
+// expectedRun describes a run to the outlook of its team.
+func (c *Conductor) expectedRun(a *allocation) accountant.Run {
 	j := c.jobs[a.task.Job]
 	if a.stopping || j == nil || a.task.Step >= len(j.Spec.Steps) {
-		return stoppingTime
-	}
-	estimate := j.Spec.Steps[a.task.Step].Estimate
-	if a.startedAt.IsZero() {
-		return estimate
-	}
-	if rest := a.startedAt.Add(estimate).Sub(now); rest > 0 {
-		return rest
+		return accountant.Run{Stopping: true}
 	}
-	return estimate / overrunShare
+	return accountant.Run{Lasts: j.lasts(a.task), Estimate: j.Spec.Steps[a.task.Step].Estimate, StartedAt: a.startedAt}
 }
 
 // hasRuns reports whether a run of the waiting step exists, as one that was lost and has been found again. A gang that starts on its
@@ -192,8 +172,8 @@
 	limit := c.accounts.Usage(w.job.Spec.Team).Limit
 	text := fmt.Sprintf("%s; %d tasks wait that need %s each, %d of them at once; configuration %d",
 		c.accounts.Usage(w.job.Spec.Team), len(w.waiting), accountant.Text(w.step.Spec.Need, limit), w.required(), c.configuration.Version)
-	if claim := c.quota.claims[w.job.Spec.Team]; claim != nil && claim.holdsBack(w) {
-		text += fmt.Sprintf("; %s is kept for the gang %s", accountant.Text(claim.need, limit), claim.step)
+	if claim := c.claimAgainst(w); claim != nil {
+		text += fmt.Sprintf("; %s is kept for the gang %s", accountant.Text(claim.Need, limit), claim.Step)
 	}
 	return text
 }
--- a/conductor/restore.go
+++ b/conductor/restore.go
@@ -20,7 +20,7 @@
 				task: step.ID.Task(i), run: task.Run, need: step.Spec.Occupies(), state: confirmed, startedAt: c.startedAt,
 				incarnation: task.Incarnation, address: task.Address, longLease: task.LongLease,
 				recorded: recordedStart{state: task.Start, written: j.Written()},
-				team: j.Spec.Team, counted: step.Spec.Need,
+				team:     j.Spec.Team, counted: step.Spec.Need,
 			})
 		}
 	}
--- a/conductor/wait.go
+++ b/conductor/wait.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/specifier"
 )
 
@@ -29,10 +30,8 @@
 	// usesReserve is set while the step may use the servers that are kept for urgent steps, and reserveCheckAt is when that is checked again.
 	usesReserve    bool
 	reserveCheckAt time.Time
-	// claims is set while quota of the team accumulates for the gang, enoughSince is since when it suffices, and claimNotBefore the
-	// earliest time of the next claim after one in which the gang did not start.
-	claims                      bool
-	enoughSince, claimNotBefore time.Time
+	// claim is what is known of the quota that accumulates for the gang.
+	claim accountant.ClaimState
 	// nearSince is when tasks of the step first waited for their preferred rack, and nearUntil is until when they wait for it at most, by
 	// the last decision.
 	nearSince, nearUntil time.Time
