Remaining runs and waiting lines are grouped where they are used

Cause: conductor grouped the runs that the record of a finished job names, and the waiting jobs of each line, although lifecycler and rater define these types.

Change: lifecycler.NewRemaining and rater.Demands do it; conductor passes runs and jobs. Behaviour is the same.

--- a/conductor/remaining.go
+++ b/conductor/remaining.go
@@ -1,9 +1,6 @@
 package conductor
 
 import (
-	"cmp"
-	"slices"
-
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -27,13 +24,9 @@
 	if !j.State().Final() {
 		return nil
 	}
-	type key struct {
-		server specifier.ServerID
-		step   specifier.StepID
-		run    int
-	}
-	groups := make(map[key]int)
-	var remaining lifecycler.Remaining
+	// A restored job that has finished does not know its team.
+	team := ""
+	var runs []lifecycler.RemainingRun
 	for s := range c.runs[j.Spec.ID] {
 		for _, a := range s.allocations {
 			if a.task.Job != j.Spec.ID || a.team == "" || a.state == reserved {
@@ -42,30 +35,12 @@
 			if j.State() == specifier.Completed && a.state == confirmed && j.inGang(a.task) {
 				continue
 			}
-			k := key{s.id, a.task.StepID, a.run}
-			i, known := groups[k]
-			if !known {
-				i = len(remaining.Runs)
-				groups[k] = i
-				remaining.Runs = append(remaining.Runs, lifecycler.RemainingRuns{
-					Server: s.id, Occurrence: a.task.Occurrence, Step: a.task.Step, Run: a.run, Need: a.counted,
-				})
-			}
-			remaining.Team = a.team
-			remaining.Runs[i].Tasks = append(remaining.Runs[i].Tasks, a.task.Index)
+			team = a.team
+			runs = append(runs, lifecycler.RemainingRun{Server: s.id, Task: a.task, Run: a.run, Need: a.counted})
 		}
 	}
-	if len(remaining.Runs) == 0 {
-		return nil
-	}
-	for _, runs := range remaining.Runs {
-		slices.Sort(runs.Tasks)
-	}
-	slices.SortFunc(remaining.Runs, func(a, b lifecycler.RemainingRuns) int {
-		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Run, b.Run))
-	})
-	j.remains = true
-	return &remaining
+	j.remains = j.remains || len(runs) > 0
+	return lifecycler.NewRemaining(team, runs)
 }
 
 // restoreRemaining counts the runs that the record of a finished job names, and stops them. The first report of each server shows which
--- a/conductor/teams.go
+++ b/conductor/teams.go
@@ -14,8 +14,6 @@
 	refusalInterval = 500 * time.Millisecond
 	// refusalLineInterval is how often the log repeats the refusal of a team.
 	refusalLineInterval = 5 * time.Second
-	// maxPatience bounds the patience of a job, so that the sum of a line does not overflow.
-	maxPatience = time.Hour
 	// holdsForAll is how many holds there are for each one that goes to the oldest step, whatever the rate of its team, so that every step
 	// starts eventually.
 	holdsForAll = 4
@@ -153,39 +151,14 @@
 	if !c.teams.configured || !c.teams.refusal.begin(now) {
 		return
 	}
-	waiting := make(map[rater.Line]*lineDemand)
+	waiting := make(rater.Demands)
 	for _, w := range c.waitingSteps {
 		if w.job.Spec.Team == "" || w.job.begun || w.job.waitingSteps[0] != w || w.tierAt(now) == worthless {
 			continue
 		}
-		d := waiting[w.job.line()]
-		if d == nil {
-			d = &lineDemand{}
-			waiting[w.job.line()] = d
-		}
-		d.add(now, w)
-	}
-	var demands []rater.Demand
-	for line, d := range waiting {
-		if d.beyond {
-			demands = append(demands, rater.Demand{Line: line, Waiting: d.jobs, Oldest: d.oldest, Patience: d.patience / time.Duration(d.jobs)})
-		}
+		waiting.Add(w.job.line(), now.Sub(w.due), w.worthlessAt.Sub(w.due)-w.job.RemainingTime(w.step.ID.Step), w.rank.Beyond)
 	}
-	c.refuse(now, c.teams.rater.Decide(now, demands))
-}
-
-// lineDemand has the jobs of a line that have not started. The patience is the sum of theirs.
-type lineDemand struct {
-	jobs             int
-	oldest, patience time.Duration
-	beyond           bool
-}
-
-func (d *lineDemand) add(now time.Time, w *waitingStep) {
-	d.jobs++
-	d.oldest = max(d.oldest, now.Sub(w.due))
-	d.patience += min(max(0, w.worthlessAt.Sub(w.due)-w.job.RemainingTime(w.step.ID.Step)), maxPatience)
-	d.beyond = d.beyond || w.rank.Beyond
+	c.refuse(now, c.teams.rater.Decide(now, waiting.Beyond()))
 }
 
 // line returns the line in which the job waits.
