--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -96,7 +96,7 @@
 	for id, t := range adv.granted {
 		s := c.sessions[id]
 		if s != nil && t.incarnation == s.server.Incarnation && t.usable(now) && s.usable(now) &&
-			s.server.HasLabel(w.step.Spec.RequiredLabel) && s.server.Service == w.job.queue.Service && s.mayRun(w) {
+			s.server.Service == w.job.queue.Service && s.mayRun(w) {
 			servers = append(servers, s)
 		}
 	}
@@ -168,7 +168,7 @@
 
 // serversToRequest returns the servers to request tickets for, or none when no call would help now.
 func (c *Conductor) serversToRequest(p *pass, w *waitingStep, adv *advice) []specifier.ServerID {
-	servers := p.candidates(w)
+	servers := w.withoutFar(p.now, p.candidates(w))
 	if w.tier == onTime && !c.hasHold(w) {
 		return w.ticketsInAdvance(p.now, adv, servers)
 	}
--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -33,6 +33,9 @@
 	returnAfter = 3 * time.Second
 	// maxBorrowingSteps bounds the steps for which servers are borrowed at a time.
 	maxBorrowingSteps = 16
+	// borrowingForAll is how many of them are the oldest ones, whatever the rates of their teams, so that every step borrows eventually. It
+	// is the same part as that of holds.
+	borrowingForAll = maxBorrowingSteps / holdsForAll
 )
 
 // borrower decides which servers of other shards this one needs.
@@ -56,10 +59,10 @@
 	return known && t.Home != c.shard.index
 }
 
-// mayRun reports whether a step may run on the server: borrowed servers are kept for the steps that need them, and some fast ones for
-// urgent steps.
+// mayRun reports whether a step may run on the server: it has the label that the step requires, borrowed servers are kept for the steps
+// that need them, and some fast ones for urgent steps.
 func (s *session) mayRun(w *waitingStep) bool {
-	return (!s.foreign || w.wait.borrows) && !s.isReservedFrom(w)
+	return s.server.HasLabel(w.step.Spec.RequiredLabel) && (!s.foreign || w.wait.borrows) && !s.isReservedFrom(w)
 }
 
 // borrow asks other shards for the servers that waiting steps lack, and returns those that none needs.
@@ -69,18 +72,8 @@
 	}
 	c.borrower.needs = c.borrower.needs[:0]
 	usable := c.usableByHome(now)
-	var borrowing []borrowingStep
-	for _, w := range c.waitingSteps {
-		if c.needsForeign(now, w, usable) {
-			wanted := w.wanted()
-			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
-			borrowing = append(borrowing, borrowingStep{w, wanted})
-		}
-	}
-	// A backlog of steps that fit the shard would otherwise keep wider steps from borrowing.
-	slices.SortFunc(borrowing, func(a, b borrowingStep) int {
-		return cmp.Or(compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly), compareRate(a.step, b.step), compareAge(a.wanted, b.wanted))
-	})
+	borrowing := c.stepsThatBorrow(now, usable)
+	sortBorrowing(borrowing)
 	for i, b := range borrowing {
 		if b.step.wait.borrows = i < maxBorrowingSteps; b.step.wait.borrows {
 			c.ask(now, b.step, b.wanted, usable)
@@ -98,6 +91,35 @@
 	wanted ServersWanted
 }
 
+// sortBorrowing orders the steps that need foreign servers: those that do not fit the shard first, because a backlog of others would keep
+// them from borrowing, then those within rates. The first borrowingForAll depend on their age and not on rates.
+func sortBorrowing(steps []borrowingStep) {
+	byWidth := func(a, b borrowingStep) int { return compareBool(!a.wanted.IdleOnly, !b.wanted.IdleOnly) }
+	byAge := func(a, b borrowingStep) int { return compareAge(a.wanted, b.wanted) }
+	slices.SortFunc(steps, func(a, b borrowingStep) int { return cmp.Or(byWidth(a, b), byAge(a, b)) })
+	if len(steps) > maxBorrowingSteps {
+		slices.SortFunc(steps[borrowingForAll:], func(a, b borrowingStep) int {
+			return cmp.Or(byWidth(a, b), compareRate(a.step, b.step), byAge(a, b))
+		})
+	}
+}
+
+// stepsThatBorrow returns the steps that need foreign servers and may start on them.
+func (c *Conductor) stepsThatBorrow(now time.Time, usable serversByHome) []borrowingStep {
+	var borrowing []borrowingStep
+	for _, w := range c.waitingSteps {
+		switch {
+		case c.isAtLimit(w) || w.waitsForNear(now):
+			w.endBorrowing(now)
+		case c.needsForeign(now, w, usable):
+			wanted := w.wanted()
+			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
+			borrowing = append(borrowing, borrowingStep{w, wanted})
+		}
+	}
+	return borrowing
+}
+
 // serversByHome are the usable servers of the shard, those at home and those that are borrowed.
 type serversByHome struct{ home, foreign []*session }
 
@@ -157,10 +179,6 @@
 	if now.Before(w.wait.unfitSince) {
 		return false
 	}
-	if c.isAtLimit(w) {
-		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
-		return false
-	}
 	wanted := w.wanted()
 	home := w.tasksThatFit(wanted, usable.home)
 	if home >= wanted.Tasks && !w.waitsForOthers(now, usable.home) {
@@ -187,6 +205,13 @@
 	return true
 }
 
+// endBorrowing makes the time of a step that may not start begin anew in which it does not fit, except during a pause.
+func (w *waitingStep) endBorrowing(now time.Time) {
+	if !now.Before(w.wait.unfitSince) {
+		w.wait.unfitSince, w.wait.borrows = time.Time{}, false
+	}
+}
+
 // waitsForOthers reports whether a step has waited for borrowIdleAfter on runs that take its capacity, or on steps that servers are
 // held for, and not on advice. A long-running step would keep the servers for good.
 func (w *waitingStep) waitsForOthers(now time.Time, home []*session) bool {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,6 +5,7 @@
 
 	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/adviser"
+	"egretring.example/egretring/forecaster"
 	"egretring.example/egretring/lifecycler"
 	"egretring.example/egretring/specifier"
 )
@@ -31,6 +32,8 @@
 	// accounts counts what the allocations of all sessions take of the limits of teams.
 	accounts *accountant.Accountant
 	quota    quota
+	// forecaster decides which tasks wait for a server near their data.
+	forecaster *forecaster.Forecaster
 	// ordered has the sessions in the order of their servers' IDs; nil when it has to be made anew.
 	ordered []*session
 	// lastFences are the fencing tokens of servers that were removed from the list. A server that is listed again has
@@ -91,7 +94,6 @@
 
 	teams    teams
 	speeds   speeds
-	nearness nearness
 	shard    shard
 	borrower borrower
 	lender   lender
@@ -111,7 +113,6 @@
 		sessions:     make(map[specifier.ServerID]*session),
 		runs:         make(runIndex),
 		accounts:     accountant.New(),
-		quota:        newQuota(),
 		lastFences:   make(map[specifier.ServerID]int64),
 		waitingSteps: make(map[specifier.StepID]*waitingStep),
 		scheduled:    make(map[specifier.JobID]*job),
@@ -135,9 +136,10 @@
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
 		moving: make(map[specifier.ServerID]int), others: make(map[specifier.ServerID]specifier.Server),
 	}
+	c.quota = newQuota(c.accounts)
 	c.teams = newTeams()
 	c.speeds = newSpeeds(c.settings.equalServers)
-	c.nearness = newNearness(c.settings.farFactor)
+	c.forecaster = forecaster.New(forecaster.WithFarFactor(c.settings.farFactor))
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/near_wait.go
+++ b/conductor/near_wait.go
@@ -6,126 +6,121 @@
 	"time"
 
 	"egretring.example/egretring/forecaster"
-	"egretring.example/egretring/specifier"
 )
 
-// rackRetention is how long the ends of runs on a rack are counted after a step has preferred it. What was learned has lost nearly all
-// of its weight by then.
-const rackRetention = time.Minute
-
-// nearness is what the owner knows about waits for servers near the data of tasks.
-type nearness struct {
-	forecaster *forecaster.Forecaster
-	// racks has the racks that waiting steps have preferred, and when one last did. Only what these release is counted.
-	racks map[string]time.Time
-}
-
 // WithFarFactor sets the factor of the run time of tasks away from their preferred rack. Up to 1 no task waits for a near server.
 func WithFarFactor(factor float64) Option {
 	return func(s *settings) { s.farFactor = factor }
 }
 
-func newNearness(farFactor float64) nearness {
-	return nearness{forecaster: forecaster.New(forecaster.WithFarFactor(farFactor)), racks: make(map[string]time.Time)}
+// nearServers are the servers on the preferred rack of a step that may run it.
+type nearServers struct {
+	// exist is set if there are any.
+	exist bool
+	// fitting is how many waiting tasks fit them now, and startable how many of these have a ticket if one is needed.
+	fitting, startable int
 }
 
-// noteReleased counts the capacity that the end of a run releases on a preferred rack.
-func (c *Conductor) noteReleased(now time.Time, s *session, a *allocation) {
-	if a == nil || len(c.nearness.racks) == 0 {
-		return
-	}
-	for _, label := range s.server.Labels {
-		if _, preferred := c.nearness.racks[label]; preferred {
-			c.nearness.forecaster.Released(now, label, a.need.MilliCores)
+func (p *pass) near(w *waitingStep) nearServers {
+	var near nearServers
+	adv := w.job.advice[w.step.ID]
+	for _, s := range p.usable[w.job.queue.Service] {
+		if !s.server.HasLabel(w.step.Spec.PreferredRack) || !s.mayRun(w) || adv.refuses(s.server) {
+			continue
+		}
+		near.exist = true
+		if w.isHeldFrom(p.now, s) {
+			continue
+		}
+		fitting := w.fits(s)
+		near.fitting += fitting
+		if t, granted := adv.ticketFor(s.server); !w.job.queue.Advice.Needed || granted && t.usable(p.now) {
+			near.startable += fitting
 		}
-	}
-}
-
-// withoutFar removes the servers away from the preferred rack of a step while a wait for a near one pays.
-func (c *Conductor) withoutFar(p *pass, w *waitingStep, servers []*session) []*session {
-	rack := w.step.Spec.PreferredRack
-	if rack == "" || w.step.Spec.LongRunning || c.settings.farFactor <= 1 {
-		return servers
-	}
-	c.nearness.racks[rack] = p.now
-	isFar := func(s *session) bool { return !s.server.HasLabel(rack) }
-	near := slices.DeleteFunc(slices.Clone(servers), isFar)
-	free := countTasks(near, w.fits)
-	if free >= len(w.waiting) || !c.waitsForRack(p, w, len(w.waiting)-free) {
-		return servers
 	}
 	return near
 }
 
-// waitsForRack decides whether the tasks of a step that do not fit the near servers wait for them.
-func (c *Conductor) waitsForRack(p *pass, w *waitingStep, tasks int) bool {
-	if w.urgent() && p.now.After(w.latestStart) || !p.hasRack(w) {
+// decideNearWait decides whether the step waits for its preferred rack, and reports whether no task of it can start there now. Far
+// servers are not for a step that waits, until nearUntil.
+func (c *Conductor) decideNearWait(p *pass, w *waitingStep) bool {
+	w.wait.nearUntil = time.Time{}
+	spec := &w.step.Spec
+	if spec.PreferredRack == "" || spec.LongRunning || spec.Gang || !c.forecaster.Applies() {
 		return false
 	}
+	c.forecaster.Prefer(p.now, spec.PreferredRack)
 	// Servers that are held for the step would be idle.
-	if c.hasHold(w) || c.waitedTooLong(p.now, w) {
+	if w.urgent() && p.now.After(w.latestStart) || c.hasHold(w) || !w.need().Fits(p.maxFree[w.job.queue.Service]) {
 		return false
 	}
-	need := w.need().MilliCores
-	wanted := p.wantedOnRack[w.step.Spec.PreferredRack] + need*int64(tasks)
-	forecast := c.nearness.forecaster.Decide(p.now, forecaster.Choice{
-		Rack: w.step.Spec.PreferredRack, RunTime: w.step.Spec.Estimate, WantedMilliCores: wanted, LatestStart: w.latestStart,
-		Contended: p.contended[w.job.queue.Service],
+	near := p.near(w)
+	if !near.exist || near.startable >= len(w.waiting) {
+		return false
+	}
+	return c.waitsForRack(p, w, len(w.waiting)-near.startable) && near.fitting == 0
+}
+
+// waitsForRack decides whether the tasks of a step that do not fit the near servers wait for them.
+func (c *Conductor) waitsForRack(p *pass, w *waitingStep, tasks int) bool {
+	rack := w.step.Spec.PreferredRack
+	wanted := p.wantedOnRack[rack] + w.need().MilliCores*int64(tasks)
+	forecast := c.forecaster.Decide(p.now, forecaster.Choice{
+		Rack: rack, RunTime: w.step.Spec.Estimate, WantedMilliCores: wanted, LatestStart: w.latestCall(),
+		Contended: p.contended[w.job.queue.Service], WaitingSince: w.nearSince(),
 	})
 	if !forecast.Wait {
 		return false
 	}
-	p.wantOnRack(w.step.Spec.PreferredRack, wanted)
-	if w.wait.forRackSince.IsZero() {
-		w.wait.forRackSince = p.now
-	}
-	if !w.wait.forRack {
-		w.wait.forRack = true
+	p.wantOnRack(rack, wanted)
+	w.wait.nearUntil = forecast.WaitUntil
+	if w.wait.nearSince.IsZero() {
+		w.wait.nearSince = p.now
 		c.logDecision("NearWait", w.step.ID.Task(w.waiting[0]), 0, "", fmt.Sprintf(
 			"%d tasks wait for rack %s until %s at most: near in %s, gain %s, %d millicores wanted, contended %t", tasks,
-			w.step.Spec.PreferredRack, forecast.WaitUntil.Sub(p.now).Round(time.Millisecond), forecast.NearIn.Round(time.Millisecond),
+			rack, forecast.WaitUntil.Sub(p.now).Round(time.Millisecond), forecast.NearIn.Round(time.Millisecond),
 			forecast.Gain.Round(time.Millisecond), wanted, p.contended[w.job.queue.Service]))
 	}
 	return true
 }
 
-// waitedTooLong reports whether a step past its latest start has waited for its rack for as long as a run away from it takes longer. The
-// forecast does not know which other steps take what the rack releases, so that the wait might not end.
-func (c *Conductor) waitedTooLong(now time.Time, w *waitingStep) bool {
-	if w.wait.forRackSince.IsZero() || now.Before(w.latestStart) {
-		return false
+// latestCall returns when an advice call for the step has to begin for its job to meet its objective, or its latest start where no advice
+// is needed. A step that waits for its rack has no valid tickets for other servers.
+func (w *waitingStep) latestCall() time.Time {
+	if !w.job.queue.Advice.Needed {
+		return w.latestStart
 	}
-	longer := time.Duration(float64(w.step.Spec.Estimate) * (c.settings.farFactor - 1))
-	return now.Sub(w.wait.forRackSince) > longer
+	return w.latestStart.Add(-w.adviceTime(objectiveAdviceServers))
 }
 
-// hasRack reports whether a usable server on the preferred rack of a step may run it.
-func (p *pass) hasRack(w *waitingStep) bool {
-	return slices.ContainsFunc(p.usable[w.job.queue.Service], func(s *session) bool {
-		return s.server.HasLabel(w.step.Spec.PreferredRack) && s.server.HasLabel(w.step.Spec.RequiredLabel) && s.mayRun(w) &&
-			!w.job.adviceRefuses(w.step.ID, s.server)
-	})
+// waitsForNear reports whether the step waits for a server on its preferred rack. Meanwhile it borrows no servers and none are held for it.
+func (w *waitingStep) waitsForNear(now time.Time) bool {
+	return now.Before(w.wait.nearUntil)
 }
 
-// wantOnRack records what the steps up to now that wait for a rack want of it, in thousandths of a core.
-func (p *pass) wantOnRack(rack string, milliCores int64) {
-	if p.wantedOnRack == nil {
-		p.wantedOnRack = make(map[string]int64)
+// withoutFar removes the servers away from the preferred rack of a step that waits for it.
+func (w *waitingStep) withoutFar(now time.Time, servers []*session) []*session {
+	if !w.waitsForNear(now) {
+		return servers
 	}
-	p.wantedOnRack[rack] = milliCores
+	return slices.DeleteFunc(servers, func(s *session) bool { return !s.server.HasLabel(w.step.Spec.PreferredRack) })
 }
 
-// adviceRefuses reports whether advice has refused a server for a step.
-func (j *job) adviceRefuses(step specifier.StepID, server specifier.Server) bool {
-	return j.advice[step].refuses(server)
+// nearSince returns since when the step has waited for its preferred rack without a start of a task; zero if it has not waited for it.
+func (w *waitingStep) nearSince() time.Time {
+	if w.wait.nearSince.IsZero() || w.wait.since.IsZero() {
+		return time.Time{}
+	}
+	if w.wait.nearSince.After(w.wait.since) {
+		return w.wait.nearSince
+	}
+	return w.wait.since
 }
 
-// forgetRacks drops what is known about racks that no step has preferred for long, so that the state does not grow.
-func (c *Conductor) forgetRacks(now time.Time) {
-	for rack, preferredAt := range c.nearness.racks {
-		if now.Sub(preferredAt) > rackRetention {
-			delete(c.nearness.racks, rack)
-		}
+// wantOnRack records what the steps up to now that wait for a rack want of it, in thousandths of a core.
+func (p *pass) wantOnRack(rack string, milliCores int64) {
+	if p.wantedOnRack == nil {
+		p.wantedOnRack = make(map[string]int64)
 	}
-	c.nearness.forecaster.Forget(now)
+	p.wantedOnRack[rack] = milliCores
 }
