conductor: move tasks far behind their step

Change: while speeds take effect, the owner asks the migrator about runs that are far behind, and stops the first run of a task whose move pays. The place on the new server is kept while the run is being stopped, and the former place until the new server has responded; if that refuses, the task starts again where it was. A team at its limit moves nothing. No task moves without WithCheckpoints, which nothing sets yet. The migrator counts runs beside the task that are far behind, too, as a sign of a slow server. The simulated servers save checkpoints.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -92,9 +92,11 @@
 	teams    teams
 	speeds   speeds
 	nearness nearness
-	shard    shard
-	borrower borrower
-	lender   lender
+	// migrations are the tasks that move because they are far behind their step.
+	migrations migrations
+	shard      shard
+	borrower   borrower
+	lender     lender
 	// restoredStarts has what the records say of the predecessor's last starts, until the next plan.
 	restoredStarts restoredStarts
 	unanswered     unanswered
@@ -138,6 +140,7 @@
 	c.teams = newTeams()
 	c.speeds = newSpeeds(c.settings.equalServers)
 	c.nearness = newNearness(c.settings.farFactor)
+	c.migrations = newMigrations(c.settings)
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/fake_server_test.go
+++ b/conductor/fake_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"egretring.example/egretring/conductor"
@@ -9,8 +10,8 @@
 )
 
 const (
-	gangWait = 3 * time.Second
-	stopTime = 150 * time.Millisecond
+	gangWait        = 3 * time.Second
+	defaultStopTime = 150 * time.Millisecond
 	// carryOverDelay is the time from the restart of a server until it carries out calls that were sent before.
 	carryOverDelay = 10 * time.Millisecond
 	// staleEntryTime is how long the entry of a server that does not reach the store stays listed.
@@ -53,6 +54,8 @@
 	// restartsAs is what the server is after its next restart, if it is of another kind then.
 	restartsAs *fakeKind
 	waiting    func()
+	// refusesUntil is until when the server refuses starts for lack of capacity.
+	refusesUntil time.Time
 	// speed is by how much runs on the server are shorter, and slowUntil is until when they take slowFactor times as long. Zero
 	// stands for one.
 	speed      float64
@@ -88,6 +91,26 @@
 	ended        bool
 	endedAt      time.Time
 	gangComplete bool
+	// length is how long the whole work takes on the server, without a restore, and saved the part of it in the checkpoint that the run was
+	// started from.
+	length time.Duration
+	saved  float64
+}
+
+// checkpoint returns the checkpoint of a run: the part of the work that is done, which is saved at each checkpointInterval of the run.
+func (r *fakeRun) checkpoint(w *simulation) string {
+	if w.checkpointInterval == 0 || r.length == 0 || !r.job.Steps[r.task.Step].Checkpointing {
+		return ""
+	}
+	ran := w.now.Sub(r.begunAt)
+	if r.saved > 0 {
+		ran -= w.restoreTime
+	}
+	done := r.saved + max(0, ran).Truncate(w.checkpointInterval).Seconds()/r.length.Seconds()
+	if done == 0 {
+		return ""
+	}
+	return strconv.FormatFloat(done, 'f', -1, 64)
 }
 
 func (w *simulation) addServer(id specifier.ServerID) {
@@ -256,7 +279,9 @@
 func (s *fakeServer) report(w *simulation) specifier.ServerReport {
 	report := specifier.ServerReport{Incarnation: s.server.Incarnation, Clock: s.clock(w)}
 	for _, r := range s.runs {
-		report.Running = append(report.Running, specifier.RunningTask{Task: r.task, Run: r.run, Percent: 100, Measurement: 1000})
+		report.Running = append(report.Running, specifier.RunningTask{
+			Task: r.task, Run: r.run, Checkpoint: r.checkpoint(w), Percent: 100, Measurement: 1000,
+		})
 	}
 	listed := min(len(s.ended), w.endsPerReport)
 	report.Ended = append(report.Ended, s.ended[:listed]...)
@@ -310,6 +335,9 @@
 		w.voidTickets++
 		return specifier.OrderNoTicket
 	}
+	if w.now.Before(s.refusesUntil) {
+		return specifier.OrderNoCapacity
+	}
 	w.begin(s, o)
 	return specifier.OrderDone
 }
@@ -326,7 +354,7 @@
 	s.fence = c.Fence
 	s.stopped[c.Task] = max(s.stopped[c.Task], c.Run)
 	if r := s.runs[c.Task]; r != nil && r.run <= c.Run {
-		w.after(stopTime, func() { s.end(w, r, specifier.RunStopped) })
+		w.after(w.stopTime, func() { s.end(w, r, specifier.RunStopped) })
 	}
 	return specifier.OrderDone
 }
@@ -339,7 +367,9 @@
 	delete(s.runs, r.task)
 	s.stopped[r.task] = max(s.stopped[r.task], r.run)
 	s.lastEnd++
-	s.ended = append(s.ended, specifier.EndedTask{Number: s.lastEnd, Task: r.task, Run: r.run, Reason: reason})
+	s.ended = append(s.ended, specifier.EndedTask{
+		Number: s.lastEnd, Task: r.task, Run: r.run, Reason: reason, Checkpoint: r.checkpoint(w),
+	})
 	s.endedAt[s.lastEnd] = w.now
 	w.recordEnd(r, reason)
 	if s.waiting != nil {
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -107,6 +107,8 @@
 	shardIndex     int
 	equalServers   bool
 	farFactor      float64
+	// checkpointInterval is the time between two checkpoints of a run, and restoreTime that of a restore.
+	checkpointInterval, restoreTime time.Duration
 	// homeOf is nil when the cell has one shard.
 	homeOf func(specifier.Server) int
 }
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -39,6 +39,7 @@
 	c.chooseClaims(now)
 	c.findContended(p)
 	c.updateSpeeds(p)
+	c.migrate(p)
 	c.updateHolds(p)
 	c.setTeamCapacity(p)
 	p.withinWaits = false
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -63,6 +63,7 @@
 	pending := pendingEnd{number: end.Number, job: end.Task.Job}
 	if j != nil {
 		c.observeRun(now, s, a, j, end)
+		c.noteStepEnd(now, s, a, j, end)
 		if a != nil && a.orphan {
 			// The end of a run that the job does not count changes nothing in it, but its task may start again.
 			c.markStale(j)
@@ -151,7 +152,7 @@
 		c.logDecision("StartOutlivedRestart", a.task, a.run, s.server.ID, fmt.Sprintf("sent to incarnation %d", a.incarnation))
 		c.noteStartedBy(s, a)
 	}
-	a.answered, a.mayStartUntil = true, time.Time{}
+	a.answered, a.mayStartUntil, a.percent = true, time.Time{}, r.Percent
 	if !s.formerCalls {
 		a.endsBy = time.Time{}
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -74,8 +74,10 @@
 	// resends is how often the start was sent again.
 	resends int
 	// orphan runs were reported by the server without being recorded for it.
-	orphan     bool
-	stopping   bool
+	orphan   bool
+	stopping bool
+	// percent is the part of its speed that the server reports to allow the run.
+	percent    int
 	stopSentAt time.Time
 	// startedAt is when the start was sent last, and firstSentAt when it was sent first.
 	startedAt   time.Time
@@ -134,6 +136,8 @@
 	// accounts counts the allocations of all sessions by teams.
 	accounts *accountant.Accountant
 	used     specifier.Resources
+	// kept is what is kept for tasks that move to or from the server.
+	kept specifier.Resources
 	// starting is the number of allocations whose start has no result yet.
 	starting int
 	// namedUntil are the times at which the results of the advice calls in flight that name the server are expected.
@@ -259,9 +263,9 @@
 	return now.Sub(s.aliveAt).Round(time.Millisecond).String()
 }
 
-// freeCapacity returns the capacity that no allocation takes.
+// freeCapacity returns the capacity that no allocation takes and that is not kept for a task that moves.
 func (s *session) freeCapacity() specifier.Resources {
-	return s.server.Capacity.Minus(s.used)
+	return s.server.Capacity.Minus(s.used).Minus(s.kept)
 }
 
 // serverTime returns the estimated time on the clock of the server.
--- a/conductor/simulated_owner_test.go
+++ b/conductor/simulated_owner_test.go
@@ -65,6 +65,9 @@
 	if w.equalServers {
 		options = append(options, conductor.WithEqualServers())
 	}
+	if w.movesStragglers {
+		options = append(options, conductor.WithCheckpoints(w.checkpointInterval, w.restoreTime))
+	}
 	if len(w.owners) > 1 {
 		options = append(options, conductor.WithShard(o.shard, w.homeOf))
 	}
--- a/conductor/simulation_rule_test.go
+++ b/conductor/simulation_rule_test.go
@@ -26,6 +26,13 @@
 	}
 	step := job.Steps[o.Task.Step]
 	r := &fakeRun{task: o.Task, run: o.Run, server: s, job: job, begunAt: w.now, need: step.Occupies()}
+	if o.Checkpoint != "" {
+		saved, err := strconv.ParseFloat(o.Checkpoint, 64)
+		if err != nil || !step.Checkpointing {
+			w.violate("CHECKPOINT: %s starts from %q", o.Task, o.Checkpoint)
+		}
+		r.saved = saved
+	}
 	used := r.need
 	for _, other := range s.runs {
 		used = used.Plus(other.need)
@@ -100,6 +107,10 @@
 			duration = max(duration, member.server.timeOf(w, w.lengthOf(member.task, step.Estimate)))
 		}
 	}
+	r.length = duration
+	if r.saved > 0 {
+		duration = time.Duration(float64(duration)*(1-r.saved)) + w.restoreTime
+	}
 	if w.now.Before(r.server.failsUntil) || strings.HasPrefix(r.job.Spec, "fails") {
 		duration, reason = duration/4, specifier.RunFailed
 	}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -108,6 +108,12 @@
 	voidTickets int
 	// lengthOf returns how long a run takes whose step has an estimate, if it is set.
 	lengthOf func(specifier.TaskID, time.Duration) time.Duration
+	// checkpointInterval is the time between two checkpoints of a run whose step saves any, if it is set, and restoreTime that of a restore.
+	checkpointInterval, restoreTime time.Duration
+	// movesStragglers makes the owners move tasks that are far behind.
+	movesStragglers bool
+	// stopTime is how long a run lasts that is being stopped.
+	stopTime time.Duration
 	// equalServers makes the owners treat all servers as equally fast.
 	equalServers bool
 	// onAdvise is called with each advice call, if it is set.
@@ -156,7 +162,7 @@
 		finished: make(map[specifier.TaskID]bool), runsOf: make(map[specifier.TaskID][]*fakeRun),
 		failures: make(map[specifier.TaskID]int), crashes: make(map[specifier.TaskID]int),
 		startsAfterCrashes: make(map[specifier.TaskID]int), revision: 9, muteAdvisors: make(map[string]time.Time),
-		advisors: []string{"a", "b", "c"}, endsPerReport: 500, owners: []*simulatedOwner{{}},
+		stopTime: defaultStopTime, advisors: []string{"a", "b", "c"}, endsPerReport: 500, owners: []*simulatedOwner{{}},
 		jobs: make(map[specifier.JobID]specifier.Job), transfers: make(map[specifier.ServerID]conductor.Transfer),
 	}
 	w.start = w.now
--- a/conductor/uneven_day_test.go
+++ b/conductor/uneven_day_test.go
@@ -37,6 +37,8 @@
 	Load, Burst float64
 	// Slowed is the number of servers that are four times as slow between 15 and 22 s.
 	Slowed int
+	// Checkpoints makes the steps save checkpoints, and Moves makes the owners move tasks that are far behind.
+	Checkpoints, Moves bool
 	// Shards is two if it is zero.
 	Shards int
 }
@@ -51,6 +53,10 @@
 	d.traffic, d.length, d.equalServers = unevenTraffic, unevenLength, o.EqualServers
 	d.grantPercent = map[int]uint32{0: 70, 1: 35, 2: 45}
 	d.lengthOf = d.lengthOfRun
+	if o.Checkpoints {
+		// The second customer's times.
+		d.checkpointInterval, d.restoreTime, d.stopTime, d.movesStragglers = 2*time.Second, 250*time.Millisecond, 900*time.Millisecond, o.Moves
+	}
 	speeds := []float64{0.7, 0.7, 1.7}
 	if o.SameSpeed {
 		speeds = []float64{1}
@@ -111,6 +117,7 @@
 	for i := range job.Steps {
 		length := d.around(mean, 0.5, longest)
 		d.lengths[specifier.StepID{Job: job.ID, Step: i}] = seconds(length)
+		job.Steps[i].Checkpointing = d.checkpointInterval > 0
 		job.Steps[i].Estimate = seconds(length * math.Exp(estimateSpread*d.random.NormFloat64()))
 		chain += seconds(length) + job.Queue.Advice.Fixed + 30*job.Queue.Advice.PerServer
 	}
@@ -285,3 +292,21 @@
 	b.ReportMetric(sum.FastUse/days, "fast-use/op")
 	b.ReportMetric(float64(sum.Violations)/days, "violations/op")
 }
+
+// BenchmarkStragglers compares days with and without moves of tasks that are far behind, as in
+// go test ./conductor -run - -bench Stragglers -benchtime 4x.
+func BenchmarkStragglers(b *testing.B) {
+	for _, day := range []struct {
+		name string
+		unevenOptions
+	}{
+		{"slowed", unevenOptions{Load: 0.85, Slowed: 40}},
+		{"quiet", unevenOptions{Load: 0.85}},
+	} {
+		for _, moves := range []bool{false, true} {
+			o := day.unevenOptions
+			o.Checkpoints, o.Moves = true, moves
+			b.Run(fmt.Sprintf("%s/moves=%t", day.name, moves), func(b *testing.B) { playUnevenDays(b, o) })
+		}
+	}
+}
--- a/migrator/decision.go
+++ b/migrator/decision.go
@@ -15,6 +15,8 @@
 	startTime = 100 * time.Millisecond
 	// doneShare is the part of the work that a task on a server that is slower than known is assumed to have done. Nothing reports it.
 	doneShare = 0.5
+	// minBeside is the number of other runs on a server from which on they say whether it is slower than known.
+	minBeside = 2
 )
 
 // Task is a running task, and the server to which it could move.
@@ -71,8 +73,8 @@
 	}
 	lost := d.Discarded.Seconds() / elapsed
 	var stay, rest float64
-	if done := elapsed * speed / work; done < farBehind {
-		// The speed of the server explains the delay.
+	if done := elapsed * speed / work; done < 1 || done < farBehind && !t.serverIsSuspect() {
+		// The known speed of the server explains the delay.
 		remaining := math.Max(1-done, taskSpread) * work
 		stay, rest = remaining/speed, remaining+lost*elapsed*speed
 	} else {
@@ -89,6 +91,11 @@
 	return d
 }
 
+// serverIsSuspect reports whether most of several runs beside the task are far behind, too.
+func (t Task) serverIsSuspect() bool {
+	return t.Beside >= minBeside && 2*t.BesideBehind > t.Beside
+}
+
 // Text describes the decision and its inputs.
 func (d Decision) Text(t Task) string {
 	return fmt.Sprintf("ran for %s, others of its step for %s (%d ends); speed %.2f at %d%%, %.2f there; %d of %d runs beside it are behind; "+
