--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -173,6 +173,7 @@
 		coordinator.WithConductor(
 			conductor.WithMaximumLease(p.settings.MaximumLease()),
 			conductor.WithFarFactor(p.settings.FarFactor),
+			conductor.WithCheckpoints(p.settings.Checkpoints()),
 			conductor.WithFinalStateRetention(time.Duration(p.settings.StateKeptSeconds)*time.Second+stateMargin),
 		),
 	)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -92,11 +92,11 @@
 	teams    teams
 	speeds   speeds
 	nearness nearness
+	shard    shard
+	borrower borrower
+	lender   lender
 	// migrations are the tasks that move because they are far behind their step.
 	migrations migrations
-	shard      shard
-	borrower   borrower
-	lender     lender
 	// restoredStarts has what the records say of the predecessor's last starts, until the next plan.
 	restoredStarts restoredStarts
 	unanswered     unanswered
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -73,11 +73,11 @@
 	resolvedAt time.Time
 	// resends is how often the start was sent again.
 	resends int
-	// orphan runs were reported by the server without being recorded for it.
-	orphan   bool
-	stopping bool
 	// percent is the part of its speed that the server reports to allow the run.
-	percent    int
+	percent int
+	// orphan runs were reported by the server without being recorded for it.
+	orphan     bool
+	stopping   bool
 	stopSentAt time.Time
 	// startedAt is when the start was sent last, and firstSentAt when it was sent first.
 	startedAt   time.Time
