--- a/conductor/migrate_test.go
+++ b/conductor/migrate_test.go
@@ -27,6 +27,8 @@
 	stragglerTraffic = 16 * time.Second
 	stragglerLength  = 40 * time.Second
 	stragglerStretch = 4
+	// moveFaultSeeds is the number of cases of TestMovesUnderFaults. The seed of each is its number.
+	moveFaultSeeds = 20
 )
 
 func newStragglerDay(t *testing.T, seed uint64, moves bool, advice bool, team string) *stragglerDay {
@@ -182,3 +184,29 @@
 		t.Logf("limit of %d cores: at most %d millicores, %d moves", cores, d.quota.most["a"], len(d.moves))
 	}
 }
+
+// TestMovesUnderFaults guards against violated rules and unfinished jobs when servers or the owner fail during moves.
+func TestMovesUnderFaults(t *testing.T) {
+	kinds := []string{"Silent", "Crash", "LoseAnswers", "DelayStarts", "StoreDown", "LoseOwner", "CrashOwner", "NoConnections"}
+	moves := 0
+	for seed := range uint64(moveFaultSeeds) {
+		d := newStragglerDay(t, seed, true, seed%2 == 0, "")
+		d.onMove = func(move conductor.Decision) {
+			if d.random.IntN(6) > 0 {
+				return
+			}
+			target, _, _ := strings.Cut(strings.TrimPrefix(move.Detail, "to "), ";")
+			d.schedule(scriptEvent{
+				At: d.now.Sub(d.start).Seconds() + d.random.Float64(), Kind: kinds[d.random.IntN(len(kinds))],
+				Server: []string{string(move.Server), target}[d.random.IntN(2)], For: 0.2 + 4*d.random.Float64(),
+			})
+		}
+		d.runUntil(3 * stragglerLength)
+		moves += len(d.moves)
+		require.Empty(t, d.violations, "seed %d", seed)
+		for _, job := range d.submitted {
+			require.Equal(t, specifier.Completed, d.state(job.ID), "seed %d, job %s", seed, job.ID)
+		}
+	}
+	t.Logf("%d moves", moves)
+}
