conductor: tests of the kept place and of a single move

Cause: no test failed when the former place was not kept, or when a task could move again. Change: other tasks compete for the place of a task whose move is refused, and new servers of moved tasks become slow. Measured: go test ./conductor -run 'RefusedMove|MovesOnce': without the kept place TestRefusedMoveReturns fails, without the rule of the first run TestTaskMovesOnce does; both pass on this code.

--- a/conductor/migrate_test.go
+++ b/conductor/migrate_test.go
@@ -42,6 +42,7 @@
 	for i := range 30 {
 		s := d.servers[specifier.ServerID(fmt.Sprintf("i-%02d", i))]
 		s.server.Capacity = specifier.Resources{MilliCores: 16000, MemoryMB: 65536}
+		s.server.Labels = []string{string(s.server.ID)}
 		s.speed = []float64{0.7, 0.7, 1.7}[i%3]
 		if i%5 == 0 {
 			d.at(d.start.Add(12*time.Second), func() { s.slowUntil, s.slowFactor = d.now.Add(3*time.Second), 5 })
@@ -71,6 +72,12 @@
 	return d
 }
 
+// targetOf returns the server to which a task moves.
+func targetOf(move conductor.Decision) specifier.ServerID {
+	target, _, _ := strings.Cut(strings.TrimPrefix(move.Detail, "to "), ";")
+	return specifier.ServerID(target)
+}
+
 // late returns the number of jobs that did not end within their objective.
 func (d *stragglerDay) late() int {
 	late := 0
@@ -125,14 +132,29 @@
 	}
 }
 
+// TestTaskMovesOnce guards against tasks that move from server to server while several of them are slow.
+func TestTaskMovesOnce(t *testing.T) {
+	d := newStragglerDay(t, 1, true, false, "")
+	d.onMove = func(move conductor.Decision) {
+		s := d.servers[targetOf(move)]
+		s.slowUntil, s.slowFactor = d.now.Add(3*time.Second), 60
+	}
+	d.runUntil(3 * stragglerLength)
+	require.NotEmpty(t, d.moves)
+	d.requireRules(t)
+}
+
 // TestRefusedMoveReturns guards against a job that has fewer runs than before for long because the new server of a task refuses it.
 func TestRefusedMoveReturns(t *testing.T) {
 	for _, advice := range []bool{false, true} {
 		t.Run(fmt.Sprintf("advice=%t", advice), func(t *testing.T) {
 			d := newStragglerDay(t, 1, true, advice, "")
 			d.onMove = func(move conductor.Decision) {
-				target, _, _ := strings.Cut(strings.TrimPrefix(move.Detail, "to "), ";")
-				d.servers[specifier.ServerID(target)].refusesUntil = d.now.Add(2 * time.Second)
+				d.servers[targetOf(move)].refusesUntil = d.now.Add(2 * time.Second)
+				// These tasks take what becomes free on the former server.
+				number := 1000 + len(d.moves)
+				filler := newJob(number, jobOptions{Tasks: 40, MilliCores: 1000, Seconds: 0.5, Label: string(move.Server), Priority: 2})
+				d.after(0, func() { d.submit(filler) })
 			}
 			d.runUntil(stragglerLength)
 			d.requireRules(t)
@@ -195,10 +217,9 @@
 			if d.random.IntN(6) > 0 {
 				return
 			}
-			target, _, _ := strings.Cut(strings.TrimPrefix(move.Detail, "to "), ";")
 			d.schedule(scriptEvent{
 				At: d.now.Sub(d.start).Seconds() + d.random.Float64(), Kind: kinds[d.random.IntN(len(kinds))],
-				Server: []string{string(move.Server), target}[d.random.IntN(2)], For: 0.2 + 4*d.random.Float64(),
+				Server: []string{string(move.Server), string(targetOf(move))}[d.random.IntN(2)], For: 0.2 + 4*d.random.Float64(),
 			})
 		}
 		d.runUntil(3 * stragglerLength)
