--- a/accountant/outlook.go
+++ b/accountant/outlook.go
@@ -16,8 +16,8 @@
 	// overrunShare divides the estimate of a run that has taken longer to get the time that it is expected to take still. Estimates are
 	// off by half and more.
 	overrunShare = 4
-	// stoppingTime is how long a run that is being stopped should last; the platform states 900 ms.
-	stoppingTime = time.Second
+	// StoppingTime is how long a run that is being stopped should last; the platform states 900 ms.
+	StoppingTime = time.Second
 )
 
 // Run is what the end of a run is expected from.
@@ -33,7 +33,7 @@
 func (r Run) rest(now time.Time) time.Duration {
 	switch {
 	case r.Stopping:
-		return stoppingTime
+		return StoppingTime
 	case r.StartedAt.IsZero():
 		return r.Estimate
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -97,6 +97,8 @@
 	shard    shard
 	borrower borrower
 	lender   lender
+	// migrations are the tasks that move because they are far behind their step.
+	migrations migrations
 	// restoredStarts has what the records say of the predecessor's last starts, until the next plan.
 	restoredStarts restoredStarts
 	unanswered     unanswered
@@ -140,6 +142,7 @@
 	c.teams = newTeams()
 	c.speeds = newSpeeds(c.settings.equalServers)
 	c.forecaster = forecaster.New(forecaster.WithFarFactor(c.settings.farFactor))
+	c.migrations = newMigrations(c.settings)
 	c.borrower = newBorrower(now)
 	c.lender = newLender()
 	return c
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -40,6 +40,9 @@
 	p.permitted = c.permittedSteps()
 	p.findContended()
 	c.updateSpeeds(p)
+	if c.migrate(p) {
+		p.permitted = c.permittedSteps()
+	}
 	c.updateHolds(p)
 	c.setTeamCapacity(p)
 	p.withinWaits = false
