--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -21,9 +21,8 @@
 	maxDeviation = 0.12
 	minEnds      = 8
 	// maxClassDeviation is the standard deviation up to which a server gets a class: the users' fast and slow servers are 0.44 from the
-	// limit between them, which is more than two standard deviations. With 0.16, servers are known a second
-	// later; with 0.24, the speeds of the classes drift apart (TestEndsUntilFastServersAreKnown).
-	maxClassDeviation = 0.2
+	// limit between them, which is nearly three standard deviations.
+	maxClassDeviation = 0.16
 	// minServers is the number of servers with known speeds from which on percentiles are compared, and minKnownShare the part of the
 	// servers with ends whose speeds must be known.
 	minServers    = 10
--- a/calibrator/class.go
+++ b/calibrator/class.go
@@ -15,7 +15,7 @@
 	minSpread = 1.5
 	endSpread = 1.4
 	// earlySpread is the ratio from which on speeds take effect although they are known from earlyEnds ends only. That of equal servers
-	// was up to 1.7 then (TestEqualServersHaveNoClass).
+	// was up to 1.6 then (TestEqualServersHaveNoClass).
 	earlySpread = 2.0
 	earlyEnds   = 4
 	// minClassShare is the part of the servers that are fast, and that are slow, at least. A few servers in trouble do not make all others
--- a/calibrator/doc.go
+++ b/calibrator/doc.go
@@ -8,5 +8,5 @@
 //
 // A server is classified once the standard deviation of its logarithmic speed is at most maxClassDeviation, and the speeds of half of the
 // servers are known from minEnds ends each, or from earlyEnds if they differ by earlySpread. With the users' load
-// that is so after six to eight ends a server on average (TestEndsUntilFastServersAreKnown).
+// that is so after about nine ends a server on average (TestEndsUntilFastServersAreKnown).
 package calibrator
