TestKeysOfCell acts between the calls of the instances

Cause: the test brought the fault about and changed the configuration at a whole second, when instances ask owners for a newer configuration. An answer at that time had the change already, so that the new key was rightly accepted. Change: the fault comes 0.3 s later; no check changes. A store link of the tests that is cut refuses watches, too, like all other calls.

--- a/sharder/store_link_test.go
+++ b/sharder/store_link_test.go
@@ -79,7 +79,14 @@
 // Watch implements keeper.TransactionalStore.
 func (l *storeLink) Watch(ctx context.Context, options keeper.WatchOptions) (keeper.Changes, error) {
 	l.calls.Add(1)
-	return l.TransactionalStore.Watch(ctx, options)
+	if l.cut.Load() {
+		return keeper.Changes{}, keeper.ErrUnavailable
+	}
+	changes, err := l.TransactionalStore.Watch(ctx, options)
+	if l.cut.Load() {
+		return keeper.Changes{}, keeper.ErrUnavailable
+	}
+	return changes, err
 }
 
 // linkedDirectory is the directory of the cell as one instance reads it.
--- a/sharder/teams_test.go
+++ b/sharder/teams_test.go
@@ -169,7 +169,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := teamCell(t, 4)
 				defer c.stop()
-				time.Sleep(12 * time.Second)
+				// Instances ask each other at whole seconds; an answer at the time of the fault may have the change already.
+				time.Sleep(12*time.Second + 300*time.Millisecond)
 				entry, owners := -1, []int(nil)
 				for i, instance := range c.instances {
 					if instance.IsOwner() {
