Build waiting steps in one place, and sort servers by a given preference

Cause: a task that may move built a waiting step with a copy of the times that refresh computes, and collected the servers to which it may move twice. A gang changed the preference of its step and set it back around a sort. Change: newWaitingStep serves both, the servers are collected once, and the preference is a parameter. Behaviour is kept.

--- a/conductor/find_behind.go
+++ b/conductor/find_behind.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"egretring.example/egretring/accountant"
 	"egretring.example/egretring/lifecycler"
@@ -58,16 +59,15 @@
 	s, a := b.session, b.allocation
 	j := c.jobs[a.task.Job]
 	step, _ := j.Step(a.task.StepID)
-	w := &waitingStep{
-		job: j, step: step, waiting: []int{a.task.Index}, due: j.Spec.DueAt(a.task.Occurrence), tier: onTime, preference: matcher.FastFirst,
-	}
 	allowed := objectiveOf(j)
-	if p.now.Sub(w.due) > allowed {
-		allowed *= worthlessAfter
+	w := newWaitingStep(j, step, []int{a.task.Index}, allowed)
+	w.tier, w.preference = onTime, matcher.FastFirst
+	if p.now.After(w.due.Add(allowed)) {
+		w.latestStart = w.worthlessAt.Add(-j.RemainingTime(a.task.Step))
+		w.rank = w.newRank()
 	}
-	w.latestStart = w.due.Add(allowed - j.RemainingTime(a.task.Step))
-	w.rank = w.newRank()
-	to, ticketed := c.bestTarget(p, w, s)
+	targets := c.targets(p, w, s)
+	to, ticketed := c.bestTarget(p.now, w, s, targets)
 	if to == nil || j.advice[step.ID].refuses(s.server) {
 		return
 	}
@@ -82,7 +82,7 @@
 		return
 	}
 	if !ticketed {
-		c.requestTickets(p, w, append(c.targets(p, w, s), s))
+		c.requestTickets(p, w, append(targets, s))
 		return
 	}
 	m := &migration{run: a.run, from: s, to: to, need: a.need, expiresAt: p.now.Add(migrationTimeout)}
@@ -103,9 +103,8 @@
 	return servers
 }
 
-// bestTarget returns the fastest server to which a task may move, and whether there are the tickets that the move needs.
-func (c *Conductor) bestTarget(p *pass, w *waitingStep, from *session) (to *session, ticketed bool) {
-	servers := c.targets(p, w, from)
+// bestTarget returns the fastest of the servers to which a task may move, and whether there are the tickets that the move needs.
+func (c *Conductor) bestTarget(now time.Time, w *waitingStep, from *session, servers []*session) (to *session, ticketed bool) {
 	if len(servers) == 0 {
 		return nil, false
 	}
@@ -113,7 +112,7 @@
 		return servers[0], true
 	}
 	// The tickets have to be valid when the former run has ended, and that for its server, too, in case the other server refuses.
-	validAt := p.now.Add(accountant.StoppingTime)
+	validAt := now.Add(accountant.StoppingTime)
 	if !c.hasTicket(validAt, w, from) {
 		return servers[0], false
 	}
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -75,12 +75,11 @@
 
 // fill returns a server for each task, or nil when not all fit.
 func (w *waitingStep) fill(servers []*session) []*session {
-	if w.preference != matcher.None {
-		preference := w.preference
-		defer func() { w.preference = preference }()
-		w.preference = preference.ForGang(len(w.waiting), w.places(servers))
+	preference := w.preference
+	if preference != matcher.None {
+		preference = preference.ForGang(len(w.waiting), w.places(servers))
 	}
-	w.sortByPreference(servers)
+	w.sortServers(servers, preference)
 	var chosen []*session
 	for _, s := range servers {
 		for range min(w.fits(s), len(w.waiting)-len(chosen)) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -7,6 +7,7 @@
 
 	"egretring.example/egretring/arbiter"
 	"egretring.example/egretring/lifecycler"
+	"egretring.example/egretring/matcher"
 	"egretring.example/egretring/specifier"
 )
 
@@ -193,15 +194,14 @@
 	return count
 }
 
-// sortByPreference sorts the servers by how well they suit the step: those near its data first, then those without
-// earlier failures of the job, then those of a speed that it prefers, then those with the least free cores, so that large tasks find large free capacity
-// elsewhere.
-func (w *waitingStep) sortByPreference(servers []*session) {
+// sortServers sorts the servers by how well they suit the step: those near its data first, then those without earlier failures of the
+// job, then those of a preferred speed, then those with the least free cores, so that large tasks find large free capacity elsewhere.
+func (w *waitingStep) sortServers(servers []*session, preference matcher.Preference) {
 	slices.SortFunc(servers, func(a, b *session) int {
 		return cmp.Or(
 			compareBool(a.server.HasLabel(w.step.Spec.PreferredRack), b.server.HasLabel(w.step.Spec.PreferredRack)),
 			compareBool(!w.job.avoid[a.server.ID], !w.job.avoid[b.server.ID]),
-			w.compareSpeed(a, b),
+			compareSpeed(preference, a, b),
 			cmp.Compare(a.freeCapacity().MilliCores, b.freeCapacity().MilliCores),
 			cmp.Compare(a.server.ID, b.server.ID),
 		)
@@ -227,7 +227,7 @@
 // placeTasks places as many waiting tasks as fit, and reports whether it placed any.
 func (c *Conductor) placeTasks(p *pass, w *waitingStep, servers []*session) bool {
 	servers = slices.DeleteFunc(servers, func(s *session) bool { return w.fits(s) == 0 })
-	w.sortByPreference(servers)
+	w.sortServers(servers, w.preference)
 	placed := false
 	var suspects []int
 	for _, index := range w.waiting {
--- a/conductor/speeds.go
+++ b/conductor/speeds.go
@@ -265,12 +265,12 @@
 	}, matcher.Speeds{Slow: slow, Fast: fast})
 }
 
-// compareSpeed orders the server first whose speed the step prefers.
-func (w *waitingStep) compareSpeed(a, b *session) int {
-	if w.preference == matcher.None {
+// compareSpeed orders the server of the preferred speed first.
+func compareSpeed(preference matcher.Preference, a, b *session) int {
+	if preference == matcher.None {
 		return 0
 	}
-	return w.preference.Rank(a.class, a.reserved) - w.preference.Rank(b.class, b.reserved)
+	return preference.Rank(a.class, a.reserved) - preference.Rank(b.class, b.reserved)
 }
 
 // compareNamed orders the server first that a call should name for its speed: one on which a task should still fit after the calls in flight
@@ -284,7 +284,7 @@
 	if order := compareBool(w.shouldFit(a), w.shouldFit(b)); order != 0 {
 		return order
 	}
-	return w.compareSpeed(a, b)
+	return compareSpeed(w.preference, a, b)
 }
 
 // shouldFit reports whether a task fits the part of the free capacity that should be left by the calls in flight that name the server.
--- a/conductor/waiting_step.go
+++ b/conductor/waiting_step.go
@@ -89,13 +89,7 @@
 		if len(waiting) == 0 {
 			continue
 		}
-		due := j.Spec.DueAt(step.ID.Occurrence)
-		w := &waitingStep{
-			job: j, step: step, waiting: waiting, due: due, worthlessAt: due.Add(worthlessAfter * allowed),
-			latestStart: due.Add(allowed - j.RemainingTime(step.ID.Step)),
-			stepDue:     due.Add(j.CriticalPath() - j.RemainingTime(step.ID.Step)),
-		}
-		w.rank = w.newRank()
+		w := newWaitingStep(j, step, waiting, allowed)
 		before := previous[step.ID]
 		w.fresh = before == nil || before.fresh
 		if before != nil {
@@ -110,6 +104,17 @@
 	}
 }
 
+// newWaitingStep returns a step of a job whose objective allows an occurrence a time.
+func newWaitingStep(j *job, step *lifecycler.Step, waiting []int, allowed time.Duration) *waitingStep {
+	due, remaining := j.Spec.DueAt(step.ID.Occurrence), j.RemainingTime(step.ID.Step)
+	w := &waitingStep{
+		job: j, step: step, waiting: waiting, due: due, worthlessAt: due.Add(worthlessAfter * allowed),
+		latestStart: due.Add(allowed - remaining), stepDue: due.Add(j.CriticalPath() - remaining),
+	}
+	w.rank = w.newRank()
+	return w
+}
+
 // maxObjective bounds the time in which a job should complete, so that worthlessAfter times as much does not overflow.
 const maxObjective = 80 * 365 * 24 * time.Hour
 
