--- a/conductor/busy_cell_test.go
+++ b/conductor/busy_cell_test.go
@@ -1,7 +1,6 @@
 package conductor_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,9 +21,6 @@
 // requireOneRun checks the rules, and that a job has completed.
 func (w *simulation) requireOneRun(job specifier.Job) {
 	w.t.Helper()
-	if len(w.violations) > 0 {
-		w.t.Log(strings.Join(w.decisions, "\n"))
-	}
-	require.Empty(w.t, w.violations)
+	w.requireNoViolations()
 	require.Equal(w.t, specifier.Completed, w.state(job.ID))
 }
--- a/conductor/quota_shards_test.go
+++ b/conductor/quota_shards_test.go
@@ -2,12 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
-
-	"github.com/stretchr/testify/require"
-
-	"egretring.example/egretring/specifier"
 )
 
 // TestRandomFaultsOfShardsKeepQuotas guards against runs of a team that are not counted because their server has moved to another shard,
@@ -52,14 +47,9 @@
 			}
 			w.at(w.start.Add(seconds(40)), func() { w.configure(limits(200, 1)) })
 			w.runUntil(seconds(150))
-			if len(w.violations) > 0 {
-				t.Log(strings.Join(w.decisions, "\n"))
-			}
-			require.Empty(t, w.violations)
-			for _, job := range w.submitted {
-				require.True(t, w.state(job.ID).Final(), "job %s is %s", job.ID, stateNames[w.state(job.ID)])
-				require.NotEqual(t, specifier.Failed, w.state(job.ID), "job %s", job.ID)
-			}
+			w.requireNoViolations()
+			w.requireEnded()
+			w.requireNoneFailed()
 		})
 	}
 }
--- a/conductor/random_restart_test.go
+++ b/conductor/random_restart_test.go
@@ -3,11 +3,8 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/require"
-
 	"egretring.example/egretring/specifier"
 )
 
@@ -48,13 +45,8 @@
 		w.restartAndCut(at)
 	}
 	w.runUntil(seconds(200))
-	if len(w.violations) > 0 {
-		t.Log(strings.Join(w.decisions, "\n"))
-	}
-	require.Empty(t, w.violations)
-	for _, job := range w.submitted {
-		require.True(t, w.state(job.ID).Final(), "job %s is %s", job.ID, stateNames[w.state(job.ID)])
-	}
+	w.requireNoViolations()
+	w.requireEnded()
 }
 
 // restartAndCut makes some servers restart and cuts them off soon after, and ends the owner in between in half of the cases.
--- a/conductor/random_test.go
+++ b/conductor/random_test.go
@@ -2,12 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
-
-	"github.com/stretchr/testify/require"
-
-	"egretring.example/egretring/specifier"
 )
 
 const (
@@ -25,15 +20,9 @@
 			w.addRandomJobs()
 			w.addRandomFaults()
 			w.runUntil(seconds(120))
-			if len(w.violations) > 0 {
-				t.Log(strings.Join(w.decisions, "\n"))
-			}
-			require.Empty(t, w.violations)
-			for _, job := range w.submitted {
-				state := w.state(job.ID)
-				require.True(t, state.Final(), "job %s is %s", job.ID, stateNames[state])
-				require.NotEqual(t, specifier.Failed, state, "job %s", job.ID)
-			}
+			w.requireNoViolations()
+			w.requireEnded()
+			w.requireNoneFailed()
 		})
 	}
 }
--- a/conductor/restart_shards_test.go
+++ b/conductor/restart_shards_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -35,14 +34,9 @@
 				w.restartLent(at, specifier.ServerID(fmt.Sprintf("i-%02d", w.random.IntN(servers))))
 			}
 			w.runUntil(seconds(240))
-			if len(w.violations) > 0 {
-				t.Log(strings.Join(w.decisions, "\n"))
-			}
-			require.Empty(t, w.violations)
+			w.requireNoViolations()
 			require.NotEmpty(t, w.transfers)
-			for _, job := range w.submitted {
-				require.True(t, w.state(job.ID).Final(), "job %s is %s", job.ID, stateNames[w.state(job.ID)])
-			}
+			w.requireEnded()
 		})
 	}
 }
--- a/conductor/shards_test.go
+++ b/conductor/shards_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -122,10 +121,7 @@
 			down := w.start.Add(seconds(5 + 15*w.random.Float64()))
 			w.at(down, func() { w.storeDownUntil = w.now.Add(seconds(3 * w.random.Float64())) })
 			w.runUntil(seconds(120))
-			if len(w.violations) > 0 {
-				t.Log(strings.Join(w.decisions, "\n"))
-			}
-			require.Empty(t, w.violations)
+			w.requireNoViolations()
 			for _, job := range w.submitted {
 				require.Equal(t, specifier.Completed, w.state(job.ID), "job %s", job.ID)
 			}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -92,13 +92,18 @@
 	case revision > after:
 		return follower.Change{Changed: true}, nil
 	}
+	return awaitChange(ctx, changed, after, wait), nil
+}
+
+// awaitChange waits until a channel is closed, for at most a given time.
+func awaitChange(ctx context.Context, changed <-chan struct{}, after int64, wait time.Duration) follower.Change {
 	select {
 	case <-changed:
-		return follower.Change{Changed: true}, nil
+		return follower.Change{Changed: true}
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return follower.Change{StoreRevision: after}, nil
+	return follower.Change{StoreRevision: after}
 }
 
 type write struct {
--- a/follower/strict_test.go
+++ b/follower/strict_test.go
@@ -113,13 +113,7 @@
 	if revision > after {
 		return follower.Change{Changed: true}, nil
 	}
-	select {
-	case <-changed:
-		return follower.Change{Changed: true}, nil
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-	return follower.Change{StoreRevision: after}, nil
+	return awaitChange(ctx, changed, after, wait), nil
 }
 
 // answer is a follower.Peer that asks the instance.
