Steps that wait use held servers only while a service stays idle

Cause: other steps may use servers that are held for a late step while the service is not busy. That was judged by the state of the moment, so that a gang beyond the rate of its team never started: whenever all servers became free at once, a gang within rates that had waited for 2 s took those that were held. Change: a service counts as idle once it has not been busy for a second. The platform accepts 3 s without a start while much capacity is free.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -49,8 +49,10 @@
 	reservation advisorReservation
 	// holdNotBefore is, for each service, the earliest time of the next hold after one that expired.
 	holdNotBefore map[string]time.Time
-	lanes         [CommitLanes]lane
-	dirty         []*job
+	// busyAt is when each service was last busy.
+	busyAt map[string]time.Time
+	lanes  [CommitLanes]lane
+	dirty  []*job
 	// unwritable are the jobs whose record the store does not accept, until it is tried again.
 	unwritable map[*job]bool
 	advisors   adviser.Pool
@@ -124,6 +126,7 @@
 		cancelledEarly: make(map[specifier.JobID]bool),
 		holds:          make(map[string]*hold),
 		holdNotBefore:  make(map[string]time.Time),
+		busyAt:         make(map[string]time.Time),
 		needsAdvice:    make(map[string]adviceTurn),
 		renewalPass:    throttle{interval: renewalPassInterval},
 		sweepPass:      throttle{interval: sweepInterval},
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -34,9 +34,12 @@
 	// holdSpare divides the tasks of a gang to get the number of tasks for which spare servers are held, so that a
 	// straggler on one server does not delay the gang.
 	holdSpare = 4
-	// heldPatience is how long tasks that last, and all steps while a service is not busy, leave held servers to the steps for which
+	// heldPatience is how long tasks that last, and all steps while a service is idle, leave held servers to the steps for which
 	// they are held. The platform wants such tasks to run again within six seconds.
 	heldPatience = 2 * time.Second
+	// idleAfter is how long a service has not been busy when it counts as idle. Servers are often free for a moment between the runs
+	// of two gangs. The platform accepts 3 s without a start while much capacity is free.
+	idleAfter = time.Second
 	// backfillMargin is how long before the expected start of a step the runs on the servers that are held for it should end.
 	backfillMargin = 200 * time.Millisecond
 )
@@ -58,7 +61,7 @@
 	priority int
 	// startAt is when the tasks of the step are expected to fit the servers that are held for it.
 	startAt time.Time
-	// yields is set while the service is not busy.
+	// yields is set while the service is idle.
 	yields bool
 }
 
@@ -139,7 +142,7 @@
 func (c *Conductor) hold(p *pass, w *waitingStep, servers []*session) {
 	holder := &holder{
 		step: w.step.ID, priority: w.job.queue.Priority, startAt: c.expectedStart(p.now, w, servers),
-		yields: !isBusy(p.usable[w.job.queue.Service]),
+		yields: p.now.Sub(c.busyAt[w.job.queue.Service]) >= idleAfter,
 	}
 	for _, s := range servers {
 		if s.holder == nil {
--- a/conductor/pass.go
+++ b/conductor/pass.go
@@ -91,10 +91,13 @@
 	}
 }
 
-// findContended finds the services that are contended.
-func (p *pass) findContended() {
+// findContended finds the services that are busy and those that are contended.
+func (c *Conductor) findContended(p *pass) {
 	for service, servers := range p.usable {
-		p.contended[service] = isBusy(servers) && p.hasBacklog(service)
+		if isBusy(servers) {
+			c.busyAt[service] = p.now
+			p.contended[service] = p.hasBacklog(service)
+		}
 	}
 }
 
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -39,7 +39,7 @@
 	c.markBeyond(now)
 	c.chooseClaims(now)
 	p.permitted = c.permittedSteps()
-	p.findContended()
+	c.findContended(p)
 	c.updateSpeeds(p)
 	if c.migrate(p) {
 		p.permitted = c.permittedSteps()
@@ -150,7 +150,7 @@
 }
 
 // isHeldFrom reports whether the server is held for another step of the same or a higher priority that could start before a run of
-// this step, started now, should end. Tasks that last, and all steps while much capacity is free, use held servers after a short wait.
+// this step, started now, should end. Tasks that last, and all steps while the service is idle, use held servers after a short wait.
 func (w *waitingStep) isHeldFrom(now time.Time, s *session) bool {
 	h := s.holder
 	if h == nil || h.step == w.step.ID || w.job.queue.Priority < h.priority {
