Each waiting step borrows idle servers of its own

Cause: a step that waits for capacity counted all borrowed servers as if they were empty and for it alone, and the lender counted each server on its way for all wishes of a shard. A shard with a backlog therefore got no more idle servers than its widest step needs. Change: for steps that fit their shard, only what is free on borrowed servers counts, for one step; a server that is on its way counts for one wish. Measured: TestEachWaitingStepBorrows and TestIdleServersAreLentToEachStep failed before.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -74,9 +74,10 @@
 	usable := c.usableByHome(now)
 	borrowing := c.stepsThatBorrow(now, usable)
 	sortBorrowing(borrowing)
+	free := newFreeCapacity(usable.foreign)
 	for i, b := range borrowing {
 		if b.step.wait.borrows = i < maxBorrowingSteps; b.step.wait.borrows {
-			c.ask(now, b.step, b.wanted, usable)
+			c.ask(now, b.step, b.wanted, usable, free)
 		}
 	}
 	if len(c.borrower.needs) > 0 {
@@ -125,7 +126,7 @@
 
 func (c *Conductor) usableByHome(now time.Time) serversByHome {
 	var usable serversByHome
-	for _, s := range c.sessions {
+	for _, s := range c.orderedSessions() {
 		switch {
 		case !s.available(now):
 		case s.foreign:
@@ -226,13 +227,15 @@
 	return !w.wait.since.IsZero() && now.Sub(w.wait.since) >= limit
 }
 
-// ask records that a step needs foreign servers, and asks other shards for those that it lacks.
-func (c *Conductor) ask(now time.Time, w *waitingStep, wanted ServersWanted, usable serversByHome) {
+// ask records that a step needs foreign servers, and asks other shards for those that it lacks. A step that fits the shard waits for
+// capacity, so that only what is free on the borrowed servers counts for it, and counts for no other such step.
+func (c *Conductor) ask(now time.Time, w *waitingStep, wanted ServersWanted, usable serversByHome, free freeCapacity) {
 	adv := w.job.advice[w.step.ID]
 	home, foreign := w.tasksThatFit(wanted, usable.home), w.tasksThatFit(wanted, usable.foreign)
-	missing := wanted.Tasks - foreign
-	if !wanted.IdleOnly {
-		missing -= home
+	missing := wanted.Tasks - foreign - home
+	if wanted.IdleOnly {
+		foreign = free.take(w, wanted, usable.foreign)
+		missing = wanted.Tasks - foreign
 	}
 	if adv != nil {
 		for id := range adv.refused {
@@ -266,6 +269,35 @@
 	c.emit(Borrow{Wanted: wanted})
 }
 
+// freeCapacity is the free capacity of borrowed servers that no step counts on yet.
+type freeCapacity map[*session]specifier.Resources
+
+func newFreeCapacity(servers []*session) freeCapacity {
+	free := make(freeCapacity, len(servers))
+	for _, s := range servers {
+		free[s] = s.freeCapacity()
+	}
+	return free
+}
+
+// take returns how many tasks of a step, up to the wanted number, fit the free capacity, and takes it.
+func (f freeCapacity) take(w *waitingStep, wanted ServersWanted, servers []*session) int {
+	adv := w.job.advice[w.step.ID]
+	taken := 0
+	for _, s := range servers {
+		if taken >= wanted.Tasks {
+			break
+		}
+		if adv.refuses(s.server) || wanted.fitsEmpty(s.server) == 0 {
+			continue
+		}
+		n := w.need().Count(f[s], min(w.limitOn(s), wanted.Tasks-taken))
+		f[s] = f[s].Minus(w.need().Times(n))
+		taken += n
+	}
+	return taken
+}
+
 // logAsked logs a wish unless it repeats the one before.
 func (c *Conductor) logAsked(w *waitingStep, detail string) {
 	if w.wait.asked != detail {
--- a/conductor/borrow_test.go
+++ b/conductor/borrow_test.go
@@ -64,3 +64,64 @@
 		return b.Wanted.Step.Job == wide
 	}))
 }
+
+// TestEachWaitingStepBorrows guards against a backlog in one shard beside idle servers in another one, because the servers that
+// one step has borrowed count for all others, too.
+func TestEachWaitingStepBorrows(t *testing.T) {
+	o := newShardOwner()
+	queue := specifier.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second}
+	full := specifier.Resources{MilliCores: 64000}
+	const steps = 4
+	servers := []specifier.Server{serverAt("1")}
+	var lent []conductor.Transfer
+	for i := range steps {
+		server := serverAt("0")
+		server.ID, server.Address = specifier.ServerID(fmt.Sprintf("f-%d", i)), fmt.Sprintf("f-%d", i)
+		servers = append(servers, server)
+		lent = append(lent, conductor.Transfer{Server: server.ID, Shard: 1, Home: 0, Epoch: lendEpoch, Revision: int64(130 + i)})
+	}
+	// The first task occupies the server because its record is never committed.
+	for i := range steps + 1 {
+		o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+			ID: specifier.JobID(fmt.Sprintf("%016x", i)), AcceptedAt: o.now, Queue: queue,
+			Steps: []specifier.Step{{Count: 1, Need: full, Estimate: time.Second}},
+		}})
+	}
+	for n := range steps {
+		o.Handle(o.now, conductor.ServersListed{Servers: servers, Transfers: lent[:n]})
+		var asked []specifier.JobID
+		for _, b := range commandsOf[conductor.Borrow](o.planFor(5 * time.Second)) {
+			if !slices.Contains(asked, b.Wanted.Step.Job) {
+				asked = append(asked, b.Wanted.Step.Job)
+			}
+		}
+		require.Len(t, asked, steps-n, "%d servers are borrowed", n)
+	}
+}
+
+// TestIdleServersAreLentToEachStep guards against a shard with idle servers that lends no more of them than the widest step of another
+// shard needs.
+func TestIdleServersAreLentToEachStep(t *testing.T) {
+	o := newShardOwner()
+	var servers []specifier.Server
+	for i := range 8 {
+		server := serverAt("1")
+		server.ID, server.Address = specifier.ServerID(fmt.Sprintf("h-%d", i)), fmt.Sprintf("h-%d", i)
+		servers = append(servers, server)
+	}
+	for range 2 {
+		o.Handle(o.now, conductor.ServersListed{Servers: servers})
+		o.planFor(100 * time.Millisecond)
+	}
+	for i := range 2 {
+		o.Handle(o.now, conductor.ServersWanted{
+			Step: specifier.StepID{Job: specifier.JobID(fmt.Sprintf("%016x", i))}, Shard: 0, Epoch: 110, Service: "s",
+			Need: specifier.Resources{MilliCores: 60000}, Tasks: 3, ReadRevision: lendEpoch, IdleOnly: true,
+		})
+	}
+	lent := 0
+	for _, move := range commandsOf[conductor.Move](o.planFor(200 * time.Millisecond)) {
+		lent += len(move.To)
+	}
+	require.Equal(t, 6, lent)
+}
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -121,8 +121,9 @@
 		}
 	}
 	slices.SortFunc(wishes, func(a, b *wish) int { return compareAge(a.ServersWanted, b.ServersWanted) })
+	counted := make(map[specifier.ServerID]bool)
 	for _, w := range wishes {
-		c.choose(now, w, previous)
+		c.choose(now, w, previous, counted)
 	}
 	c.moveLent()
 	if len(previous) > 0 {
@@ -161,8 +162,8 @@
 // choose chooses servers for a wish until they and those on their way fit the wanted tasks. Those that are kept for urgent steps come
 // last, and are not lent to steps that fit elsewhere. Otherwise idle servers come first, then
 // those that were chosen before, then those with the least used cores.
-func (c *Conductor) choose(now time.Time, w *wish, previous map[specifier.ServerID]bool) {
-	fitting := c.tasksOnTheWay(w)
+func (c *Conductor) choose(now time.Time, w *wish, previous, counted map[specifier.ServerID]bool) {
+	fitting := c.tasksOnTheWay(w, counted)
 	var candidates []*session
 	for _, s := range c.sessions {
 		// Servers that are held for a step of this shard are not lent.
@@ -194,21 +195,32 @@
 		}
 		s.lentTo = w
 		fitting += w.fitsEmpty(s.server)
+		counted[s.server.ID] = counted[s.server.ID] || w.IdleOnly
 	}
 }
 
 // tasksOnTheWay returns how many of the wanted tasks fit the servers that are chosen for the shard that borrows, and those
-// that were transferred to it and that it did not know of when it sent the wish.
-func (c *Conductor) tasksOnTheWay(w *wish) int {
+// that were transferred to it and that it did not know of when it sent the wish. A server counts for one wish for idle servers only:
+// otherwise the shard would get no more of them than its widest step needs, however many steps wait.
+func (c *Conductor) tasksOnTheWay(w *wish, counted map[specifier.ServerID]bool) int {
 	fitting := 0
-	for id, s := range c.sessions {
-		if s.lentTo != nil && s.lentTo.Shard == w.Shard && !w.refused[id] {
-			fitting += w.fitsEmpty(s.server)
+	add := func(id specifier.ServerID, server specifier.Server) {
+		if w.refused[id] || w.IdleOnly && (counted[id] || fitting >= w.Tasks) {
+			return
+		}
+		if tasks := w.fitsEmpty(server); tasks > 0 {
+			fitting += tasks
+			counted[id] = counted[id] || w.IdleOnly
+		}
+	}
+	for _, s := range c.orderedSessions() {
+		if s.lentTo != nil && s.lentTo.Shard == w.Shard {
+			add(s.id, s.server)
 		}
 	}
 	for id, t := range c.shard.transfers {
-		if t.Shard == w.Shard && t.Revision > w.ReadRevision && !w.refused[id] {
-			fitting += w.fitsEmpty(c.shard.others[id])
+		if t.Shard == w.Shard && t.Revision > w.ReadRevision {
+			add(id, c.shard.others[id])
 		}
 	}
 	return fitting
