Worthless steps borrow last, and only from shards that are not busy

Cause: with idle servers for each waiting step, the oldest steps borrowed first. Their results had no value any more, and urgent jobs of the shard that lent became late. Change: among steps within rates, those whose results have a value borrow first.

--- a/conductor/borrow.go
+++ b/conductor/borrow.go
@@ -100,7 +100,7 @@
 	slices.SortFunc(steps, func(a, b borrowingStep) int { return cmp.Or(byWidth(a, b), byAge(a, b)) })
 	if len(steps) > maxBorrowingSteps {
 		slices.SortFunc(steps[borrowingForAll:], func(a, b borrowingStep) int {
-			return cmp.Or(byWidth(a, b), compareRate(a.step, b.step), byAge(a, b))
+			return cmp.Or(byWidth(a, b), compareRate(a.step, b.step), compareBool(!a.wanted.Worthless, !b.wanted.Worthless), byAge(a, b))
 		})
 	}
 }
@@ -115,6 +115,7 @@
 		case c.needsForeign(now, w, usable):
 			wanted := w.wanted()
 			wanted.IdleOnly = w.tasksThatFit(wanted, usable.home) >= wanted.Tasks
+			wanted.Worthless = w.tierAt(now) == worthless
 			borrowing = append(borrowing, borrowingStep{w, wanted})
 		}
 	}
--- a/conductor/borrow_test.go
+++ b/conductor/borrow_test.go
@@ -99,10 +99,9 @@
 	}
 }
 
-// TestIdleServersAreLentToEachStep guards against a shard with idle servers that lends no more of them than the widest step of another
-// shard needs.
-func TestIdleServersAreLentToEachStep(t *testing.T) {
-	o := newShardOwner()
+// idleLender returns an owner with eight servers, and lends idle ones for a wish.
+func idleLender() (o *shardOwner, lent func(wanted conductor.ServersWanted) int) {
+	o = newShardOwner()
 	var servers []specifier.Server
 	for i := range 8 {
 		server := serverAt("1")
@@ -113,15 +112,38 @@
 		o.Handle(o.now, conductor.ServersListed{Servers: servers})
 		o.planFor(100 * time.Millisecond)
 	}
-	for i := range 2 {
-		o.Handle(o.now, conductor.ServersWanted{
-			Step: specifier.StepID{Job: specifier.JobID(fmt.Sprintf("%016x", i))}, Shard: 0, Epoch: 110, Service: "s",
-			Need: specifier.Resources{MilliCores: 60000}, Tasks: 3, ReadRevision: lendEpoch, IdleOnly: true,
-		})
+	return o, func(wanted conductor.ServersWanted) int {
+		wanted.Shard, wanted.Epoch, wanted.Service, wanted.ReadRevision, wanted.IdleOnly = 0, 110, "s", lendEpoch, true
+		wanted.Need, wanted.Tasks = specifier.Resources{MilliCores: 60000}, 3
+		o.Handle(o.now, wanted)
+		lent := 0
+		for _, move := range commandsOf[conductor.Move](o.planFor(200 * time.Millisecond)) {
+			lent += len(move.To)
+		}
+		return lent
 	}
-	lent := 0
-	for _, move := range commandsOf[conductor.Move](o.planFor(200 * time.Millisecond)) {
-		lent += len(move.To)
+}
+
+// TestIdleServersAreLentToEachStep guards against a shard with idle servers that lends no more of them than the widest step of another
+// shard needs.
+func TestIdleServersAreLentToEachStep(t *testing.T) {
+	_, lent := idleLender()
+	for i := range 2 {
+		require.Equal(t, 3, lent(conductor.ServersWanted{Step: specifier.StepID{Job: specifier.JobID(fmt.Sprintf("%016x", i))}}))
 	}
-	require.Equal(t, 6, lent)
+}
+
+// TestBusyShardLendsNothingForWorthlessSteps guards against urgent jobs that become late because idle servers run jobs of another shard
+// whose results have no value any more.
+func TestBusyShardLendsNothingForWorthlessSteps(t *testing.T) {
+	o, lent := idleLender()
+	queue := specifier.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second}
+	o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+		ID: "0000000000000001", AcceptedAt: o.now, Queue: queue,
+		Steps: []specifier.Step{{Count: 5, Need: specifier.Resources{MilliCores: 55000}, Estimate: time.Minute}},
+	}})
+	o.planFor(200 * time.Millisecond)
+	step := specifier.StepID{Job: "0000000000000002"}
+	require.Zero(t, lent(conductor.ServersWanted{Step: step, Worthless: true}))
+	require.Positive(t, lent(conductor.ServersWanted{Step: step}))
 }
--- a/conductor/lend.go
+++ b/conductor/lend.go
@@ -19,7 +19,8 @@
 	// levelMargin is by how much the load of a shard that lends idle servers is lower than that of the one that borrows, so that
 	// servers do not move back and forth.
 	levelMargin = 5
-	// maxLenderLoad is the load up to which a shard lends idle servers, so that its own jobs still start at once.
+	// maxLenderLoad is the load up to which a shard lends idle servers, so that its own jobs still start at once. For steps whose
+	// results have no value any more it is busyPercent, from which on the platform lets work wait.
 	maxLenderLoad = 75
 	// fullLoad is the assumed load of a shard that does not send it.
 	fullLoad = 100
--- a/conductor/load.go
+++ b/conductor/load.go
@@ -50,6 +50,9 @@
 // surplus returns how many servers this shard can lend until its load is that of the shard that borrows.
 func (c *Conductor) surplus(now time.Time, w *wish) int {
 	limit := min(cmp.Or(w.Load, fullLoad)-levelMargin, maxLenderLoad)
+	if w.Worthless {
+		limit = min(limit, busyPercent)
+	}
 	load := c.load(now, w.Service)
 	if load >= limit {
 		return 0
