--- a/conductor/borrow_test.go
+++ b/conductor/borrow_test.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// idleLender returns an owner with eight servers, and lends idle ones for a wish.
-func idleLender() (o *shardOwner, lent func(wanted conductor.ServersWanted) int) {
+// idleLender returns an owner with eight servers, and a function that returns how many it lends for wishes.
+func idleLender() (o *shardOwner, lent func(wishes ...conductor.ServersWanted) int) {
 	o = newShardOwner()
 	var servers []specifier.Server
 	for i := range 8 {
@@ -112,10 +112,13 @@
 		o.Handle(o.now, conductor.ServersListed{Servers: servers})
 		o.planFor(100 * time.Millisecond)
 	}
-	return o, func(wanted conductor.ServersWanted) int {
-		wanted.Shard, wanted.Epoch, wanted.Service, wanted.ReadRevision, wanted.IdleOnly = 0, 110, "s", lendEpoch, true
-		wanted.Need, wanted.Tasks = specifier.Resources{MilliCores: 60000}, 3
-		o.Handle(o.now, wanted)
+	return o, func(wishes ...conductor.ServersWanted) int {
+		for i, wanted := range wishes {
+			wanted.Step.Job = specifier.JobID(fmt.Sprintf("%016x", i))
+			wanted.Shard, wanted.Epoch, wanted.Service, wanted.ReadRevision, wanted.IdleOnly = 0, 110, "s", lendEpoch, true
+			wanted.Need, wanted.Tasks = specifier.Resources{MilliCores: 60000}, 3
+			o.Handle(o.now, wanted)
+		}
 		lent := 0
 		for _, move := range commandsOf[conductor.Move](o.planFor(200 * time.Millisecond)) {
 			lent += len(move.To)
@@ -128,9 +131,7 @@
 // shard needs.
 func TestIdleServersAreLentToEachStep(t *testing.T) {
 	_, lent := idleLender()
-	for i := range 2 {
-		require.Equal(t, 3, lent(conductor.ServersWanted{Step: specifier.StepID{Job: specifier.JobID(fmt.Sprintf("%016x", i))}}))
-	}
+	require.Equal(t, 6, lent(conductor.ServersWanted{}, conductor.ServersWanted{}))
 }
 
 // TestBusyShardLendsNothingForWorthlessSteps guards against urgent jobs that become late because idle servers run jobs of another shard
@@ -143,7 +144,6 @@
 		Steps: []specifier.Step{{Count: 5, Need: specifier.Resources{MilliCores: 55000}, Estimate: time.Minute}},
 	}})
 	o.planFor(200 * time.Millisecond)
-	step := specifier.StepID{Job: "0000000000000002"}
-	require.Zero(t, lent(conductor.ServersWanted{Step: step, Worthless: true}))
-	require.Positive(t, lent(conductor.ServersWanted{Step: step}))
+	require.Zero(t, lent(conductor.ServersWanted{Worthless: true}))
+	require.Positive(t, lent(conductor.ServersWanted{}))
 }
