Small instances wait for larger ones that may register again

Cause: after an outage of the store that outlasts the leases of members, instances register again one by one. A small instance whose list of members had only other small ones did not wait in the elections, won both shards within 60 ms, took 2 s to restore the jobs, and handed over 2.5 s later. Change: members that are missing from the list count in elections for another 3 s. Reads for other purposes return the list as it is.

--- a/coordinator/member.go
+++ b/coordinator/member.go
@@ -47,13 +47,14 @@
 }
 
 // electionDelay returns how long this instance waits in an election so that larger ones can win it: the owner's work
-// grows with the cell, and a small instance as the owner would delay all others.
+// grows with the cell, and a small instance as the owner would delay all others. Larger ones that may still register again count,
+// too: after an outage of the store a small instance that registers early would win the elections of all shards.
 func (c *Coordinator) electionDelay(ctx context.Context) time.Duration {
 	var delay time.Duration
 	if c.settings.electionDelay != nil {
 		delay = c.settings.electionDelay()
 	}
-	members, err := c.settings.membership.members(ctx)
+	members, err := c.settings.membership.electors(ctx)
 	if err != nil {
 		c.settings.logger.Info("failed to read the members before an election", "Error", err.Error())
 		return delay
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -42,8 +42,9 @@
 	store keeper.TransactionalStore
 	self  member
 	mu    sync.Mutex
-	// known are the members when they were last read; nil before.
-	known []member
+	// known are the members when they were last read; nil before. missing are those that may register again.
+	known   []member
+	missing missingMembers
 	// read is closed once the members have been read.
 	read     chan struct{}
 	readOnce sync.Once
@@ -54,6 +55,7 @@
 func NewMembership(store keeper.TransactionalStore, instance, address string, processors float64) *Membership {
 	return &Membership{
 		store: store, self: member{Instance: instance, Address: address, Processors: processors}, read: make(chan struct{}),
+		missing: make(missingMembers),
 	}
 }
 
@@ -145,9 +147,24 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
+// electors reads all registered instances, and adds those that may register again.
+func (m *Membership) electors(ctx context.Context) ([]member, error) {
+	members, err := m.members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, missing := range m.missing {
+		members = append(members, missing.member)
+	}
+	return members, nil
+}
+
 func (m *Membership) setKnown(members []member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.missing.update(time.Now(), m.known, members)
 	m.known = slices.Clone(members)
 	m.readOnce.Do(func() { close(m.read) })
 }
