--- a/conductor/lend_test.go
+++ b/conductor/lend_test.go
@@ -170,9 +170,8 @@
 	require.Equal(t, []conductor.Transfer{{Server: "i-1", Shard: 0, Home: 0}}, moves[0].To)
 }
 
-// TestIdleServersAreLentBesideStepThatWaitsForAdvice guards against a shard with idle servers that lends none to one with a
-// backlog, because one of its own steps waits for tickets and not for capacity.
-func TestIdleServersAreLentBesideStepThatWaitsForAdvice(t *testing.T) {
+// newLender returns an owner with eight servers, h-0 to h-7, all idle.
+func newLender() *shardOwner {
 	o := newShardOwner()
 	var servers []specifier.Server
 	for i := range 8 {
@@ -184,6 +183,13 @@
 		o.Handle(o.now, conductor.ServersListed{Servers: servers})
 		o.planFor(100 * time.Millisecond)
 	}
+	return o
+}
+
+// TestIdleServersAreLentBesideStepThatWaitsForAdvice guards against a shard with idle servers that lends none to one with a
+// backlog, because one of its own steps waits for tickets and not for capacity.
+func TestIdleServersAreLentBesideStepThatWaitsForAdvice(t *testing.T) {
+	o := newLender()
 	queue := specifier.Queue{
 		Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second,
 		Advice: specifier.AdviceCost{Needed: true, Fixed: 50 * time.Millisecond, PerServer: time.Millisecond},
@@ -210,3 +216,38 @@
 		require.NotEqual(t, specifier.ServerID("h-1"), transfer.Server, "the step that waits is admitted to it")
 	}
 }
+
+// lendFor returns how many idle servers the owner lends for wishes of three tasks each.
+func (o *shardOwner) lendFor(wishes ...conductor.ServersWanted) int {
+	for i, wanted := range wishes {
+		wanted.Step.Job = specifier.JobID(fmt.Sprintf("%016x", i))
+		wanted.Shard, wanted.Epoch, wanted.Service, wanted.ReadRevision, wanted.IdleOnly = 0, 110, "s", lendEpoch, true
+		wanted.Need, wanted.Tasks = specifier.Resources{MilliCores: 60000}, 3
+		o.Handle(o.now, wanted)
+	}
+	lent := 0
+	for _, move := range commandsOf[conductor.Move](o.planFor(200 * time.Millisecond)) {
+		lent += len(move.To)
+	}
+	return lent
+}
+
+// TestIdleServersAreLentToEachStep guards against a shard with idle servers that lends no more of them than the widest step of another
+// shard needs.
+func TestIdleServersAreLentToEachStep(t *testing.T) {
+	require.Equal(t, 6, newLender().lendFor(conductor.ServersWanted{}, conductor.ServersWanted{}))
+}
+
+// TestBusyShardLendsNothingForWorthlessSteps guards against urgent jobs that become late because idle servers run jobs of another shard
+// whose results have no value any more.
+func TestBusyShardLendsNothingForWorthlessSteps(t *testing.T) {
+	o := newLender()
+	queue := specifier.Queue{Name: "q", Service: "s", Stretch: 2, TargetLatency: time.Second}
+	o.Handle(o.now, conductor.JobArrived{Job: specifier.Job{
+		ID: "0000000000000001", AcceptedAt: o.now, Queue: queue,
+		Steps: []specifier.Step{{Count: 5, Need: specifier.Resources{MilliCores: 55000}, Estimate: time.Minute}},
+	}})
+	o.planFor(200 * time.Millisecond)
+	require.Zero(t, o.lendFor(conductor.ServersWanted{Worthless: true}))
+	require.Positive(t, o.lendFor(conductor.ServersWanted{}))
+}
