Speeds of servers outlast their owner

Cause: a new owner knew no speeds for about five seconds, and placed urgent jobs on slow servers meanwhile. Change: while speeds take effect, the owner stores those of the servers with a class every 5 s, with their incarnations. Its successor reads them once after it has begun. They count like ends from before the takeover, so that new ends outweigh wrong ones. One write each 5 s and one read for each takeover; nothing where servers are alike.

--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -61,9 +61,7 @@
 	}
 	s := c.servers[o.Server]
 	if s == nil {
-		s = &server{id: o.Server, deviation: math.Inf(1)}
-		c.servers[o.Server] = s
-		c.ordered = append(c.ordered, s)
+		s = c.add(o.Server)
 	}
 	e := end{step: c.step(o), run: math.Log(o.Run.Seconds()), at: now, trust: 1}
 	e.step.ends++
@@ -73,6 +71,13 @@
 	c.changed = true
 }
 
+func (c *Calibrator) add(id specifier.ServerID) *server {
+	s := &server{id: id, deviation: math.Inf(1)}
+	c.servers[id] = s
+	c.ordered = append(c.ordered, s)
+	return s
+}
+
 func (c *Calibrator) step(o Observation) *step {
 	known := c.steps[o.Step]
 	if known != nil {
--- a/calibrator/server.go
+++ b/calibrator/server.go
@@ -42,6 +42,8 @@
 	ends []end
 	// next is the index of the oldest end once there are keptEnds.
 	next int
+	// prior is nil if no speed was restored.
+	prior *prior
 	// speed is the logarithm of the speed relative to the average, and deviation its standard deviation.
 	speed, deviation float64
 	class            Class
@@ -65,9 +67,12 @@
 	weight := 1.0
 	for i := range s.ends {
 		e := &s.ends[(s.next+len(s.ends)-1-i)%len(s.ends)]
-		e.weight = weight * math.Exp2(-now.Sub(e.at).Seconds()/ageHalfLife.Seconds())
+		e.weight = weight * ageWeight(now.Sub(e.at))
 		weight *= endDecay
 	}
+	if s.prior != nil {
+		s.prior.weight = weight * ageWeight(now.Sub(s.prior.recordedAt))
+	}
 }
 
 // addToSteps adds the ends to the sums of their steps. It returns the steps to which it is the first to add in this sweep.
@@ -87,8 +92,12 @@
 
 // update estimates the speed from what the steps' other runs and the estimates say about the work of each run.
 func (s *server) update() {
-	var precision, sum float64
-	if len(s.ends) < firstEnds {
+	precision := s.prior.precision()
+	sum := 0.0
+	switch {
+	case s.prior != nil:
+		sum = precision * s.prior.speed
+	case len(s.ends) < firstEnds:
 		precision = 1
 	}
 	for i := range s.ends {
@@ -111,7 +120,7 @@
 	s.speed, s.deviation = sum/precision, 1/math.Sqrt(precision)
 }
 
-// knownFrom reports whether the speed is known from a number of ends and with a standard deviation.
+// knownFrom reports whether the speed is known from a number of ends and with a standard deviation. A restored speed was known from enough.
 func (s *server) knownFrom(ends int, deviation float64) bool {
-	return s.deviation <= deviation && len(s.ends) >= ends
+	return s.deviation <= deviation && (s.prior != nil || len(s.ends) >= ends)
 }
--- a/conductor/command.go
+++ b/conductor/command.go
@@ -80,6 +80,16 @@
 // Refuse states the refusals of submissions that are in force from now on, instead of all earlier ones.
 type Refuse struct{ Refusals []rater.Refusal }
 
+// RecordSpeeds stores the speeds of servers for the next owner, instead of those stored before.
+type RecordSpeeds struct{ Speeds []ServerSpeed }
+
+// ServerSpeed is the speed of an incarnation of a server relative to the average of the shard's servers.
+type ServerSpeed struct {
+	Server      specifier.ServerID
+	Incarnation int64
+	Factor      float64
+}
+
 // DeleteJobs deletes the keys of jobs whose final state has exceeded its retention.
 type DeleteJobs struct{ Jobs []specifier.JobID }
 
@@ -92,12 +102,13 @@
 	Detail string
 }
 
-func (Commit) command()     {}
-func (Start) command()      {}
-func (Stop) command()       {}
-func (Renew) command()      {}
-func (Advise) command()     {}
-func (Resign) command()     {}
-func (Refuse) command()     {}
-func (DeleteJobs) command() {}
-func (Decision) command()   {}
+func (Commit) command()       {}
+func (Start) command()        {}
+func (Stop) command()         {}
+func (Renew) command()        {}
+func (Advise) command()       {}
+func (Resign) command()       {}
+func (Refuse) command()       {}
+func (RecordSpeeds) command() {}
+func (DeleteJobs) command()   {}
+func (Decision) command()     {}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -176,6 +176,8 @@
 		c.applyAdvice(now, e)
 	case JobsDeleted:
 		c.jobsDeleted(e)
+	case SpeedsRead:
+		c.restoreSpeeds(now, e.Speeds)
 	case PredecessorsStopped:
 		c.predecessorsStopped(now)
 	case ServersWanted:
--- a/conductor/event.go
+++ b/conductor/event.go
@@ -86,6 +86,9 @@
 // PredecessorsStopped reports that all earlier owners have stopped renewing leases.
 type PredecessorsStopped struct{}
 
+// SpeedsRead reports the speeds that an earlier owner has stored.
+type SpeedsRead struct{ Speeds []ServerSpeed }
+
 // JobsDeleted reports the result of a DeleteJobs command.
 type JobsDeleted struct {
 	Jobs []specifier.JobID
@@ -94,6 +97,7 @@
 }
 
 func (JobsDeleted) event()         {}
+func (SpeedsRead) event()          {}
 func (PredecessorsStopped) event() {}
 func (JobArrived) event()          {}
 func (JobCancelled) event()        {}
--- a/conductor/simulated_owner_test.go
+++ b/conductor/simulated_owner_test.go
@@ -17,6 +17,8 @@
 	// terms is the number of owners that the shard has had.
 	terms        int
 	stateMachine *conductor.Conductor
+	// speeds are those that the last owner has stored.
+	speeds []conductor.ServerSpeed
 	// planned is set while a call of plan is scheduled.
 	planned bool
 }
@@ -77,6 +79,9 @@
 		o.stateMachine.Handle(w.now, conductor.Configured{Configuration: w.quota.configuration})
 	}
 	w.list(o)
+	if len(o.speeds) > 0 {
+		w.deliver(o.epoch, conductor.SpeedsRead{Speeds: o.speeds})
+	}
 	for _, job := range w.submitted {
 		if w.ownerOf(job.ID) != o {
 			continue
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -116,6 +116,8 @@
 	stopTime time.Duration
 	// equalServers makes the owners treat all servers as equally fast.
 	equalServers bool
+	// forgetsSpeeds is set for a store that keeps no speeds.
+	forgetsSpeeds bool
 	// onAdvise is called with each advice call, if it is set.
 	onAdvise func(conductor.Advise)
 	// onDecision is called with each decision, if it is set.
@@ -287,6 +289,10 @@
 			w.onDecision(c)
 		}
 		w.trace(epoch, c)
+	case conductor.RecordSpeeds:
+		if o := w.ownerIn(epoch); o != nil && !w.forgetsSpeeds {
+			o.speeds = c.Speeds
+		}
 	case conductor.Refuse:
 		if w.onRefuse != nil {
 			w.onRefuse(c)
--- a/conductor/speeds.go
+++ b/conductor/speeds.go
@@ -38,6 +38,9 @@
 	pass     throttle
 	// inEffect is set while speeds take effect.
 	inEffect bool
+	// record limits how often the speeds are stored, and recorded is set while any are.
+	record   throttle
+	recorded bool
 	// unlogged are the changes that wait for their line in the log.
 	unlogged []calibrator.Change
 	// ignored is set to place all steps as if the servers were alike.
@@ -50,7 +53,10 @@
 }
 
 func newSpeeds(ignored bool) speeds {
-	return speeds{calibrator: calibrator.New(), reserves: make(map[string]*matcher.Reserve), pass: throttle{interval: reserveInterval}, ignored: ignored}
+	return speeds{
+		calibrator: calibrator.New(), reserves: make(map[string]*matcher.Reserve), pass: throttle{interval: reserveInterval},
+		record: throttle{interval: recordSpeedsInterval}, ignored: ignored,
+	}
 }
 
 // observeRun passes the time of a run that has ended to the calibrator, if the server has done all work of the run and the time is known
@@ -126,6 +132,7 @@
 		c.applyClasses(p.now)
 	}
 	c.logSpeeds()
+	c.recordSpeeds(p.now)
 	if !c.speeds.inEffect {
 		return
 	}
--- a/conductor/speeds_test.go
+++ b/conductor/speeds_test.go
@@ -57,3 +57,34 @@
 	require.Len(t, placed, 1)
 	require.Empty(t, d.violations)
 }
+
+// TestSpeedsOutlastOwner guards against an owner that places urgent jobs on slow servers until it has learned the speeds that its predecessor
+// knew. The baseline is a store that keeps no speeds.
+func TestSpeedsOutlastOwner(t *testing.T) {
+	const lostAt = 20 * time.Second
+	play := func(forgets bool) (applied []time.Duration, inTime float64) {
+		d := newUnevenDay(t, 4, unevenOptions{Load: 0.85})
+		d.forgetsSpeeds = forgets
+		d.onDecision = func(c conductor.Decision) {
+			if since := d.now.Sub(d.start) - lostAt - takeoverTime; c.Name == "SpeedsApplied" && since > 0 {
+				applied = append(applied, since)
+			}
+		}
+		d.at(d.start.Add(lostAt), func() {
+			for _, o := range d.owners {
+				d.loseOwnerOf(o)
+			}
+		})
+		d.runUntil(unevenTraffic)
+		require.Empty(t, d.violations)
+		return applied, d.urgentInTime(lostAt+takeoverTime, lostAt+takeoverTime+unevenLearning)
+	}
+	before, inTimeBefore := play(true)
+	now, inTime := play(false)
+	t.Logf("speeds take effect after %v and %v, urgent jobs in time %.3f and %.3f", before, now, inTimeBefore, inTime)
+	require.Len(t, now, 2, "the owners of both shards use speeds")
+	for _, since := range now {
+		require.LessOrEqual(t, since, time.Second)
+	}
+	require.Greater(t, inTime, inTimeBefore)
+}
--- a/conductor/uneven_day_test.go
+++ b/conductor/uneven_day_test.go
@@ -214,6 +214,25 @@
 	return figures
 }
 
+// urgentInTime returns the share in time of the urgent jobs that were submitted between two times of the day.
+func (d *unevenDay) urgentInTime(from, until time.Duration) float64 {
+	jobs, inTime := 0.0, 0.0
+	for _, job := range d.all {
+		submitted, ok := d.simulation.jobs[job.ID]
+		if !ok || job.Queue.Priority > 0 {
+			continue
+		}
+		if at := submitted.AcceptedAt.Sub(d.start); at < from || at >= until {
+			continue
+		}
+		jobs++
+		if ended, ok := d.endOf(job); ok && ended.Sub(submitted.AcceptedAt) <= d.objectives[job.ID] {
+			inTime++
+		}
+	}
+	return inTime / jobs
+}
+
 // endOf returns when the last run of a job ended, and false if the job is not completed.
 func (d *unevenDay) endOf(job specifier.Job) (time.Time, bool) {
 	var ended time.Time
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -37,6 +37,8 @@
 		o.elector.Resign(o.ownership.Epoch, c.Reason)
 	case conductor.Refuse:
 		o.decided(c.Refusals)
+	case conductor.RecordSpeeds:
+		go o.recordSpeeds(ctx, c)
 	case conductor.Decision:
 		o.log(c)
 	}
--- a/coordinator/key.go
+++ b/coordinator/key.go
@@ -8,6 +8,8 @@
 	// refusalPrefix is the prefix of the keys with the statements about refusals. They are never deleted, because a key must not have a
 	// former revision, which is zero for one that does not exist, again.
 	refusalPrefix = "egretring/refusals/"
+	// speedsKey has the speeds of servers that the last owner knew.
+	speedsKey = "egretring/speeds"
 )
 
 // laneKey returns the key that is written with each commit of a lane. Commits are conditional on its revision, so that an
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -80,6 +80,7 @@
 	go o.awaitPredecessors(ctx)
 	go o.watchLag(ctx)
 	go o.stateRefusals(ctx)
+	go o.readSpeeds(ctx)
 	if c.settings.shards != nil {
 		go o.deleteReturned(ctx, o.recovered)
 	}
