--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -145,6 +145,7 @@
 func TestCrashingTasksSpareTheirNeighbours(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newSimulation(t, seed, 12)
 			crashing := make(map[specifier.JobID]bool)
 			for i := range 300 {
--- a/conductor/outage_day_test.go
+++ b/conductor/outage_day_test.go
@@ -191,6 +191,7 @@
 	for _, c := range tester.ReadCases[outageDayCase](t, "outage_days.hujson") {
 		for seed := range c.Seeds {
 			t.Run(fmt.Sprintf("%s, seed %d", c.Name, seed), func(t *testing.T) {
+				t.Parallel()
 				d := newOutageDay(t, seed, c)
 				require.Empty(t, d.play(300*time.Second))
 				for _, job := range d.submitted {
--- a/conductor/quota_day_test.go
+++ b/conductor/quota_day_test.go
@@ -77,6 +77,7 @@
 		"all":             {gangs: 1, batch: 3, urgent: 15, least: 0.85, unused: 0.38},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			d := newQuotaDay(t, map[string]int64{"a": 300})
 			d.arrive(c.gangs, func() specifier.Job { return d.gangJob("a") })
 			d.arrive(c.batch, func() specifier.Job { return d.batchJob("a") })
@@ -129,6 +130,7 @@
 func TestGangOfTeamStartsBesideSmallTasks(t *testing.T) {
 	for _, priority := range []int{0, 1, 2} {
 		t.Run(fmt.Sprintf("priority %d", priority), func(t *testing.T) {
+			t.Parallel()
 			w := newSimulation(t, 1, 4)
 			w.configure(map[string]int64{"a": 60})
 			for i := range 400 {
--- a/conductor/quota_random_test.go
+++ b/conductor/quota_random_test.go
@@ -17,6 +17,7 @@
 func TestRandomFaultsKeepQuotas(t *testing.T) {
 	for seed := range uint64(quotaSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newSimulation(t, seed, quotaServers)
 			w.delaysCallsOverRestarts = seed%3 == 1
 			w.configure(map[string]int64{"a": 60, "b": 90})
--- a/conductor/quota_shards_test.go
+++ b/conductor/quota_shards_test.go
@@ -12,6 +12,7 @@
 	const seeds, shards, servers, jobs = 60, 3, 9, 60
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newShardedSimulation(t, seed, shards, servers)
 			limits := func(least, spread int) map[string]int64 {
 				cores := make(map[string]int64)
--- a/conductor/random_restart_test.go
+++ b/conductor/random_restart_test.go
@@ -32,6 +32,7 @@
 }
 
 func runRandomRestarts(t *testing.T, seed uint64, staleList bool) {
+	t.Parallel()
 	w := newSimulation(t, seed, 6)
 	w.delaysCallsOverRestarts, w.staleList = true, staleList
 	for i := range randomJobs {
--- a/conductor/random_test.go
+++ b/conductor/random_test.go
@@ -15,6 +15,7 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newSimulation(t, seed, 4)
 			w.endsPerReport = 1 + int(seed%3)*8
 			w.addRandomJobs()
--- a/conductor/shards_test.go
+++ b/conductor/shards_test.go
@@ -101,6 +101,7 @@
 	const seeds, shards, servers, jobs = 30, 3, 18, 90
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newShardedSimulation(t, seed, shards, servers)
 			for n := range jobs {
 				// Most jobs belong to the first shard.
