A new owner keeps the stored speeds until it may have learned its own

Cause: an owner that could use too few of the stored speeds for them to take effect removed the record at once, so that an owner soon after it had none. Found by reading. Measured: go test ./conductor -run 'Speeds|EqualServers' passes.

--- a/conductor/speed_record.go
+++ b/conductor/speed_record.go
@@ -34,7 +34,9 @@
 	if c.speeds.ignored || len(stored) == 0 {
 		return
 	}
+	// The record stays at least until this owner may have learned the speeds itself.
 	c.speeds.recorded = true
+	c.speeds.record.begin(now)
 	restored := 0
 	for _, known := range stored {
 		if s := c.sessions[known.Server]; s != nil && known.Incarnation != 0 && s.server.Incarnation == known.Incarnation {
--- a/conductor/wish.go
+++ b/conductor/wish.go
@@ -28,8 +28,7 @@
 	// IdleOnly is set when the step fits the servers of its shard but waits for other runs to end. Only servers that nothing
 	// waits for are lent then.
 	IdleOnly bool `json:",omitempty"`
-	// Worthless is set when the result of the step's job has no value to its caller any more. Shards with work that has some lend
-	// fewer idle servers then.
+	// Worthless is set when the result of the step's job has no value to its caller any more. A busy shard lends no idle servers then.
 	Worthless bool `json:",omitempty"`
 	// Load is that of the service in the shard that borrows. Idle servers are lent by shards with a lower load. Earlier versions do
 	// not send it.
--- a/coordinator/missing.go
+++ b/coordinator/missing.go
@@ -1,8 +1,6 @@
 package coordinator
 
-import (
-	"time"
-)
+import "time"
 
 // rejoinTime is how long a member that is missing from the list counts in elections. After an outage of the store the leases of all
 // members have lapsed. They notice at their next renewal, up to a second later, and register again; a slow store takes 250 ms.
