Read how many connections a backend server accepts

The configuration states it for each service (max_connections), and nothing read it, so that no part of the program could stay below it. It is in Configuration.MaxConnections now, goes to peers with the rest of the configuration, and is checked and compared by `egretring configuration check`, which called it an unknown field before.

--- a/checker/check.go
+++ b/checker/check.go
@@ -43,6 +43,7 @@
 		if service.Name.Value != "" && !used[service.Name.Value] {
 			f.warn(service.Place, "no queue uses service %q", service.Name.Value)
 		}
+		requireNotNegative(f, service.MaxConnections, "number of connections")
 	}
 }
 
--- a/checker/compare.go
+++ b/checker/compare.go
@@ -18,6 +18,7 @@
 	compareSets(c, before.Queues, after.Queues, c.compareQueues)
 	compareSets(c, before.Services, after.Services, func(before, after Service) {
 		compareFields(c, after.label(), before.EnforcesCapacity, after.EnforcesCapacity)
+		compareFields(c, after.label(), before.MaxConnections, after.MaxConnections)
 	})
 	compareSets(c, before.Teams, after.Teams, c.compareTeams)
 	c.compareLimits(before.Limits, after.Limits)
--- a/checker/service.go
+++ b/checker/service.go
@@ -5,4 +5,6 @@
 	Place            string
 	Name             Field[string]
 	EnforcesCapacity Field[bool]
+	// MaxConnections is how many connections a backend server of the service accepts.
+	MaxConnections Field[int64]
 }
--- a/follower/encoding.go
+++ b/follower/encoding.go
@@ -20,6 +20,7 @@
 	Revision                  int64
 	Queues                    []specifier.Queue
 	CapacityEnforcingServices map[string]bool
+	MaxConnections            map[string]int
 	MaxBodyBytes              int64
 	MaxHeaderBytes            int64
 	Teams                     []specifier.Team
@@ -35,8 +36,8 @@
 	}
 	sent := content{
 		Version: configuration.Version, Revision: configuration.Revision, Queues: configuration.Queues.All(),
-		CapacityEnforcingServices: configuration.CapacityEnforcingServices, MaxBodyBytes: configuration.MaxBodyBytes,
-		MaxHeaderBytes: configuration.MaxHeaderBytes, Teams: configuration.Teams.All(),
+		CapacityEnforcingServices: configuration.CapacityEnforcingServices, MaxConnections: configuration.MaxConnections,
+		MaxBodyBytes: configuration.MaxBodyBytes, MaxHeaderBytes: configuration.MaxHeaderBytes, Teams: configuration.Teams.All(),
 	}
 	if err := gob.NewEncoder(compressor).Encode(sent); err != nil {
 		return nil, errors.Wrap(err, "encode configuration")
@@ -59,7 +60,7 @@
 	}
 	return &specifier.Configuration{
 		Version: received.Version, Revision: received.Revision, Queues: specifier.NewQueues(received.Queues...),
-		CapacityEnforcingServices: received.CapacityEnforcingServices, MaxBodyBytes: received.MaxBodyBytes,
-		MaxHeaderBytes: received.MaxHeaderBytes, Teams: specifier.NewTeams(received.Teams...),
+		CapacityEnforcingServices: received.CapacityEnforcingServices, MaxConnections: received.MaxConnections,
+		MaxBodyBytes: received.MaxBodyBytes, MaxHeaderBytes: received.MaxHeaderBytes, Teams: specifier.NewTeams(received.Teams...),
 	}, nil
 }
--- a/follower/peer_test.go
+++ b/follower/peer_test.go
@@ -28,6 +28,7 @@
 	}
 	want := &specifier.Configuration{
 		Version: 7, Revision: 9, Queues: specifier.NewQueues(queues...), CapacityEnforcingServices: map[string]bool{"s": true}, MaxBodyBytes: 5,
+		MaxConnections: map[string]int{"s": 64},
 	}
 	data, err := follower.Encode(want)
 	require.NoError(t, err)
--- a/specifier/queue.go
+++ b/specifier/queue.go
@@ -39,6 +39,8 @@
 	Teams Teams
 	// CapacityEnforcingServices are the services whose backend servers refuse tasks that exceed their capacity.
 	CapacityEnforcingServices map[string]bool
+	// MaxConnections is how many connections a backend server of a service accepts; zero or no entry is unknown.
+	MaxConnections map[string]int
 	// MaxBodyBytes and MaxHeaderBytes bound the parts of a request; zero sets no bound.
 	MaxBodyBytes   int64
 	MaxHeaderBytes int64
