Bound the connections of an owner to each backend server

Cause: each order opened a connection of its own, and up to 16 of them stayed open at each worker, idle for 90 s. Nothing tells a worker that a machine without power is gone, so its connections stay open there. A former owner that lived kept 9 to 11 idle ones at a worker for 90 s.

Ruled out: calls without a response and connections of live owners; there were none and one for each worker at that moment.

Change: package limiter decides how many connections an owner opens to a worker, from its limit in the configuration: an eighth of it for concurrent calls, of which renewals and urgent starts have a part of their own, so that calls that hang delay neither. Two connections are kept between calls; all other calls ask the worker to close the connection after the response, which it does also if the owner is lost. The term in the store records the losses of owners; what they may have left open at a worker since its start counts, and beyond a quarter of the limit no connection is kept there. Borrowed servers keep none, because only the home shard counts. Package connector applies this and closes all connections of a term at its end. `platform` only sends on what was reserved.

Log lines "backend server resets new connections" and "connections to backend servers closed", and the counters ServerConnections.*, tell own connections in and out of calls, and those that lost owners may have left, apart.

--- a/cmd/egretring-platform/serve.go
+++ b/cmd/egretring-platform/serve.go
@@ -19,6 +19,7 @@
 
 	"egretring.example/egretring/authorizer"
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/connector"
 	"egretring.example/egretring/coordinator"
 	"egretring.example/egretring/gatekeeper"
 	"egretring.example/egretring/logger"
@@ -112,7 +113,7 @@
 
 func (p *process) start() error {
 	clock := timekeeper.NewSteadyClock()
-	userPlatform := platform.Connect(p.settings, clock, p.logger, p.meter)
+	userPlatform := platform.Connect(p.settings, clock, p.logger, p.meter, platform.WithServerTransport(connector.Transport{}))
 	build := func(shard sharder.Shard, options ...coordinator.Option) (*coordinator.Coordinator, error) {
 		return p.coordinator(shard, userPlatform, clock, options)
 	}
--- a/conductor/command.go
+++ b/conductor/command.go
@@ -37,6 +37,8 @@
 type Start struct {
 	Server specifier.Server
 	Order  specifier.StartOrder
+	// Urgent is set for a step that is placed before all others.
+	Urgent bool
 }
 
 // Stop orders a backend server to stop a run.
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -19,7 +19,7 @@
 	a.fence = s.fence
 	a.order.LeaseEnd = s.serverTime(now) + startLease
 	s.extendLease(now.Add(startLease + leaseMargin))
-	c.emit(Start{Server: s.server, Order: a.order})
+	c.emit(Start{Server: s.server, Order: a.order, Urgent: a.urgent})
 }
 
 // orderEnded applies the result of a start or stop order. Results from an earlier incarnation of the server are
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -267,7 +267,7 @@
 	w.job.Place(w.step, index, lifecycler.Placement{Run: run, Server: s.server, LongLease: p.now.Before(s.longLeaseUntil)})
 	a := &allocation{
 		task: w.step.ID.Task(index), run: run, need: w.need(), state: reserved, version: w.job.Version(),
-		team: w.job.Spec.Team, counted: w.step.Spec.Need,
+		team: w.job.Spec.Team, counted: w.step.Spec.Need, urgent: w.urgent(),
 		order: specifier.StartOrder{
 			Task: w.step.ID.Task(index), Run: run, Spec: w.job.Spec.Spec, Checkpoint: w.step.SharedCheckpoint(index),
 			Ticket: w.job.ticket(w.step.ID, s.server),
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -73,6 +73,8 @@
 	resends int
 	// percent is the part of its speed that the server reports to allow the run.
 	percent int
+	// urgent is set for a run of an urgent step.
+	urgent bool
 	// orphan runs were reported by the server without being recorded for it.
 	orphan     bool
 	stopping   bool
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -8,8 +8,11 @@
 	"github.com/pkg/errors"
 
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/connector"
 	"egretring.example/egretring/intaker"
 	"egretring.example/egretring/keeper"
+	"egretring.example/egretring/limiter"
+	"egretring.example/egretring/specifier"
 	"egretring.example/egretring/timekeeper"
 )
 
@@ -50,11 +53,30 @@
 		"Server", string(d.Server), "Detail", d.Detail, "Epoch", o.ownership.Epoch)
 }
 
-func (o *owner) start(ctx context.Context, c conductor.Start) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+// call makes a call to a server once it has a connection. The timeout does not include the wait for one. Without one the call is not made.
+func (o *owner) call(
+	ctx context.Context, server specifier.Server, class limiter.Class, timeout time.Duration, send func(ctx context.Context),
+) {
+	shards := o.settings.shards
+	borrowed := shards != nil && shards.HomeOf(server) != shards.Index
+	ctx, release, err := o.connections.Reserve(ctx, connector.Call{Server: server, Class: class, Borrowed: borrowed})
+	if err != nil {
+		return
+	}
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	send(ctx)
+}
+
+func (o *owner) start(ctx context.Context, c conductor.Start) {
 	startedAt := time.Now()
-	reply := o.settings.servers.Start(ctx, c)
+	class := limiter.Order
+	if c.Urgent {
+		class = limiter.UrgentStart
+	}
+	reply := specifier.OrderReply{Result: specifier.OrderNotSent}
+	o.call(ctx, c.Server, class, orderTimeout, func(ctx context.Context) { reply = o.settings.servers.Start(ctx, c) })
 	o.settings.meter.Observe("Orders.StartMicroseconds", time.Since(startedAt))
 	o.post(conductor.OrderEnded{
 		Server: c.Server.ID, Incarnation: c.Server.Incarnation, Task: c.Order.Task, Run: c.Order.Run,
@@ -63,9 +85,8 @@
 }
 
 func (o *owner) stop(ctx context.Context, c conductor.Stop) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	result := o.settings.servers.Stop(ctx, c)
+	result := specifier.OrderNotSent
+	o.call(ctx, c.Server, limiter.Order, orderTimeout, func(ctx context.Context) { result = o.settings.servers.Stop(ctx, c) })
 	o.post(conductor.OrderEnded{
 		Server: c.Server.ID, Incarnation: c.Server.Incarnation, Task: c.Task, Run: c.Run,
 		Fence: c.Fence, Stop: true, Result: result,
@@ -73,10 +94,12 @@
 }
 
 func (o *owner) renewLease(ctx context.Context, c conductor.Renew) {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+renewTimeout)
-	defer cancel()
 	sentAt := o.settings.clock.Now()
-	report, result := o.settings.servers.Renew(ctx, c)
+	var report specifier.ServerReport
+	result := specifier.OrderNotSent
+	o.call(ctx, c.Server, limiter.Renewal, c.Wait+renewTimeout, func(ctx context.Context) {
+		report, result = o.settings.servers.Renew(ctx, c)
+	})
 	o.post(conductor.RenewEnded{
 		Server: c.Server.ID, Incarnation: c.Server.Incarnation, Sequence: c.Sequence, Fence: c.Fence,
 		Acknowledged: c.Acknowledged, SentAt: sentAt, Result: result, Report: report,
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretring.example/egretring/conductor"
+	"egretring.example/egretring/connector"
 	"egretring.example/egretring/elector"
 	"egretring.example/egretring/keeper"
 	"egretring.example/egretring/specifier"
@@ -37,6 +38,8 @@
 	refusals chan decidedRefusals
 	delay    maxDelay
 	load     loadLine
+	// connections are those to the backend servers.
+	connections *connector.Pool
 	// counted are the teams that have had runs in this term.
 	counted map[string]bool
 }
@@ -56,6 +59,11 @@
 		memberAddresses: make(map[string]string), done: ctx.Done(), counted: make(map[string]bool),
 		refusals: make(chan decidedRefusals, 1),
 	}
+	o.connections = connector.New(
+		connector.WithLimits(c.serverLimits), connector.WithLosses(term.Losses), connector.WithLogger(c.settings.logger),
+		connector.WithMeter(c.settings.meter),
+	)
+	defer o.closeConnections()
 	startedAt := c.settings.clock.Now()
 	for {
 		err := o.recover(ctx)
--- a/elector/duty.go
+++ b/elector/duty.go
@@ -13,7 +13,7 @@
 	if e.retired.Load() {
 		e.Resign(term.Epoch, "instance stops")
 	}
-	e.setOwned(term.Epoch, term.Predecessors)
+	e.setOwned(term.Epoch, term.Predecessors, term.Losses)
 	ownerContext, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -23,28 +23,45 @@
 	reason := e.renewUntilEnd(ctx, term.Ownership, lease, renewedAt)
 	cancel()
 	<-done
-	predecessors := e.setOwned(0, nil)
+	left := e.takeOwned()
 	e.logger.Warn("ownership ended", "Epoch", term.Epoch, "Reason", reason)
 	e.setCurrent(Ownership{})
-	e.endTerm(context.WithoutCancel(ctx), term.Ownership, lease, predecessors)
+	left.Owner, left.Ended = e.self, true
+	e.endTerm(context.WithoutCancel(ctx), term.Ownership, lease, left)
 }
 
-// setOwned records the owned epoch, or zero, and its predecessors. It returns the earlier recorded predecessors that
-// are not known to have stopped.
-func (e *Elector) setOwned(epoch int64, predecessors []Owner) []Owner {
+// setOwned records the owned epoch, its predecessors and the losses before it.
+func (e *Elector) setOwned(epoch int64, predecessors []Owner, losses []time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	former := e.predecessors
-	e.ownedEpoch, e.predecessors = epoch, predecessors
-	return former
+	e.ownedEpoch, e.predecessors, e.losses = epoch, predecessors, losses
+}
+
+// takeOwned ends the recorded ownership. It returns the predecessors that are not known to have stopped, and the losses.
+func (e *Elector) takeOwned() termRecord {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	left := termRecord{Predecessors: e.predecessors, Losses: e.losses}
+	e.ownedEpoch, e.predecessors, e.losses = 0, nil, nil
+	return left
+}
+
+// NoteLoss adds a loss to those of an epoch that this instance owns: its owner has left connections open although it ends in
+// good order.
+func (e *Elector) NoteLoss(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ownedEpoch == epoch {
+		e.losses = withLoss(e.losses, e.clock.Now())
+	}
 }
 
 // endTerm records the end of the term in the store, so that a successor knows that this owner has stopped, deletes the
 // owner key and revokes the lease.
-func (e *Elector) endTerm(ctx context.Context, ownership Ownership, lease keeper.LeaseID, predecessors []Owner) {
+func (e *Elector) endTerm(ctx context.Context, ownership Ownership, lease keeper.LeaseID, record termRecord) {
 	ctx, cancel := context.WithTimeout(ctx, renewInterval)
 	defer cancel()
-	transaction, err := termTransaction(ownership, termRecord{Owner: e.self, Ended: true, Predecessors: predecessors})
+	transaction, err := termTransaction(ownership, record)
 	if err == nil {
 		transaction.Deletes = []string{OwnerKey}
 		_, err = e.store.Commit(ctx, transaction)
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -66,6 +66,8 @@
 	ownedEpoch int64
 	// predecessors are earlier owners that may still act as the owner.
 	predecessors []Owner
+	// losses are those of the owned term.
+	losses []time.Time
 	// requestMu serializes the senders to resignations.
 	requestMu    sync.Mutex
 	resignations chan resignation
@@ -199,11 +201,12 @@
 	if current {
 		e.predecessors = nil
 	}
+	losses := e.losses
 	e.mu.Unlock()
 	if !current {
 		return
 	}
-	transaction, err := termTransaction(ownership, termRecord{Owner: e.self})
+	transaction, err := termTransaction(ownership, termRecord{Owner: e.self, Losses: losses})
 	if err == nil {
 		_, err = e.store.Commit(ctx, transaction)
 	}
@@ -331,6 +334,7 @@
 		e.logger.Error("failed to decode the term; assuming that its owner is still active", "Error", err.Error())
 	}
 	requestedAt := e.clock.Now()
+	losses := lossesOf(entry, requestedAt)
 	lease, err := e.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: leaseTTL})
 	if err != nil {
 		e.pause(ctx, err)
@@ -341,7 +345,7 @@
 		e.logger.Error("failed to encode the owner", "Error", err.Error())
 		return
 	}
-	transaction, err := termTransaction(before, termRecord{Owner: e.self, Predecessors: predecessors})
+	transaction, err := termTransaction(before, termRecord{Owner: e.self, Predecessors: predecessors, Losses: losses})
 	if err != nil {
 		e.logger.Error("failed to encode the term", "Error", err.Error())
 		return
@@ -356,7 +360,9 @@
 		}
 		return
 	}
-	term := Term{Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors, First: entry.Revision == 0}
+	term := Term{
+		Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors, First: entry.Revision == 0, Losses: losses,
+	}
 	e.runTerm(ctx, term, lease, requestedAt)
 }
 
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -134,6 +135,54 @@
 	})
 }
 
+// TestLossesAreRecorded guards against an owner that does not know how many earlier owners may have left connections open.
+func TestLossesAreRecorded(t *testing.T) {
+	runWithCandidates(t, func(t *testing.T, first, second *candidate) {
+		require.Empty(t, first.term.Load().Losses)
+		first.partitioned.Store(true)
+		time.Sleep(electionTime)
+		losses := second.term.Load().Losses
+		require.Len(t, losses, 1)
+		require.WithinDuration(t, time.Now(), losses[0], electionTime)
+
+		third := candidate{store: first.store}
+		third.run(t, "third")
+		second.elector.PredecessorsStopped(t.Context(), second.term.Load().Ownership)
+		second.elector.Resign(second.term.Load().Epoch, "test")
+		time.Sleep(electionTime / 2)
+		require.Len(t, third.term.Load().Losses, 1, "an owner that ends in good order is no loss")
+		require.True(t, losses[0].Equal(third.term.Load().Losses[0]))
+
+		third.elector.NoteLoss(third.term.Load().Epoch - 1)
+		third.elector.NoteLoss(third.term.Load().Epoch)
+		third.elector.Resign(third.term.Load().Epoch, "test")
+		time.Sleep(2 * electionTime)
+		require.Len(t, second.term.Load().Losses, 2, "the owner has left connections open")
+		third.cancel()
+	})
+}
+
+// TestRecordedLossesAreBounded guards against a term that grows with each loss.
+func TestRecordedLossesAreBounded(t *testing.T) {
+	runWithCandidates(t, func(t *testing.T, first, _ *candidate) {
+		epoch := first.term.Load().Epoch
+		for range 1000 {
+			first.elector.NoteLoss(epoch)
+		}
+		newest := time.Now()
+		time.Sleep(time.Millisecond)
+		first.elector.NoteLoss(epoch)
+		first.elector.Resign(epoch, "test")
+		time.Sleep(electionTime)
+		entry, err := first.store.Get(t.Context(), elector.TermKey)
+		require.NoError(t, err)
+		var record struct{ Losses []time.Time }
+		require.NoError(t, json.Unmarshal(entry.Value, &record))
+		require.LessOrEqual(t, len(record.Losses), 100)
+		require.True(t, record.Losses[len(record.Losses)-1].After(newest))
+	})
+}
+
 // TestUnconfirmedPredecessorsAreKept guards against a successor that drops an earlier owner of which its predecessor
 // did not know whether it had stopped.
 func TestUnconfirmedPredecessorsAreKept(t *testing.T) {
--- a/elector/term.go
+++ b/elector/term.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,6 +20,9 @@
 	Predecessors []Owner
 	// First is set when there has been no owner before.
 	First bool
+	// Losses are the times, on the clocks of their successors, at which earlier owners were found to have ended without a record of it,
+	// or ended in the knowledge that they have left connections open. The newest are at the end.
+	Losses []time.Time
 }
 
 // termRecord is the value of the term's key.
@@ -27,6 +32,32 @@
 	Ended bool `json:",omitempty"`
 	// Predecessors are earlier owners that are not known to have stopped.
 	Predecessors []Owner `json:",omitempty"`
+	// Losses are those of the term, and those of its own owner if it has ended.
+	Losses []time.Time `json:",omitempty"`
+}
+
+// maxLosses bounds the losses that a term records; those beyond it are the oldest.
+const maxLosses = 32
+
+// withLoss appends a loss.
+func withLoss(losses []time.Time, at time.Time) []time.Time {
+	losses = append(slices.Clone(losses), at)
+	return losses[max(0, len(losses)-maxLosses):]
+}
+
+// lossesOf returns the losses before a new term that begins now: the owner of the recorded term is lost unless it recorded its end.
+func lossesOf(entry keeper.Entry, now time.Time) []time.Time {
+	if entry.Revision == 0 {
+		return nil
+	}
+	var record termRecord
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		return withLoss(nil, now)
+	}
+	if record.Ended {
+		return record.Losses
+	}
+	return withLoss(record.Losses, now)
 }
 
 // predecessorsOf returns the owners that may still act as the owner when another instance is elected. There are none before
