An owner that servers refuse goes on with those it reaches

Cause: an owner that reaches fewer than half of its servers resigns after 1.5 s, whatever the reason. Servers that reset new connections because they have as many as they accept would reset those of any other instance, too.

Servers that refuse don't count as out of reach. The owner resigns if it has reached no server at all for 10 s, because the resets may be of its own connections only.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -92,7 +92,9 @@
 	// reachableAt is when at least half of the listed servers were last reachable; the first check counts as such a
 	// time.
 	reachableAt time.Time
-	resigned    bool
+	// anyReachableAt is the same for one server.
+	anyReachableAt time.Time
+	resigned       bool
 
 	teams    teams
 	speeds   speeds
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -200,7 +200,7 @@
 	}
 	newest := e.Sequence == s.renewalSequence
 	if newest {
-		s.renewalInFlight = false
+		s.renewalInFlight, s.refusing = false, e.Result == specifier.OrderRefused
 	}
 	switch e.Result {
 	case specifier.OrderDone:
@@ -250,21 +250,29 @@
 }
 
 // checkReachability resigns when fewer than half of the listed servers have been reachable for majorityTimeout, so that
-// an instance that reaches them can take over.
+// an instance that reaches them can take over. Servers that refuse connections because they have too many would refuse those of
+// another instance, too: the owner goes on with the servers that it reaches, and resigns only if it reaches none for refusedTimeout.
 func (c *Conductor) checkReachability(now time.Time) {
-	listed, reached := 0, 0
+	listed, reached, refusing := 0, 0, 0
 	for _, s := range c.orderedSessions() {
-		if s.listed {
-			listed++
-			if s.reconciled && s.renewalFailures == 0 {
-				reached++
-			}
+		if !s.listed {
+			continue
 		}
+		listed++
+		switch {
+		case s.reconciled && s.renewalFailures == 0:
+			reached++
+		case s.refusing:
+			refusing++
+		}
+	}
+	if reached > 0 || c.reachableAt.IsZero() {
+		c.anyReachableAt = now
 	}
-	if 2*reached >= listed || c.reachableAt.IsZero() {
+	if 2*reached >= listed || c.reachableAt.IsZero() || 2*(reached+refusing) >= listed && now.Sub(c.anyReachableAt) < refusedTimeout {
 		c.reachableAt = now
 	}
 	if now.Sub(c.reachableAt) > majorityTimeout {
-		c.resign(fmt.Sprintf("%d of %d backend servers are reachable", reached, listed))
+		c.resign(fmt.Sprintf("%d of %d backend servers are reachable, %d refuse connections", reached, listed, refusing))
 	}
 }
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -92,6 +92,8 @@
 	freshReportAge     = 100 * time.Millisecond
 	// majorityTimeout is how long an owner may reach fewer than half of the servers before it resigns.
 	majorityTimeout = 1500 * time.Millisecond
+	// refusedTimeout is how long an owner may reach no server, while most refuse its connections, before it resigns.
+	refusedTimeout = 10 * time.Second
 	// handoverGrace is how long after a takeover an earlier owner may still renew the lease of a server that this owner
 	// cannot reach.
 	handoverGrace = 8 * time.Second
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -179,6 +179,8 @@
 	renewalInFlight  bool
 	nextRenewalAt    time.Time
 	renewalFailures  int
+	// refusing is set while the server resets the connections of renewals.
+	refusing bool
 	// suspect servers may be unreachable, as after an order without a response; they get no new runs before their next
 	// report.
 	suspect bool
--- a/specifier/server.go
+++ b/specifier/server.go
@@ -118,6 +118,9 @@
 	OrderInvalid
 	// OrderNotSent means that no connection to the server could be opened, so that the order had no effect.
 	OrderNotSent
+	// OrderRefused means that the server has reset the new connection of a lease renewal, as it does while it has as many connections
+	// as it accepts.
+	OrderRefused
 )
 
 // OrderReply is the response of a backend server to an order.
@@ -129,7 +132,7 @@
 }
 
 var orderResultNames = [...]string{
-	"Done", "Unknown", "Fenced", "Obsolete", "Late", "NoRoom", "NoTicket", "OtherLife", "Unhealthy", "Invalid", "NotSent",
+	"Done", "Unknown", "Fenced", "Obsolete", "Late", "NoRoom", "NoTicket", "OtherLife", "Unhealthy", "Invalid", "NotSent", "Refused",
 }
 
 // String returns the name of the result.
