--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -237,3 +238,43 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestConnectionsOfLostPeersEnd guards against connections that instances without power leave open at another one until it accepts none.
+func TestConnectionsOfLostPeersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 3
+		accept := make(pipeListener)
+		listener := messenger.Serve(accept, echoHandler{}, messenger.WithConnections(limit), messenger.WithLogger(slog.New(slog.DiscardHandler)))
+		var lost []net.Conn
+		connect := func() error {
+			client := messenger.NewClient(messenger.WithDial(func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				accept <- far
+				lost = append(lost, near)
+				return neverClosed{near}, nil
+			}))
+			_, err := client.Heartbeat(t.Context(), "peer", heartbeat())
+			_ = client.Close()
+			return err
+		}
+		for range limit {
+			require.NoError(t, connect())
+		}
+		require.Error(t, connect())
+		time.Sleep(time.Minute)
+		for range limit {
+			require.NoError(t, connect())
+		}
+		require.NoError(t, listener.Close())
+		for _, conn := range lost {
+			_ = conn.Close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// neverClosed is a connection whose peer is not told that it has been closed.
+type neverClosed struct{ net.Conn }
+
+// Close implements net.Conn.
+func (neverClosed) Close() error { return nil }
