Count losses of owners despite clocks that differ

Found by reading the bound of connections afresh: the time of a loss is on the clock of an instance, the start of a server on that of the server, and the time of day of an instance may be off by seconds. A loss just after the start of a server could not count then, and its connections would be left out. A minute is allowed for now, which costs at most some kept connections at servers that have just started.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -25,6 +25,8 @@
 	reserveTimeout = 200 * time.Millisecond
 	// keptIdleTime is how long a kept connection may be idle. A server with runs gets a renewal each second.
 	keptIdleTime = 30 * time.Second
+	// maxClockError is by how much the clocks of instances and of backend servers may differ.
+	maxClockError = time.Minute
 )
 
 // ErrBusy is the cause of a call that was not sent because all connections to its server were in use.
@@ -199,11 +201,11 @@
 }
 
 // leftAt returns how many connections lost owners may have left open at a server. An incarnation is the Unix millisecond at which it
-// started.
+// started, on the clock of the server; losses are on those of instances.
 func (p *Pool) leftAt(described specifier.Server) int {
 	left := 0
 	for _, lostAt := range p.losses {
-		if lostAt.UnixMilli() >= described.Incarnation {
+		if lostAt.Add(maxClockError).UnixMilli() >= described.Incarnation {
 			left += limiter.KeptConnections
 		}
 	}
--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -240,6 +240,23 @@
 	})
 }
 
+// TestLossesCountDespiteClocks guards against losses that don't count because the clock of an instance is behind that of the server, and
+// against those before the start of a server that count for good.
+func TestLossesCountDespiteClocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := startServer(t)
+		for behind, want := range map[time.Duration]int{
+			-time.Hour: limiter.KeptConnections, 10 * time.Second: limiter.KeptConnections, time.Hour: 0,
+		} {
+			o := newOwner(t, server, connector.WithLosses([]time.Time{time.Now().Add(-behind)}))
+			o.server.Incarnation = time.Now().UnixMilli()
+			require.NoError(t, o.call(limiter.Order, "/run-start", callTimeout))
+			require.Equal(t, want, o.pool.Tally().Left, behind)
+			o.pool.Close()
+		}
+	})
+}
+
 // TestFormerOwnerClosesConnections guards against idle connections of an instance that is not the owner any more.
 func TestFormerOwnerClosesConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
