Leave no more connections than a loss counts

Found by reading the bound of connections afresh: a successor counts two for each loss. An owner that had closed kept connections for want of a response could leave up to 15 at a server, because it kept others in their place: the server may still have the former ones, as when connections go silent. After four such owners that lose power, servers would be full again.

Change: an abandoned connection counts as a kept one of its owner until the term ends or the server restarts. So no owner leaves more than two open, however its term ends.

--- a/connector/pool.go
+++ b/connector/pool.go
@@ -134,7 +134,7 @@
 			return nil, nil, err
 		}
 	}
-	r := &reservation{pool: p, server: s, address: call.Server.Address, id: call.Server.ID, kept: grant.Kept}
+	r := &reservation{pool: p, server: s, id: call.Server.ID, kept: grant.Kept}
 	return context.WithValue(ctx, reservationKey{}, r), func() { p.update(s, func() { s.End(grant) }) }, nil
 }
 
--- a/connector/tally.go
+++ b/connector/tally.go
@@ -116,7 +116,7 @@
 // abandoned notes that a call on an open connection had no response, so that the server may keep the connection.
 func (p *Pool) abandoned(r *reservation) {
 	p.mu.Lock()
-	r.server.NoteLeft()
+	r.server.NoteAbandoned()
 	p.tally.Abandoned++
 	p.mu.Unlock()
 	p.meter.Count("ServerConnections.Abandoned", 1)
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -14,10 +14,9 @@
 
 // reservation is a reserved connection for one call.
 type reservation struct {
-	pool    *Pool
-	server  *server
-	address string
-	id      specifier.ServerID
+	pool   *Pool
+	server *server
+	id     specifier.ServerID
 	// kept is set if the connection stays open after the call.
 	kept bool
 }
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -7,8 +7,9 @@
 	limits Limits
 	// incarnation is that of the server to which left applies.
 	incarnation int64
-	// left is the number of connections that earlier calls and owners may have left open at this incarnation.
-	left int
+	// leftByOthers is the number of connections that lost owners may have left open at this incarnation, and abandoned that of kept ones
+	// that this owner has closed for want of a response.
+	leftByOthers, abandoned int
 	// calls are those under way, and kept is how many of them use kept connections.
 	calls, kept int
 	waiting     [classes][]waiting[W]
@@ -39,17 +40,17 @@
 
 // SetIncarnation states the incarnation of the server, and how many connections lost owners may have left open at it. A later
 // incarnation has none of those that were left open at the former one.
-func (s *Server[W]) SetIncarnation(incarnation int64, left int) {
+func (s *Server[W]) SetIncarnation(incarnation int64, leftByOthers int) {
 	if incarnation > s.incarnation {
-		s.incarnation, s.left = incarnation, left
+		s.incarnation, s.leftByOthers, s.abandoned = incarnation, leftByOthers, 0
 	}
 }
 
-// NoteLeft counts a connection that this owner has closed and the server may still have open.
-func (s *Server[W]) NoteLeft() { s.left++ }
+// NoteAbandoned counts a kept connection that this owner has closed and the server may still have open.
+func (s *Server[W]) NoteAbandoned() { s.abandoned++ }
 
 // Left returns how many connections may be open at the server that nobody uses any more.
-func (s *Server[W]) Left() int { return s.left }
+func (s *Server[W]) Left() int { return s.leftByOthers + s.abandoned }
 
 // Calls returns the number of calls under way.
 func (s *Server[W]) Calls() int { return s.calls }
@@ -132,11 +133,11 @@
 	return Grant{Kept: kept}, true
 }
 
-// keptLimit returns how many connections may be kept, so that those that this owner would leave open have room beside those that
-// were left open.
+// keptLimit returns how many connections may be kept. Together with the abandoned ones they are no more than a lost owner counts for, so
+// that this holds for this owner, too, whenever it is lost.
 func (s *Server[W]) keptLimit() int {
-	if s.left+s.limits.Kept > s.limits.Left {
+	if s.leftByOthers+s.limits.Kept > s.limits.Left {
 		return 0
 	}
-	return s.limits.Kept
+	return max(0, s.limits.Kept-s.abandoned)
 }
