Resign when a cut of the network resets connections

Cause: since servers that reset new connections don't count as out of reach.

Ruled out: the bound of connections.

Change: a refused owner resigns after 1.5 s, as before, and the end of its term records how many owners in a row were refused. After two the next one goes on with the servers that it reaches, until it reaches half of them. It resigns as before if it reaches none for 10 s.

Evidence: TestOwnerWhoseConnectionsAreResetResigns fails before.

--- a/conductor/command.go
+++ b/conductor/command.go
@@ -77,7 +77,11 @@
 }
 
 // Resign gives up the ownership of the cell.
-type Resign struct{ Reason string }
+type Resign struct {
+	Reason string
+	// Refused is set if this owner reaches too few servers because they refuse its connections.
+	Refused bool
+}
 
 // Refuse states the refusals of submissions that are in force from now on, instead of all earlier ones.
 type Refuse struct{ Refusals []rater.Refusal }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -94,7 +94,10 @@
 	reachableAt time.Time
 	// anyReachableAt is the same for one server.
 	anyReachableAt time.Time
-	resigned       bool
+	// refusedBefore is how many owners in a row have resigned because servers refused their connections. It is zero once this owner has
+	// reached half of the servers.
+	refusedBefore int
+	resigned      bool
 
 	teams    teams
 	speeds   speeds
@@ -138,6 +141,7 @@
 	for _, option := range options {
 		option(&c.settings)
 	}
+	c.refusedBefore = c.settings.refusedBefore
 	c.predecessorLeasesEnd = now.Add(handoverGrace + c.settings.lease)
 	c.shard = shard{
 		index: c.settings.shardIndex, readRevision: epoch, homeOf: c.settings.homeOf, transfers: make(map[specifier.ServerID]Transfer),
@@ -337,8 +341,13 @@
 }
 
 func (c *Conductor) resign(reason string) {
+	c.end(Resign{Reason: reason})
+}
+
+// end resigns, unless this owner has done so already.
+func (c *Conductor) end(resignation Resign) {
 	if !c.resigned {
 		c.resigned = true
-		c.emit(Resign{Reason: reason})
+		c.emit(resignation)
 	}
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -250,8 +250,7 @@
 }
 
 // checkReachability resigns when fewer than half of the listed servers have been reachable for majorityTimeout, so that
-// an instance that reaches them can take over. Servers that refuse connections because they have too many would refuse those of
-// another instance, too: the owner goes on with the servers that it reaches, and resigns only if it reaches none for refusedTimeout.
+// an instance that reaches them can take over.
 func (c *Conductor) checkReachability(now time.Time) {
 	listed, reached, refusing := 0, 0, 0
 	for _, s := range c.orderedSessions() {
@@ -269,10 +268,24 @@
 	if reached > 0 || c.reachableAt.IsZero() {
 		c.anyReachableAt = now
 	}
-	if 2*reached >= listed || c.reachableAt.IsZero() || 2*(reached+refusing) >= listed && now.Sub(c.anyReachableAt) < refusedTimeout {
+	if 2*reached >= listed {
+		c.refusedBefore = 0
+	}
+	refused := 2*(reached+refusing) >= listed
+	if 2*reached >= listed || c.reachableAt.IsZero() || refused && c.refusedLikeOthers(now) {
 		c.reachableAt = now
 	}
 	if now.Sub(c.reachableAt) > majorityTimeout {
-		c.resign(fmt.Sprintf("%d of %d backend servers are reachable, %d refuse connections", reached, listed, refusing))
+		c.end(Resign{
+			Reason:  fmt.Sprintf("%d of %d backend servers are reachable, %d refuse connections", reached, listed, refusing),
+			Refused: refused,
+		})
 	}
 }
+
+// refusedLikeOthers reports whether servers that refuse the connections of this owner are likely to refuse those of any other instance,
+// too, because they have as many as they accept: the owner goes on with the servers that it reaches. Earlier owners have been refused
+// then; a cut of the network that resets connections concerns some instances only.
+func (c *Conductor) refusedLikeOthers(now time.Time) bool {
+	return c.refusedBefore >= ownersRefused && now.Sub(c.anyReachableAt) < refusedTimeout
+}
--- a/conductor/option.go
+++ b/conductor/option.go
@@ -92,6 +92,8 @@
 	freshReportAge     = 100 * time.Millisecond
 	// majorityTimeout is how long an owner may reach fewer than half of the servers before it resigns.
 	majorityTimeout = 1500 * time.Millisecond
+	// ownersRefused is how many owners in a row have to be refused by servers before the next one goes on with fewer than half of them.
+	ownersRefused = 2
 	// refusedTimeout is how long an owner may reach no server, while most refuse its connections, before it resigns.
 	refusedTimeout = 10 * time.Second
 	// handoverGrace is how long after a takeover an earlier owner may still renew the lease of a server that this owner
@@ -102,7 +104,9 @@
 type settings struct {
 	// firstTerm is set when there has been no earlier owner.
 	firstTerm bool
-	lease     time.Duration
+	// refusedBefore is how many owners in a row have resigned because servers refused their connections.
+	refusedBefore int
+	lease         time.Duration
 	// maxLease is the longest lease that backend servers grant.
 	maxLease       time.Duration
 	finalRetention time.Duration
@@ -133,6 +137,11 @@
 	return func(s *settings) { s.firstTerm = true }
 }
 
+// WithRefusedOwners states how many owners in a row before this one have resigned because servers refused their connections.
+func WithRefusedOwners(count int) Option {
+	return func(s *settings) { s.refusedBefore = count }
+}
+
 // WithFinalStateRetention sets the retention of the final state of a job.
 func WithFinalStateRetention(keep time.Duration) Option {
 	return func(s *settings) { s.finalRetention = keep }
--- a/conductor/refused_test.go
+++ b/conductor/refused_test.go
@@ -17,13 +17,16 @@
 	responding int
 	others     specifier.OrderResult
 	starts     map[specifier.ServerID]int
+	// resigned is the resignation of the owner.
+	resigned *conductor.Resign
 }
 
-func newOwnerOfFour(t *testing.T) *ownerOfFour {
+// newOwnerOfFour returns an owner after a number of owners in a row that have resigned because servers refused their connections.
+func newOwnerOfFour(t *testing.T, refusedBefore int) *ownerOfFour {
 	o := &ownerOfFour{
 		ownerOfOneServer: ownerOfOneServer{t: t, now: time.Unix(1_700_000_000, 0)}, responding: 4, starts: make(map[specifier.ServerID]int),
 	}
-	o.Conductor = conductor.New(o.now, 1)
+	o.Conductor = conductor.New(o.now, 1, conductor.WithRefusedOwners(refusedBefore))
 	var servers []specifier.Server
 	for i := range 4 {
 		servers = append(servers, specifier.Server{
@@ -39,7 +42,8 @@
 func (o *ownerOfFour) run(d time.Duration) bool {
 	for end := o.now.Add(d); o.now.Before(end); o.now = o.now.Add(20 * time.Millisecond) {
 		commands := o.Plan(o.now)
-		if len(commandsOf[conductor.Resign](commands)) > 0 {
+		if resignations := commandsOf[conductor.Resign](commands); len(resignations) > 0 {
+			o.resigned = &resignations[0]
 			return true
 		}
 		for _, commit := range commandsOf[conductor.Commit](commands) {
@@ -62,7 +66,7 @@
 // TestRefusedOwnerGoesOn guards against owners that resign one after the other because most servers refuse their connections, while
 // jobs wait that the other servers could run.
 func TestRefusedOwnerGoesOn(t *testing.T) {
-	o := newOwnerOfFour(t)
+	o := newOwnerOfFour(t, 2)
 	o.responding, o.others = 1, specifier.OrderRefused
 	require.False(t, o.run(5*time.Second))
 	o.Handle(o.now, conductor.JobArrived{Job: newJob(0, jobOptions{Tasks: 2, MilliCores: 1000, Seconds: 1})})
@@ -70,19 +74,34 @@
 	require.Equal(t, map[specifier.ServerID]int{"s0": 2}, o.starts)
 }
 
+// TestOwnerWhoseConnectionsAreResetResigns guards against jobs that fail because an owner keeps its shard while a cut of the network
+// resets its connections, and another instance reaches the servers.
+func TestOwnerWhoseConnectionsAreResetResigns(t *testing.T) {
+	for refusedBefore, reachedFirst := range map[int]bool{0: true, 1: false, 2: true} {
+		o := newOwnerOfFour(t, refusedBefore)
+		if reachedFirst {
+			require.False(t, o.run(time.Second))
+		}
+		o.responding, o.others = 1, specifier.OrderRefused
+		require.True(t, o.run(3*time.Second), refusedBefore)
+		require.True(t, o.resigned.Refused)
+	}
+}
+
 // TestOwnerRefusedByAllResigns guards against an owner that keeps its shard for good although only its own connections are reset.
 func TestOwnerRefusedByAllResigns(t *testing.T) {
-	o := newOwnerOfFour(t)
-	require.False(t, o.run(time.Second))
+	o := newOwnerOfFour(t, 2)
 	o.responding, o.others = 0, specifier.OrderRefused
 	require.False(t, o.run(5*time.Second))
 	require.True(t, o.run(10*time.Second))
+	require.True(t, o.resigned.Refused)
 }
 
 // TestOwnerOfUnreachableServersResigns guards against an owner that keeps its shard although another instance may reach the servers.
 func TestOwnerOfUnreachableServersResigns(t *testing.T) {
-	o := newOwnerOfFour(t)
+	o := newOwnerOfFour(t, 2)
 	require.False(t, o.run(time.Second))
 	o.responding, o.others = 1, specifier.OrderUnknown
 	require.True(t, o.run(5*time.Second))
+	require.False(t, o.resigned.Refused)
 }
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -37,6 +37,9 @@
 	case conductor.Borrow:
 		o.borrow(ctx, c)
 	case conductor.Resign:
+		if c.Refused {
+			o.elector.NoteRefused(o.ownership.Epoch, o.refusedBefore+1)
+		}
 		o.elector.Resign(o.ownership.Epoch, c.Reason)
 	case conductor.Refuse:
 		o.decided(c.Refusals)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -19,10 +19,12 @@
 	// predecessors are earlier owners that may still renew leases of runs.
 	predecessors []elector.Owner
 	// first is set when there has been no owner before.
-	first        bool
-	stateMachine *conductor.Conductor
-	events       chan queuedEvent
-	queries      chan func(*conductor.Conductor)
+	first bool
+	// refusedBefore is how many owners in a row before this one have resigned because servers refused their connections.
+	refusedBefore int
+	stateMachine  *conductor.Conductor
+	events        chan queuedEvent
+	queries       chan func(*conductor.Conductor)
 	// laneRevisions are the revisions of the keys of the commit lanes; see laneKey.
 	laneRevisions   [conductor.CommitLanes]int64
 	memberAddresses map[string]string
@@ -54,7 +56,7 @@
 func (c *Coordinator) runOwner(ctx context.Context, term elector.Term) {
 	ownership := term.Ownership
 	o := &owner{
-		Coordinator: c, ownership: ownership, predecessors: term.Predecessors, first: term.First,
+		Coordinator: c, ownership: ownership, predecessors: term.Predecessors, first: term.First, refusedBefore: term.RefusedBefore,
 		events: make(chan queuedEvent, eventQueueSize), queries: make(chan func(*conductor.Conductor)),
 		memberAddresses: make(map[string]string), done: ctx.Done(), counted: make(map[string]bool),
 		refusals: make(chan decidedRefusals, 1),
--- a/coordinator/recovery.go
+++ b/coordinator/recovery.go
@@ -21,9 +21,9 @@
 // entries that are read now are complete.
 func (o *owner) recover(ctx context.Context) error {
 	now := o.settings.clock.Now()
-	options := o.settings.conductor
+	options := append(slices.Clone(o.settings.conductor), conductor.WithRefusedOwners(o.refusedBefore))
 	if o.first {
-		options = append(slices.Clone(options), conductor.WithFirstTerm())
+		options = append(options, conductor.WithFirstTerm())
 	}
 	o.stateMachine = conductor.New(now, o.ownership.Epoch, options...)
 	if configuration := o.configuration.Load(); configuration != nil {
--- a/elector/duty.go
+++ b/elector/duty.go
@@ -34,15 +34,15 @@
 func (e *Elector) setOwned(epoch int64, predecessors []Owner, losses []time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.ownedEpoch, e.predecessors, e.losses = epoch, predecessors, losses
+	e.ownedEpoch, e.predecessors, e.losses, e.refused = epoch, predecessors, losses, 0
 }
 
-// takeOwned ends the recorded ownership. It returns the predecessors that are not known to have stopped, and the losses.
+// takeOwned ends the recorded ownership. It returns what its end records.
 func (e *Elector) takeOwned() termRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	left := termRecord{Predecessors: e.predecessors, Losses: e.losses}
-	e.ownedEpoch, e.predecessors, e.losses = 0, nil, nil
+	left := termRecord{Predecessors: e.predecessors, Losses: e.losses, Refused: e.refused}
+	e.ownedEpoch, e.predecessors, e.losses, e.refused = 0, nil, nil, 0
 	return left
 }
 
@@ -56,6 +56,15 @@
 	}
 }
 
+// NoteRefused states that the owner of an epoch ends because servers refuse its connections, as the last of a number of owners in a row.
+func (e *Elector) NoteRefused(epoch int64, inARow int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ownedEpoch == epoch {
+		e.refused = inARow
+	}
+}
+
 // endTerm records the end of the term in the store, so that a successor knows that this owner has stopped, deletes the
 // owner key and revokes the lease.
 func (e *Elector) endTerm(ctx context.Context, ownership Ownership, lease keeper.LeaseID, record termRecord) {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -68,6 +68,8 @@
 	predecessors []Owner
 	// losses are those of the owned term.
 	losses []time.Time
+	// refused is what the end of the owned term records of refusals.
+	refused int
 	// requestMu serializes the senders to resignations.
 	requestMu    sync.Mutex
 	resignations chan resignation
@@ -362,6 +364,7 @@
 	}
 	term := Term{
 		Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors, First: entry.Revision == 0, Losses: losses,
+		RefusedBefore: refusedBefore(entry),
 	}
 	e.runTerm(ctx, term, lease, requestedAt)
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -162,6 +162,26 @@
 	})
 }
 
+// TestRefusedOwnersAreCounted guards against an owner that does not know that servers have refused the owners before it.
+func TestRefusedOwnersAreCounted(t *testing.T) {
+	runWithCandidates(t, func(t *testing.T, first, second *candidate) {
+		require.Zero(t, first.term.Load().RefusedBefore)
+		first.elector.NoteRefused(first.term.Load().Epoch, 1)
+		first.elector.Resign(first.term.Load().Epoch, "test")
+		time.Sleep(electionTime / 2)
+		require.Equal(t, 1, second.term.Load().RefusedBefore)
+		time.Sleep(2 * electionTime)
+		second.elector.Resign(second.term.Load().Epoch, "test")
+		time.Sleep(electionTime / 2)
+		require.Zero(t, first.term.Load().RefusedBefore, "the second one was not refused")
+		time.Sleep(2 * electionTime)
+		first.elector.NoteRefused(first.term.Load().Epoch, 3)
+		first.partitioned.Store(true)
+		time.Sleep(electionTime)
+		require.Zero(t, second.term.Load().RefusedBefore, "a lost owner has recorded nothing")
+	})
+}
+
 // TestRecordedLossesAreBounded guards against a term that grows with each loss.
 func TestRecordedLossesAreBounded(t *testing.T) {
 	runWithCandidates(t, func(t *testing.T, first, _ *candidate) {
--- a/elector/term.go
+++ b/elector/term.go
@@ -23,6 +23,8 @@
 	// Losses are the times, on the clocks of their successors, at which earlier owners were found to have ended without a record of it,
 	// or ended in the knowledge that they have left connections open. The newest are at the end.
 	Losses []time.Time
+	// RefusedBefore is how many owners in a row before this one have recorded that they ended because servers refused their connections.
+	RefusedBefore int
 }
 
 // termRecord is the value of the term's key.
@@ -34,6 +36,8 @@
 	Predecessors []Owner `json:",omitempty"`
 	// Losses are those of the term, and those of its own owner if it has ended.
 	Losses []time.Time `json:",omitempty"`
+	// Refused is how many owners in a row have ended because servers refused their connections, this one included.
+	Refused int `json:",omitempty"`
 }
 
 // maxLosses bounds the losses that a term records; those beyond it are the oldest.
@@ -60,6 +64,15 @@
 	return withLoss(record.Losses, now)
 }
 
+// refusedBefore returns how many owners in a row have ended because servers refused their connections, before a new term.
+func refusedBefore(entry keeper.Entry) int {
+	var record termRecord
+	if err := json.Unmarshal(entry.Value, &record); err != nil || !record.Ended {
+		return 0
+	}
+	return record.Refused
+}
+
 // predecessorsOf returns the owners that may still act as the owner when another instance is elected. There are none before
 // the first term: each owner key is written together with its term, which has no lease.
 func predecessorsOf(entry keeper.Entry) ([]Owner, error) {
