End a row of refused owners once one has reached the servers

Found by reading afresh: an owner that had reached half of its servers and was refused later recorded itself as the third in the row, because the coordinator counted with what the term began with. The next one would have gone on at once, though a cut of the network may have reset the connections of the other only.

The state machine, which ends the row, tells the number now. TestOwnerWhose ConnectionsAreResetResigns has the numbers; it fails before (no number, only that the owner was refused).

--- a/conductor/command.go
+++ b/conductor/command.go
@@ -79,8 +79,9 @@
 // Resign gives up the ownership of the cell.
 type Resign struct {
 	Reason string
-	// Refused is set if this owner reaches too few servers because they refuse its connections.
-	Refused bool
+	// Refused is how many owners in a row, this one included, have resigned because servers refused their connections. It is zero if this
+	// one resigns for another reason.
+	Refused int
 }
 
 // Refuse states the refusals of submissions that are in force from now on, instead of all earlier ones.
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -275,12 +275,14 @@
 	if 2*reached >= listed || c.reachableAt.IsZero() || refused && c.refusedLikeOthers(now) {
 		c.reachableAt = now
 	}
-	if now.Sub(c.reachableAt) > majorityTimeout {
-		c.end(Resign{
-			Reason:  fmt.Sprintf("%d of %d backend servers are reachable, %d refuse connections", reached, listed, refusing),
-			Refused: refused,
-		})
+	if now.Sub(c.reachableAt) <= majorityTimeout {
+		return
+	}
+	resignation := Resign{Reason: fmt.Sprintf("%d of %d backend servers are reachable, %d refuse connections", reached, listed, refusing)}
+	if refused {
+		resignation.Refused = c.refusedBefore + 1
 	}
+	c.end(resignation)
 }
 
 // refusedLikeOthers reports whether servers that refuse the connections of this owner are likely to refuse those of any other instance,
--- a/conductor/refused_test.go
+++ b/conductor/refused_test.go
@@ -84,7 +84,11 @@
 		}
 		o.responding, o.others = 1, specifier.OrderRefused
 		require.True(t, o.run(3*time.Second), refusedBefore)
-		require.True(t, o.resigned.Refused)
+		want := refusedBefore + 1
+		if reachedFirst {
+			want = 1
+		}
+		require.Equal(t, want, o.resigned.Refused, "an owner that has reached the servers ends the row")
 	}
 }
 
@@ -94,7 +98,7 @@
 	o.responding, o.others = 0, specifier.OrderRefused
 	require.False(t, o.run(5*time.Second))
 	require.True(t, o.run(10*time.Second))
-	require.True(t, o.resigned.Refused)
+	require.Equal(t, 3, o.resigned.Refused)
 }
 
 // TestOwnerOfUnreachableServersResigns guards against an owner that keeps its shard although another instance may reach the servers.
@@ -103,5 +107,5 @@
 	require.False(t, o.run(time.Second))
 	o.responding, o.others = 1, specifier.OrderUnknown
 	require.True(t, o.run(5*time.Second))
-	require.False(t, o.resigned.Refused)
+	require.Zero(t, o.resigned.Refused)
 }
--- a/coordinator/execute.go
+++ b/coordinator/execute.go
@@ -37,9 +37,7 @@
 	case conductor.Borrow:
 		o.borrow(ctx, c)
 	case conductor.Resign:
-		if c.Refused {
-			o.elector.NoteRefused(o.ownership.Epoch, o.refusedBefore+1)
-		}
+		o.elector.NoteRefused(o.ownership.Epoch, c.Refused)
 		o.elector.Resign(o.ownership.Epoch, c.Reason)
 	case conductor.Refuse:
 		o.decided(c.Refusals)
--- a/elector/duty.go
+++ b/elector/duty.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// NoteRefused states that the owner of an epoch ends because servers refuse its connections, as the last of a number of owners in a row.
+// NoteRefused states how many owners in a row, up to that of an epoch, end because servers refuse their connections.
 func (e *Elector) NoteRefused(epoch int64, inARow int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
