Decode the recorded term once

campaign decoded the same entry three times since the losses and refused owners are recorded: for predecessors, losses and refused owners. termAfter decodes it once and returns the term, which setOwned takes whole. No behaviour changes; the tests of elector and coordinator pass unchanged with the race detector.

--- a/elector/duty.go
+++ b/elector/duty.go
@@ -13,7 +13,7 @@
 	if e.retired.Load() {
 		e.Resign(term.Epoch, "instance stops")
 	}
-	e.setOwned(term.Epoch, term.Predecessors, term.Losses)
+	e.setOwned(term)
 	ownerContext, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -30,11 +30,11 @@
 	e.endTerm(context.WithoutCancel(ctx), term.Ownership, lease, left)
 }
 
-// setOwned records the owned epoch, its predecessors and the losses before it.
-func (e *Elector) setOwned(epoch int64, predecessors []Owner, losses []time.Time) {
+// setOwned records the owned term.
+func (e *Elector) setOwned(term Term) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.ownedEpoch, e.predecessors, e.losses, e.refused = epoch, predecessors, losses, 0
+	e.ownedEpoch, e.predecessors, e.losses, e.refused = term.Epoch, term.Predecessors, term.Losses, 0
 }
 
 // takeOwned ends the recorded ownership. It returns what its end records.
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -331,12 +331,11 @@
 		e.pause(ctx, err)
 		return
 	}
-	predecessors, err := predecessorsOf(entry)
+	requestedAt := e.clock.Now()
+	term, err := termAfter(entry, requestedAt)
 	if err != nil {
 		e.logger.Error("failed to decode the term; assuming that its owner is still active", "Error", err.Error())
 	}
-	requestedAt := e.clock.Now()
-	losses := lossesOf(entry, requestedAt)
 	lease, err := e.store.Grant(ctx, keeper.LeaseOptions{TimeToLive: leaseTTL})
 	if err != nil {
 		e.pause(ctx, err)
@@ -347,7 +346,7 @@
 		e.logger.Error("failed to encode the owner", "Error", err.Error())
 		return
 	}
-	transaction, err := termTransaction(before, termRecord{Owner: e.self, Predecessors: predecessors, Losses: losses})
+	transaction, err := termTransaction(before, termRecord{Owner: e.self, Predecessors: term.Predecessors, Losses: term.Losses})
 	if err != nil {
 		e.logger.Error("failed to encode the term", "Error", err.Error())
 		return
@@ -362,10 +361,7 @@
 		}
 		return
 	}
-	term := Term{
-		Ownership: Ownership{Owner: e.self, Epoch: epoch}, Predecessors: predecessors, First: entry.Revision == 0, Losses: losses,
-		RefusedBefore: refusedBefore(entry),
-	}
+	term.Ownership = Ownership{Owner: e.self, Epoch: epoch}
 	e.runTerm(ctx, term, lease, requestedAt)
 }
 
--- a/elector/term.go
+++ b/elector/term.go
@@ -49,44 +49,21 @@
 	return losses[max(0, len(losses)-maxLosses):]
 }
 
-// lossesOf returns the losses before a new term that begins now: the owner of the recorded term is lost unless it recorded its end.
-func lossesOf(entry keeper.Entry, now time.Time) []time.Time {
+// termAfter returns the term that begins now after the recorded one, still without its ownership. There are no predecessors before
+// the first term: each owner key is written together with its term, which has no lease. The owner of the recorded term may still act as the
+// owner, and is lost, unless it recorded its end.
+func termAfter(entry keeper.Entry, now time.Time) (Term, error) {
 	if entry.Revision == 0 {
-		return nil
+		return Term{First: true}, nil
 	}
 	var record termRecord
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return withLoss(nil, now)
+		return Term{Predecessors: []Owner{{}}, Losses: withLoss(nil, now)}, errors.Wrap(err, "decode term")
 	}
 	if record.Ended {
-		return record.Losses
+		return Term{Predecessors: record.Predecessors, Losses: record.Losses, RefusedBefore: record.Refused}, nil
 	}
-	return withLoss(record.Losses, now)
-}
-
-// refusedBefore returns how many owners in a row have ended because servers refused their connections, before a new term.
-func refusedBefore(entry keeper.Entry) int {
-	var record termRecord
-	if err := json.Unmarshal(entry.Value, &record); err != nil || !record.Ended {
-		return 0
-	}
-	return record.Refused
-}
-
-// predecessorsOf returns the owners that may still act as the owner when another instance is elected. There are none before
-// the first term: each owner key is written together with its term, which has no lease.
-func predecessorsOf(entry keeper.Entry) ([]Owner, error) {
-	if entry.Revision == 0 {
-		return nil, nil
-	}
-	var record termRecord
-	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return []Owner{{}}, errors.Wrap(err, "decode term")
-	}
-	if record.Ended {
-		return record.Predecessors, nil
-	}
-	return append(record.Predecessors, record.Owner), nil
+	return Term{Predecessors: append(record.Predecessors, record.Owner), Losses: withLoss(record.Losses, now)}, nil
 }
 
 // termTransaction returns a transaction that writes the term, on the condition that an ownership is still in the store, or
