Use the number of kept connections from one place

Limits.Kept was the constant KeptConnections for every server. The constant stays. Two comments were stale: one named a field by its former name, one said that the term records no more losses than the limits allow for (it records 32, and 16 are allowed for). No behaviour changes; tests of limiter and connector pass.

--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -13,7 +13,7 @@
 	// KeptConnections is the number of connections that stay open between calls: one for the renewal that waits for the end of a
 	// run, and one for orders.
 	KeptConnections = 2
-	// maxLosses bounds the losses of owners that are allowed for, because no more than this are recorded.
+	// maxLosses bounds the losses of owners for which a server that accepts many connections leaves room.
 	maxLosses = 16
 )
 
@@ -21,8 +21,6 @@
 type Limits struct {
 	// Calls is the number of concurrent calls, each of which has a connection.
 	Calls int
-	// Kept is the number of connections that may stay open between calls.
-	Kept int
 	// Left is the number of connections that this owner and lost ones may leave open when they are lost.
 	Left int
 }
@@ -34,7 +32,6 @@
 	}
 	return Limits{
 		Calls: min(max(1, maxConnections/callShare), maxCalls),
-		Kept:  KeptConnections,
 		Left:  min(maxConnections/leftShare, maxLosses*KeptConnections),
 	}
 }
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -5,7 +5,7 @@
 // Server limits the calls of an owner to one address of a backend server. W identifies a call that waits.
 type Server[W comparable] struct {
 	limits Limits
-	// incarnation is that of the server to which left applies.
+	// incarnation is that of the server to which leftByOthers and abandoned apply.
 	incarnation int64
 	// leftByOthers is the number of connections that lost owners may have left open at this incarnation, and abandoned that of kept ones
 	// that this owner has closed for want of a response.
@@ -136,8 +136,8 @@
 // keptLimit returns how many connections may be kept. Together with the abandoned ones they are no more than a lost owner counts for, so
 // that this holds for this owner, too, whenever it is lost.
 func (s *Server[W]) keptLimit() int {
-	if s.leftByOthers+s.limits.Kept > s.limits.Left {
+	if s.leftByOthers+KeptConnections > s.limits.Left {
 		return 0
 	}
-	return max(0, s.limits.Kept-s.abandoned)
+	return max(0, KeptConnections-s.abandoned)
 }
--- a/limiter/server_test.go
+++ b/limiter/server_test.go
@@ -107,10 +107,10 @@
 		return grant.Kept
 	}
 	s := limiter.NewServer[int](limits)
-	s.SetIncarnation(1000, limits.Left-limits.Kept)
+	s.SetIncarnation(1000, limits.Left-limiter.KeptConnections)
 	require.True(t, keeps(s))
 	s = limiter.NewServer[int](limits)
-	s.SetIncarnation(1000, limits.Left-limits.Kept+1)
+	s.SetIncarnation(1000, limits.Left-limiter.KeptConnections+1)
 	require.False(t, keeps(s))
 	s.SetIncarnation(1000, 0)
 	require.False(t, keeps(s), "only a later incarnation has lost the connections")
