Test connections on the network of tester

The stand-in of pool_test.go had a listener of pipes of its own; tester.Network is one. The assertions are unchanged; five runs pass, two of them with the race detector.

--- a/connector/pool_test.go
+++ b/connector/pool_test.go
@@ -39,17 +39,21 @@
 // backendServer is a stand-in that resets new connections while it has as many as it accepts, and keeps all others until the caller or the
 // HTTP server closes them.
 type backendServer struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	mu       sync.Mutex
-	open     int
-	most     int
-	resets   int
+	net.Listener
+	network *tester.Network
+	mu      sync.Mutex
+	open    int
+	most    int
+	resets  int
 }
 
+// serverAddress is the address of the stand-in.
+const serverAddress = "10.0.0.1:80"
+
 // startServer starts a stand-in, which ends with the test.
 func startServer(t *testing.T) *backendServer {
-	s := &backendServer{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	network := tester.NewNetwork()
+	s := &backendServer{Listener: network.Listen(serverAddress), network: network}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Only a request that was read ends with its connection.
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -71,35 +75,24 @@
 
 // Accept implements net.Listener.
 func (s *backendServer) Accept() (net.Conn, error) {
-	select {
-	case conn := <-s.accepted:
-		return conn, nil
-	case <-s.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (s *backendServer) Close() error {
-	close(s.closed)
-	return nil
+	conn, err := s.Listener.Accept()
+	return &serverConn{Conn: conn, server: s}, err
 }
 
-// Addr implements net.Listener.
-func (s *backendServer) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 80} }
-
-func (s *backendServer) dial(context.Context, string, string) (net.Conn, error) {
+func (s *backendServer) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.open >= maxConnections {
+	accepts := s.open < maxConnections
+	if accepts {
+		s.open++
+		s.most = max(s.most, s.open)
+	} else {
 		s.resets++
+	}
+	s.mu.Unlock()
+	if !accepts {
 		return resetConn{}, nil
 	}
-	s.open++
-	s.most = max(s.most, s.open)
-	caller, accepted := net.Pipe()
-	go func() { s.accepted <- &serverConn{Conn: accepted, server: s} }()
-	return caller, nil
+	return s.network.Dial(ctx, address)
 }
 
 func (s *backendServer) openConnections() int {
@@ -197,7 +190,7 @@
 	}
 	return &owner{
 		t: t, pool: connector.New(append(defaults, options...)...), client: &http.Client{Transport: connector.Transport{}},
-		server: specifier.Server{ID: "i-1", Service: "s", Address: server.Addr().String(), Incarnation: 1000},
+		server: specifier.Server{ID: "i-1", Service: "s", Address: serverAddress, Incarnation: 1000},
 	}
 }
 
@@ -347,7 +340,7 @@
 		server := startServer(t)
 		var others []net.Conn
 		for range maxConnections {
-			conn, err := server.dial(t.Context(), "", "")
+			conn, err := server.dial(t.Context(), "tcp", serverAddress)
 			require.NoError(t, err)
 			others = append(others, conn)
 		}
